Name the log's streams and the records on them

Cause: a home of claims must read its own partition only; documents, verdicts and orders want streams of their own.

--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/record"
 	"sycamoretrail/internal/core/request"
 )
 
@@ -41,7 +43,7 @@
 	Message message.Message
 }
 
-// RunStarted: the target took the request; Attempt tells runs of one id apart.
+// RunStarted: the target took the request.
 type RunStarted struct{ ID ident.RequestID }
 
 // RunProgress reports tokens received so far; sent at most every 100 ms a run.
@@ -74,17 +76,19 @@
 	Adapters []string
 }
 
-// LogRecord brings one record of the platform's log, in offset order.
+// LogRecord brings one record of a followed stream, in offset order.
 type LogRecord struct {
+	Stream record.Stream
 	Offset int64
 	// Age is how long ago the log took it, by the log's clock.
 	Age  time.Duration
 	Data []byte
 }
 
-// LogCaughtUp: every record below Offset, as of a read begun after the instant
-// Since, has been delivered.
+// LogCaughtUp: every record of the stream below Offset, as of a read begun at
+// the instant Since, has been delivered.
 type LogCaughtUp struct {
+	Stream record.Stream
 	Offset int64
 	Since  time.Time
 }
@@ -97,11 +101,9 @@
 	Failed bool
 }
 
-// LogDown and the next LogCaughtUp bracket an outage.
-type LogDown struct{}
-
-// LogTrimmed: records below Offset are gone.
-type LogTrimmed struct{ Offset int64 }
+// LogDown says that a stream cannot be read; the next LogCaughtUp of the
+// stream ends the outage.
+type LogDown struct{ Stream record.Stream }
 
 // InstanceList is the platform's list, which lags.
 type InstanceList struct {
@@ -146,7 +148,6 @@
 func (LogCaughtUp) input()  {}
 func (LogAppended) input()  {}
 func (LogDown) input()      {}
-func (LogTrimmed) input()   {}
 func (InstanceList) input() {}
 func (OrderDone) input()    {}
 func (DrainStart) input()   {}
@@ -193,12 +194,23 @@
 	Message message.Message
 }
 
-// Append writes a record to the log; answered by LogAppended with the same Tag.
+// Append writes a record to a stream; answered by LogAppended with the same Tag.
 type Append struct {
-	Tag  uint64
-	Data []byte
+	Tag    uint64
+	Stream record.Stream
+	Data   []byte
 }
 
+// Follow begins to read a stream from records no older than Back, and goes on
+// with LogRecord and LogCaughtUp until Unfollow.
+type Follow struct {
+	Stream record.Stream
+	Back   time.Duration
+}
+
+// Unfollow ends the reading of a stream.
+type Unfollow struct{ Stream record.Stream }
+
 // Order tells a target what to hold; answered by OrderDone.
 type Order struct {
 	Target   string
@@ -209,8 +221,23 @@
 	Adapters []string
 }
 
-// Apply says that a document is now in force here.
-type Apply struct{ Version int64 }
+// Publish gives the edges a new immutable view of what they need to know.
+// It is put out whenever the view changed.
+type Publish struct{ View *View }
+
+// View is what the edges read without asking the core.
+type View struct {
+	State message.State
+	// Version of the document in force; 0 and a nil Document: none yet.
+	Version  int64
+	Document *document.Document
+	// Entries are the members that callers may use, in this entry's order.
+	Entries []message.Member
+	// Prefix for new ids, and until when it may be handed out and for how long
+	// an answer to "which entry" is good.
+	Prefix  ident.Prefix
+	GoodFor time.Duration
+}
 
 // Decision is a line for the operators' log and for explain.
 type Decision struct {
@@ -250,6 +277,8 @@
 func (Send) output()      {}
 func (Append) output()    {}
 func (Order) output()     {}
-func (Apply) output()     {}
+func (Publish) output()   {}
+func (Follow) output()    {}
+func (Unfollow) output()  {}
 func (Decision) output()  {}
 func (Drained) output()   {}
