Tell a joined request from the flight that it joins

Cause: a retried idempotency key brings another id than the run that answers it, and a plain service's answer is held by its owner alone, so the caller must be sent there.

--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -177,13 +177,26 @@
 	Status outcome.Status
 }
 
-// Join attaches a caller's request to the run of the same id, which stands at
-// this entry already.
-type Join struct{ ID ident.RequestID }
+// Join attaches a caller's request ID to the flight Of at this entry: the same
+// id sent again, or another id with the same idempotency key.
+type Join struct {
+	ID ident.RequestID
+	Of ident.RequestID
+}
+
+// SeeOther sends the caller to the entry that holds the answer of Of, which may
+// still be coming (HTTP 303 to /v1/streams/{token} at Address).
+type SeeOther struct {
+	ID      ident.RequestID
+	Of      ident.RequestID
+	Target  string
+	Address string
+}
 
-// Attach follows a stream that another entry dispatched, at its target.
+// Attach follows the stream Of, which another entry dispatched, at its target.
 type Attach struct {
 	ID      ident.RequestID
+	Of      ident.RequestID
 	Target  string
 	Address string
 }
@@ -273,6 +286,7 @@
 func (CancelRun) output() {}
 func (Settle) output()    {}
 func (Join) output()      {}
+func (SeeOther) output()  {}
 func (Attach) output()    {}
 func (Send) output()      {}
 func (Append) output()    {}
