--- /dev/null
+++ b/internal/core/entry/documents.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/acceptance"
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/record"
+)
+
+const (
+	// documentAskEvery is the pause between questions for the document while
+	// the log is out and this entry holds none.
+	documentAskEvery = time.Second
+	// verdictsRemembered bounds what is kept to tell publishers what became of
+	// their documents.
+	verdictsRemembered = 256
+)
+
+// timing holds the protocol's intervals from the document in force.
+type timing struct {
+	heartbeat, silence, grant, floor time.Duration
+	horizon, retention               time.Duration
+}
+
+// startingTiming is used until a document is in force.
+var startingTiming = timing{
+	heartbeat: 200 * time.Millisecond,
+	silence:   1500 * time.Millisecond,
+	grant:     400 * time.Millisecond,
+	floor:     time.Second,
+	horizon:   time.Hour,
+	retention: 4 * time.Hour,
+}
+
+func timingOf(doc *document.Document) timing {
+	return timing{
+		heartbeat: document.Milliseconds(doc.Timing.HeartbeatMS),
+		silence:   document.Milliseconds(doc.Timing.SilenceMS),
+		grant:     document.Milliseconds(doc.Timing.GrantMS),
+		floor:     document.Milliseconds(doc.Refusal.FloorMS),
+		horizon:   document.Milliseconds(doc.Timing.ClaimHorizonMS),
+		retention: document.Milliseconds(doc.Timing.RetentionMS),
+	}
+}
+
+// documentRecorded judges the next record of the documents' stream.
+func (e *Entry) documentRecorded(offset int64, age time.Duration, rec record.Document) {
+	verdict := e.accepted.Record(e.now.Add(-age), offset, rec)
+	e.rememberVerdict(verdict)
+	e.note(Decision{Event: EventDocument, Detail: verdict.String()})
+	e.applyCurrent()
+}
+
+func (e *Entry) rememberVerdict(v acceptance.Verdict) {
+	if v.DocumentID == "" {
+		return
+	}
+	e.verdicts = append(e.verdicts, v)
+	if len(e.verdicts) > verdictsRemembered {
+		e.verdicts = e.verdicts[1:]
+	}
+}
+
+// DocumentVerdict tells what became of a published document, if it was read.
+func (e *Entry) DocumentVerdict(id string) (acceptance.Verdict, bool) {
+	for _, v := range e.verdicts {
+		if v.DocumentID == id && v.Kind != acceptance.Duplicate {
+			return v, true
+		}
+	}
+	return acceptance.Verdict{}, false
+}
+
+// applyCurrent puts the accepted document in force, if it is newer than the one
+// in force. Every duty is configured here and nowhere else.
+func (e *Entry) applyCurrent() {
+	doc, version, _ := e.accepted.Current()
+	if doc == nil || version <= e.version {
+		return
+	}
+	e.doc = doc
+	e.version = version
+	e.index = document.NewIndex(doc)
+	e.timing = timingOf(doc)
+	longest := document.Milliseconds(doc.Limits.DeadlineMS)
+	e.ids.Configure(e.now, document.Milliseconds(doc.Shutdown.EntriesTTLMS), longest, doc.Limits.RememberedIDs)
+	e.members.Configure(e.timing.heartbeat, e.timing.silence)
+	e.claims.Configure(e.now, e.timing.horizon)
+	e.router.Configure(doc)
+	e.places.Configure(e.now, e.schedulerSettings())
+	e.share.Configure(e.now, e.schedulerSettings())
+	e.drain.Configure(document.Milliseconds(doc.Shutdown.DrainMS), document.Milliseconds(doc.Shutdown.EntriesTTLMS))
+	e.performOrders(e.orders.Configure(e.now, doc))
+	e.rebalance()
+	e.changed = true
+}
+
+// renew appends the accepted document again before the log's retention drops it.
+func (e *Entry) renew() {
+	if !e.accepted.RenewalDue(e.now, e.timing.retention, e.jitterShare) {
+		return
+	}
+	_, version, data := e.accepted.Current()
+	e.accepted.Renewing(e.now)
+	rec := record.Record{Document: &record.Document{Data: data, Version: version}}
+	e.append(record.StreamDocuments, rec, appendRenewal, 0)
+}
+
+// seekDocument asks peers while this entry holds no document and the log gives none.
+func (e *Entry) seekDocument() {
+	if e.doc != nil || e.now.Before(e.seekAt) {
+		return
+	}
+	e.seekAt = e.now.Add(documentAskEvery)
+	for _, m := range e.members.Known() {
+		e.send(m.Incarnation, message.DocumentAsk{})
+	}
+}
+
+func (e *Entry) documentAsked(from ident.Incarnation) {
+	if _, version, data := e.accepted.Current(); version > 0 {
+		e.send(from, message.DocumentReply{Version: version, Data: data})
+	}
+}
+
+// documentTold takes the accepted document from a peer. Versions only rise, so
+// a peer that lags behind cannot bring an older document back.
+func (e *Entry) documentTold(r message.DocumentReply) {
+	if err := e.accepted.Adopt(e.now, r.Version, r.Data); err != nil {
+		e.note(Decision{Event: EventDocument, Detail: err.Error()})
+		return
+	}
+	e.applyCurrent()
+}
--- /dev/null
+++ b/internal/core/entry/foreign.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+)
+
+// askOwner begins to find out what became of subject, an id that another entry
+// owns: the request's own id sent again here, or the winner of its key.
+func (e *Entry) askOwner(req request.Request, subject ident.RequestID, owner ident.Incarnation) {
+	f := &flight{req: req, subject: subject, stage: stageAsking, giveUp: e.now.Add(e.timing.silence)}
+	if e.flights[req.ID] != nil {
+		e.emit(Join{ID: req.ID, Of: req.ID})
+		return
+	}
+	e.enter(f)
+	e.ask(f, owner)
+}
+
+// ask puts the question to an entry. An owner that no live member is has been
+// replaced or cannot be reached; whether it dispatched is then not known, and
+// saying "not run" could turn one release into two charges.
+func (e *Entry) ask(f *flight, owner ident.Incarnation) {
+	if !e.members.Reachable(owner) {
+		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone"))
+		return
+	}
+	f.asked = owner
+	e.asks++
+	e.send(owner, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID})
+	e.wakeAt(f, e.now.Add(e.timing.grant))
+}
+
+func (e *Entry) attendAsking(f *flight) {
+	if !e.now.Before(f.giveUp) {
+		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
+		return
+	}
+	e.ask(f, f.asked)
+}
+
+// ownerAsked answers a peer's question about an id that is owned here.
+func (e *Entry) ownerAsked(from ident.Incarnation, q message.OwnerAsk) {
+	reply := e.standingFor(from, q)
+	reply.Seq = q.Seq
+	e.send(from, reply)
+}
+
+func (e *Entry) standingFor(from ident.Incarnation, q message.OwnerAsk) message.OwnerReply {
+	if q.Known {
+		// The asker wants the outcome of another's request, not its id.
+		return e.ids.Tell(e.now, q.ID)
+	}
+	return e.ids.Ask(e.now, from, q.ID)
+}
+
+// ownerTold acts on what the owner said.
+func (e *Entry) ownerTold(from ident.Incarnation, r message.OwnerReply) {
+	for _, f := range e.askingAbout(r.ID) {
+		if f.asked == from {
+			e.followStanding(f, from, r)
+		}
+	}
+}
+
+// askingAbout lists the flights that wait for word on an id, in order of id.
+func (e *Entry) askingAbout(subject ident.RequestID) []*flight {
+	if f := e.flights[subject]; f != nil && f.stage == stageAsking && f.subject == subject {
+		return []*flight{f}
+	}
+	var found []*flight
+	for _, id := range e.asking[subject] {
+		if f := e.flights[id]; f != nil && f.stage == stageAsking {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+func (e *Entry) followStanding(f *flight, owner ident.Incarnation, r message.OwnerReply) {
+	switch r.Standing {
+	case message.StandingVoided:
+		e.adopt(f)
+	case message.StandingElsewhere:
+		e.ask(f, r.Delegate)
+	case message.StandingWaiting:
+		f.giveUp = earlier(e.now.Add(e.timing.silence), f.req.Deadline)
+	case message.StandingRunning:
+		e.followRun(f, owner, r.Target)
+	case message.StandingFinished:
+		e.followFinished(f, owner, r)
+	default:
+		e.settleForeign(f, outcome.Undetermined(outcome.ReasonIDExpired, "the owner no longer remembers the id"))
+	}
+}
+
+// adopt makes this entry the owner of an id that its former owner gave up.
+func (e *Entry) adopt(f *flight) {
+	e.leave(f)
+	e.ids.Adopt(e.now, f.req.ID)
+	e.accept(f.req)
+}
+
+// followRun attaches the caller to a run that another entry dispatched. An
+// engine serves the stream again itself; a plain service's answer is with its
+// owner alone.
+func (e *Entry) followRun(f *flight, owner ident.Incarnation, target string) {
+	spec, known := e.index.Target(target)
+	if f.req.Kind == request.Engine && known {
+		e.leaveForeign(f)
+		e.emit(Attach{ID: f.req.ID, Of: f.subject, Target: target, Address: spec.Address})
+		return
+	}
+	address, reachable := e.members.CallerAddress(owner)
+	if !reachable {
+		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that holds the answer cannot be reached"))
+		return
+	}
+	e.leaveForeign(f)
+	e.emit(SeeOther{ID: f.req.ID, Of: f.subject, Target: target, Address: address})
+}
+
+func (e *Entry) followFinished(f *flight, owner ident.Incarnation, r message.OwnerReply) {
+	if r.Status.Outcome == outcome.Answered {
+		e.followRun(f, owner, r.Target)
+		return
+	}
+	e.settleForeign(f, r.Status)
+}
+
+// settleForeign tells the caller what is known of an id that is not owned here.
+// Nothing is recorded: only the owner's word is.
+func (e *Entry) settleForeign(f *flight, status outcome.Status) {
+	e.leaveForeign(f)
+	e.refuseUnseen(f.req.ID, status)
+}
+
+func (e *Entry) leaveForeign(f *flight) {
+	e.leave(f)
+	if f.subject == f.req.ID {
+		return
+	}
+	e.ids.Finish(e.now, f.req.ID, outcome.Refused(outcome.ReasonDuplicateKey, 0, "the idempotency key belongs to another request"))
+	waiting := e.asking[f.subject]
+	for i, id := range waiting {
+		if id == f.req.ID {
+			waiting = append(waiting[:i:i], waiting[i+1:]...)
+			break
+		}
+	}
+	if len(waiting) == 0 {
+		delete(e.asking, f.subject)
+		return
+	}
+	e.asking[f.subject] = waiting
+}
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -163,6 +163,9 @@
 	Kind    request.Kind
 	// Deadline ends the run; past it the stream is cancelled.
 	Deadline time.Time
+	// NotAfter voids the dispatch: a process that was paused between the core's
+	// decision and the first byte must answer RunEnded{ResultNotAdmitted}.
+	NotAfter time.Time
 }
 
 // CancelRun cancels the run at its target and gives its caller Status.
@@ -246,6 +249,8 @@
 	Document *document.Document
 	// Entries are the members that callers may use, in this entry's order.
 	Entries []message.Member
+	// Probes are the targets whose readiness and load this entry watches.
+	Probes []document.Target
 	// Prefix for new ids, and until when it may be handed out and for how long
 	// an answer to "which entry" is good.
 	Prefix  ident.Prefix
--- /dev/null
+++ b/internal/core/entry/placing.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/suspects"
+)
+
+const (
+	// triesBeforeFinal is how many targets may turn an offer down before the
+	// next is asked for the last word of the whole pool.
+	triesBeforeFinal = 2
+	// replaceWait is the pause before an offer is placed again after the
+	// target's scheduler changed or no target was to be had.
+	replaceWait = 50 * time.Millisecond
+	// grantMargin is kept between a grant's end and the dispatch.
+	grantMargin = 5 * time.Millisecond
+)
+
+// place chooses a target for a flight and offers it there.
+func (e *Entry) place(f *flight) {
+	if !e.now.Before(f.req.Deadline) {
+		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		return
+	}
+	target, found := e.choose(f)
+	if !found {
+		e.noTarget(f)
+		return
+	}
+	f.final = f.final || len(f.tried) >= triesBeforeFinal || e.lastCandidate(f)
+	e.offerAt(f, target)
+}
+
+// noTarget handles a pool of which no target can be chosen: once all were
+// tried, the best of them is asked for the last word.
+func (e *Entry) noTarget(f *flight) {
+	if len(f.tried) > 0 {
+		f.tried = f.tried[:0]
+		f.final = true
+		if target, found := e.choose(f); found {
+			e.offerAt(f, target)
+			return
+		}
+	}
+	if e.poolMayRecover(f) {
+		f.stage = stageWaiting
+		e.wakeAt(f, e.now.Add(replaceWait))
+		return
+	}
+	e.abandon(f, outcome.Refused(outcome.ReasonNoTarget, e.jitter(retrySoon), "no target of the pool is available"))
+}
+
+// poolMayRecover gives a pool without a target a moment, since a change of
+// schedulers or a failed probe often passes within the silence limit.
+func (e *Entry) poolMayRecover(f *flight) bool {
+	return e.now.Sub(f.req.Arrived) < e.timing.silence
+}
+
+func (e *Entry) choose(f *flight) (string, bool) {
+	exclude := func(target string) bool { return f.hasTried(target) }
+	if e.cfg.Policy == PolicyAlone {
+		target, _ := e.router.TwoChoices(e.now, &f.req, exclude)
+		return target, target != ""
+	}
+	target, _ := e.router.Choose(e.now, &f.req, exclude)
+	return target, target != ""
+}
+
+func (e *Entry) lastCandidate(f *flight) bool {
+	return e.router.Last(e.now, &f.req, func(target string) bool { return f.hasTried(target) })
+}
+
+// offerAt offers the flight to the scheduler of a target.
+func (e *Entry) offerAt(f *flight, target string) {
+	f.target = target
+	f.scheduler = e.schedulerOf(target)
+	f.own = false
+	if f.scheduler == "" {
+		f.stage = stageWaiting
+		e.wakeAt(f, e.now.Add(replaceWait))
+		return
+	}
+	f.stage = stageOffered
+	f.heard = false
+	f.offeredAt = e.now
+	e.note(Decision{ID: f.req.ID, Event: EventOffered, Target: target, Tier: f.req.Tier, Detail: string(f.scheduler)})
+	e.sendOffer(f)
+}
+
+// sendOffer sends or refreshes the flight's present offer.
+func (e *Entry) sendOffer(f *flight) {
+	e.asks++
+	f.remember(ask{number: e.asks, sent: e.now})
+	offer := e.offer(f)
+	e.wakeAt(f, earlier(e.now.Add(e.timing.grant/2), f.req.Deadline))
+	if f.own {
+		e.perform(e.share.Offer(e.now, e.cfg.Self.Incarnation, offer), fromShare)
+		return
+	}
+	e.send(f.scheduler, offer)
+}
+
+func (e *Entry) offer(f *flight) message.Offer {
+	offer := message.Offer{
+		Ask: e.asks, ID: f.req.ID, Target: f.target,
+		Organisation: f.req.Organisation, Tier: f.req.Tier, Kind: f.req.Kind,
+		PromptTokens: f.req.PromptTokens, MaxTokens: f.req.MaxTokens,
+		Idempotent: f.req.Idempotent, Fingerprint: f.req.Fingerprint,
+		Remaining: f.req.Deadline.Sub(e.now),
+		Alone:     e.suspects.Judge(e.now, f.req.Fingerprint) == suspects.Suspect,
+		Final:     f.final && !f.own,
+	}
+	if !f.req.FirstTokenBy.IsZero() {
+		offer.FirstToken = f.req.FirstTokenBy.Sub(e.now)
+	}
+	return offer
+}
+
+// attendOffered refreshes an offer that waits, moves it when the target's
+// scheduler changed, and falls back to the entry's own share of the target when
+// the scheduler stays silent.
+func (e *Entry) attendOffered(f *flight) {
+	if !e.now.Before(f.req.Deadline) {
+		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		return
+	}
+	if !f.own && e.schedulerOf(f.target) != f.scheduler {
+		e.withdraw(f)
+		e.offerAt(f, f.target)
+		return
+	}
+	if !f.own && !f.heard && e.now.Sub(f.offeredAt) >= e.timing.grant {
+		e.withdraw(f)
+		f.own = true
+		f.offeredAt = e.now
+	}
+	e.sendOffer(f)
+}
+
+// withdraw takes the present offer back.
+func (e *Entry) withdraw(f *flight) {
+	if f.stage != stageOffered {
+		return
+	}
+	withdrawal := message.Withdraw{ID: f.req.ID, Target: f.target}
+	if f.own {
+		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, withdrawal), fromShare)
+	} else {
+		e.send(f.scheduler, withdrawal)
+	}
+	f.stage = stageWaiting
+}
+
+// queued notes that the scheduler has the offer in its queue.
+func (e *Entry) queued(from ident.Incarnation, q message.Queued) {
+	f := e.flights[q.ID]
+	if f == nil || f.stage != stageOffered || f.target != q.Target || f.scheduler != from {
+		return
+	}
+	f.heard = true
+}
+
+// granted dispatches a flight, if the grant is still good.
+func (e *Entry) granted(from ident.Incarnation, g message.Grant, own bool) {
+	f := e.flights[g.ID]
+	if f == nil || f.stage != stageOffered || f.target != g.Target || f.own != own {
+		// A grant of a former scheduler or for an offer taken back. The place
+		// must be given back at once, or it stands empty until it lapses.
+		e.giveBack(from, message.Withdraw{ID: g.ID, Target: g.Target}, own, f, g.Target)
+		return
+	}
+	sent, known := f.sentAt(g.Ask)
+	until := sent.Add(g.Valid - grantMargin)
+	if !known || !e.now.Before(until) {
+		// The grant spent its validity on the way, or this process slept. The
+		// target may be leaving or full by now: only a fresh grant counts.
+		e.withdraw(f)
+		e.offerAt(f, f.target)
+		return
+	}
+	e.dispatch(f, until)
+}
+
+// giveBack returns an unwanted place, unless the flight runs at that target.
+func (e *Entry) giveBack(to ident.Incarnation, w message.Withdraw, own bool, f *flight, target string) {
+	if f != nil && f.stage == stageRunning && f.target == target {
+		return
+	}
+	if own {
+		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, w), fromShare)
+		return
+	}
+	e.send(to, w)
+}
+
+// refused moves a flight on after a scheduler turned it down.
+func (e *Entry) refused(from ident.Incarnation, r message.Refuse, own bool) {
+	f := e.flights[r.ID]
+	if f == nil || f.stage != stageOffered || f.target != r.Target || f.own != own {
+		return
+	}
+	if !own && f.scheduler != from {
+		return
+	}
+	f.stage = stageWaiting
+	switch {
+	case r.Settled:
+		e.abandon(f, outcome.Refused(r.Reason, r.RetryAfter, detailOf(r.Reason)))
+	case r.Elsewhere == f.target:
+		e.wakeAt(f, e.now.Add(replaceWait))
+	case r.Elsewhere != "":
+		e.offerAt(f, r.Elsewhere)
+	default:
+		f.tried = append(f.tried, f.target)
+		e.place(f)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func detailOf(reason outcome.Reason) string {
+	switch reason {
+	case outcome.ReasonDisplaced:
+		return "a higher tier needed the place"
+	case outcome.ReasonDeadline:
+		return "the answer could not be complete by the deadline"
+	}
+	return "every target that could serve the request is full"
+}
--- /dev/null
+++ b/internal/core/entry/platform.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"sycamoretrail/internal/core/membership"
+	"sycamoretrail/internal/core/orders"
+	"sycamoretrail/internal/core/record"
+	"sycamoretrail/internal/core/suspects"
+)
+
+// appender tells which duty an append belongs to.
+type appender uint8
+
+const (
+	appendClaims appender = iota
+	appendOrders
+	appendVerdict
+	appendRenewal
+)
+
+// pendingAppend is an append whose answer has not come.
+type pendingAppend struct {
+	duty appender
+	tag  uint64
+}
+
+// append writes a record; its answer goes to the duty under the duty's own tag.
+func (e *Entry) append(stream record.Stream, rec record.Record, duty appender, tag uint64) {
+	data, err := record.Encode(rec)
+	if err != nil {
+		e.note(Decision{Event: EventDocument, Detail: err.Error()})
+		return
+	}
+	e.appends++
+	e.pending[e.appends] = pendingAppend{duty: duty, tag: tag}
+	e.emit(Append{Tag: e.appends, Stream: stream, Data: data})
+}
+
+func (e *Entry) appended(a LogAppended) {
+	p, known := e.pending[a.Tag]
+	if !known {
+		return
+	}
+	delete(e.pending, a.Tag)
+	switch p.duty {
+	case appendClaims:
+		e.performClaims(e.claims.Appended(e.now, p.tag, a.Offset, a.Failed))
+	case appendOrders:
+		e.performOrders(e.orders.Appended(e.now, p.tag, a.Offset, a.Failed))
+	case appendVerdict, appendRenewal:
+		// Repeated by its duty if it did not take effect.
+	}
+}
+
+// logRecord hands a record to the duty that follows its stream.
+func (e *Entry) logRecord(r LogRecord) {
+	rec, err := record.Decode(r.Data)
+	if err != nil {
+		e.note(Decision{Event: EventDocument, Detail: err.Error()})
+		return
+	}
+	if partition, ok := e.partitionOf(r.Stream); ok {
+		e.performClaims(e.claims.Record(e.now, partition, r.Offset, r.Age, rec))
+		return
+	}
+	switch {
+	case rec.Document != nil:
+		e.documentRecorded(r.Offset, r.Age, *rec.Document)
+	case rec.Order != nil:
+		e.performOrders(e.orders.Record(e.now, r.Offset, *rec.Order))
+	default:
+		for _, v := range rec.Verdicts {
+			e.suspects.FromLog(e.now, v)
+		}
+	}
+}
+
+func (e *Entry) logCaughtUp(c LogCaughtUp) {
+	if partition, ok := e.partitionOf(c.Stream); ok {
+		e.performClaims(e.claims.CaughtUp(e.now, partition, c.Since))
+		return
+	}
+	if c.Stream == record.StreamOrders {
+		e.performOrders(e.orders.CaughtUp(e.now, c.Since))
+	}
+}
+
+func (e *Entry) logDown(d LogDown) {
+	if partition, ok := e.partitionOf(d.Stream); ok {
+		e.performClaims(e.claims.Down(e.now, partition))
+	}
+}
+
+func (e *Entry) partitionOf(stream record.Stream) (int, bool) {
+	p, ok := e.partitionByStream[stream]
+	return p, ok
+}
+
+// instances takes the platform's list, which lags: entries in it are hints to
+// membership, and a target that it calls leaving gets nothing new.
+func (e *Entry) instances(list InstanceList) {
+	var rows []membership.Instance
+	for _, i := range list.Instances {
+		switch i.Role {
+		case roleEntry:
+			rows = append(rows, membership.Instance{Name: i.Name, Address: i.Address, Zone: i.Zone, Leaving: i.Leaving})
+		case roleTarget:
+			e.listLeaving(i.Name, i.Leaving)
+		}
+	}
+	e.membersChanged(e.members.List(e.now, rows))
+}
+
+const (
+	roleEntry  = "entry"
+	roleTarget = "target"
+)
+
+// performOrders carries out what the orders' duty decided.
+func (e *Entry) performOrders(effects []orders.Effect) {
+	for _, effect := range effects {
+		switch o := effect.(type) {
+		case orders.Append:
+			e.append(record.StreamOrders, record.Record{Order: &o.Order}, appendOrders, o.Tag)
+		case orders.Order:
+			e.order(o)
+		}
+	}
+}
+
+func (e *Entry) order(o orders.Order) {
+	target, known := e.index.Target(o.Target)
+	if !known {
+		return
+	}
+	e.note(Decision{Event: EventOrder, Target: o.Target, Detail: o.Model + " " + o.Version})
+	e.emit(Order{
+		Target: o.Target, Address: target.Address, Fencing: o.Fencing,
+		Model: o.Model, Version: o.Version, Adapters: o.Adapters,
+	})
+}
+
+// performSuspects shares what was found about requests that crash targets.
+func (e *Entry) performSuspects(effects []suspects.Effect) {
+	for _, effect := range effects {
+		switch s := effect.(type) {
+		case suspects.Share:
+			for _, m := range e.members.Live() {
+				if m.Incarnation != e.cfg.Self.Incarnation {
+					e.send(m.Incarnation, s.Suspicion)
+				}
+			}
+		case suspects.Convict:
+			e.note(Decision{Event: EventConvicted, Detail: "a request crashed a second target"})
+			e.append(record.StreamVerdicts, record.Record{Verdicts: []record.Verdict{s.Verdict}}, appendVerdict, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/entry/targets.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/core/scheduler"
+)
+
+// deathWindow gathers the broken runs of one target: all that were in flight
+// when it died break within moments of each other.
+const deathWindow = time.Second
+
+// death is a suspected death of a target, while its broken runs are gathered.
+type death struct {
+	since  time.Time
+	broken []request.Fingerprint
+}
+
+// targetWatch is what is known of a target's willingness, by source. It gets
+// new work only while none of them speaks against it.
+type targetWatch struct {
+	unreachable bool
+	// leaving by its own readiness answer, by the platform's list, or because
+	// it turned a request away as leaving.
+	leavingProbe, leavingList, leavingAnswer bool
+}
+
+func (w targetWatch) available() bool {
+	return !w.unreachable && !w.leavingProbe && !w.leavingList && !w.leavingAnswer
+}
+
+func (e *Entry) watch(target string) *targetWatch {
+	w := e.watches[target]
+	if w == nil {
+		w = &targetWatch{}
+		e.watches[target] = w
+	}
+	return w
+}
+
+// targetState takes the finding of a probe.
+func (e *Entry) targetState(s TargetState) {
+	w := e.watch(s.Target)
+	w.unreachable = !s.Reachable
+	w.leavingProbe = s.Leaving
+	if s.Reachable && !s.Leaving {
+		w.leavingAnswer = false
+	}
+	e.router.Report(e.now, s.Target, s.Running, s.Waiting)
+	e.willing(s.Target)
+	if s.Reachable && s.Model != "" {
+		e.performOrders(e.orders.Observed(e.now, s.Target, s.Model, s.Version, s.Adapters))
+	}
+}
+
+// listLeaving takes the platform's word on a target; the list lags, so it can
+// only add to what the probe says.
+func (e *Entry) listLeaving(target string, leaving bool) {
+	w := e.watch(target)
+	if w.leavingList == leaving {
+		return
+	}
+	w.leavingList = leaving
+	e.willing(target)
+}
+
+// willing tells the duties whether a target may get new work. The operators'
+// word in the document stands above all others.
+func (e *Entry) willing(target string) {
+	available := e.watch(target).available() && !e.declaredLeaving(target)
+	e.router.Reachable(target, available)
+	e.perform(e.places.SetAvailable(e.now, target, available), fromPlaces)
+	e.perform(e.share.SetAvailable(e.now, target, available), fromShare)
+}
+
+func (e *Entry) declaredLeaving(target string) bool {
+	if e.index == nil {
+		return false
+	}
+	t, known := e.index.Target(target)
+	return known && t.Leaving
+}
+
+// brokenAt gathers a run that broke at a target scheduled here.
+func (e *Entry) brokenAt(d message.Done) {
+	fingerprint, known := e.places.Fingerprint(d.Target, d.ID)
+	if !known {
+		return
+	}
+	watch := e.deaths[d.Target]
+	if watch == nil {
+		watch = &death{since: e.now}
+		e.deaths[d.Target] = watch
+		e.deathOrder = append(e.deathOrder, d.Target)
+	}
+	watch.broken = append(watch.broken, fingerprint)
+}
+
+// closeDeaths judges the targets whose window is over. One entry, the target's
+// scheduler, names the death, so that it is counted once however many owners
+// saw their runs break.
+func (e *Entry) closeDeaths() {
+	for len(e.deathOrder) > 0 {
+		target := e.deathOrder[0]
+		watch := e.deaths[target]
+		if e.now.Sub(watch.since) < deathWindow {
+			return
+		}
+		e.deathOrder = e.deathOrder[1:]
+		delete(e.deaths, target)
+		e.deathCount++
+		name := fmt.Sprintf("%s/%s/%d", target, e.cfg.Self.Incarnation, e.deathCount)
+		e.performSuspects(e.suspects.Death(e.now, target, name, watch.broken))
+	}
+}
+
+// probes lists the targets that this entry watches: those that it schedules.
+func (e *Entry) probes() []document.Target {
+	if e.doc == nil {
+		return nil
+	}
+	var watched []document.Target
+	for i := range e.doc.Targets {
+		if e.schedulerOf(e.doc.Targets[i].Name) == e.cfg.Self.Incarnation {
+			watched = append(watched, e.doc.Targets[i])
+		}
+	}
+	return watched
+}
+
+// schedulerTarget describes a target to the schedulers.
+func (e *Entry) schedulerTarget(t *document.Target) scheduler.Target {
+	class, _ := e.index.Class(t.Class)
+	return scheduler.Target{
+		Name: t.Name, Pool: t.Pool, Zone: t.Zone,
+		MaxInFlight: class.MaxInFlight,
+		PrefillRate: class.PrefillRate,
+		StepTime:    time.Duration(class.StepMS * float64(time.Millisecond)),
+		Service:     class.Kind == document.KindService,
+	}
+}
+
+// schedulerSettings turns the document's rules into the schedulers' settings.
+func (e *Entry) schedulerSettings() scheduler.Settings {
+	doc := e.doc
+	weights := make(map[string]float64, len(doc.Organisations))
+	for i := range doc.Organisations {
+		weights[doc.Organisations[i].Name] = doc.Organisations[i].Weight
+	}
+	return scheduler.Settings{
+		QueuePerTarget: doc.Limits.QueuePerTarget,
+		Grant:          e.timing.grant, Floor: e.timing.floor, Silence: e.timing.silence,
+		Early: doc.Refusal.Early, Preempt: doc.Refusal.Preempt,
+		ShortPromptTokens: doc.Refusal.ShortPromptTokens, ShortShare: doc.Refusal.ShortShare,
+		PrefillBudget: doc.Refusal.PrefillBudget,
+		RetryMin:      document.Milliseconds(doc.Refusal.RetryAfterMinMS),
+		RetryMax:      document.Milliseconds(doc.Refusal.RetryAfterMaxMS),
+		Tiers:         len(doc.Tiers),
+		Weights:       func(org string) float64 { return weights[org] },
+	}
+}
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -226,6 +226,8 @@
 type OwnerAsk struct {
 	Seq uint64          `cbor:"1,keyasint"`
 	ID  ident.RequestID `cbor:"2,keyasint"`
+	// Known: the asker only wants to know what became of it, and never to run it.
+	Known bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Standing is what an owner says of an id.
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -61,7 +61,7 @@
 // is bound by the order of tiers: a malformed request may be refused at any time.
 func (r Reason) Load() bool {
 	switch r {
-	case ReasonOverload, ReasonDisplaced, ReasonDeadline, ReasonDeadlinePassed:
+	case ReasonOverload, ReasonDisplaced, ReasonDeadline, ReasonDeadlinePassed, ReasonEntryFull:
 		return true
 	}
 	return false
