--- /dev/null
+++ b/internal/core/drain/drain_test.go
@@ -0,0 +1,66 @@
+package drain_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/drain"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var cfg = drain.Config{Settle: time.Second, AnswerTTL: 5 * time.Second, Bound: 30 * time.Second}
+
+var _ = Describe("Drain", func() {
+	busy := drain.Held{InFlight: 1}
+
+	DescribeTable("stages",
+		func(after time.Duration, held drain.Held, want drain.Stage, takes bool) {
+			d := drain.New(cfg)
+			Expect(d.Tick(start, held)).To(Equal(drain.Serving))
+			Expect(d.NamesSelf() && d.Schedules() && d.Takes()).To(BeTrue())
+			d.Start(start)
+			Expect(d.Tick(start.Add(after), held)).To(Equal(want))
+			Expect(d.NamesSelf() || d.Schedules()).To(BeFalse())
+			Expect(d.Takes()).To(Equal(takes))
+		},
+		Entry("at once", time.Duration(0), drain.Held{}, drain.Leaving, true),
+		Entry("peers have heard", time.Second, drain.Held{}, drain.Taking, true),
+		Entry("nothing in flight, an answer still good", 5*time.Second, drain.Held{}, drain.Taking, true),
+		Entry("answers lapsed, one in flight", 6*time.Second, busy, drain.Finishing, false),
+		Entry("answers lapsed, an answer's end not sent", 6*time.Second, drain.Held{Answers: 1}, drain.Finishing, false),
+		Entry("answers lapsed, a target not handed over", 6*time.Second, drain.Held{Targets: 1}, drain.Finishing, false),
+		Entry("answers lapsed, an append not settled", 6*time.Second, drain.Held{Appends: 1}, drain.Finishing, false),
+		Entry("answers lapsed, nothing held", 6*time.Second, drain.Held{}, drain.Drained, false),
+		Entry("one in flight for long", time.Hour, busy, drain.Finishing, false),
+	)
+
+	// A stream outlasts the drain bound. Its caller must get its whole answer:
+	// the entry reports what it holds, goes on, and is done only after the end.
+	It("cuts nothing after the bound", func() {
+		d := drain.New(cfg)
+		d.Start(start)
+		d.Tick(start.Add(30*time.Second), busy)
+		Expect(d.Report(start.Add(30 * time.Second)).Overdue).To(BeFalse())
+		now := start.Add(31 * time.Second)
+		Expect(d.Tick(now, busy)).To(Equal(drain.Finishing))
+		Expect(d.Report(now)).To(Equal(drain.Report{Stage: drain.Finishing, Since: 31 * time.Second, Overdue: true, Held: busy}))
+		Expect(d.Tick(now, drain.Held{})).To(Equal(drain.Drained))
+		Expect(d.Report(now).Overdue).To(BeFalse())
+	})
+
+	// The operator shortens the time for which answers are good during a stop.
+	// Answers given before are still good, so new requests must still be taken.
+	It("never shortens its waits", func() {
+		d := drain.New(cfg)
+		d.Start(start)
+		d.Configure(drain.Config{Bound: cfg.Bound})
+		d.Start(start.Add(3 * time.Second))
+		Expect(d.Tick(start.Add(5*time.Second), drain.Held{})).To(Equal(drain.Taking))
+		d.Configure(drain.Config{Settle: time.Second, AnswerTTL: 9 * time.Second})
+		Expect(d.Tick(start.Add(9*time.Second), drain.Held{})).To(Equal(drain.Taking))
+		Expect(d.Tick(start.Add(10*time.Second), drain.Held{})).To(Equal(drain.Drained))
+	})
+})
--- a/internal/core/membership/list.go
+++ b/internal/core/membership/list.go
@@ -12,7 +12,7 @@
 	m.touch(now)
 	m.seeds = m.seeds[:0]
 	for _, p := range m.peers {
-		p.listed = p.listed && !m.hears(now, p)
+		p.listed = false
 	}
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -24,7 +24,7 @@
 		m.seed(now, row)
 	}
 	sort.Slice(m.seeds, func(i, j int) bool { return m.seeds[i].Name < m.seeds[j].Name })
-	m.prune(now, listed)
+	m.prune(now)
 }
 
 // seed notes a name. One that is leaving and was never met is not waited for.
@@ -38,18 +38,22 @@
 		p.known = now
 		p.Zone, p.PeerAddress = row.Zone, row.Address
 	}
-	p.listed = true
+	p.listed, p.shown = true, true
 }
 
-// prune drops names that were listed, are no longer, and are silent. A member
-// that the list has not shown yet is not dropped: the list may only lag.
-func (m *Membership) prune(now time.Time, listed map[string]bool) {
+// prune drops names that were listed, are no longer, and are silent with no link.
+// A member that the list has not shown yet is not dropped: the list may only lag.
+func (m *Membership) prune(now time.Time) {
 	for i := len(m.peers) - 1; i >= 0; i-- {
 		p := m.peers[i]
-		if listed[p.Name] || !p.listed || m.hears(now, p) {
+		silent := now.Sub(p.heard) > m.silence()
+		if p.listed || !p.shown || p.linked || !silent {
 			continue
 		}
 		m.drop(p)
+		if p.live {
+			m.changes = append(m.changes, Change{Kind: MemberLost, Member: p.Member})
+		}
 		m.changes = append(m.changes, Change{Kind: MemberRemoved, Member: p.Member})
 	}
 }
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -110,6 +110,7 @@
 	former  map[ident.Incarnation]time.Time // replaced, and since when
 	seeds   []Instance                      // of the last list, by name
 	live    []message.Member                // by name; as of the last Tick
+	dirty   bool                            // live must be listed anew
 	changes []Change                        // found between two Ticks
 	random  *rand.Rand
 	turn    int
@@ -153,6 +154,7 @@
 		for _, p := range m.peers {
 			p.due = now
 		}
+		m.dirty = true
 	}
 	m.self = self
 }
@@ -177,6 +179,7 @@
 		p = m.add(member.Name)
 	}
 	p.Member = member
+	m.dirty = true
 	m.byInc[member.Incarnation] = p
 	p.linked, p.gone = true, false
 	p.known = now
@@ -234,7 +237,7 @@
 	for _, p := range m.peers {
 		p.due = now
 	}
-	m.live = nil
+	m.live, m.dirty = nil, true
 }
 
 // Interval is the heartbeat's interval at the present number of members.
@@ -267,6 +270,7 @@
 	m.peers = append(m.peers[:at], m.peers[at+1:]...)
 	delete(m.byName, p.Name)
 	delete(m.byInc, p.Incarnation)
+	m.dirty = true
 }
 
 func (m *Membership) replace(now time.Time, p *peer) {
--- a/internal/core/membership/peer.go
+++ b/internal/core/membership/peer.go
@@ -12,8 +12,10 @@
 	message.Member
 	// known is when it was met or first listed.
 	known time.Time
-	// linked: a link stands. gone: proven dead. listed: in the platform's last list.
-	linked, gone, listed bool
+	// linked: a link stands. gone: proven dead.
+	linked, gone bool
+	// listed: in the platform's last list; shown: in any list so far.
+	listed, shown bool
 	// heard is when the last new heartbeat or hello came.
 	heard time.Time
 	// beat is the last heartbeat, with the last digests that came.
--- a/internal/core/membership/tick.go
+++ b/internal/core/membership/tick.go
@@ -14,14 +14,12 @@
 	m.touch(now)
 	changes := m.changes
 	m.changes = nil
-	m.live = m.live[:0:0]
 	for i := len(m.peers) - 1; i >= 0; i-- {
 		changes = append(changes, m.tickPeer(now, m.peers[i])...)
 	}
-	if m.self.State == message.Ready {
-		m.live = append(m.live, m.member)
+	if m.dirty {
+		m.listLive()
 	}
-	sort.Slice(m.live, func(i, j int) bool { return m.live[i].Name < m.live[j].Name })
 	sort.SliceStable(changes, func(i, j int) bool { return changes[i].Member.Name < changes[j].Member.Name })
 	m.forgetFormer(now)
 	if m.gap > 0 {
@@ -31,12 +29,25 @@
 	return changes
 }
 
+// listLive forms a new list: the former one may still be held by others.
+func (m *Membership) listLive() {
+	m.dirty = false
+	m.live = nil
+	for _, p := range m.peers {
+		if p.live {
+			m.live = append(m.live, p.Member)
+		}
+	}
+	if m.self.State == message.Ready {
+		m.live = append(m.live, m.member)
+	}
+	sort.Slice(m.live, func(i, j int) bool { return m.live[i].Name < m.live[j].Name })
+}
+
 func (m *Membership) tickPeer(now time.Time, p *peer) []Change {
 	var changes []Change
 	live := m.hears(now, p) && p.beat.State == message.Ready
-	if live {
-		m.live = append(m.live, p.Member)
-	}
+	m.dirty = m.dirty || live != p.live
 	if live && !p.live {
 		changes = append(changes, Change{Kind: MemberLive, Member: p.Member})
 	}
--- /dev/null
+++ b/internal/core/owner/owner_test.go
@@ -0,0 +1,218 @@
+package owner_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/owner"
+)
+
+const (
+	period  = 20 * time.Second
+	longest = 60 * time.Second
+	a       = ident.Incarnation("aaaaaaaaaaaaaaaa-1")
+	b       = ident.Incarnation("bbbbbbbbbbbbbbbb-1")
+	c       = ident.Incarnation("cccccccccccccccc-1")
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func table(self ident.Incarnation, limit int) *owner.Table {
+	return owner.New(owner.Config{Self: self, Period: period, Longest: longest, Max: limit, Validity: time.Second}, start)
+}
+
+var _ = Describe("Table", func() {
+	id := ident.PrefixFor(a, 0).ID("one")
+	refusal := outcome.Refused(outcome.ReasonOverload, time.Second, "")
+
+	// usable: 2 periods and a quarter = 45 s; forgotten: 60 s later = 105 s.
+	DescribeTable("first sight of an id by its epoch and age",
+		func(now time.Duration, id ident.RequestID, want owner.Kind) {
+			t := table(a, 10)
+			Expect(t.Standing(at(now), id).Kind).To(Equal(want))
+			Expect(t.Admit(at(now), id).Kind).To(Equal(want))
+		},
+		Entry("at once", time.Duration(0), id, owner.KindNew),
+		Entry("handed out last in its epoch, used last", 39*time.Second, id, owner.KindNew),
+		Entry("within the grace", 44*time.Second, id, owner.KindNew),
+		Entry("after the grace", 45*time.Second, id, owner.KindLate),
+		Entry("after the longest deadline", 105*time.Second, id, owner.KindExpired),
+		Entry("of a prefix not handed out yet", time.Duration(0), ident.PrefixFor(a, 1).ID("x"), owner.KindMalformed),
+		Entry("of an epoch skipped by a pause", 10*time.Minute, ident.PrefixFor(a, 5).ID("x"), owner.KindExpired),
+		Entry("of another", time.Duration(0), ident.PrefixFor(b, 9).ID("x"), owner.KindForeign),
+		Entry("without an owner", time.Duration(0), ident.RequestID("x"), owner.KindMalformed),
+	)
+
+	It("gives each re-send the same standing", func() {
+		t := table(a, 10)
+		Expect(t.Admit(start, id).Kind).To(Equal(owner.KindNew))
+		Expect(t.Admit(start, id).Standing).To(Equal(message.StandingWaiting))
+		Expect(t.Dispatched(start, id, "t1")).To(BeTrue())
+		Expect(t.Admit(start, id)).To(Equal(owner.Admission{Kind: owner.KindKnown, Standing: message.StandingRunning, Target: "t1"}))
+		Expect(t.Finish(start, id, refusal)).To(BeTrue())
+		Expect(t.Finish(start, id, outcome.Complete())).To(BeFalse())
+		Expect(t.Admit(at(104*time.Second), id).Status).To(Equal(refusal))
+		Expect(t.Admit(at(105*time.Second), id).Kind).To(Equal(owner.KindExpired))
+		Expect(t.Len()).To(BeZero())
+	})
+
+	It("dispatches again only after the target provably did not take it", func() {
+		t := table(a, 10)
+		Expect(t.Dispatched(start, id, "t1")).To(BeFalse(), "not admitted")
+		t.Admit(start, id)
+		Expect(t.Dispatched(start, id, "t1")).To(BeTrue())
+		Expect(t.Dispatched(start, id, "t2")).To(BeFalse())
+		Expect(t.Undispatched(start, id)).To(BeTrue())
+		Expect(t.Dispatched(start, id, "t2")).To(BeTrue())
+		t.Finish(start, id, outcome.Complete())
+		Expect(t.Undispatched(start, id)).To(BeFalse())
+		Expect(t.Dispatched(start, id, "t3")).To(BeFalse())
+	})
+
+	It("keeps what was promised when settings change", func() {
+		t := table(a, 10)
+		t.Admit(start, id)
+		t.Configure(at(time.Second), time.Second, time.Second, 10)
+		prefix, _ := t.Prefix(at(time.Second))
+		Expect(prefix).To(Equal(ident.PrefixFor(a, 1)))
+		Expect(t.Admit(at(104*time.Second), id).Kind).To(Equal(owner.KindKnown))
+	})
+
+	// The caller sends one id to three entries at once; the owner gets its copy
+	// last. The first that asks becomes the delegate, the third entry is sent to
+	// it, the owner does not run it. The delegate that asks again, since the
+	// reply was lost, is told the same, but not after its own memory may have ended.
+	It("lets one of three entries run an id sent to all", func() {
+		ta, tb, tc := table(a, 10), table(b, 10), table(c, 10)
+		Expect(tb.Admit(start, id)).To(Equal(owner.Admission{Kind: owner.KindForeign, Owner: a}))
+		Expect(ta.Ask(start, b, id).Standing).To(Equal(message.StandingVoided))
+		Expect(tb.Adopt(start, id)).To(BeTrue())
+		Expect(tb.Adopt(start, id)).To(BeFalse())
+		reply := ta.Ask(start, c, id)
+		Expect(reply.Standing).To(Equal(message.StandingElsewhere))
+		Expect(reply.Delegate).To(Equal(b))
+		Expect(tc.Dispatched(start, id, "t")).To(BeFalse())
+		Expect(ta.Admit(start, id)).To(Equal(owner.Admission{Kind: owner.KindVoided, Standing: message.StandingElsewhere, Delegate: b}))
+		Expect(ta.Dispatched(start, id, "t")).To(BeFalse())
+		Expect(tb.Dispatched(start, id, "t")).To(BeTrue())
+		Expect(tb.Ask(start, c, id).Standing).To(Equal(message.StandingRunning))
+		Expect(ta.Ask(at(19*time.Second), b, id).Standing).To(Equal(message.StandingVoided))
+		Expect(ta.Ask(at(20*time.Second), b, id).Standing).To(Equal(message.StandingElsewhere))
+		Expect(tb.Admit(at(20*time.Second), id).Kind).To(Equal(owner.KindKnown))
+	})
+
+	// The delegate dies after the owner gave the id up to it. The owner must not
+	// give it up a second time, nor run it: the delegate may have dispatched it.
+	It("never gives an id up twice when the delegate has died", func() {
+		t := table(a, 10)
+		t.Ask(start, b, id)
+		for now := time.Duration(0); now < 105*time.Second; now += 5 * time.Second {
+			Expect(t.Ask(at(now), c, id).Delegate).To(Equal(b))
+			Expect(t.Dispatched(at(now), id, "t")).To(BeFalse())
+		}
+		Expect(t.Ask(at(105*time.Second), c, id).Standing).To(Equal(message.StandingExpired))
+	})
+
+	// The owner is paused with a request waiting and wakes after all is expired.
+	// Its caller was told "unknown" elsewhere. The owner must not dispatch; what
+	// waited in its rings meanwhile is overdue.
+	It("does not dispatch after a pause beyond all validity", func() {
+		t := table(a, 10)
+		t.Admit(start, id)
+		Expect(t.Overdue(at(2*time.Second), start)).To(BeTrue())
+		Expect(t.Overdue(at(time.Second), start)).To(BeFalse())
+		Expect(t.Dispatched(at(time.Hour), id, "t")).To(BeFalse())
+		Expect(t.Admit(at(time.Hour), id).Kind).To(Equal(owner.KindExpired))
+	})
+
+	// The table is full: a copy of an id is refused "not run", then room comes
+	// and an older copy arrives, or a peer asks. It must stay refused.
+	It("keeps a refusal for want of memory in force", func() {
+		t := table(a, 1)
+		t.Admit(start, ident.PrefixFor(a, 0).ID("other"))
+		Expect(t.Admit(start, id).Kind).To(Equal(owner.KindFull))
+		asked := ident.PrefixFor(a, 0).ID("asked")
+		Expect(t.Ask(start, b, asked).Status.Reason).To(Equal(outcome.ReasonEntryFull))
+		adopted := ident.PrefixFor(b, 0).ID("adopted")
+		Expect(t.Adopt(start, adopted)).To(BeFalse())
+		t.Configure(start, period, longest, 10)
+		Expect(t.Admit(start, id).Kind).To(Equal(owner.KindFull))
+		Expect(t.Admit(start, asked).Kind).To(Equal(owner.KindFull))
+		Expect(t.Adopt(start, adopted)).To(BeFalse())
+		Expect(t.Admit(start, adopted).Kind).To(Equal(owner.KindFull))
+		Expect(t.Admit(start, ident.PrefixFor(a, 0).ID("new")).Kind).To(Equal(owner.KindNew))
+	})
+})
+
+// Callers send ids to any of three entries, peers' replies are lost or late,
+// entries run what they may, fill up and grow old. Whatever the order, no id
+// leaves to a target twice, and none that was refused "not run" leaves at all.
+func TestOneDispatch(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		selves := []ident.Incarnation{a, b, c}
+		tables := make([]*owner.Table, len(selves))
+		for i := range selves {
+			tables[i] = table(selves[i], rapid.IntRange(1, 4).Draw(rt, "max"))
+		}
+		dispatched := map[ident.RequestID]int{}
+		refused := map[ident.RequestID]bool{}
+		now := start
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(rt, "seconds")) * time.Second)
+			i := rapid.IntRange(0, 2).Draw(rt, "entry")
+			home := rapid.IntRange(0, 2).Draw(rt, "owner")
+			epoch := uint32(rapid.IntRange(0, int(now.Sub(start)/period)).Draw(rt, "epoch"))
+			id := ident.PrefixFor(selves[home], epoch).ID(fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "suffix")))
+			found := tables[i].Admit(now, id)
+			refused[id] = refused[id] || found.Kind == owner.KindFull || found.Kind == owner.KindLate
+			if found.Kind == owner.KindForeign {
+				reply := tables[home].Ask(now, selves[i], id)
+				refused[id] = refused[id] || reply.Status.Outcome == outcome.NotRun
+				lost := rapid.Bool().Draw(rt, "reply lost")
+				if !lost && reply.Standing == message.StandingVoided && !tables[i].Adopt(now, id) {
+					refused[id] = true
+				}
+			}
+			if rapid.Bool().Draw(rt, "dispatch") && tables[i].Dispatched(now, id, "t") {
+				dispatched[id]++
+			}
+			if dispatched[id] > 1 || (dispatched[id] > 0 && refused[id]) {
+				rt.Fatalf("%s: dispatched %d times, refused %v", id, dispatched[id], refused[id])
+			}
+		}
+	})
+}
+
+func BenchmarkAdmitDispatchFinish(bench *testing.B) {
+	t := table(a, bench.N+1)
+	ids := make([]ident.RequestID, bench.N)
+	prefix := ident.PrefixFor(a, 0)
+	for i := range ids {
+		ids[i] = prefix.ID(fmt.Sprintf("0123456789abcdef-%08d", i))
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	bench.ResetTimer()
+	for _, id := range ids {
+		t.Admit(start, id)
+		t.Dispatched(start, id, "target-1")
+		t.Finish(start, id, outcome.Complete())
+	}
+	bench.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bench.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(t.Len()), "B/id")
+	runtime.KeepAlive(ids)
+}
--- a/internal/core/suspects/memory.go
+++ b/internal/core/suspects/memory.go
@@ -8,17 +8,25 @@
 	"sycamoretrail/internal/core/request"
 )
 
-func (s *Suspects) find(fingerprint request.Fingerprint) *entry {
-	if el := s.entries[fingerprint]; el != nil {
-		return el.Value.(*entry)
+// find drops a suspicion that has lapsed: Judge moves suspects to the back, so
+// expire may not have come to it yet.
+func (s *Suspects) find(now time.Time, fingerprint request.Fingerprint) *entry {
+	el := s.entries[fingerprint]
+	if el == nil {
+		return nil
 	}
-	return nil
+	e := el.Value.(*entry)
+	if !e.convicted && !now.Before(e.until) {
+		s.remove(s.suspected, el)
+		return nil
+	}
+	return e
 }
 
 // enter finds or makes the entry of a fingerprint. Full: the suspect least
 // recently seen gives way; nil if there are convictions only.
-func (s *Suspects) enter(fingerprint request.Fingerprint) *entry {
-	if e := s.find(fingerprint); e != nil {
+func (s *Suspects) enter(now time.Time, fingerprint request.Fingerprint) *entry {
+	if e := s.find(now, fingerprint); e != nil {
 		return e
 	}
 	if len(s.entries) >= s.cfg.Max {
@@ -29,7 +37,7 @@
 		}
 		s.remove(s.suspected, oldest)
 	}
-	e := &entry{fingerprint: fingerprint}
+	e := &entry{fingerprint: fingerprint, until: now.Add(s.cfg.Suspicion)}
 	s.entries[fingerprint] = s.suspected.PushBack(e)
 	return e
 }
@@ -87,8 +95,7 @@
 	return s.convicted.PushFront(e)
 }
 
-// expire drops what has lapsed. A suspect that Judge has seen since may lapse
-// behind one that has not lapsed yet; it is then dropped when it is looked up.
+// expire drops what has lapsed, from the front of both lists.
 func (s *Suspects) expire(now time.Time) {
 	for _, l := range []*list.List{s.suspected, s.convicted} {
 		for el := l.Front(); el != nil && !now.Before(el.Value.(*entry).until); el = l.Front() {
@@ -100,14 +107,9 @@
 // note records a target's death and reports a burst.
 func (s *Suspects) note(now time.Time, target string) bool {
 	s.burst(now)
-	for i := range s.deaths {
-		if s.deaths[i].target == target {
-			return len(s.deaths) >= s.cfg.Burst
-		}
-	}
-	if len(s.deaths) < s.cfg.Burst {
-		s.deaths = append(s.deaths, death{target: target, at: now})
-	}
+	s.deaths = slices.DeleteFunc(s.deaths, func(d death) bool { return d.target == target })
+	s.deaths = append(s.deaths, death{target: target, at: now})
+	s.deaths = s.deaths[max(0, len(s.deaths)-s.cfg.Burst):]
 	return len(s.deaths) >= s.cfg.Burst
 }
 
--- a/internal/core/suspects/suspects.go
+++ b/internal/core/suspects/suspects.go
@@ -33,7 +33,7 @@
 	// Burst and Window: when so many different targets have died within the
 	// window, the cause is not taken to be a request: a rack or zone that went
 	// took them along, and a popular request that ran on several of them would
-	// be convicted. Such deaths make suspects and convict nobody.
+	// be convicted. Such deaths count as one.
 	Burst  int
 	Window time.Duration
 }
@@ -152,7 +152,7 @@
 // Judge says how a request may run.
 func (s *Suspects) Judge(now time.Time, fingerprint request.Fingerprint) Verdict {
 	s.expire(now)
-	e := s.find(fingerprint)
+	e := s.find(now, fingerprint)
 	switch {
 	case e == nil || len(e.deaths) == 0 && !e.convicted:
 		return Clean
@@ -165,7 +165,7 @@
 
 // Until is how much longer a conviction stands; 0: not convicted.
 func (s *Suspects) Until(now time.Time, fingerprint request.Fingerprint) time.Duration {
-	e := s.find(fingerprint)
+	e := s.find(now, fingerprint)
 	if e == nil || !e.convicted {
 		return 0
 	}
@@ -176,7 +176,7 @@
 // had another cause. A conviction stands.
 func (s *Suspects) Completed(now time.Time, fingerprint request.Fingerprint) []Effect {
 	s.expire(now)
-	e := s.find(fingerprint)
+	e := s.find(now, fingerprint)
 	if e == nil || e.convicted || len(e.deaths) == 0 {
 		return nil
 	}
@@ -193,10 +193,10 @@
 	case m.Fingerprint == 0:
 		return nil
 	case m.Convicted:
-		s.convict(s.enter(m.Fingerprint), m.Deaths, now.Add(s.cfg.Conviction))
+		s.convict(s.enter(now, m.Fingerprint), m.Deaths, now.Add(s.cfg.Conviction))
 		return nil
 	case m.Cleared:
-		if e := s.enter(m.Fingerprint); e != nil && !e.convicted {
+		if e := s.enter(now, m.Fingerprint); e != nil && !e.convicted {
 			s.clear(e, m.Deaths)
 			s.renew(now, e)
 		}
@@ -211,7 +211,7 @@
 	s.expire(now)
 	until := now.Add(s.cfg.Conviction - age)
 	if v.Fingerprint != 0 && until.After(now) {
-		s.convict(s.enter(v.Fingerprint), v.Deaths, until)
+		s.convict(s.enter(now, v.Fingerprint), v.Deaths, until)
 	}
 }
 
@@ -235,15 +235,24 @@
 
 // hold holds deaths against a fingerprint and convicts it if they suffice.
 func (s *Suspects) hold(now time.Time, fingerprint request.Fingerprint, deaths []string, burst bool) []Effect {
-	e := s.enter(fingerprint)
+	e := s.enter(now, fingerprint)
 	if e == nil || e.convicted {
 		return nil
 	}
+	// Deaths of a burst count as one: a rack or zone that goes takes many targets
+	// along, and a popular request that ran on several would be convicted.
+	if burst && len(e.deaths) > 0 {
+		s.renew(now, e)
+		return nil
+	}
+	if burst {
+		deaths = deaths[:min(1, len(deaths))]
+	}
 	if !e.add(deaths) {
 		return nil
 	}
 	s.renew(now, e)
-	if len(e.deaths) < deathsToConvict || burst {
+	if len(e.deaths) < deathsToConvict {
 		return []Effect{{Share: &message.Suspicion{
 			Fingerprint: fingerprint,
 			Deaths:      slices.Clone(e.deaths),
--- /dev/null
+++ b/internal/core/suspects/suspects_suite_test.go
@@ -0,0 +1,13 @@
+package suspects_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuspects(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "suspects")
+}
