--- /dev/null
+++ b/internal/core/membership/membership_test.go
@@ -0,0 +1,339 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/membership"
+	"sycamoretrail/internal/core/message"
+)
+
+const (
+	heartbeat = 200 * time.Millisecond
+	silence   = time.Second
+	step      = 20 * time.Millisecond
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func config() membership.Config {
+	return membership.Config{Heartbeat: heartbeat, Silence: silence, Removal: time.Hour}
+}
+
+func member(i, run int) message.Member {
+	return message.Member{
+		Name:        fmt.Sprintf("entry-%03d", i),
+		Zone:        fmt.Sprint("zone-", i%3),
+		Incarnation: ident.Incarnation(fmt.Sprintf("%016x-%x", i, run)),
+	}
+}
+
+// group joins several entries' memberships without a network. cut holds pairs
+// "from>to" whose heartbeats are lost; asleep entries do nothing.
+type group struct {
+	now     time.Time
+	names   []ident.Incarnation
+	all     map[ident.Incarnation]*membership.Membership
+	cut     map[string]bool
+	asleep  map[ident.Incarnation]bool
+	changes map[ident.Incarnation][]membership.Change
+}
+
+func newGroup(n int) *group {
+	g := &group{
+		now: start, all: map[ident.Incarnation]*membership.Membership{}, cut: map[string]bool{},
+		asleep: map[ident.Incarnation]bool{}, changes: map[ident.Incarnation][]membership.Change{},
+	}
+	for i := range n {
+		g.join(member(i, 1))
+	}
+	return g
+}
+
+func (g *group) join(m message.Member) {
+	all := membership.New(m, config(), g.now)
+	all.SetSelf(g.now, membership.Self{State: message.Ready})
+	for i := range g.names {
+		all.Up(g.now, member(index(g.names[i]), 1))
+		g.all[g.names[i]].Up(g.now, m)
+	}
+	g.names = append(g.names, m.Incarnation)
+	g.all[m.Incarnation] = all
+}
+
+func index(inc ident.Incarnation) int {
+	var i int
+	_, err := fmt.Sscanf(string(inc), "%x-", &i)
+	Expect(err).NotTo(HaveOccurred())
+	return i
+}
+
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); {
+		g.now = g.now.Add(step)
+		for _, from := range g.names {
+			if g.asleep[from] {
+				continue
+			}
+			g.changes[from] = append(g.changes[from], g.all[from].Tick(g.now)...)
+			for _, to := range g.all[from].Beats(g.now) {
+				if peer := g.all[to.Peer]; peer != nil && !g.asleep[to.Peer] && !g.cut[string(from+">"+to.Peer)] {
+					peer.Beat(g.now, from, to.Beat)
+				}
+			}
+		}
+	}
+}
+
+func (g *group) live(i int) []int {
+	var out []int
+	for _, m := range g.all[g.names[i]].Live() {
+		out = append(out, index(m.Incarnation))
+	}
+	return out
+}
+
+func kinds(changes []membership.Change) []membership.ChangeKind {
+	var out []membership.ChangeKind
+	for _, c := range changes {
+		out = append(out, c.Kind)
+	}
+	return out
+}
+
+var _ = Describe("Membership", func() {
+	It("makes all live that exchange heartbeats, and none before", func() {
+		g := newGroup(6)
+		Expect(g.all[g.names[0]].Quorum(start)).To(BeFalse())
+		g.run(time.Second)
+		for i := range 6 {
+			Expect(g.live(i)).To(Equal([]int{0, 1, 2, 3, 4, 5}))
+			Expect(g.all[g.names[i]].Quorum(g.now)).To(BeTrue())
+		}
+		g.run(10 * time.Second)
+		Expect(kinds(g.changes[g.names[0]])).To(HaveLen(5), "no member was lost while all was well")
+	})
+
+	// The link from 0 to 1 loses all in one direction only. Entry 1 hears nothing;
+	// entry 0 hears 1 well, but its heartbeats are echoed no more. Both must drop
+	// the other within the silence limit, else 0 would send offers into the void.
+	It("sees a link cut one way at both ends", func() {
+		g := newGroup(3)
+		g.run(time.Second)
+		g.cut[string(g.names[0]+">"+g.names[1])] = true
+		g.run(silence + 2*heartbeat)
+		Expect(g.live(0)).To(Equal([]int{0, 2}))
+		Expect(g.live(1)).To(Equal([]int{1, 2}))
+		Expect(g.live(2)).To(Equal([]int{0, 1, 2}))
+		clear(g.cut)
+		g.run(silence)
+		Expect(g.live(0)).To(Equal([]int{0, 1, 2}))
+	})
+
+	// An entry is frozen far beyond the silence limit and wakes. The others have
+	// dropped it. It must learn that it was paused before it acts, and until it has
+	// exchanged fresh heartbeats it must not take itself for a scheduler with quorum,
+	// even if heartbeats that waited in its rings arrive first.
+	It("re-validates everything after a pause", func() {
+		g := newGroup(3)
+		g.run(time.Second)
+		sleeper := g.names[1]
+		waited := g.all[g.names[0]].Beats(g.now.Add(heartbeat))
+		g.asleep[sleeper] = true
+		g.run(5 * time.Second)
+		Expect(g.live(0)).To(Equal([]int{0, 2}))
+		for _, to := range waited {
+			if to.Peer == sleeper {
+				g.all[sleeper].Beat(g.now, g.names[0], to.Beat)
+			}
+		}
+		Expect(g.all[sleeper].Live()).To(BeEmpty())
+		Expect(g.all[sleeper].Quorum(g.now)).To(BeFalse())
+		Expect(g.all[sleeper].Entries(g.now, "zone-1")).To(BeEmpty())
+		woke := g.all[sleeper].Tick(g.now)
+		Expect(kinds(woke)).To(Equal([]membership.ChangeKind{membership.Paused, membership.MemberLost, membership.MemberLost}))
+		Expect(woke[0].Gap).To(BeNumerically(">=", 5*time.Second-step))
+		Expect(g.all[sleeper].Quorum(g.now)).To(BeFalse())
+		g.asleep[sleeper] = false
+		g.run(time.Second)
+		Expect(g.live(1)).To(Equal([]int{0, 1, 2}))
+	})
+
+	// An entry is replaced under its name with nothing kept, and the former
+	// process, only frozen, wakes and opens its links again. The name belongs to
+	// the new one; the former must never be live again nor count.
+	It("keeps a replaced incarnation out", func() {
+		g := newGroup(3)
+		g.run(time.Second)
+		m := g.all[g.names[0]]
+		m.Up(g.now, member(2, 2))
+		m.Up(g.now, member(2, 1))
+		m.Beat(g.now, member(2, 1).Incarnation, message.Heartbeat{Seq: 1 << 40, Echo: 1, State: message.Ready})
+		found := m.Tick(g.now)
+		Expect(kinds(found)).To(Equal([]membership.ChangeKind{membership.MemberLost, membership.MemberReplaced}))
+		Expect(g.live(0)).To(Equal([]int{0, 1}))
+		views := m.Members(g.now)
+		Expect(views).To(HaveLen(2))
+		Expect(views[1].Member.Incarnation).To(Equal(member(2, 2).Incarnation))
+	})
+
+	// The list lags by 30 s: it still names one that was replaced long ago and
+	// does not yet name one that serves. It may remove only who is silent.
+	It("lets a lagging list seed and prune only", func() {
+		g := newGroup(3)
+		g.run(time.Second)
+		m := g.all[g.names[0]]
+		row := func(i int) membership.Instance { return membership.Instance{Name: member(i, 1).Name, Zone: "zone-0"} }
+		m.List(g.now, []membership.Instance{row(0), row(1), row(7)})
+		Expect(m.Wanted()).To(Equal([]membership.Instance{row(7)}))
+		g.run(time.Second)
+		Expect(g.live(0)).To(Equal([]int{0, 1, 2}), "2 is heard and 7 is not")
+		Expect(m.Members(g.now)).To(HaveLen(3))
+		m.List(g.now, []membership.Instance{row(0)})
+		m.Tick(g.now)
+		Expect(g.live(0)).To(Equal([]int{0, 1, 2}), "1 is heard")
+		Expect(m.Members(g.now)).To(HaveLen(2), "7 went")
+	})
+
+	DescribeTable("quorum of five known besides this one",
+		func(heard int, lose func(m *membership.Membership, now time.Time), want bool) {
+			g := newGroup(6)
+			for i := heard + 1; i < 6; i++ {
+				g.asleep[g.names[i]] = true
+			}
+			g.run(2 * time.Second)
+			m := g.all[g.names[0]]
+			lose(m, g.now)
+			Expect(m.Quorum(g.now)).To(Equal(want))
+		},
+		Entry("hears two", 2, func(*membership.Membership, time.Time) {}, false),
+		Entry("hears three", 3, func(*membership.Membership, time.Time) {}, true),
+		Entry("hears two, one refuses connections", 2, func(m *membership.Membership, now time.Time) {
+			m.Down(now, member(5, 1).Incarnation, true)
+		}, true),
+		Entry("hears two, one link merely broke", 2, func(m *membership.Membership, now time.Time) {
+			m.Down(now, member(5, 1).Incarnation, false)
+		}, false),
+		Entry("hears two, one stopped", 2, func(m *membership.Membership, now time.Time) {
+			m.Beat(now, member(5, 1).Incarnation, message.Heartbeat{Seq: 1 << 40, State: message.Stopped})
+		}, true),
+		Entry("hears two, one pruned by the list", 2, func(m *membership.Membership, now time.Time) {
+			m.Down(now, member(5, 1).Incarnation, false)
+			m.List(now, []membership.Instance{{Name: member(5, 1).Name}})
+			m.List(now, nil)
+		}, true),
+	)
+
+	It("stops counting who is silent for the removal time, even if still listed", func() {
+		g := newGroup(3)
+		g.asleep[g.names[1]], g.asleep[g.names[2]] = true, true
+		m := g.all[g.names[0]]
+		rows := []membership.Instance{{Name: member(1, 1).Name}, {Name: member(2, 1).Name}}
+		m.List(start, rows)
+		Expect(m.Quorum(start)).To(BeFalse())
+		m.Tick(start.Add(time.Hour))
+		Expect(m.Quorum(start.Add(time.Hour))).To(BeFalse())
+		later := start.Add(time.Hour + time.Second)
+		Expect(kinds(m.Tick(later))).To(Equal([]membership.ChangeKind{membership.MemberRemoved, membership.MemberRemoved}))
+		m.List(later, rows)
+		Expect(m.Quorum(later)).To(BeTrue())
+	})
+
+	It("names no draining entry, the caller's zone first, and spreads callers", func() {
+		g := newGroup(6)
+		g.run(time.Second)
+		g.all[g.names[1]].SetSelf(g.now, membership.Self{State: message.Draining})
+		g.run(2 * step)
+		first := map[string]int{}
+		for range 100 {
+			entries := g.all[g.names[0]].Entries(g.now, "zone-0")
+			Expect(entries).To(HaveLen(5))
+			Expect(entries[0].Zone).To(Equal("zone-0"))
+			Expect(entries[1].Zone).To(Equal("zone-0"))
+			Expect(entries).NotTo(ContainElement(member(1, 1)))
+			first[entries[0].Name]++
+		}
+		Expect(first).To(Equal(map[string]int{"entry-000": 50, "entry-003": 50}))
+		own := g.all[g.names[1]]
+		Expect(own.Entries(g.now, "zone-1")).NotTo(ContainElement(member(1, 1)))
+	})
+
+	It("sends fewer heartbeats as members grow, and digests to far zones seldom", func() {
+		m := membership.New(member(0, 1), config(), start)
+		m.SetSelf(start, membership.Self{State: message.Ready, Digests: []message.Digest{{Target: "t"}}})
+		Expect(m.Interval()).To(Equal(heartbeat))
+		for i := 1; i < 410; i++ {
+			m.Up(start, member(i, 1))
+		}
+		Expect(m.Interval()).To(Equal(9 * heartbeat))
+		beats, near, far := 0, 0, 0
+		for now := start; now.Before(start.Add(36 * heartbeat)); now = now.Add(step) {
+			for _, to := range m.Beats(now) {
+				beats++
+				switch {
+				case len(to.Beat.Digests) == 0:
+				case index(to.Peer)%3 == 0:
+					near++
+				default:
+					far++
+				}
+			}
+		}
+		// Four or five to each of 409: the first at once, the second early.
+		Expect(beats).To(BeNumerically("~", 4.75*409, 409))
+		Expect(near).To(BeNumerically(">=", 4*136))
+		Expect(far).To(BeNumerically("<=", 2*273))
+	})
+})
+
+// BenchmarkSecond is one second of an entry's membership: 50 ticks, all heartbeats
+// sent and received. Reported besides: heartbeats and CBOR bytes sent a second
+// (no digests; 5 targets scheduled).
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48, 96, 410} {
+		for _, digests := range []int{0, 5} {
+			b.Run(fmt.Sprintf("members=%d/digests=%d", n, digests), func(b *testing.B) { second(b, n, digests) })
+		}
+	}
+}
+
+func second(b *testing.B, n, digests int) {
+	m := membership.New(member(0, 1), config(), start)
+	self := membership.Self{State: message.Ready, ConfigVersion: 100_000, InFlight: 50}
+	for i := range digests {
+		self.Digests = append(self.Digests, message.Digest{
+			Target: fmt.Sprintf("engine-%d", i), Limit: 32, InFlight: 20, Queued: 5, QueuedPrefill: 20_000,
+			PrefillRate: 9876.5, StepTime: 21 * time.Millisecond, Available: true, LowestTier: 2, Wait: time.Second,
+		})
+	}
+	m.SetSelf(start, self)
+	for i := 1; i < n; i++ {
+		m.Up(start, member(i, 1))
+	}
+	now, sent, bytes := start, 0, 0
+	for b.Loop() {
+		for range 50 {
+			now = now.Add(step)
+			for _, to := range m.Beats(now) {
+				sent++
+				b.StopTimer()
+				data, err := cbor.Marshal(to.Beat)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.StartTimer()
+				bytes += len(data)
+				m.Beat(now, to.Peer, message.Heartbeat{Seq: to.Beat.Seq, Echo: to.Beat.Seq, State: message.Ready})
+			}
+			m.Tick(now)
+		}
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "beats/s")
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/s")
+}
