Learn the speed of targets and choose among them

Sample gains QueuedPrefill (additive), without which a queue in the engine can't be told from slow prefill.

--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -182,6 +182,9 @@
 	StepTime time.Duration `cbor:"5,keyasint"`
 	// Batch is the scheduler's in-flight count at the grant, 0 if not known.
 	Batch int `cbor:"6,keyasint,omitempty"`
+	// QueuedPrefill is prompt tokens of other runs that were granted and not
+	// yet computed at the grant, by the scheduler's count; 0 if not known.
+	QueuedPrefill int `cbor:"7,keyasint,omitempty"`
 }
 
 // Running lists what an entry has running at targets that the addressee
--- /dev/null
+++ b/internal/core/routing/kind.go
@@ -0,0 +1,10 @@
+package routing
+
+// kindFilter drops targets of another kind or pool than the request's.
+type kindFilter struct{}
+
+func (kindFilter) keep(q *query, c *candidate) bool {
+	return c.target.kind == q.req.Kind && c.target.pool == q.pool
+}
+
+func (kindFilter) status() Status { return EmptyPool }
