--- /dev/null
+++ b/internal/standin/enginemodel/params.go
@@ -0,0 +1,70 @@
+package enginemodel
+
+import (
+	"errors"
+	"time"
+)
+
+// Params are the properties of an engine.
+type Params struct {
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64
+	// StepBase and StepPerSequence give the time of a step without prefill.
+	StepBase        time.Duration
+	StepPerSequence time.Duration
+	// MaxBatch bounds the sequences in a step.
+	MaxBatch int
+	// MaxWaiting bounds the jobs beyond MaxBatch.
+	MaxWaiting int
+	// KVTokens bounds the tokens that admitted sequences may come to hold.
+	KVTokens int
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// PrefillChunk bounds the prompt tokens computed in one step.
+	PrefillChunk int
+}
+
+// Newer is the faster generation of engines.
+func Newer() Params {
+	return Params{
+		PrefillRate:     8000,
+		StepBase:        12 * time.Millisecond,
+		StepPerSequence: 250 * time.Microsecond,
+		MaxBatch:        32,
+		MaxWaiting:      64,
+		KVTokens:        256 << 10,
+		CacheTokens:     64 << 10,
+		PrefillChunk:    512,
+	}
+}
+
+// Older is the slower generation of engines.
+func Older() Params {
+	p := Newer()
+	p.PrefillRate = 4000
+	p.StepBase = 20 * time.Millisecond
+	p.StepPerSequence = 400 * time.Microsecond
+	p.MaxBatch = 24
+	p.KVTokens = 128 << 10
+	p.CacheTokens = 32 << 10
+	return p
+}
+
+// Validate lists every fault of the parameters, joined; nil when there is none.
+func (p Params) Validate() error {
+	var faults []error
+	check := func(ok bool, fault string) {
+		if !ok {
+			faults = append(faults, errors.New(fault))
+		}
+	}
+	check(p.PrefillRate > 0, "prefill rate must be positive")
+	check(p.StepBase > 0, "step base must be positive")
+	check(p.StepPerSequence >= 0, "step time per sequence must not be negative")
+	check(p.MaxBatch > 0, "max batch must be positive")
+	check(p.MaxWaiting >= 0, "max waiting must not be negative")
+	check(p.KVTokens > 0, "KV tokens must be positive")
+	check(p.CacheTokens >= 0, "cache tokens must not be negative")
+	check(p.PrefillChunk > 0, "prefill chunk must be positive")
+	return errors.Join(faults...)
+}
