--- /dev/null
+++ b/internal/standin/base/answer.go
@@ -0,0 +1,101 @@
+package base
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HeaderNotAdmitted says that a request was provably not taken, and why.
+const HeaderNotAdmitted = "X-Not-Admitted"
+
+// Reasons in HeaderNotAdmitted.
+const (
+	NotAdmittedFull    = "full"
+	NotAdmittedLeaving = "leaving"
+)
+
+// Problem is the body of every answer that is an error, in the shape that
+// clients of OpenAI-compatible engines read.
+type Problem struct {
+	Error ProblemDetail `json:"error"`
+}
+
+// ProblemDetail says what is wrong.
+type ProblemDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+// Ready is the answer of /ready.
+type Ready struct {
+	State string `json:"state"`
+}
+
+// JSON answers with a status and a value.
+func JSON(ctx *fasthttp.RequestCtx, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+// Fail answers with a status and a Problem.
+func Fail(ctx *fasthttp.RequestCtx, status int, message string) {
+	JSON(ctx, status, Problem{Error: ProblemDetail{Message: message, Type: fasthttp.StatusMessage(status)}})
+}
+
+// NotAdmitted answers that the request was not taken.
+func NotAdmitted(ctx *fasthttp.RequestCtx, reason string) {
+	Fail(ctx, fasthttp.StatusServiceUnavailable, "not admitted: "+reason)
+	ctx.Response.Header.Set(HeaderNotAdmitted, reason)
+}
+
+// AnswerReady answers /ready.
+func AnswerReady(ctx *fasthttp.RequestCtx, f Faults) {
+	if f.Leaving {
+		JSON(ctx, fasthttp.StatusServiceUnavailable, Ready{State: "leaving"})
+		return
+	}
+	JSON(ctx, fasthttp.StatusOK, Ready{State: "ready"})
+}
+
+// Admits answers the refusal that the faults order, if any.
+func Admits(ctx *fasthttp.RequestCtx, f Faults) bool {
+	switch {
+	case f.Leaving:
+		NotAdmitted(ctx, NotAdmittedLeaving)
+	case f.Refuse:
+		NotAdmitted(ctx, NotAdmittedFull)
+	default:
+		return true
+	}
+	return false
+}
+
+// DropConnection closes the caller's connection in place of an answer.
+func DropConnection(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Reset()
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(closeConn)
+}
+
+// DecodeStrict reads one JSON value into target and takes no unknown field.
+func DecodeStrict(data []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more than one value")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/base/host.go
@@ -0,0 +1,289 @@
+package base
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrListen is wrapped when an address cannot be listened on.
+var ErrListen = errors.New("cannot listen")
+
+const (
+	maxBodyBytes   = 16 << 20
+	anyLoopback    = "127.0.0.1:0"
+	pathFault      = "/admin/fault"
+	pathLedger     = "/admin/ledger"
+	serverName     = "sycamore-standin"
+	maxHeaderBytes = 16 << 10
+)
+
+// Common are the settings that every kind of stand-in has.
+type Common struct {
+	// AdminAddress serves the admin path also while the stand-in is crashed;
+	// empty: any free port of 127.0.0.1.
+	AdminAddress string `json:"-"`
+	// Log takes what happens; nil: nobody.
+	Log *logrus.Entry `json:"-"`
+	// Faults are in force from the start.
+	Faults Faults `json:"faults"`
+}
+
+// Behaviour is what a kind of stand-in adds to a host.
+type Behaviour struct {
+	// Handle serves every call but the admin path.
+	Handle fasthttp.RequestHandler
+	// Applied is called after faults have changed; may be nil.
+	Applied func(Faults)
+	// Crashed forgets all state; may be nil. It is called once per crash,
+	// when no call can begin any more.
+	Crashed func()
+	// Restarted is called before connections are taken again; may be nil.
+	Restarted func()
+}
+
+// Host runs one stand-in.
+type Host struct {
+	behaviour Behaviour
+	common    Common
+	log       *logrus.Entry
+	ledger    Ledger
+
+	orders sync.Mutex // one change of faults at a time
+	mu     sync.Mutex // guards what follows
+	faults Faults
+	closed bool
+	main   *trackedListener
+	admin  *trackedListener
+
+	address string
+	done    chan struct{}
+}
+
+// New prepares a host; it serves from Start on.
+func New(common Common, behaviour Behaviour) *Host {
+	return &Host{
+		behaviour: behaviour,
+		common:    common,
+		log:       logOrNone(common.Log),
+		done:      make(chan struct{}),
+	}
+}
+
+// Start listens on both addresses and serves.
+func (h *Host) Start(address string) error {
+	if h.common.AdminAddress == "" {
+		h.common.AdminAddress = anyLoopback
+	}
+	var err error
+	if h.main, err = listen(address); err != nil {
+		return fmt.Errorf("%w on %s: %w", ErrListen, address, err)
+	}
+	if h.admin, err = listen(h.common.AdminAddress); err != nil {
+		_ = h.main.Close()
+		return fmt.Errorf("%w on admin address %s: %w", ErrListen, h.common.AdminAddress, err)
+	}
+	h.address = h.main.Addr().String()
+	h.ledger.start()
+	if err := h.Apply(h.common.Faults); err != nil {
+		_ = h.Close()
+		return err
+	}
+	if !h.Faults().Crash {
+		h.serve(h.main, h.handle)
+	}
+	h.serve(h.admin, h.handleAdmin)
+	h.log.WithFields(logrus.Fields{"address": h.address, "admin_address": h.AdminAddress()}).Info("started")
+	return nil
+}
+
+func logOrNone(log *logrus.Entry) *logrus.Entry {
+	if log != nil {
+		return log
+	}
+	none := logrus.New()
+	none.SetOutput(io.Discard)
+	return logrus.NewEntry(none)
+}
+
+// Address is where the stand-in serves, also while it is crashed.
+func (h *Host) Address() string { return h.address }
+
+// AdminAddress is where the admin path is always served.
+func (h *Host) AdminAddress() string { return h.admin.Addr().String() }
+
+// Ledger gives access to what ran.
+func (h *Host) Ledger() *Ledger { return &h.ledger }
+
+// Log is the stand-in's log.
+func (h *Host) Log() *logrus.Entry { return h.log }
+
+// Done is closed when the host is.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Faults returns the faults in force.
+func (h *Host) Faults() Faults {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.faults
+}
+
+// Apply puts faults in force, all fields, and crashes or restarts as they say.
+func (h *Host) Apply(next Faults) error {
+	return h.change(func(Faults) (Faults, error) { return next, next.Validate() })
+}
+
+// Crash crashes as the fault does; calls of the stand-in itself use it.
+func (h *Host) Crash() {
+	err := h.change(func(f Faults) (Faults, error) { f.Crash = true; return f, nil })
+	if err != nil {
+		h.log.WithError(err).Error("crash failed")
+	}
+}
+
+// Close stops serving and drops every connection.
+func (h *Host) Close() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
+	h.closed = true
+	close(h.done)
+	return errors.Join(h.main.Close(), h.admin.Close())
+}
+
+func (h *Host) change(edit func(Faults) (Faults, error)) error {
+	h.orders.Lock()
+	defer h.orders.Unlock()
+	before := h.Faults()
+	next, err := edit(before)
+	if err != nil {
+		return err
+	}
+	if before.Crash && !next.Crash {
+		if err := h.restart(); err != nil {
+			return err
+		}
+	}
+	h.mu.Lock()
+	h.faults = next
+	h.mu.Unlock()
+	if h.behaviour.Applied != nil {
+		h.behaviour.Applied(next)
+	}
+	if next.Crash && !before.Crash {
+		h.crash()
+	}
+	h.log.WithField("faults", next.String()).Info("faults changed")
+	return nil
+}
+
+func (h *Host) crash() {
+	h.ledger.stop()
+	h.mu.Lock()
+	_ = h.main.Close()
+	h.mu.Unlock()
+	if h.behaviour.Crashed != nil {
+		h.behaviour.Crashed()
+	}
+	h.ledger.closeOpen()
+}
+
+func (h *Host) restart() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return net.ErrClosed
+	}
+	main, err := listen(h.address)
+	if err != nil {
+		return fmt.Errorf("%w again on %s: %w", ErrListen, h.address, err)
+	}
+	if h.behaviour.Restarted != nil {
+		h.behaviour.Restarted()
+	}
+	h.main = main
+	h.ledger.start()
+	h.serve(main, h.handle)
+	return nil
+}
+
+func (h *Host) serve(listener net.Listener, handler fasthttp.RequestHandler) {
+	server := &fasthttp.Server{
+		Handler:            handler,
+		Name:               serverName,
+		MaxRequestBodySize: maxBodyBytes,
+		ReadBufferSize:     maxHeaderBytes,
+		Logger:             h.log.WithField("from", "http"),
+		LogAllErrors:       false,
+	}
+	go func() { _ = server.Serve(listener) }()
+}
+
+// handle serves the main address: admin path, then the faults that all
+// stand-ins share, then the stand-in itself.
+func (h *Host) handle(ctx *fasthttp.RequestCtx) {
+	if isAdmin(ctx) {
+		h.handleAdmin(ctx)
+		return
+	}
+	ctx.SetUserValue(incarnationKey, h.ledger.current())
+	f := h.Faults()
+	if f.SlowMS > 0 && !h.Pause(time.Duration(f.SlowMS)*time.Millisecond) {
+		return
+	}
+	if f.Outage {
+		Fail(ctx, fasthttp.StatusServiceUnavailable, "outage")
+		return
+	}
+	h.behaviour.Handle(ctx)
+	if f.LoseAnswers {
+		DropConnection(ctx)
+	}
+}
+
+// Pause waits; false when the host was closed meanwhile.
+func (h *Host) Pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+func isAdmin(ctx *fasthttp.RequestCtx) bool {
+	path := string(ctx.Path())
+	return path == pathFault || path == pathLedger
+}
+
+func (h *Host) handleAdmin(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == pathLedger && ctx.IsGet():
+		JSON(ctx, fasthttp.StatusOK, h.ledger.Report())
+	case path == pathFault && ctx.IsPost():
+		h.handleFault(ctx)
+	default:
+		Fail(ctx, fasthttp.StatusNotFound, "no such admin call")
+	}
+}
+
+func (h *Host) handleFault(ctx *fasthttp.RequestCtx) {
+	order := ctx.PostBody()
+	err := h.change(func(f Faults) (Faults, error) { return f.Merge(order) })
+	if err != nil {
+		Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	JSON(ctx, fasthttp.StatusOK, h.Faults())
+}
--- /dev/null
+++ b/internal/standin/engine/kv.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/standin/base"
+	"sycamoretrail/internal/standin/enginemodel"
+)
+
+// maxImports bounds the KV caches that wait for their stream.
+const maxImports = 256
+
+// kvState is what an exported KV cache holds. To others it is opaque.
+type kvState struct {
+	PromptTokens int `json:"prompt_tokens"`
+	Tokens       int `json:"tokens"`
+}
+
+func (s *Server) handleExport(ctx *fasthttp.RequestCtx) {
+	state, held := s.export(pathValue(ctx, paramStream))
+	if !held {
+		base.Fail(ctx, fasthttp.StatusNotFound, "no such stream")
+		return
+	}
+	base.JSON(ctx, fasthttp.StatusOK, state)
+	ctx.SetContentType("application/octet-stream")
+}
+
+func (s *Server) export(id string) (kvState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[id]
+	if st == nil {
+		return kvState{}, false
+	}
+	usage, running := s.model.Progress(st.job)
+	if !running {
+		usage = st.usage
+	}
+	return kvState{PromptTokens: usage.Cached + usage.ComputedPrompt, Tokens: st.tokens}, true
+}
+
+// handleImport keeps a KV cache until a request of that id comes, which then
+// goes on where the exported stream was.
+func (s *Server) handleImport(ctx *fasthttp.RequestCtx) {
+	var state kvState
+	if err := json.Unmarshal(ctx.PostBody(), &state); err != nil {
+		base.Fail(ctx, fasthttp.StatusBadRequest, "not a KV cache: "+err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.imports) >= maxImports {
+		base.NotAdmitted(ctx, base.NotAdmittedFull)
+		return
+	}
+	s.imports[pathValue(ctx, paramStream)] = state
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// useImport applies the KV cache that was imported for a job, if any.
+func (s *Server) useImport(id string, job *enginemodel.Job) {
+	state, ok := s.imports[id]
+	if !ok {
+		return
+	}
+	job.HeldPrompt = state.PromptTokens
+	job.FirstIndex = max(0, min(state.Tokens, job.MaxTokens-1))
+}
--- /dev/null
+++ b/internal/standin/engine/state.go
@@ -0,0 +1,247 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/standin/base"
+	"sycamoretrail/internal/standin/enginemodel"
+)
+
+// driveSteps ends the model's steps when they are due.
+func (s *Server) driveSteps() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(s.untilStepEnd())
+		select {
+		case <-s.Done():
+			return
+		case <-s.wake:
+		case <-timer.C:
+			s.advance()
+		}
+	}
+}
+
+// idleWait is how often an idle engine looks for streams to forget.
+const idleWait = time.Second
+
+func (s *Server) untilStepEnd() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, stepping := s.model.Next()
+	if !stepping {
+		return idleWait
+	}
+	return max(0, time.Until(next))
+}
+
+func (s *Server) advance() {
+	s.mu.Lock()
+	poisoned := s.advanceLocked(time.Now())
+	s.mu.Unlock()
+	if poisoned {
+		s.Crash()
+	}
+}
+
+// advanceLocked brings the state up to now; true when a stream crashes the engine.
+func (s *Server) advanceLocked(now time.Time) (poisoned bool) {
+	for _, event := range s.model.Advance(now) {
+		switch event.Kind {
+		case enginemodel.Token:
+			poisoned = s.addToken(event) || poisoned
+		case enginemodel.Finished:
+			s.finish(now, event)
+		case enginemodel.CacheAdded:
+			s.cache.add(event.At, opAdd, event.Hash)
+		case enginemodel.CacheDropped:
+			s.cache.add(event.At, opDrop, event.Hash)
+		}
+	}
+	s.forgetEnded(now)
+	s.loads.Set(now, s.faults.Lag(), s.model.Load())
+	return poisoned
+}
+
+func (s *Server) addToken(event enginemodel.Event) (poisoned bool) {
+	st := s.jobs[event.ID]
+	if st.poison {
+		return true
+	}
+	st.tokens = event.Index + 1
+	st.notify()
+	return false
+}
+
+func (s *Server) finish(now time.Time, event enginemodel.Event) {
+	st := s.jobs[event.ID]
+	if st.poison {
+		return
+	}
+	st.usage = event.Usage
+	st.done = true
+	s.endRun(st, func(run *base.Run) { run.Complete = true })
+	s.release(now, st)
+}
+
+// release takes a stream out of the model's hands; it can still be read.
+func (s *Server) release(now time.Time, st *stream) {
+	delete(s.jobs, st.job)
+	st.endedAt = now
+	st.notify()
+	s.ended = append(s.ended, st)
+}
+
+func (s *Server) endRun(st *stream, mark func(*base.Run)) {
+	s.Ledger().End(st.ticket, func(run *base.Run) {
+		run.PromptTokens = st.usage.Prompt
+		run.CachedTokens = st.usage.Cached
+		run.ComputedPromptTokens = st.usage.ComputedPrompt
+		run.Tokens = st.usage.Tokens
+		mark(run)
+	})
+}
+
+func (s *Server) forgetEnded(now time.Time) {
+	for len(s.ended) > 0 && now.Sub(s.ended[0].endedAt) >= s.params.hold() {
+		st := s.ended[0]
+		s.ended = s.ended[1:]
+		if s.streams[st.id] == st {
+			delete(s.streams, st.id)
+		}
+	}
+}
+
+// admission is a request that may become a stream.
+type admission struct {
+	id     string
+	job    enginemodel.Job
+	stream *stream
+}
+
+// submit gives a request to the model. begun is false when the engine has
+// crashed since the call came in.
+func (s *Server) submit(ctx *fasthttp.RequestCtx, a admission) (begun bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.advancePoisonAware(now)
+	if !s.serves(a.stream.model) {
+		return true, fmt.Errorf("%w: %s", errModel, a.stream.model)
+	}
+	s.jobCount++
+	a.stream.job = a.id + "#" + strconv.Itoa(s.jobCount)
+	a.job.ID = a.stream.job
+	s.useImport(a.id, &a.job)
+	if err := s.model.Submit(now, a.job); err != nil {
+		return true, err
+	}
+	ticket, begun := s.Ledger().Begin(ctx, a.id)
+	if !begun {
+		s.model.Cancel(now, a.job.ID)
+		return false, nil
+	}
+	delete(s.imports, a.id)
+	a.stream.ticket = ticket
+	a.stream.tokens = a.job.FirstIndex
+	s.jobs[a.job.ID] = a.stream
+	s.streams[a.id] = a.stream
+	s.loads.Set(now, s.faults.Lag(), s.model.Load())
+	s.wakeDriver()
+	return true, nil
+}
+
+// advancePoisonAware advances, and leaves the crash itself to another goroutine
+// since it needs the lock that is held here.
+func (s *Server) advancePoisonAware(now time.Time) {
+	if s.advanceLocked(now) {
+		go s.Crash()
+	}
+}
+
+func (s *Server) serves(model string) bool {
+	return s.held.Model == "" || s.held.Model == model || slices.Contains(s.held.Adapters, model)
+}
+
+// cancel ends a stream; false when none of this id is held.
+func (s *Server) cancel(id string) (enginemodel.Usage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.advancePoisonAware(now)
+	st := s.streams[id]
+	if st == nil {
+		return enginemodel.Usage{}, false
+	}
+	usage, running := s.model.Cancel(now, st.job)
+	if !running {
+		return st.usage, true
+	}
+	st.usage = usage
+	st.gone = true
+	s.endRun(st, func(run *base.Run) { run.Cancelled = true })
+	s.release(now, st)
+	s.loads.Set(now, s.faults.Lag(), s.model.Load())
+	return usage, true
+}
+
+func (s *Server) find(id string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetEnded(time.Now())
+	return s.streams[id]
+}
+
+func (s *Server) look(st *stream) view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return view{tokens: st.tokens, usage: st.usage, done: st.done, gone: st.gone, changed: st.changed}
+}
+
+func (s *Server) wakeDriver() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// applied takes over changed faults.
+func (s *Server) applied(f base.Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.model.SetStraggle(f.Slowdown())
+}
+
+// crashed loses all state. Readers of lost streams see the connection close.
+func (s *Server) crashed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lost := range s.model.Reset() {
+		st := s.jobs[lost.ID]
+		st.usage = lost.Usage
+		st.gone = true
+		s.endRun(st, func(*base.Run) {})
+		st.notify()
+	}
+	s.reset()
+}
+
+// reset is the state of a process that has just started.
+func (s *Server) reset() {
+	s.jobs = make(map[string]*stream)
+	s.streams = make(map[string]*stream)
+	s.imports = make(map[string]kvState)
+	s.ended = nil
+	s.cache = newCacheLog()
+	s.loads.Reset()
+	s.held = holding{Model: s.params.Model, Version: s.params.Version, Adapters: s.params.Adapters, Role: s.params.Role}
+	s.fencing = 0
+	s.ordered++
+}
