--- a/internal/standin/base/answer.go
+++ b/internal/standin/base/answer.go
@@ -5,6 +5,11 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -87,6 +92,37 @@
 	ctx.Hijack(closeConn)
 }
 
+// PathValue returns a decoded part of the path. It is a copy: the router's own
+// string lies in the request's buffer, which the next call overwrites.
+func PathValue(ctx *fasthttp.RequestCtx, name string) string {
+	raw, _ := ctx.UserValue(name).(string)
+	value, err := url.PathUnescape(raw)
+	if err != nil {
+		value = raw
+	}
+	return strings.Clone(value)
+}
+
+// UintArgument reads a query argument; it answers 400 when it is no number.
+func UintArgument(ctx *fasthttp.RequestCtx, name string, absent int) (int, bool) {
+	if !ctx.QueryArgs().Has(name) {
+		return absent, true
+	}
+	value, err := ctx.QueryArgs().GetUint(name)
+	if err != nil {
+		Fail(ctx, fasthttp.StatusBadRequest, name+" is not a number")
+		return 0, false
+	}
+	return value, true
+}
+
+// TooMany answers 429 with Retry-After in whole seconds, at least one.
+func TooMany(ctx *fasthttp.RequestCtx, wait time.Duration) {
+	Fail(ctx, fasthttp.StatusTooManyRequests, "over the rate")
+	seconds := max(1, int(math.Ceil(wait.Seconds())))
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+}
+
 // DecodeStrict reads one JSON value into target and takes no unknown field.
 func DecodeStrict(data []byte, target any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/internal/standin/base/faults.go
+++ b/internal/standin/base/faults.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -68,12 +67,6 @@
 	return nil
 }
 
-// String gives the faults as JSON, for logs.
-func (f Faults) String() string {
-	data, _ := json.Marshal(f)
-	return string(data)
-}
-
 // CrashesOn reports whether a body crashes the target that runs it.
 func (f Faults) CrashesOn(body []byte) bool {
 	return f.CrashOn != "" && bytes.Contains(body, []byte(f.CrashOn))
--- a/internal/standin/base/host.go
+++ b/internal/standin/base/host.go
@@ -181,7 +181,7 @@
 	if next.Crash && !before.Crash {
 		h.crash()
 	}
-	h.log.WithField("faults", next.String()).Info("faults changed")
+	h.log.WithField("faults", next).Info("faults changed")
 	return nil
 }
 
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -19,7 +19,7 @@
 }
 
 func (s *Server) handleExport(ctx *fasthttp.RequestCtx) {
-	state, held := s.export(pathValue(ctx, paramStream))
+	state, held := s.export(base.PathValue(ctx, paramStream))
 	if !held {
 		base.Fail(ctx, fasthttp.StatusNotFound, "no such stream")
 		return
@@ -56,7 +56,7 @@
 		base.NotAdmitted(ctx, base.NotAdmittedFull)
 		return
 	}
-	s.imports[pathValue(ctx, paramStream)] = state
+	s.imports[base.PathValue(ctx, paramStream)] = state
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -80,7 +80,7 @@
 // Close stops the engine; its streams are lost.
 func (s *Server) Close() error {
 	err := s.Host.Close()
-	s.fetches.StopAndWait()
+	s.fetches.Stop()
 	return err
 }
 
@@ -99,11 +99,6 @@
 	return r.Handler
 }
 
-func pathValue(ctx *fasthttp.RequestCtx, name string) string {
-	value, _ := ctx.UserValue(name).(string)
-	return value
-}
-
 func (s *Server) handleCompletion(ctx *fasthttp.RequestCtx) {
 	if !base.Admits(ctx, s.Faults()) {
 		return
@@ -189,6 +184,7 @@
 func (s *Server) answerStream(ctx *fasthttp.RequestCtx, st *stream, from int) {
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { s.writeStream(w, st, from) })
 }
 
@@ -217,11 +213,11 @@
 }
 
 func (s *Server) handleResume(ctx *fasthttp.RequestCtx) {
-	from, ok := fromArgument(ctx)
+	from, ok := base.UintArgument(ctx, "from", 0)
 	if !ok {
 		return
 	}
-	st := s.find(pathValue(ctx, paramStream))
+	st := s.find(base.PathValue(ctx, paramStream))
 	if st == nil {
 		base.Fail(ctx, fasthttp.StatusNotFound, "no such stream")
 		return
@@ -230,26 +226,13 @@
 	s.answerStream(ctx, st, from)
 }
 
-// fromArgument reads ?from=N, 0 when absent; it answers 400 when it is no number.
-func fromArgument(ctx *fasthttp.RequestCtx) (int, bool) {
-	if !ctx.QueryArgs().Has("from") {
-		return 0, true
-	}
-	from, err := ctx.QueryArgs().GetUint("from")
-	if err != nil {
-		base.Fail(ctx, fasthttp.StatusBadRequest, "from is not a number")
-		return 0, false
-	}
-	return from, true
-}
-
 type cancelled struct {
 	ComputedPromptTokens int `json:"computed_prompt_tokens"`
 	Tokens               int `json:"tokens"`
 }
 
 func (s *Server) handleCancel(ctx *fasthttp.RequestCtx) {
-	usage, held := s.cancel(pathValue(ctx, paramStream))
+	usage, held := s.cancel(base.PathValue(ctx, paramStream))
 	if !held {
 		base.Fail(ctx, fasthttp.StatusNotFound, "no such stream")
 		return
@@ -287,7 +270,7 @@
 }
 
 func (s *Server) handleCacheEvents(ctx *fasthttp.RequestCtx) {
-	from, ok := fromArgument(ctx)
+	from, ok := base.UintArgument(ctx, "from", 0)
 	if !ok {
 		return
 	}
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -131,7 +131,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.advancePoisonAware(now)
+	s.advanceOrCrash(now)
 	if !s.serves(a.stream.model) {
 		return true, fmt.Errorf("%w: %s", errModel, a.stream.model)
 	}
@@ -157,9 +157,9 @@
 	return true, nil
 }
 
-// advancePoisonAware advances, and leaves the crash itself to another goroutine
+// advanceOrCrash advances, and leaves the crash itself to another goroutine
 // since it needs the lock that is held here.
-func (s *Server) advancePoisonAware(now time.Time) {
+func (s *Server) advanceOrCrash(now time.Time) {
 	if s.advanceLocked(now) {
 		go s.Crash()
 	}
@@ -174,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.advancePoisonAware(now)
+	s.advanceOrCrash(now)
 	st := s.streams[id]
 	if st == nil {
 		return enginemodel.Usage{}, false
@@ -224,8 +224,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, lost := range s.model.Reset() {
-		st := s.jobs[lost.ID]
-		st.usage = lost.Usage
+		s.jobs[lost.ID].usage = lost.Usage
+	}
+	for _, st := range s.jobs {
 		st.gone = true
 		s.endRun(st, func(*base.Run) {})
 		st.notify()
--- /dev/null
+++ b/internal/standin/instances/instances.go
@@ -0,0 +1,149 @@
+// Package instances is the stand-in for the platform's instance list:
+// docs/PLATFORM.md, "Instance list". Readers see it as it was lag_ms ago.
+package instances
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/standin/base"
+)
+
+// Roles of a row.
+const (
+	RoleEntry  = "entry"
+	RoleTarget = "target"
+)
+
+const paramName = "name"
+
+// Row is one instance.
+type Row struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+	Leaving bool   `json:"leaving"`
+}
+
+func (r Row) validate() error {
+	if r.Name == "" || r.Address == "" {
+		return errors.New("row without name or address")
+	}
+	if r.Role != RoleEntry && r.Role != RoleTarget {
+		return fmt.Errorf("row %q: role must be %q or %q", r.Name, RoleEntry, RoleTarget)
+	}
+	return nil
+}
+
+// Params configure a list.
+type Params struct {
+	base.Common
+	// Instances are on the list from the start.
+	Instances []Row `json:"instances"`
+}
+
+// Validate lists every fault of the parameters, joined.
+func (p Params) Validate() error {
+	faults := []error{p.Faults.Validate()}
+	for _, row := range p.Instances {
+		faults = append(faults, row.validate())
+	}
+	return errors.Join(faults...)
+}
+
+type answer struct {
+	Instances []Row `json:"instances"`
+}
+
+// Server is a running list.
+type Server struct {
+	*base.Host
+	params Params
+
+	mu   sync.Mutex // guards what follows
+	rows map[string]Row
+	seen base.Lagged[[]Row]
+}
+
+// Start serves a list on an address.
+func Start(address string, params Params) (*Server, error) {
+	if err := params.Validate(); err != nil {
+		return nil, err
+	}
+	s := &Server{params: params}
+	s.reset()
+	r := router.New()
+	r.GET("/instances", s.handleList)
+	r.PUT("/instances/{name}", s.handlePut)
+	r.DELETE("/instances/{name}", s.handleDelete)
+	s.Host = base.New(params.Common, base.Behaviour{Handle: r.Handler, Crashed: s.reset})
+	return s, s.Host.Start(address)
+}
+
+// reset returns to the rows of the start, seen without lag.
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = make(map[string]Row)
+	for _, row := range s.params.Instances {
+		s.rows[row.Name] = row
+	}
+	s.seen.Reset()
+	s.seen.Set(time.Time{}, 0, s.sorted())
+}
+
+func (s *Server) sorted() []Row {
+	return slices.SortedFunc(maps.Values(s.rows), func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
+}
+
+func (s *Server) handleList(ctx *fasthttp.RequestCtx) {
+	lag := s.Faults().Lag()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := s.seen.At(time.Now().Add(-lag))
+	base.JSON(ctx, fasthttp.StatusOK, answer{Instances: append([]Row{}, rows...)})
+}
+
+func (s *Server) handlePut(ctx *fasthttp.RequestCtx) {
+	var row Row
+	if err := base.DecodeStrict(ctx.PostBody(), &row); err != nil {
+		base.Fail(ctx, fasthttp.StatusBadRequest, "malformed row: "+err.Error())
+		return
+	}
+	row.Name = base.PathValue(ctx, paramName)
+	if err := row.validate(); err != nil {
+		base.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	s.edit(ctx, func() { s.rows[row.Name] = row })
+}
+
+func (s *Server) handleDelete(ctx *fasthttp.RequestCtx) {
+	name := base.PathValue(ctx, paramName)
+	s.edit(ctx, func() { delete(s.rows, name) })
+}
+
+// edit changes rows and enters the call in the ledger.
+func (s *Server) edit(ctx *fasthttp.RequestCtx, change func()) {
+	lag := s.Faults().Lag()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ticket, begun := s.Ledger().Begin(ctx, string(ctx.Method())+" "+base.PathValue(ctx, paramName))
+	if !begun {
+		base.DropConnection(ctx)
+		return
+	}
+	change()
+	s.seen.Set(time.Now(), lag, s.sorted())
+	s.Ledger().End(ticket, func(run *base.Run) { run.Complete = true })
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
