--- a/internal/core/record/record.go
+++ b/internal/core/record/record.go
@@ -45,6 +45,10 @@
 	// the original version where an entry renews an accepted document before
 	// the log's retention drops it.
 	Version int64 `cbor:"2,keyasint,omitempty"`
+	// Through is set on a renewal: the last offset that the renewing entry had
+	// judged. Version was in force there, so a reader that has every record
+	// after Through can judge them, although the ones before aged out.
+	Through int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Claim ties an idempotency key to the request that may run for it.
