--- a/cmd/sycamore-standin/main.go
+++ b/cmd/sycamore-standin/main.go
@@ -27,7 +27,7 @@
 		Short:        "Stand-ins for engines, services and the platform",
 		SilenceUsage: true,
 	}
-	root.AddCommand(runCommand())
+	root.AddCommand(runCommand(), layoutCommand())
 	return root
 }
 
--- a/internal/core/entry/documents.go
+++ b/internal/core/entry/documents.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"sycamoretrail/internal/core/acceptance"
@@ -35,6 +36,14 @@
 	retention: 4 * time.Hour,
 }
 
+// What holds until a document is in force.
+const (
+	startingPeriod  = 5 * time.Second
+	startingLongest = 10 * time.Minute
+	startingIDs     = 10_000
+	startingDrain   = 30 * time.Second
+)
+
 func timingOf(doc *document.Document) timing {
 	return timing{
 		heartbeat: document.Milliseconds(doc.Timing.HeartbeatMS),
@@ -48,9 +57,10 @@
 
 // documentRecorded judges the next record of the documents' stream.
 func (e *Entry) documentRecorded(offset int64, age time.Duration, rec record.Document) {
-	verdict := e.accepted.Record(e.now.Add(-age), offset, rec)
+	verdict := e.accepted.Record(offset, rec)
+	e.accepted.Seen(verdict, e.now.Add(-age))
 	e.rememberVerdict(verdict)
-	e.note(Decision{Event: EventDocument, Detail: verdict.String()})
+	e.note(Decision{Event: EventDocument, Detail: fmt.Sprintf("%s %s at offset %d", verdict.DocumentID, verdict.Kind, offset)})
 	e.applyCurrent()
 }
 
@@ -87,12 +97,12 @@
 	e.timing = timingOf(doc)
 	longest := document.Milliseconds(doc.Limits.DeadlineMS)
 	e.ids.Configure(e.now, document.Milliseconds(doc.Shutdown.EntriesTTLMS), longest, doc.Limits.RememberedIDs)
-	e.members.Configure(e.timing.heartbeat, e.timing.silence)
+	e.members.Configure(e.membershipConfig())
 	e.claims.Configure(e.now, e.timing.horizon)
 	e.router.Configure(doc)
 	e.places.Configure(e.now, e.schedulerSettings())
 	e.share.Configure(e.now, e.schedulerSettings())
-	e.drain.Configure(document.Milliseconds(doc.Shutdown.DrainMS), document.Milliseconds(doc.Shutdown.EntriesTTLMS))
+	e.drain.Configure(e.drainConfig())
 	e.performOrders(e.orders.Configure(e.now, doc))
 	e.rebalance()
 	e.changed = true
@@ -103,20 +113,22 @@
 	if !e.accepted.RenewalDue(e.now, e.timing.retention, e.jitterShare) {
 		return
 	}
-	_, version, data := e.accepted.Current()
-	e.accepted.Renewing(e.now)
-	rec := record.Record{Document: &record.Document{Data: data, Version: version}}
+	renewal := e.accepted.Renew(e.now)
+	rec := record.Record{Document: &renewal}
 	e.append(record.StreamDocuments, rec, appendRenewal, 0)
 }
 
-// seekDocument asks peers while this entry holds no document and the log gives none.
+// seekDocument asks peers while this entry cannot tell from the log alone what
+// is in force: it holds no document, or it missed records.
 func (e *Entry) seekDocument() {
-	if e.doc != nil || e.now.Before(e.seekAt) {
+	if e.accepted.Certain() || e.now.Before(e.seekAt) {
 		return
 	}
 	e.seekAt = e.now.Add(documentAskEvery)
-	for _, m := range e.members.Known() {
-		e.send(m.Incarnation, message.DocumentAsk{})
+	for _, m := range e.members.Members(e.now) {
+		if m.Linked {
+			e.send(m.Member.Incarnation, message.DocumentAsk{})
+		}
 	}
 }
 
@@ -129,7 +141,7 @@
 // documentTold takes the accepted document from a peer. Versions only rise, so
 // a peer that lags behind cannot bring an older document back.
 func (e *Entry) documentTold(r message.DocumentReply) {
-	if err := e.accepted.Adopt(e.now, r.Version, r.Data); err != nil {
+	if err := e.accepted.Adopt(r.Version, r.Data); err != nil {
 		e.note(Decision{Event: EventDocument, Detail: err.Error()})
 		return
 	}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -16,6 +16,7 @@
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/orders"
 	"sycamoretrail/internal/core/owner"
+	"sycamoretrail/internal/core/placement"
 	"sycamoretrail/internal/core/record"
 	"sycamoretrail/internal/core/routing"
 	"sycamoretrail/internal/core/scheduler"
@@ -35,9 +36,9 @@
 	PolicyAlone Policy = "alone"
 )
 
-// submitValidity is how long a request may wait between its arrival and the
+// inputValidity is how long a request may wait between its arrival and the
 // core: longer waits come from a paused process.
-const submitValidity = time.Second
+const inputValidity = time.Second
 
 // Config is what an entry is started with; all else comes from the document.
 type Config struct {
@@ -79,8 +80,7 @@
 	alarms          alarms
 	asks            uint64
 
-	assigned map[string]ident.Incarnation
-	held     []scheduler.Target
+	plan    *placement.Plan
 	homes    [partitions]ident.Incarnation
 	watches  map[string]*targetWatch
 
@@ -98,6 +98,9 @@
 	inbox, inboxStore []delivery
 	journal           journal
 
+	membersAt time.Time
+	digestsAt time.Time
+
 	following bool
 	changed   bool
 	prefix    ident.Prefix
@@ -115,9 +118,9 @@
 		timing:          startingTiming,
 		accepted:        acceptance.New(),
 		router:          routing.New(cfg.Seed, cfg.Self.Zone),
-		suspects:        suspects.New(),
+		suspects:        suspects.New(suspects.Config{}),
+		plan:            placement.NewPlan(),
 		orders:          orders.New(cfg.Self.Incarnation),
-		drain:           drain.New(),
 		flights:         make(map[ident.RequestID]*flight),
 		asking:          make(map[ident.RequestID][]ident.RequestID),
 		perOrganisation: make(map[string]int),
@@ -131,8 +134,12 @@
 	for p := range partitions {
 		e.partitionByStream[record.ClaimsStream(p)] = p
 	}
-	e.ids = owner.NewTable(owner.Config{Self: cfg.Self.Incarnation}, now)
-	e.members = membership.New(cfg.Self, membership.Config{Heartbeat: e.timing.heartbeat, Silence: e.timing.silence}, now)
+	e.drain = drain.New(e.drainConfig())
+	e.ids = owner.New(owner.Config{
+		Self: cfg.Self.Incarnation, Period: startingPeriod, Longest: startingLongest,
+		Max: startingIDs, Validity: inputValidity,
+	}, now)
+	e.members = membership.New(cfg.Self, e.membershipConfig(), now)
 	e.claims = claims.New(claims.Config{Partitions: partitions, Horizon: e.timing.horizon})
 	e.places = scheduler.New(cfg.Self.Incarnation, cfg.Seed, estimator)
 	e.share = scheduler.New(cfg.Self.Incarnation, cfg.Seed+1, estimator)
@@ -154,12 +161,11 @@
 	}
 	e.out = e.out[:0]
 	e.follow()
-	// A process that stood still must know it before it acts on anything: its
-	// grants and its peers' word may have lapsed meanwhile.
-	e.membersChanged(e.members.Tick(e.now))
+	e.lookAtMembers()
 	e.handle(in)
 	e.drainInbox()
 	e.settleState()
+	e.lookAtMembers()
 	e.drainInbox()
 	e.publish()
 	return e.out
@@ -172,9 +178,9 @@
 	case CallerGone:
 		e.callerGone(in.ID)
 	case PeerUp:
-		e.membersChanged(e.members.Up(e.now, in.Member))
+		e.members.Up(e.now, in.Member)
 	case PeerDown:
-		e.membersChanged(e.members.Down(e.now, in.Incarnation, in.Refused))
+		e.members.Down(e.now, in.Incarnation, in.Refused)
 	case FromPeer:
 		e.deliver(in.From, in.Message, fromPlaces)
 	case RunStarted:
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -4,32 +4,33 @@
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/owner"
 	"sycamoretrail/internal/core/request"
 )
 
 // askOwner begins to find out what became of subject, an id that another entry
 // owns: the request's own id sent again here, or the winner of its key.
-func (e *Entry) askOwner(req request.Request, subject ident.RequestID, owner ident.Incarnation) {
+func (e *Entry) askOwner(req request.Request, subject ident.RequestID, holder ident.Incarnation) {
 	f := &flight{req: req, subject: subject, stage: stageAsking, giveUp: e.now.Add(e.timing.silence)}
 	if e.flights[req.ID] != nil {
 		e.emit(Join{ID: req.ID, Of: req.ID})
 		return
 	}
 	e.enter(f)
-	e.ask(f, owner)
+	e.ask(f, holder)
 }
 
 // ask puts the question to an entry. An owner that no live member is has been
 // replaced or cannot be reached; whether it dispatched is then not known, and
 // saying "not run" could turn one release into two charges.
-func (e *Entry) ask(f *flight, owner ident.Incarnation) {
-	if !e.members.Reachable(owner) {
+func (e *Entry) ask(f *flight, holder ident.Incarnation) {
+	if holder == e.cfg.Self.Incarnation || !e.members.Reachable(holder) {
 		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone"))
 		return
 	}
-	f.asked = owner
+	f.asked = holder
 	e.asks++
-	e.send(owner, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID})
+	e.send(holder, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID})
 	e.wakeAt(f, e.now.Add(e.timing.grant))
 }
 
@@ -51,11 +52,27 @@
 func (e *Entry) standingFor(from ident.Incarnation, q message.OwnerAsk) message.OwnerReply {
 	if q.Known {
 		// The asker wants the outcome of another's request, not its id.
-		return e.ids.Tell(e.now, q.ID)
+		return e.told(q.ID)
 	}
 	return e.ids.Ask(e.now, from, q.ID)
 }
 
+// told says what is remembered of an id, without recording anything.
+func (e *Entry) told(id ident.RequestID) message.OwnerReply {
+	known := e.ids.Standing(e.now, id)
+	reply := message.OwnerReply{ID: id, Standing: message.StandingExpired}
+	switch known.Kind {
+	case owner.KindKnown:
+		reply.Standing = known.Standing
+		reply.Status = known.Status
+		reply.Target = known.Target
+	case owner.KindVoided:
+		reply.Standing = message.StandingElsewhere
+		reply.Delegate = known.Delegate
+	}
+	return reply
+}
+
 // ownerTold acts on what the owner said.
 func (e *Entry) ownerTold(from ident.Incarnation, r message.OwnerReply) {
 	for _, f := range e.askingAbout(r.ID) {
@@ -79,7 +96,7 @@
 	return found
 }
 
-func (e *Entry) followStanding(f *flight, owner ident.Incarnation, r message.OwnerReply) {
+func (e *Entry) followStanding(f *flight, holder ident.Incarnation, r message.OwnerReply) {
 	switch r.Standing {
 	case message.StandingVoided:
 		e.adopt(f)
@@ -88,9 +105,9 @@
 	case message.StandingWaiting:
 		f.giveUp = earlier(e.now.Add(e.timing.silence), f.req.Deadline)
 	case message.StandingRunning:
-		e.followRun(f, owner, r.Target)
+		e.followRun(f, holder, r.Target)
 	case message.StandingFinished:
-		e.followFinished(f, owner, r)
+		e.followFinished(f, holder, r)
 	default:
 		e.settleForeign(f, outcome.Undetermined(outcome.ReasonIDExpired, "the owner no longer remembers the id"))
 	}
@@ -99,21 +116,24 @@
 // adopt makes this entry the owner of an id that its former owner gave up.
 func (e *Entry) adopt(f *flight) {
 	e.leave(f)
-	e.ids.Adopt(e.now, f.req.ID)
+	if !e.ids.Adopt(e.now, f.req.ID) {
+		e.refuseUnseen(f.req.ID, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
+		return
+	}
 	e.accept(f.req)
 }
 
 // followRun attaches the caller to a run that another entry dispatched. An
 // engine serves the stream again itself; a plain service's answer is with its
 // owner alone.
-func (e *Entry) followRun(f *flight, owner ident.Incarnation, target string) {
+func (e *Entry) followRun(f *flight, holder ident.Incarnation, target string) {
 	spec, known := e.index.Target(target)
 	if f.req.Kind == request.Engine && known {
 		e.leaveForeign(f)
 		e.emit(Attach{ID: f.req.ID, Of: f.subject, Target: target, Address: spec.Address})
 		return
 	}
-	address, reachable := e.members.CallerAddress(owner)
+	address, reachable := e.members.CallerAddress(holder)
 	if !reachable {
 		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that holds the answer cannot be reached"))
 		return
@@ -122,9 +142,9 @@
 	e.emit(SeeOther{ID: f.req.ID, Of: f.subject, Target: target, Address: address})
 }
 
-func (e *Entry) followFinished(f *flight, owner ident.Incarnation, r message.OwnerReply) {
+func (e *Entry) followFinished(f *flight, holder ident.Incarnation, r message.OwnerReply) {
 	if r.Status.Outcome == outcome.Answered {
-		e.followRun(f, owner, r.Target)
+		e.followRun(f, holder, r.Target)
 		return
 	}
 	e.settleForeign(f, r.Status)
--- a/internal/core/entry/keys.go
+++ b/internal/core/entry/keys.go
@@ -93,7 +93,7 @@
 }
 
 func (e *Entry) joinWinner(f *flight, winner ident.RequestID) {
-	told := e.ids.Tell(e.now, winner)
+	told := e.told(winner)
 	if told.Standing == message.StandingFinished && told.Status.Outcome != outcome.Answered {
 		e.finish(f, told.Status)
 		return
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/drain"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/membership"
 	"sycamoretrail/internal/core/message"
@@ -11,25 +13,35 @@
 	"sycamoretrail/internal/core/scheduler"
 )
 
+// membershipEvery bounds how often the members are looked through.
+const membershipEvery = 20 * time.Millisecond
+
+func (e *Entry) membershipConfig() membership.Config {
+	return membership.Config{Heartbeat: e.timing.heartbeat, Silence: e.timing.silence, Seed: e.cfg.Seed}
+}
+
 // beat sends the heartbeats that are due.
 func (e *Entry) beat() {
-	due := e.members.Beats(e.now)
-	if len(due) == 0 {
-		return
+	if !e.now.Before(e.digestsAt) {
+		e.digestsAt = e.now.Add(e.timing.heartbeat)
+		e.tellSelf()
 	}
+	for _, b := range e.members.Beats(e.now) {
+		e.send(b.Peer, b.Beat)
+	}
+}
+
+// tellSelf renews what heartbeats say of this entry, and what it routes by.
+func (e *Entry) tellSelf() {
 	digests := e.places.Digests(e.now)
 	e.learnDigests(e.cfg.Self.Incarnation, digests)
-	for _, b := range due {
-		b.Heartbeat.State = e.state
-		b.Heartbeat.ConfigVersion = e.version
-		b.Heartbeat.InFlight = len(e.flights)
-		b.Heartbeat.Digests = digests
-		e.send(b.To, b.Heartbeat)
-	}
+	e.members.SetSelf(e.now, membership.Self{
+		State: e.state, ConfigVersion: e.version, InFlight: len(e.flights), Digests: digests,
+	})
 }
 
 func (e *Entry) heartbeat(from ident.Incarnation, h message.Heartbeat) {
-	e.membersChanged(e.members.Beat(e.now, from, h))
+	e.members.Beat(e.now, from, h)
 	e.learnDigests(from, h.Digests)
 	if h.ConfigVersion > e.version {
 		// The log is slow here or out: the peer holds a newer document.
@@ -41,37 +53,47 @@
 // one may still speak of targets that were taken from it.
 func (e *Entry) learnDigests(from ident.Incarnation, digests []message.Digest) {
 	for _, d := range digests {
-		if e.cfg.Policy == PolicyScheduler && e.schedulerOf(d.Target) != from {
-			continue
+		if e.schedulerOf(d.Target) == from {
+			e.router.Digest(e.now, d)
 		}
-		e.router.Digest(e.now, d)
 	}
 }
 
-// membersChanged redistributes duties after a change of members.
-func (e *Entry) membersChanged(changes []membership.Change) {
+// lookAtMembers finds out what changed among the members. After a pause of this
+// process it finds that first, whatever the input is, so that no grant or
+// digest from before the pause is acted on.
+func (e *Entry) lookAtMembers() {
+	if e.now.Before(e.membersAt) {
+		return
+	}
+	e.membersAt = e.now.Add(membershipEvery)
+	changes := e.members.Tick(e.now)
 	if len(changes) == 0 {
 		return
 	}
 	for _, c := range changes {
-		e.note(Decision{Event: EventMember, Detail: c.String()})
-		switch c.Kind {
-		case membership.Gone, membership.Silent:
-			e.perform(e.places.PeerGone(e.now, c.Member.Incarnation), fromPlaces)
-		case membership.Paused:
-			e.woke()
-		}
+		e.memberChanged(c)
 	}
 	e.rebalance()
 	e.changed = true
 }
 
+func (e *Entry) memberChanged(c membership.Change) {
+	e.note(Decision{Event: EventMember, Detail: c.String()})
+	switch c.Kind {
+	case membership.Paused:
+		e.woke()
+	case membership.MemberLost, membership.MemberReplaced, membership.MemberRemoved:
+		e.perform(e.places.PeerGone(e.now, c.Member.Incarnation), fromPlaces)
+	}
+}
+
 // woke is called after this process stood still for longer than the silence
-// limit: others may have taken its targets, so it grants nothing until the
-// owners have told it again what they run there.
+// limit: others may have taken its targets, so it grants nothing until it has
+// heard its peers again and the owners have told it what they run there.
 func (e *Entry) woke() {
+	e.plan.SetMembers(nil)
 	e.perform(e.places.SetTargets(e.now, nil), fromPlaces)
-	e.held = nil
 }
 
 // rebalance computes who schedules which target and who is home to which
@@ -81,73 +103,86 @@
 		return
 	}
 	live := e.members.Live()
-	e.placeTargets(live)
+	moves := e.plan.SetTargets(placementTargets(e.doc))
+	moves = append(moves, e.plan.SetMembers(live)...)
+	e.placeTargets(len(live))
 	e.placePartitions(live)
 	quorum := e.members.Quorum(e.now)
 	e.perform(e.places.SetQuorum(e.now, quorum), fromPlaces)
 	e.perform(e.share.SetQuorum(e.now, quorum), fromShare)
+	e.setPools(live)
+	e.reportMoved(moves)
 }
 
-func (e *Entry) placeTargets(live []message.Member) {
+// placeTargets gives the schedulers their targets: those placed here, and a
+// share of every target for the fallback and the baselines.
+func (e *Entry) placeTargets(live int) {
+	all := make([]scheduler.Target, 0, len(e.doc.Targets))
 	var held []scheduler.Target
-	moved := make(map[ident.Incarnation][]message.RunningOne)
-	assigned := make(map[string]ident.Incarnation, len(e.doc.Targets))
 	for i := range e.doc.Targets {
-		t := &e.doc.Targets[i]
-		to := e.assign(t.Name, t.Zone, live)
-		assigned[t.Name] = to
-		if to == e.cfg.Self.Incarnation {
-			held = append(held, e.schedulerTarget(t))
+		t := e.schedulerTarget(&e.doc.Targets[i])
+		all = append(all, t)
+		if e.schedulerOf(t.Name) == e.cfg.Self.Incarnation {
+			held = append(held, t)
 		}
 	}
-	former := e.assigned
-	e.assigned = assigned
-	for _, f := range e.flightsInOrder() {
-		to := assigned[f.target]
-		if f.stage == stageRunning && to != "" && to != former[f.target] {
-			moved[to] = append(moved[to], e.running(f))
+	e.perform(e.places.SetTargets(e.now, held), fromPlaces)
+	e.perform(e.share.SetTargets(e.now, all), fromShare)
+	e.performOrders(e.orders.SetHeld(e.now, names(held)))
+	share := 1 / float64(max(live, 1))
+	for i := range all {
+		e.share.Scale(all[i].Name, share)
+		if e.cfg.Policy == PolicyShares {
+			e.places.Scale(all[i].Name, share)
 		}
+		e.willing(all[i].Name)
 	}
-	e.held = held
-	e.perform(e.places.SetTargets(e.now, held), fromPlaces)
-	e.shareTargets(len(live))
-	e.reportMoved(moved, live)
 }
 
-// reportMoved tells new schedulers what runs at targets that they took over.
-// Every live entry reports, even with nothing to tell, so that the new
-// scheduler knows when it has heard all.
-func (e *Entry) reportMoved(moved map[ident.Incarnation][]message.RunningOne, live []message.Member) {
+// setPools tells the scheduler whom to ask before it refuses for want of
+// capacity. Every live entry may hold places of a pool, by schedule or by its
+// own share; the baselines ask nobody.
+func (e *Entry) setPools(live []message.Member) {
+	var others []ident.Incarnation
 	for _, m := range live {
-		e.send(m.Incarnation, message.Running{Full: true, Runs: moved[m.Incarnation]})
+		if m.Incarnation != e.cfg.Self.Incarnation && e.cfg.Policy == PolicyScheduler {
+			others = append(others, m.Incarnation)
+		}
+	}
+	for i := range e.doc.Pools {
+		e.places.SetPool(e.doc.Pools[i].Name, others)
 	}
 }
 
-// assign names the scheduler of a target under the policy.
-func (e *Entry) assign(target, zone string, live []message.Member) ident.Incarnation {
-	if e.cfg.Policy != PolicyScheduler {
-		return e.cfg.Self.Incarnation
+// reportMoved tells each new scheduler all that this entry runs at the targets
+// that are scheduled there now. It reports even if it runs nothing, so that the
+// new scheduler knows when it has heard all.
+func (e *Entry) reportMoved(moves []placement.Move) {
+	told := make(map[ident.Incarnation]bool)
+	for _, m := range moves {
+		if m.To != "" && !told[m.To] && e.cfg.Policy == PolicyScheduler {
+			told[m.To] = true
+			e.send(m.To, message.Running{Full: true, Runs: e.runsScheduledBy(m.To)})
+		}
 	}
-	return placement.Scheduler(target, zone, live)
 }
 
-func (e *Entry) schedulerOf(target string) ident.Incarnation { return e.assigned[target] }
-
-// shareTargets sets this entry's own share of every target, for the fallback
-// and for the baselines.
-func (e *Entry) shareTargets(live int) {
-	all := make([]scheduler.Target, 0, len(e.doc.Targets))
-	for i := range e.doc.Targets {
-		all = append(all, e.schedulerTarget(&e.doc.Targets[i]))
-	}
-	e.perform(e.share.SetTargets(e.now, all), fromShare)
-	share := 1 / float64(max(live, 1))
-	for _, t := range all {
-		e.share.Scale(t.Name, share)
-		if e.cfg.Policy == PolicyShares {
-			e.places.Scale(t.Name, share)
+func (e *Entry) runsScheduledBy(member ident.Incarnation) []message.RunningOne {
+	var runs []message.RunningOne
+	for _, f := range e.flightsInOrder() {
+		if f.stage == stageRunning && e.schedulerOf(f.target) == member {
+			runs = append(runs, e.running(f))
 		}
 	}
+	return runs
+}
+
+// schedulerOf names the entry that gives out the places of a target.
+func (e *Entry) schedulerOf(target string) ident.Incarnation {
+	if e.cfg.Policy != PolicyScheduler {
+		return e.cfg.Self.Incarnation
+	}
+	return e.plan.Scheduler(target)
 }
 
 func (e *Entry) placePartitions(live []message.Member) {
@@ -162,6 +197,22 @@
 	e.performClaims(e.claims.SetHome(e.now, mine))
 }
 
+func placementTargets(doc *document.Document) []placement.Target {
+	targets := make([]placement.Target, len(doc.Targets))
+	for i := range doc.Targets {
+		targets[i] = placement.Target{Name: doc.Targets[i].Name, Zone: doc.Targets[i].Zone}
+	}
+	return targets
+}
+
+func names(targets []scheduler.Target) []string {
+	list := make([]string, len(targets))
+	for i := range targets {
+		list[i] = targets[i].Name
+	}
+	return list
+}
+
 // flightsInOrder lists the flights by id, so that outputs do not depend on the
 // order of a map.
 func (e *Entry) flightsInOrder() []*flight {
@@ -177,26 +228,46 @@
 	return flights
 }
 
+func (e *Entry) drainConfig() drain.Config {
+	cfg := drain.Config{Settle: e.timing.silence, AnswerTTL: startingPeriod, Bound: startingDrain}
+	if e.doc != nil {
+		cfg.AnswerTTL = document.Milliseconds(e.doc.Shutdown.EntriesTTLMS)
+		cfg.Bound = document.Milliseconds(e.doc.Shutdown.DrainMS)
+	}
+	return cfg
+}
+
 // settleState moves the entry through its stages of life.
 func (e *Entry) settleState() {
-	next := e.state
-	switch {
-	case e.drain.Started():
-		next = e.drain.State(e.now, len(e.flights))
-	case e.state == message.Starting && e.doc != nil && e.now.Sub(e.began) >= settleTime:
-		next = message.Ready
-	}
+	next := e.nextState()
 	if next == e.state {
 		return
 	}
 	e.state = next
-	e.membersChanged(e.members.SetState(e.now, next))
+	e.tellSelf()
+	e.membersAt = e.now
 	e.changed = true
 	if next == message.Stopped {
 		e.emit(Drained{})
 	}
 }
 
+func (e *Entry) nextState() message.State {
+	switch stage := e.drain.Tick(e.now, e.stillHeld()); {
+	case stage == drain.Drained:
+		return message.Stopped
+	case stage != drain.Serving:
+		return message.Draining
+	case e.state == message.Starting && e.doc != nil && e.now.Sub(e.began) >= settleTime:
+		return message.Ready
+	}
+	return e.state
+}
+
+func (e *Entry) stillHeld() drain.Held {
+	return drain.Held{InFlight: len(e.flights), Appends: len(e.pending)}
+}
+
 // settleTime is how long a starting entry listens for peers before it is ready,
 // so that it does not schedule targets that others hold.
 const settleTime = 300 * time.Millisecond
--- a/internal/core/entry/platform.go
+++ b/internal/core/entry/platform.go
@@ -69,7 +69,7 @@
 		e.performOrders(e.orders.Record(e.now, r.Offset, *rec.Order))
 	default:
 		for _, v := range rec.Verdicts {
-			e.suspects.FromLog(e.now, v)
+			e.suspects.FromLog(e.now, r.Age, v)
 		}
 	}
 }
@@ -107,7 +107,7 @@
 			e.listLeaving(i.Name, i.Leaving)
 		}
 	}
-	e.membersChanged(e.members.List(e.now, rows))
+	e.members.List(e.now, rows)
 }
 
 const (
@@ -142,16 +142,21 @@
 // performSuspects shares what was found about requests that crash targets.
 func (e *Entry) performSuspects(effects []suspects.Effect) {
 	for _, effect := range effects {
-		switch s := effect.(type) {
-		case suspects.Share:
-			for _, m := range e.members.Live() {
-				if m.Incarnation != e.cfg.Self.Incarnation {
-					e.send(m.Incarnation, s.Suspicion)
-				}
-			}
-		case suspects.Convict:
+		if effect.Share != nil {
+			e.broadcast(*effect.Share)
+		}
+		if effect.Append != nil {
 			e.note(Decision{Event: EventConvicted, Detail: "a request crashed a second target"})
-			e.append(record.StreamVerdicts, record.Record{Verdicts: []record.Verdict{s.Verdict}}, appendVerdict, 0)
+			e.append(record.StreamVerdicts, record.Record{Verdicts: []record.Verdict{*effect.Append}}, appendVerdict, 0)
+		}
+	}
+}
+
+// broadcast tells every live peer.
+func (e *Entry) broadcast(m message.Message) {
+	for _, member := range e.members.Live() {
+		if member.Incarnation != e.cfg.Self.Incarnation {
+			e.send(member.Incarnation, m)
 		}
 	}
 }
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -21,24 +21,20 @@
 
 // submit takes a request from a caller.
 func (e *Entry) submit(req request.Request) {
-	if e.now.Sub(req.Arrived) > submitValidity {
-		// The process was paused with the request in its ring. Nothing has been
-		// decided, so refusing is safe, and the caller may long have gone on.
-		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonProcessPaused, retrySoon, "the entry was paused; send again"))
-		return
-	}
 	switch admission := e.ids.Admit(e.now, req.ID); admission.Kind {
-	case owner.New:
+	case owner.KindNew:
 		e.accept(req)
-	case owner.Known:
+	case owner.KindKnown:
 		e.joinKnown(req.ID, admission)
-	case owner.Foreign:
-		e.askOwner(req, req.ID, admission.Owner)
-	case owner.Voided:
+	case owner.KindForeign:
 		e.askOwner(req, req.ID, admission.Owner)
-	case owner.Expired:
+	case owner.KindVoided:
+		e.askOwner(req, req.ID, admission.Delegate)
+	case owner.KindExpired:
 		e.refuseUnseen(req.ID, outcome.Undetermined(outcome.ReasonIDExpired, "the id is older than this entry remembers"))
-	case owner.Full:
+	case owner.KindLate:
+		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonIDExpired, 0, "the id's prefix is no longer good; ask for another"))
+	case owner.KindFull:
 		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
 	default:
 		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonMalformed, 0, "the request id is malformed"))
@@ -88,6 +84,14 @@
 
 // admissible applies the rules that need no target.
 func (e *Entry) admissible(req *request.Request) (outcome.Status, bool) {
+	if e.ids.Overdue(e.now, req.Arrived) {
+		// The process was paused with the request in its ring. Nothing has been
+		// decided, so refusing is safe, and the caller may long have gone on.
+		return outcome.Refused(outcome.ReasonProcessPaused, retrySoon, "the entry was paused; send again"), false
+	}
+	if !e.drain.Takes() {
+		return outcome.Refused(outcome.ReasonDraining, retrySoon, "the entry is stopping; ask which to use"), false
+	}
 	if e.doc == nil || e.state == message.Starting || e.state == message.Stopped {
 		return outcome.Refused(outcome.ReasonNotReady, retrySoon, "the entry holds no configuration yet"), false
 	}
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -70,9 +70,10 @@
 		return
 	}
 	e.sendDone(f, end)
+	e.router.Observed(f.target, &f.req, end.Sample, end.Result == message.ResultComplete)
 	switch {
 	case end.Result == message.ResultComplete:
-		e.suspects.Completed(e.now, f.req.Fingerprint)
+		e.performSuspects(e.suspects.Completed(e.now, f.req.Fingerprint))
 		e.close(f, outcome.Complete())
 	case !end.Wrote && (end.Result == message.ResultNotAdmitted || end.Result == message.ResultLeaving):
 		e.notTaken(f, end.Result)
@@ -134,5 +135,6 @@
 		return
 	}
 	f.verdict = status
+	e.seats.leave(f)
 	e.emit(CancelRun{ID: f.req.ID, Status: status})
 }
--- /dev/null
+++ b/internal/standin/layout/layout.go
@@ -0,0 +1,261 @@
+// Package layout derives from a document the settings files with which the
+// deployment that it describes is run on loopback: one file for all stand-ins,
+// one for each entry, one for the operators' client and one for the console.
+package layout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/settings"
+	"sycamoretrail/internal/standin/engine"
+	"sycamoretrail/internal/standin/instances"
+	"sycamoretrail/internal/standin/logservice"
+	"sycamoretrail/internal/standin/service"
+	standins "sycamoretrail/internal/standin/settings"
+	"sycamoretrail/internal/standin/weights"
+)
+
+// Ports on loopback. The admin path of a stand-in is at its port plus adminOffset.
+const (
+	host            = "127.0.0.1"
+	logPort         = 20001
+	instancesPort   = 20002
+	weightsPort     = 20003
+	callersPort     = 24001
+	peersPort       = 24101
+	operatorsPort   = 24201
+	consolePort     = 24301
+	adminOffset     = 10000
+	portsPerSection = 100
+)
+
+// OperatorToken is the operators' token of every loopback deployment.
+const OperatorToken = "loopback-operator-token"
+
+// sharedKey is the peers' key of every loopback deployment.
+const sharedKey = "loopback-only-shared-key-0123456789abcdef"
+
+// fastPrefill tells the newer generation of engines from the older by the
+// class's prefill rate, in tokens per second.
+const fastPrefill = 6000
+
+// ErrLayout is wrapped by every error of this package.
+var ErrLayout = errors.New("cannot lay the deployment out")
+
+// Options choose what is laid out.
+type Options struct {
+	Document *document.Document
+	Entries  int
+	// Policy is the entries' policy; empty: the default.
+	Policy string
+	// TraceDir is where entries record their traffic; empty: nowhere.
+	TraceDir string
+}
+
+// Write puts the settings files into a directory: standin.json, entry-N.json,
+// ctl.json and console.json.
+func Write(dir string, o Options) error {
+	if o.Entries < 1 || o.Entries > portsPerSection {
+		return fmt.Errorf("%w: entries must be 1 to %d, not %d", ErrLayout, portsPerSection, o.Entries)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("%w: %w", ErrLayout, err)
+	}
+	files, err := o.files()
+	if err != nil {
+		return err
+	}
+	for name, content := range files {
+		if err := writeJSON(filepath.Join(dir, name), content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o Options) files() (map[string]any, error) {
+	stand, err := o.standins()
+	if err != nil {
+		return nil, err
+	}
+	files := map[string]any{"standin.json": stand, "ctl.json": o.ctl(), "console.json": o.console()}
+	for i := range o.Entries {
+		files[fmt.Sprintf("entry-%d.json", i+1)] = o.entry(i)
+	}
+	return files, nil
+}
+
+func (o Options) standins() (standins.File, error) {
+	var file standins.File
+	var fault error
+	add := func(kind, name, address string, params any) {
+		data, err := json.Marshal(params)
+		fault = errors.Join(fault, err)
+		admin, err := adminAddress(address)
+		fault = errors.Join(fault, err)
+		file.StandIns = append(file.StandIns, standins.StandIn{
+			Kind: kind, Name: name, Address: address, AdminAddress: admin, Params: data,
+		})
+	}
+	add(standins.KindLog, "log", at(logPort), logservice.Params{})
+	add(standins.KindInstances, "instances", at(instancesPort), instances.Params{Instances: o.rows()})
+	add(standins.KindWeights, "weights", at(weightsPort), weights.Params{})
+	index := document.NewIndex(o.Document)
+	for i := range o.Document.Targets {
+		t := &o.Document.Targets[i]
+		class, known := index.ClassOf(t.Name)
+		if !known {
+			return file, fmt.Errorf("%w: target %s has no class", ErrLayout, t.Name)
+		}
+		if class.Kind == document.KindService {
+			add(standins.KindService, t.Name, t.Address, service.Params{})
+			continue
+		}
+		add(standins.KindEngine, t.Name, t.Address, engineParams(index, t, class))
+	}
+	if fault != nil {
+		return file, fmt.Errorf("%w: %w", ErrLayout, fault)
+	}
+	return file, nil
+}
+
+// engineParams gives an engine the generation of its class, and the version
+// that the document wants, so that a run begins with nothing to order.
+func engineParams(index *document.Index, t *document.Target, class *document.Class) engine.Params {
+	params := engine.Params{Generation: engine.GenerationOlder, WeightsAddress: at(weightsPort)}
+	if class.PrefillRate >= fastPrefill {
+		params.Generation = engine.GenerationNewer
+	}
+	params.Faults.CheckFencing = class.ChecksFencing
+	for _, model := range index.Models(t.Pool) {
+		if model.Version != "" {
+			params.Model = model.Name
+			params.Version = model.Version
+			params.Adapters = model.Adapters
+			break
+		}
+	}
+	return params
+}
+
+// rows lists the targets. Entries announce themselves through their seeds.
+func (o Options) rows() []instances.Row {
+	var rows []instances.Row
+	for _, t := range o.Document.Targets {
+		rows = append(rows, instances.Row{Name: t.Name, Address: t.Address, Zone: t.Zone, Role: instances.RoleTarget})
+	}
+	zones := o.zones()
+	for i := range o.Entries {
+		rows = append(rows, instances.Row{
+			Name: entryName(i), Address: at(peersPort + i), Zone: zones[i%len(zones)], Role: instances.RoleEntry,
+		})
+	}
+	return rows
+}
+
+func (o Options) zones() []string {
+	seen := make(map[string]bool)
+	var zones []string
+	for _, t := range o.Document.Targets {
+		if !seen[t.Zone] {
+			seen[t.Zone] = true
+			zones = append(zones, t.Zone)
+		}
+	}
+	sort.Strings(zones)
+	if len(zones) == 0 {
+		return []string{"zone"}
+	}
+	return zones
+}
+
+func (o Options) entry(i int) settings.Entry {
+	zones := o.zones()
+	e := settings.DefaultEntry()
+	e.Name = entryName(i)
+	e.Zone = zones[i%len(zones)]
+	e.CallersAddress = at(callersPort + i)
+	e.PeersAddress = at(peersPort + i)
+	e.OperatorsAddress = at(operatorsPort + i)
+	e.Platform = settings.Platform{Log: []string{"http://" + at(logPort)}, Instances: "http://" + at(instancesPort)}
+	e.SharedKey = sharedKey
+	e.OperatorTokenSHA256 = tokenHash()
+	if o.Policy != "" {
+		e.Policy = o.Policy
+	}
+	if o.TraceDir != "" {
+		e.TraceFile = filepath.Join(o.TraceDir, e.Name+".jsonl")
+	}
+	for j := range o.Entries {
+		if j != i {
+			e.Peers = append(e.Peers, at(peersPort+j))
+		}
+	}
+	return e
+}
+
+func (o Options) operatorAddresses() []string {
+	addresses := make([]string, o.Entries)
+	for i := range addresses {
+		addresses[i] = at(operatorsPort + i)
+	}
+	return addresses
+}
+
+func (o Options) ctl() settings.Ctl {
+	c := settings.DefaultCtl()
+	c.Entries = o.operatorAddresses()
+	c.Token = OperatorToken
+	return c
+}
+
+func (o Options) console() settings.Console {
+	c := settings.DefaultConsole()
+	c.Address = at(consolePort)
+	c.Entries = o.operatorAddresses()
+	c.OperatorTokenSHA256 = tokenHash()
+	c.Log = []string{"http://" + at(logPort)}
+	return c
+}
+
+func tokenHash() string {
+	sum := sha256.Sum256([]byte(OperatorToken))
+	return hex.EncodeToString(sum[:])
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+func at(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
+
+func adminAddress(address string) (string, error) {
+	name, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", fmt.Errorf("address %q: %w", address, err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return "", fmt.Errorf("port of %q: %w", address, err)
+	}
+	return net.JoinHostPort(name, strconv.Itoa(number+adminOffset)), nil
+}
+
+func writeJSON(path string, content any) error {
+	data, err := json.MarshalIndent(content, "", "  ")
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLayout, err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("%w: %w", ErrLayout, err)
+	}
+	return nil
+}
