Schedule targets: queue, floors, places

FloorReply gains Lower (additive): lower work that cannot be cancelled still runs, so the asker waits instead of refusing.

--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -219,6 +219,9 @@
 	Tier  request.Tier  `cbor:"3,keyasint"`
 	Room  string        `cbor:"4,keyasint,omitempty"`
 	Valid time.Duration `cbor:"5,keyasint,omitempty"`
+	// Lower: work below Tier still runs there and cannot be cancelled; the
+	// asker waits for its end as long as its request's deadline allows.
+	Lower bool `cbor:"6,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
--- /dev/null
+++ b/internal/core/scheduler/estimate.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+)
+
+// figures estimates from the document's figures alone.
+type figures struct{ target *target }
+
+func (f *figures) FirstToken(prompt, cached, queuedPrefill, _ int) time.Duration {
+	step := f.target.desc.StepTime
+	rate := f.target.desc.PrefillRate
+	if rate <= 0 {
+		return step
+	}
+	tokens := max(0, prompt-cached) + queuedPrefill
+	return time.Duration(float64(tokens)/rate*float64(time.Second)) + step
+}
+
+func (f *figures) Total(prompt, cached, maxTokens, queuedPrefill, inFlight int) time.Duration {
+	first := f.FirstToken(prompt, cached, queuedPrefill, inFlight)
+	return first + time.Duration(maxTokens)*f.target.desc.StepTime
+}
+
+func (f *figures) Limit() int                        { return 0 }
+func (f *figures) Straggler() bool                   { return false }
+func (f *figures) Observe(time.Time, message.Sample) {}
+
+// occupancyGain is the weight of a new observation of the occupancy ratio.
+const occupancyGain = 0.05
+
+// late reports whether an offer that starts after wait misses a deadline at
+// the target's present load.
+func (t *target) late(o *offer, wait time.Duration) bool {
+	if !t.set.Early {
+		return false
+	}
+	start := t.clock.Add(wait)
+	inFlight := len(t.runs)
+	total := t.est.Total(o.Prompt, 0, o.msg.MaxTokens, t.prefill, inFlight)
+	if start.Add(total).After(o.deadline) {
+		return true
+	}
+	if o.firstBy.IsZero() {
+		return false
+	}
+	first := t.est.FirstToken(o.Prompt, 0, t.prefill, inFlight)
+	return start.Add(first).After(o.firstBy)
+}
+
+// latestStart is the last instant at which an idle target could still meet the
+// offer's deadlines.
+func (t *target) latestStart(o *offer) time.Time {
+	due := o.deadline.Add(-t.est.Total(o.Prompt, 0, o.msg.MaxTokens, 0, 0))
+	if o.firstBy.IsZero() {
+		return due
+	}
+	first := o.firstBy.Add(-t.est.FirstToken(o.Prompt, 0, 0, 0))
+	if first.Before(due) {
+		return first
+	}
+	return due
+}
+
+// wait estimates how long a newcomer waits for a place.
+func (t *target) wait(o *offer) time.Duration {
+	return t.waitBehind(t.queue.Ahead(o.Tier, o.Organisation, o.Due), o.service)
+}
+
+// waitBehind estimates the wait of an offer behind others: places become free
+// one by one, spread evenly over the mean time that a run holds its place.
+func (t *target) waitBehind(ahead int, own time.Duration) time.Duration {
+	limit := t.limit()
+	free := limit - len(t.runs)
+	if ahead < free {
+		return t.opensIn()
+	}
+	mean := own
+	if len(t.runs) > 0 {
+		mean = t.service / time.Duration(len(t.runs))
+	}
+	mean = time.Duration(float64(mean) * t.occupancy)
+	return t.opensIn() + mean*time.Duration(ahead-max(free, 0)+1)/time.Duration(limit)
+}
+
+// lowestWait estimates the wait of a request of the lowest tier.
+func (t *target) lowestWait() time.Duration {
+	return t.waitBehind(t.queue.Len(), 0)
+}
+
+func (t *target) learnOccupancy(r *run, held time.Duration) {
+	if r.service <= 0 {
+		return
+	}
+	ratio := min(4, float64(held)/float64(r.service))
+	t.occupancy += occupancyGain * (ratio - t.occupancy)
+}
+
+// Sizes at which the speed that a digest tells of is read off the estimator.
+const (
+	probeTokens = 1000
+	probeSteps  = 100
+)
+
+// speed reads prefill rate and step time off the estimator.
+func (t *target) speed() (rate float64, step time.Duration) {
+	n := len(t.runs)
+	span := t.est.FirstToken(2*probeTokens, 0, 0, n) - t.est.FirstToken(probeTokens, 0, 0, n)
+	if span > 0 {
+		rate = probeTokens / span.Seconds()
+	}
+	step = (t.est.Total(0, 0, 2*probeSteps, 0, n) - t.est.Total(0, 0, probeSteps, 0, n)) / probeSteps
+	return rate, step
+}
+
+// retryAfter tells a refused request when to come back. Each refusal takes the
+// next slot at the rate at which the target frees places, so that those who
+// were refused together do not come back together.
+func (s *Scheduler) retryAfter(t *target, tier request.Tier) time.Duration {
+	lo := s.set.RetryMin
+	hi := max(lo, s.set.RetryMax)
+	mean := lo
+	if len(t.runs) > 0 {
+		mean = time.Duration(float64(t.service) / float64(len(t.runs)) * t.occupancy)
+	}
+	slot := max(mean/time.Duration(t.limit()), time.Millisecond)
+	first := s.now.Add(max(lo, t.waitBehind(t.queue.Ahead(tier+1, "", s.now), 0)))
+	if t.returns.Before(first) {
+		t.returns = first
+	}
+	if t.returns.Before(s.now.Add(hi)) {
+		t.returns = t.returns.Add(slot)
+	}
+	after := t.returns.Sub(s.now) + s.jitter(slot)
+	if after >= hi {
+		return hi/2 + s.jitter(hi/2)
+	}
+	return max(lo, after)
+}
+
+func (s *Scheduler) jitter(span time.Duration) time.Duration {
+	if span <= 0 {
+		return 0
+	}
+	return time.Duration(s.random.Int64N(int64(span)))
+}
--- /dev/null
+++ b/internal/core/scheduler/report.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+)
+
+// maxBuffered bounds the runs kept for targets that are not placed here yet.
+const maxBuffered = 8192
+
+// reportBuffer keeps reports on targets that this entry does not schedule yet:
+// an owner may see a change of membership before we do, and reports only once.
+type reportBuffer struct {
+	reports []earlyReport
+}
+
+type earlyReport struct {
+	from ident.Incarnation
+	at   time.Time
+	run  message.RunningOne
+}
+
+func (b *reportBuffer) add(s *Scheduler, from ident.Incarnation, one message.RunningOne) {
+	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool {
+		same := r.from == from && r.run.Offer.ID == one.Offer.ID
+		return same || s.now.Sub(r.at) > s.set.Silence
+	})
+	if len(b.reports) < maxBuffered {
+		b.reports = append(b.reports, earlyReport{from: from, at: s.now, run: one})
+	}
+}
+
+func (b *reportBuffer) forget(from ident.Incarnation) {
+	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool { return r.from == from })
+}
+
+// apply counts the buffered runs of a target that has just been placed here.
+func (b *reportBuffer) apply(s *Scheduler, t *target) {
+	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool {
+		if r.run.Offer.Target != t.desc.Name {
+			return false
+		}
+		if s.now.Sub(r.at) <= s.set.Silence {
+			r.run.Age += s.now.Sub(r.at)
+			s.reportOne(t, r.from, r.run)
+		}
+		return true
+	})
+}
+
+// Running takes an owner's report of its runs. A full report also tells which
+// runs have ended unheard, and counts towards the end of takeovers.
+func (s *Scheduler) Running(now time.Time, from ident.Incarnation, m message.Running) []Effect {
+	s.tick(now)
+	for _, one := range m.Runs {
+		t := s.targets[one.Offer.Target]
+		if t == nil {
+			s.reports.add(s, from, one)
+			continue
+		}
+		s.reportOne(t, from, one)
+	}
+	if m.Full {
+		s.reconcile(from, m)
+	}
+	for _, name := range sortedNames(s.targets) {
+		s.fill(s.targets[name])
+	}
+	return s.take()
+}
+
+func (s *Scheduler) reportOne(t *target, from ident.Incarnation, one message.RunningOne) {
+	if o := t.offers[one.Offer.ID]; o != nil && o.from == from {
+		// Used under a grant of a former scheduler.
+		s.remove(o)
+	}
+	r := t.runs[one.Offer.ID]
+	if r == nil {
+		r = s.reportedRun(t, from, one)
+		t.addRun(r)
+	}
+	if r.from != from {
+		return
+	}
+	r.reported = true
+	r.started = r.started || one.Started
+	r.tokens = max(r.tokens, one.Tokens)
+	if r.started {
+		t.endPrefill(r)
+	}
+	s.timers.set(r, r.nextTime(s))
+	if r.preempting && s.now.Sub(r.preemptAt) > s.set.Grant {
+		// The first order was lost, or its owner still holds the run.
+		s.sendPreempt(r)
+	}
+}
+
+func (s *Scheduler) reportedRun(t *target, from ident.Incarnation, one message.RunningOne) *run {
+	m := one.Offer
+	service := t.est.Total(m.PromptTokens, 0, m.MaxTokens, 0, len(t.runs))
+	began := s.now.Add(-one.Age)
+	return &run{
+		offer:    m,
+		from:     from,
+		target:   t,
+		lane:     t.lane(m.PromptTokens, m.Alone, m.Kind == request.Service),
+		began:    began,
+		service:  service,
+		end:      began.Add(service),
+		deadline: s.now.Add(m.Remaining),
+		started:  one.Started,
+	}
+}
+
+// reconcile drops runs that a full report of their owner does not list. Grants
+// that were never reported stay: the report may have left before they came.
+func (s *Scheduler) reconcile(from ident.Incarnation, m message.Running) {
+	listed := make(map[ident.RequestID]struct{}, len(m.Runs))
+	for _, one := range m.Runs {
+		listed[one.Offer.ID] = struct{}{}
+	}
+	for _, name := range sortedNames(s.targets) {
+		t := s.targets[name]
+		delete(t.awaited, from)
+		for _, r := range t.sortedRuns() {
+			_, alive := listed[r.offer.ID]
+			if r.from == from && r.reported && !alive {
+				t.endRun(r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/room.go
@@ -0,0 +1,122 @@
+package scheduler
+
+import (
+	"sycamoretrail/internal/core/floors"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+)
+
+type (
+	identity = ident.Incarnation
+	verdict  = floors.Verdict
+)
+
+// roomKind says how a target could take a request, the best last.
+type roomKind uint8
+
+const (
+	roomNone roomKind = iota
+	roomByPreemption
+	roomByDisplacement
+	roomInQueue
+	roomFree
+)
+
+// room finds the target of a pool that can best take a request now, other than
+// except; nil if none can.
+func (s *Scheduler) room(pool string, need message.Offer, except *target) *target {
+	var best *target
+	kind := roomNone
+	for _, t := range s.pools[pool] {
+		if t == except || t.desc.Name == need.Target {
+			continue
+		}
+		if k := s.roomAt(t, need); k > kind {
+			best = t
+			kind = k
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) roomAt(t *target, need message.Offer) roomKind {
+	if !t.open() || s.lowestGranted(t).Above(need.Tier) || need.Alone && t.suspects > 0 {
+		return roomNone
+	}
+	o := s.newOffer(t, s.self, need)
+	if s.set.Early && o.Due.Before(s.now) || !s.admissible(o) {
+		return roomNone
+	}
+	expected := t.expected()
+	ahead := t.queue.Ahead(o.Tier, o.Organisation, o.Due) + expected
+	inTime := !t.late(o, t.waitBehind(ahead, o.service))
+	full := t.queue.Len()+expected >= max(1, s.set.QueuePerTarget)
+	switch {
+	case inTime && ahead < t.limit()-len(t.runs) && t.mayStart(&o.Item):
+		return roomFree
+	case inTime && !full:
+		return roomInQueue
+	case inTime && s.displaceable(t, o, expected):
+		return roomByDisplacement
+	case s.set.Preempt && !t.late(o, 0) && s.preemptibleRuns(t, o) > expected:
+		return roomByPreemption
+	}
+	return roomNone
+}
+
+func (s *Scheduler) displaceable(t *target, o *offer, expected int) bool {
+	lower := 0
+	for tier := int(o.Tier) + 1; tier < t.queue.Tiers(); tier++ {
+		lower += t.queue.TierLen(request.Tier(tier))
+	}
+	return lower > expected
+}
+
+func (s *Scheduler) preemptibleRuns(t *target, o *offer) int {
+	n := 0
+	for _, r := range t.runs {
+		if o.Tier.Above(r.offer.Tier) && t.preemptible(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// expect notes that a request was told of room here. Two asks in a row must
+// not be sent to the same last place.
+func (t *target) expect(id ident.RequestID) {
+	t.rooms[id] = t.clock.Add(t.set.Grant)
+}
+
+// expected counts the requests on their way here, and forgets the overdue.
+// Their number is bounded, since room ends when it reaches what there is.
+func (t *target) expected() int {
+	for id, until := range t.rooms {
+		if !t.clock.Before(until) {
+			delete(t.rooms, id)
+		}
+	}
+	return len(t.rooms)
+}
+
+// lowerLeft reports whether work below the need's tier runs at a target of ours
+// that could serve the need in time if it were idle. Such work could not be
+// preempted, or else there would have been room.
+func (s *Scheduler) lowerLeft(pool string, need message.Offer) bool {
+	for _, t := range s.pools[pool] {
+		if !t.available {
+			continue
+		}
+		o := s.newOffer(t, s.self, need)
+		if s.set.Early && o.Due.Before(s.now) {
+			continue
+		}
+		for _, r := range t.runs {
+			if need.Tier.Above(r.offer.Tier) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/scheduler/shed.go
@@ -0,0 +1,295 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+)
+
+// minHeld is the least number of offers that may be held per pool and tier.
+const minHeld = 16
+
+// refusal is the content of a Refuse.
+type refusal struct {
+	reason    outcome.Reason
+	settled   bool
+	elsewhere string
+}
+
+// refuse answers an offer and forgets it.
+func (s *Scheduler) refuse(o *offer, why refusal) {
+	m := message.Refuse{
+		ID:        o.ID,
+		Target:    o.msg.Target,
+		Reason:    why.reason,
+		Settled:   why.settled,
+		Elsewhere: why.elsewhere,
+	}
+	if why.settled {
+		m.RetryAfter = s.retryAfter(o.target, o.Tier)
+	}
+	s.remove(o)
+	s.send(o.from, m)
+}
+
+// refuseForLoad turns an offer away for want of capacity: for good where a
+// floor allows it, else to the owner's other targets, or, if it has none, into
+// the exchange with the other schedulers of the pool.
+func (s *Scheduler) refuseForLoad(o *offer, reason outcome.Reason) {
+	o.target.queue.Remove(&o.Item)
+	o.reason = reason
+	switch {
+	case !s.quorum:
+		// Cut off, we can't know what others serve; their silence proves
+		// nothing, since it may be ours. So the cause is not load.
+		s.refuse(o, refusal{reason: outcome.ReasonNotReady, settled: o.lastWord})
+	case s.floors.Standing(s.now, o.target.desc.Pool, o.Tier):
+		s.refuse(o, refusal{reason: reason, settled: true})
+	case !o.lastWord:
+		s.refuse(o, refusal{reason: reason})
+	default:
+		s.hold(o)
+	}
+}
+
+// holdKey names a holding.
+type holdKey struct {
+	pool string
+	tier request.Tier
+}
+
+func (k holdKey) compare(other holdKey) int {
+	if k.tier != other.tier {
+		return int(k.tier) - int(other.tier)
+	}
+	return strings.Compare(k.pool, other.pool)
+}
+
+// holding is the offers that wait for the end of one exchange, so that many
+// refusals cost one.
+type holding struct {
+	key    holdKey
+	offers []*offer
+	// need is the offer that the exchange asks room for.
+	need *offer
+	// again is the earliest next exchange: lower work that can't be cancelled
+	// was left running, and its end is waited for.
+	again time.Time
+}
+
+func (h *holding) here(t *target) []*offer {
+	var list []*offer
+	for _, o := range h.offers {
+		if o.target == t {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// pick is the offer that the next room goes to.
+func (h *holding) pick() *offer {
+	if slices.Contains(h.offers, h.need) {
+		return h.need
+	}
+	var first *offer
+	for _, o := range h.offers {
+		if first == nil || o.Due.Before(first.Due) {
+			first = o
+		}
+	}
+	return first
+}
+
+func (s *Scheduler) holdingFor(key holdKey) *holding {
+	h := s.holdings[key]
+	if h == nil {
+		h = &holding{key: key}
+		s.holdings[key] = h
+		at, _ := slices.BinarySearchFunc(s.holdKeys, key, holdKey.compare)
+		s.holdKeys = slices.Insert(s.holdKeys, at, key)
+	}
+	return h
+}
+
+// hold keeps an offer until the exchange for its tier ends. Own targets with
+// room come first, since they cost no message.
+func (s *Scheduler) hold(o *offer) {
+	if o.holding != nil {
+		return
+	}
+	pool := o.target.desc.Pool
+	if room := s.room(pool, o.current(s.now), o.target); room != nil {
+		room.expect(o.ID)
+		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
+		return
+	}
+	h := s.holdingFor(holdKey{pool: pool, tier: o.Tier})
+	if len(h.offers) >= max(minHeld, s.set.QueuePerTarget) {
+		s.refuse(o, refusal{reason: o.reason})
+		return
+	}
+	o.holding = h
+	h.offers = append(h.offers, o)
+	s.ask(h)
+}
+
+// release takes an offer out of its holding.
+func (s *Scheduler) release(o *offer) {
+	h := o.holding
+	if h == nil {
+		return
+	}
+	o.holding = nil
+	h.offers = slices.DeleteFunc(h.offers, func(x *offer) bool { return x == o })
+	if h.need == o {
+		h.need = nil
+	}
+}
+
+// ask begins an exchange for a holding, unless one runs or it is too soon.
+func (s *Scheduler) ask(h *holding) {
+	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
+		return
+	}
+	h.need = h.pick()
+	m, others, verdicts := s.floors.Begin(s.now, h.key.pool, h.key.tier, h.need.current(s.now))
+	for _, who := range others {
+		s.send(who, m)
+	}
+	s.verdicts(verdicts)
+}
+
+// tooSoon: the floor that the last exchange obtained still stands, so another
+// would bring nothing yet.
+func (s *Scheduler) tooSoon(h *holding) bool {
+	_, covered := s.floors.Covered(s.now, h.key.pool, h.key.tier)
+	return covered && s.now.Before(h.again)
+}
+
+// retryHoldings begins the exchanges whose time has come, and forgets holdings
+// that nobody waits in.
+func (s *Scheduler) retryHoldings() {
+	for _, key := range slices.Clone(s.holdKeys) {
+		h := s.holdings[key]
+		if len(h.offers) > 0 {
+			s.ask(h)
+			continue
+		}
+		if s.tooSoon(h) || s.floors.Running(key.pool, key.tier) {
+			continue
+		}
+		delete(s.holdings, key)
+		s.holdKeys = slices.DeleteFunc(s.holdKeys, func(x holdKey) bool { return x == key })
+	}
+}
+
+// FloorAsk answers another scheduler that must refuse tier t: by a target of
+// ours that can take the request, or by the promise to admit nothing lower.
+func (s *Scheduler) FloorAsk(now time.Time, from identity, a message.FloorAsk) []Effect {
+	s.tick(now)
+	reply := message.FloorReply{Seq: a.Seq, Pool: a.Pool, Tier: a.Tier}
+	if room := s.room(a.Pool, a.Need, nil); room != nil {
+		room.expect(a.Need.ID)
+		reply.Room = room.desc.Name
+		s.send(from, reply)
+		return s.take()
+	}
+	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
+	reply.Lower = s.lowerLeft(a.Pool, a.Need)
+	s.send(from, reply)
+	s.flush(a.Pool)
+	return s.take()
+}
+
+// FloorReply takes an answer to our own ask.
+func (s *Scheduler) FloorReply(now time.Time, from identity, r message.FloorReply) []Effect {
+	s.tick(now)
+	s.verdicts(s.floors.Reply(s.now, from, r))
+	return s.take()
+}
+
+func (s *Scheduler) verdicts(list []verdict) {
+	for _, v := range list {
+		h := s.holdings[holdKey{pool: v.Pool, tier: v.Tier}]
+		if h == nil {
+			continue
+		}
+		if v.Room != "" {
+			s.sendElsewhere(h, v.Room)
+		}
+		if v.Over {
+			s.exchangeOver(h, v.Stands)
+		}
+	}
+}
+
+func (s *Scheduler) sendElsewhere(h *holding, room string) {
+	if o := h.pick(); o != nil {
+		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
+	}
+}
+
+// exchangeOver refuses what was held if the floor stands and nothing lower is
+// left; else the offers go on waiting, or ask again.
+func (s *Scheduler) exchangeOver(h *holding, stands bool) {
+	if !stands {
+		s.ask(h)
+		s.fillPool(h.key.pool)
+		return
+	}
+	if len(h.offers) > 0 && s.lowerLeft(h.key.pool, h.offers[0].current(s.now)) {
+		s.floors.LeaveLower(h.key.pool, h.key.tier)
+	}
+	s.flush(h.key.pool)
+	settled := s.floors.Standing(s.now, h.key.pool, h.key.tier)
+	h.again, _ = s.floors.Covered(s.now, h.key.pool, h.key.tier)
+	if !settled {
+		h.again = s.now.Add(s.set.Floor / 2)
+	}
+	for _, o := range slices.Clone(h.offers) {
+		switch {
+		case o.gone || o.Waiting() || s.readmit(o):
+		case settled:
+			s.refuseForLoad(o, o.reason)
+		}
+	}
+	s.fillPool(h.key.pool)
+}
+
+// readmit lets a held offer into its target's queue, if it may be served there
+// in time and the queue has room now.
+func (s *Scheduler) readmit(o *offer) bool {
+	t := o.target
+	if o.Waiting() || !t.available || !s.admissible(o) || t.late(o, t.wait(o)) {
+		return false
+	}
+	if t.queue.Len() >= max(1, s.set.QueuePerTarget) {
+		return false
+	}
+	s.release(o)
+	t.queue.Push(&o.Item)
+	return true
+}
+
+// flush refuses what waits below the floor at our targets of a pool.
+func (s *Scheduler) flush(pool string) {
+	floor := s.floors.Admission(s.now, pool).Floor
+	for _, t := range s.pools[pool] {
+		for _, it := range t.queue.Below(floor) {
+			if o := t.offers[it.ID]; o != nil && o.Waiting() {
+				s.refuseForLoad(o, outcome.ReasonOverload)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) fillPool(pool string) {
+	for _, t := range s.pools[pool] {
+		s.fill(t)
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/view.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+)
+
+// Digests tells of the targets scheduled here, sorted by name.
+func (s *Scheduler) Digests(now time.Time) []message.Digest {
+	s.tick(now)
+	list := make([]message.Digest, 0, len(s.targets))
+	for _, name := range sortedNames(s.targets) {
+		list = append(list, s.targets[name].digest())
+	}
+	return list
+}
+
+func (t *target) digest() message.Digest {
+	rate, step := t.speed()
+	return message.Digest{
+		Target:        t.desc.Name,
+		Limit:         t.limit(),
+		InFlight:      len(t.runs),
+		Queued:        t.queue.Len(),
+		QueuedPrefill: t.prefill + t.queue.Prompt(),
+		PrefillRate:   rate,
+		StepTime:      step,
+		Available:     t.available && !t.est.Straggler(),
+		LowestTier:    t.lowestHeld(),
+		Wait:          t.lowestWait(),
+	}
+}
+
+func (t *target) lowestHeld() request.Tier {
+	var low request.Tier
+	for _, r := range t.runs {
+		low = max(low, r.offer.Tier)
+	}
+	if last := t.queue.Last(); last != nil {
+		low = max(low, last.Tier)
+	}
+	return low
+}
+
+// TargetView is what operators see of a target.
+type TargetView struct {
+	Name, Pool string
+	Available  bool
+	Straggler  bool
+	// Takeover: no grants yet, the owners' reports are awaited.
+	Takeover bool
+	Limit    int
+	InFlight int
+	// Granted is the part of InFlight that no owner has reported yet.
+	Granted    int
+	Preempting int
+	Suspects   int
+	// Queued counts waiting offers by tier; Held those that wait for an
+	// exchange, outside the queue.
+	Queued  []int
+	Held    int
+	Prefill int
+	// Floor is the lowest tier admitted; floors.Lowest: no floor.
+	Floor request.Tier
+	Wait  time.Duration
+}
+
+// Inspect tells operators of the targets scheduled here, sorted by name.
+func (s *Scheduler) Inspect(now time.Time) []TargetView {
+	s.tick(now)
+	list := make([]TargetView, 0, len(s.targets))
+	for _, name := range sortedNames(s.targets) {
+		list = append(list, s.inspect(s.targets[name]))
+	}
+	return list
+}
+
+func (s *Scheduler) inspect(t *target) TargetView {
+	open := t.open()
+	v := TargetView{
+		Name:      t.desc.Name,
+		Pool:      t.desc.Pool,
+		Available: t.available,
+		Straggler: t.est.Straggler(),
+		Takeover:  t.available && !open,
+		Limit:     t.limit(),
+		InFlight:  len(t.runs),
+		Suspects:  t.suspects,
+		Queued:    make([]int, t.queue.Tiers()),
+		Held:      len(t.offers) - t.queue.Len(),
+		Prefill:   t.prefill,
+		Floor:     s.floors.Admission(s.now, t.desc.Pool).Floor,
+		Wait:      t.lowestWait(),
+	}
+	for tier := range v.Queued {
+		v.Queued[tier] = t.queue.TierLen(request.Tier(tier))
+	}
+	for _, r := range t.runs {
+		if !r.reported {
+			v.Granted++
+		}
+		if r.preempting {
+			v.Preempting++
+		}
+	}
+	return v
+}
