--- a/internal/core/estimate/limit.go
+++ b/internal/core/estimate/limit.go
@@ -61,5 +61,5 @@
 }
 
 func (l *limiter) inUse(batch int) bool {
-	return batch == 0 || float32(batch) >= l.places*usedShare
+	return batch == 0 || float32(batch) >= float32(l.value())*usedShare
 }
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -16,6 +16,10 @@
 	drawBest = 4
 	drawNear = 4
 	drawAny  = 4
+	// widenTo candidates from the top of the pool's best are added when none of
+	// the sample is in time. All are scored only when the filters left none, so
+	// that a choice stays cheap in an overload.
+	widenTo = 16
 )
 
 // Choose names the target that a request should ask for a place at. exclude
@@ -29,7 +33,8 @@
 	if t := r.trial(q); t != nil {
 		return t.name, Chosen
 	}
-	if !r.draw(q) {
+	r.draw(q)
+	if len(r.candidates) == 0 {
 		if status = r.scan(q); !status.OK() {
 			return "", status
 		}
@@ -90,23 +95,33 @@
 	return then.Sub(now).Seconds()
 }
 
-// draw fills candidates with a sample, and reports whether one is in time.
-func (r *Router) draw(q *query) bool {
+// draw fills candidates with a sample of a large pool, a wider one if none of
+// the first is in time.
+func (r *Router) draw(q *query) {
 	r.choices++
 	r.candidates = r.candidates[:0]
 	if len(q.pool.targets) <= scoreAll {
-		return false
+		return
 	}
 	for i := range q.cached {
 		r.take(q, q.cached[i].target)
 	}
-	list := 0
+	best := q.pool.best[listShort]
 	if q.long {
-		list = 1
+		best = q.pool.best[listLong]
 	}
-	r.drawFrom(q, q.pool.best[list], drawBest)
+	r.drawFrom(q, best, drawBest)
 	r.drawFrom(q, q.pool.near, drawNear)
 	r.drawFrom(q, q.pool.targets, drawAny)
+	if r.anyInTime(q) {
+		return
+	}
+	for _, t := range best[:min(widenTo, len(best))] {
+		r.take(q, t)
+	}
+}
+
+func (r *Router) anyInTime(q *query) bool {
 	for i := range r.candidates {
 		if r.candidates[i].inTime(q) {
 			return true
@@ -191,8 +206,9 @@
 }
 
 func (r *Router) rate(q *query, c *candidate) {
-	c.cost = 0
+	c.cost, c.preference = 0, 0
 	for _, s := range r.scorers {
 		s.score(q, c)
 	}
+	c.cost += c.preference
 }
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -4,16 +4,19 @@
 
 const (
 	// nearShare of the best cost, and nearFloor seconds, is near-equal.
-	nearShare = 0.1
+	nearShare = 0.01
 	nearFloor = 0.003
 	// agePart of the oldest digest's age widens near-equal, to nearAgeMost
 	// seconds: the older the view, the less a small difference says.
 	agePart     = 1.0 / 32
 	nearAgeMost = 0.1
+	// preferenceLoad is the difference in load, as a part of the limit, that a
+	// second of preference outweighs between two near-equal ones.
+	preferenceLoad = 10.0
 )
 
 // twoOfNear takes two random ones of the candidates near the best and keeps
-// the one with the lower load.
+// the one with the lower burden.
 //
 // Failure: many owners hold the same stale digests. Symptom: all take the one
 // best target until its next digest. Two random choices among near-equal ones
@@ -27,7 +30,7 @@
 	near := p.near(q, cs)
 	a := near[p.random.IntN(len(near))]
 	b := near[p.random.IntN(len(near))]
-	if cs[b].loaded() < cs[a].loaded() {
+	if cs[b].burden() < cs[a].burden() {
 		return b
 	}
 	return a
@@ -69,7 +72,9 @@
 	return best, anyInTime
 }
 
-// loaded is the part of the target's places that is taken or waited for.
-func (c *candidate) loaded() float64 {
-	return float64(c.view.inFlight+c.view.queued) / float64(c.view.limit)
+// burden is the part of the target's places that is taken or waited for, and
+// what speaks against the target at any load.
+func (c *candidate) burden() float64 {
+	taken := float64(c.view.inFlight+c.view.queued) / float64(c.view.limit)
+	return taken + preferenceLoad*c.preference
 }
--- a/internal/core/routing/plugin.go
+++ b/internal/core/routing/plugin.go
@@ -32,7 +32,9 @@
 	// prompt tokens taken to be in the target's cache.
 	cached                 float64
 	prefill, first, finish float64
-	cost                   float64
+	// preference is the part of cost that no load brings about: zone, make.
+	preference float64
+	cost       float64
 }
 
 // filter rules candidates out.
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -19,6 +19,13 @@
 	longReference  = 16384
 )
 
+// lists of a pool's best targets
+const (
+	listShort = iota
+	listLong
+	lists
+)
+
 // pool is the targets that can take each other's requests.
 type pool struct {
 	name    string
@@ -32,14 +39,14 @@
 	inFlight  int
 	limit     int
 	meanRate  float64
-	best      [2][]*target // for short and for long prompts
+	best      [lists][]*target
 	trials    []*target
 	ranked    []rankedTarget
 }
 
 type rankedTarget struct {
 	target *target
-	cost   [2]float64
+	cost   [lists]float64
 }
 
 // load is the mean part of the places in use.
@@ -59,8 +66,8 @@
 	p.refreshed = now
 	p.sum(now)
 	if len(p.targets) > scoreAll {
-		p.rank(0)
-		p.rank(1)
+		p.rank(listShort)
+		p.rank(listLong)
 	}
 }
 
@@ -86,9 +93,9 @@
 }
 
 // references are the costs of a short and a long prompt there, in seconds.
-func references(v *view) [2]float64 {
+func references(v *view) [lists]float64 {
 	base := v.wait + v.step*shortReference + v.prefill/v.rate
-	return [2]float64{base + shortReference/v.rate, base + longReference/v.rate}
+	return [lists]float64{base + shortReference/v.rate, base + longReference/v.rate}
 }
 
 func (p *pool) rank(list int) {
--- a/internal/core/routing/prefixes.go
+++ b/internal/core/routing/prefixes.go
@@ -18,9 +18,9 @@
 	depthsDense       = 8
 	depthsPerDoubling = 4
 	// trustGain is the weight of one seen run in a target's cache trust;
-	// trustLeast keeps a distrusted target from being written off for good.
+	// trustLeast keeps the ratio above zero.
 	trustGain  = 0.2
-	trustLeast = 0.1
+	trustLeast = 0.01
 )
 
 // holder is a target whose cache was seen to take a prefix, in that epoch.
--- a/internal/core/routing/separation.go
+++ b/internal/core/routing/separation.go
@@ -3,8 +3,8 @@
 const (
 	// keepFastFor is what a short request pays, in seconds, for each time that a
 	// target's prefill rate exceeds its pool's mean; at most keepFastMost.
-	keepFastFor  = 0.02
-	keepFastMost = 0.04
+	keepFastFor  = 0.05
+	keepFastMost = 0.1
 	// longWeight is how much more a second of prefill counts for a long prompt:
 	// it also holds up every stream that decodes there.
 	longWeight = 0.5
@@ -22,5 +22,5 @@
 	if mean <= 0 || c.view.rate <= mean {
 		return
 	}
-	c.cost += min(keepFastFor*(c.view.rate/mean-1), keepFastMost)
+	c.preference += min(keepFastFor*(c.view.rate/mean-1), keepFastMost)
 }
--- a/internal/core/routing/zone.go
+++ b/internal/core/routing/zone.go
@@ -9,6 +9,6 @@
 
 func (zoneScorer) score(q *query, c *candidate) {
 	if c.target.zone != q.zone {
-		c.cost += zonePenalty
+		c.preference += zonePenalty
 	}
 }
