--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,98 @@
+// Package settings reads the static settings of each program: what a process
+// must know before it can reach the log. All else comes from the document that
+// operators publish. A file is read strictly and every fault is listed at once.
+package settings
+
+// Entry configures sycamore-entry.
+type Entry struct {
+	// Name is unique among the entries, for operators.
+	Name string `json:"name"`
+	// Zone is the availability zone that the process runs in.
+	Zone string `json:"zone"`
+	// CallersAddress (IP:port) is where callers connect, PeersAddress where other
+	// entries do, OperatorsAddress where the console and sycamorectl do. Each is
+	// listened on and told to others, so it names one address of this instance.
+	CallersAddress   string `json:"callers_address"`
+	PeersAddress     string `json:"peers_address"`
+	OperatorsAddress string `json:"operators_address"`
+	// Platform says where the log and the instance list are.
+	Platform Platform `json:"platform"`
+	// Peers are peer addresses to begin with; the instance list adds others.
+	Peers []string `json:"peers"`
+	// SharedKey authenticates entries to each other and signs stream tokens.
+	// Either it or SharedKeyFile is given; each entry has the same.
+	SharedKey     string `json:"shared_key"`
+	SharedKeyFile string `json:"shared_key_file"`
+	// OperatorTokenSHA256 is the hex SHA-256 of the operators' bearer token.
+	OperatorTokenSHA256 string `json:"operator_token_sha256"`
+	// TLS protects the links between entries; without it they are plain TCP.
+	TLS *TLS `json:"tls"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+	// Policy is scheduler, shares or alone; the last two are baselines.
+	Policy string `json:"policy"`
+	// TraceFile records the entry's own traffic for replay: times, sizes, hashes
+	// and tiers, no content. Empty: no recording.
+	TraceFile string `json:"trace_file"`
+}
+
+// Platform says where the services that outlive the processes are.
+type Platform struct {
+	// Log lists base URLs of the log; the next is tried when one fails.
+	Log []string `json:"log"`
+	// Instances is the base URL of the instance list.
+	Instances string `json:"instances"`
+}
+
+// TLS names the certificate files of the links between entries. Both ends show
+// a certificate that the CA signed for their IP address.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+}
+
+// Console configures sycamore-console.
+type Console struct {
+	// Address (IP:port) is where browsers connect.
+	Address string `json:"address"`
+	// Entries are operators' addresses of entries; the first that answers is used.
+	Entries []string `json:"entries"`
+	// OperatorTokenSHA256 is the hex SHA-256 of the token that logs in. The
+	// console keeps no token; it passes on the one that the operator gave.
+	OperatorTokenSHA256 string `json:"operator_token_sha256"`
+	// Log lists base URLs of the log, to show what was published during trouble.
+	Log []string `json:"log"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+}
+
+// Ctl configures sycamorectl.
+type Ctl struct {
+	// Entries are operators' addresses of entries.
+	Entries []string `json:"entries"`
+	// Token is the operators' bearer token; either it or TokenFile is given.
+	Token     string `json:"token"`
+	TokenFile string `json:"token_file"`
+	// TimeoutMS bounds one call, in milliseconds.
+	TimeoutMS int `json:"timeout_ms"`
+}
+
+// MinKeyLength is the least length of a shared key, in bytes: as many as the
+// output of the HMAC that it keys.
+const MinKeyLength = 32
+
+// DefaultEntry is what fields that a file leaves out are.
+func DefaultEntry() Entry {
+	return Entry{LogLevel: "info", Policy: "scheduler"}
+}
+
+// DefaultConsole is what fields that a file leaves out are.
+func DefaultConsole() Console {
+	return Console{Address: "127.0.0.1:8080", LogLevel: "info"}
+}
+
+// DefaultCtl is what fields that a file leaves out are.
+func DefaultCtl() Ctl {
+	return Ctl{TimeoutMS: 15000}
+}
--- /dev/null
+++ b/internal/settings/faults.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	// Path is the JSON path of the field, such as "platform.log[0]".
+	Path string
+	// Problem says what is wrong, Remedy what to write instead.
+	Problem string
+	Remedy  string
+}
+
+// String forms the line that a person reads.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s; %s", f.Path, f.Problem, f.Remedy)
+}
+
+// Faults is every fault of one file, in the order of its fields.
+type Faults []Fault
+
+// Error lists all faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f)+1)
+	lines = append(lines, fmt.Sprintf("%d faults in the settings:", len(f)))
+	for _, fault := range f {
+		lines = append(lines, "  "+fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// add records a fault.
+func (f *Faults) add(path, problem, remedy string) {
+	*f = append(*f, Fault{Path: path, Problem: problem, Remedy: remedy})
+}
+
+// err is nil where there is no fault, so that an empty list is not an error.
+func (f Faults) err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
