Add peer links and telemetry in first form

Links: the end with the smaller incarnation dials, so that no second link has to be cut while messages are on it.

--- a/internal/duty/loop.go
+++ b/internal/duty/loop.go
@@ -64,8 +64,6 @@
 	RingSize = 16384
 	// RingReserved is the part of it for inputs that must not be lost.
 	RingReserved = RingSize / 4
-	// MaxDispatchDelay bounds the time between a decision and its dispatch.
-	MaxDispatchDelay = 100 * time.Millisecond
 )
 
 // ErrStopped says that the loop has ended.
@@ -112,9 +110,10 @@
 // (a TCP connection) is held up meanwhile, which bounds what can pile up.
 func (l *Loop[C]) Deliver(in entry.Input) { l.inputs.Push(in) }
 
-// TryDeliver brings an input that may be refused (Submit) or that is repeated
-// anyway (RunProgress, TargetState, InstanceList). False: the ring is full.
-func (l *Loop[C]) TryDeliver(in entry.Input) bool { return l.inputs.TryPush(in) }
+// Submit brings an input and never waits. False: the ring is full, and the
+// producer refuses (a request), drops (what is repeated anyway: RunProgress,
+// TargetState, InstanceList) or keeps the input and tries again.
+func (l *Loop[C]) Submit(in entry.Input) bool { return l.inputs.TryPush(in) }
 
 // Waiting is the number of inputs in the ring.
 func (l *Loop[C]) Waiting() int { return l.inputs.Len() }
@@ -166,9 +165,8 @@
 
 // step gives the core one input and carries out what follows from it.
 func (l *Loop[C]) step(in entry.Input) {
-	now := l.clock()
-	for _, out := range l.core.Step(now, in) {
-		l.carryOut(now, out)
+	for _, out := range l.core.Step(l.clock(), in) {
+		l.carryOut(out)
 	}
 	for len(l.follow) > 0 {
 		next := l.follow
@@ -179,10 +177,10 @@
 	}
 }
 
-func (l *Loop[C]) carryOut(decided time.Time, out entry.Output) {
+func (l *Loop[C]) carryOut(out entry.Output) {
 	switch o := out.(type) {
 	case entry.Dispatch:
-		l.dispatch(decided, o)
+		l.edges.Targets.Dispatch(o)
 	case entry.CancelRun:
 		l.edges.Targets.Cancel(o)
 	case entry.Attach:
@@ -210,17 +208,6 @@
 	}
 }
 
-// dispatch drops a dispatch that comes too late. A process frozen between the
-// decision and this line would else send out a request whose grant has lapsed
-// while others took its place. Nothing was written, so the core may place it anew.
-func (l *Loop[C]) dispatch(decided time.Time, o entry.Dispatch) {
-	if l.clock().Sub(decided) > MaxDispatchDelay {
-		l.follow = append(l.follow, entry.RunEnded{ID: o.ID, Result: message.ResultNotAdmitted})
-		return
-	}
-	l.edges.Targets.Dispatch(o)
-}
-
 func (l *Loop[C]) append(o entry.Append) {
 	if !l.edges.Platform.Append(o) {
 		l.follow = append(l.follow, entry.LogAppended{Tag: o.Tag, Failed: true})
--- /dev/null
+++ b/internal/peers/links.go
@@ -0,0 +1,214 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+)
+
+// DefaultIdleTimeout is the silence after which a link counts as dead.
+const DefaultIdleTimeout = 6 * time.Second
+
+// Options says how links are made.
+type Options struct {
+	Self message.Member
+	// Key is the shared key.
+	Key []byte
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+	// Seeds are addresses to connect to from the start and never to forget.
+	Seeds []string
+	// Deliver hands an input to the core loop; it may wait for room, which holds
+	// up the peer's connection.
+	Deliver func(entry.Input)
+	Log     logrus.FieldLogger
+	// IdleTimeout and QueueSize are the package's defaults where zero.
+	IdleTimeout time.Duration
+	QueueSize   int
+	// Version is message.Version where zero.
+	Version int
+}
+
+// Links holds the links of this entry, one for each peer. The end with the
+// smaller incarnation dials; where both would, two links would come about for
+// each pair and one would have to be cut while messages are on it.
+type Links struct {
+	options  Options
+	identity identity
+	counters counters
+	server   *fasthttp.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+
+	mutex     sync.RWMutex
+	links     map[ident.Incarnation]*link
+	addresses map[string]*address
+}
+
+// New makes the links of an entry; Start begins to accept and to dial.
+func New(options Options) *Links {
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+	if options.QueueSize == 0 {
+		options.QueueSize = QueueSize
+	}
+	if options.Version == 0 {
+		options.Version = message.Version
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Links{
+		options:   options,
+		identity:  identity{version: options.Version, self: options.Self, key: options.Key},
+		ctx:       ctx,
+		cancel:    cancel,
+		links:     make(map[ident.Incarnation]*link),
+		addresses: make(map[string]*address),
+	}
+	l.server = newServer(l)
+	return l
+}
+
+// Start accepts links on the listener and dials the seeds.
+func (l *Links) Start(listener net.Listener) {
+	if l.options.TLS != nil {
+		listener = tls.NewListener(listener, l.options.TLS)
+	}
+	l.group.Go(func() {
+		if err := l.server.Serve(listener); err != nil {
+			l.options.Log.WithError(err).Error("peers' listener ended")
+		}
+	})
+	for _, seed := range l.options.Seeds {
+		l.learn(seed, sourceSeed)
+	}
+}
+
+// Listed sets which peer addresses the instance list names now.
+func (l *Links) Listed(list []string) {
+	l.mutex.Lock()
+	for _, a := range l.addresses {
+		a.listed = false
+	}
+	l.mutex.Unlock()
+	for _, text := range list {
+		l.learn(text, sourceList)
+	}
+}
+
+// Send queues a message for a peer and never waits; without a link it is
+// dropped and counted.
+func (l *Links) Send(to ident.Incarnation, m message.Message) {
+	l.mutex.RLock()
+	link := l.links[to]
+	l.mutex.RUnlock()
+	if link == nil {
+		l.counters.noLink.Add(1)
+		return
+	}
+	link.send(m)
+}
+
+// Stats reads the counters.
+func (l *Links) Stats() Stats {
+	stats := l.counters.read()
+	l.mutex.RLock()
+	stats.Links = len(l.links)
+	l.mutex.RUnlock()
+	return stats
+}
+
+// Close ends all links and waits until their PeerDown was delivered.
+func (l *Links) Close() {
+	l.cancel()
+	l.mutex.Lock()
+	for _, link := range l.links {
+		link.stop(errClosed)
+	}
+	l.mutex.Unlock()
+	if err := l.server.Shutdown(); err != nil {
+		l.options.Log.WithError(err).Warn("peers' listener did not close")
+	}
+	l.group.Wait()
+}
+
+// hold runs a link until it ends. A link that stands already with the same
+// incarnation is half-open, or the dialler would not have come again; it is
+// ended first, so that PeerDown of the old comes before PeerUp of the new.
+func (l *Links) hold(k *link) error {
+	for !l.register(k) {
+		l.mutex.RLock()
+		old := l.links[k.member.Incarnation]
+		l.mutex.RUnlock()
+		if old != nil {
+			old.stop(errReplaced)
+			<-old.done
+		}
+	}
+	if l.ctx.Err() != nil {
+		k.stop(errClosed)
+	}
+	l.nudge(k.member.PeerAddress)
+	l.options.Log.WithFields(peerFields(k.member)).Info("peer link is up")
+	err := k.run()
+	l.unregister(k)
+	l.options.Log.WithFields(peerFields(k.member)).WithError(err).Warn("peer link is down")
+	return err
+}
+
+func (l *Links) register(k *link) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if old := l.links[k.member.Incarnation]; old != nil {
+		select {
+		case <-old.done:
+		default:
+			return false
+		}
+	}
+	l.links[k.member.Incarnation] = k
+	return true
+}
+
+func (l *Links) unregister(k *link) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.links[k.member.Incarnation] == k {
+		delete(l.links, k.member.Incarnation)
+	}
+	if a := l.addresses[k.member.PeerAddress]; a != nil {
+		a.nudge()
+	}
+}
+
+// linkedAt returns the link to whoever said that it has this address, or was
+// found there under an address other than its own.
+func (l *Links) linkedAt(a *address) *link {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	for _, k := range l.links {
+		if k.member.PeerAddress == a.text || k.member.Incarnation == a.last {
+			return k
+		}
+	}
+	return nil
+}
+
+// dials reports whether this end is the one that opens the link to a peer.
+func (l *Links) dials(peer ident.Incarnation) bool {
+	return l.options.Self.Incarnation < peer
+}
+
+func peerFields(m message.Member) logrus.Fields {
+	return logrus.Fields{"peer": m.Name, "incarnation": string(m.Incarnation), "address": m.PeerAddress}
+}
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/backoff"
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/record"
 )
@@ -19,6 +20,8 @@
 	// pollMargin is what a read may take beyond its wait.
 	pollMargin = 3 * time.Second
 	maxRecords = 256
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 3 * time.Second
 	// firstOffset is the first offset of any stream.
 	firstOffset = 1
 )
@@ -52,7 +55,17 @@
 	caught  bool
 	down    bool
 	failed  int
-	backoff backoff
+	backoff backoff.Backoff
+}
+
+func newFollower(ctx context.Context, l *Log, f entry.Follow) *follower {
+	return &follower{
+		log:     l,
+		stream:  f.Stream,
+		back:    f.Back,
+		ctx:     ctx,
+		backoff: backoff.Backoff{Min: backoffMin, Max: backoffMax},
+	}
 }
 
 func (f *follower) run() {
@@ -62,7 +75,7 @@
 			continue
 		}
 		f.failed = 0
-		f.backoff.reset()
+		f.backoff.Reset()
 	}
 }
 
@@ -121,7 +134,7 @@
 	f.failed++
 	if f.failed >= len(f.log.urls) {
 		f.reportDown()
-		f.backoff.sleep(f.ctx)
+		f.backoff.Sleep(f.ctx, nil)
 	}
 }
 
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -134,7 +134,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	l.followers[f.Stream] = cancel
-	l.group.Go(func() { (&follower{log: l, stream: f.Stream, back: f.Back, ctx: ctx}).run() })
+	l.group.Go(func() { newFollower(ctx, l, f).run() })
 }
 
 // Unfollow ends the reading of a stream. Records read already may still arrive.
