--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -2,58 +2,181 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/duty"
+	"sycamoretrail/internal/operators"
+	"sycamoretrail/internal/peers"
 	"sycamoretrail/internal/platform"
 	"sycamoretrail/internal/settings"
+	"sycamoretrail/internal/telemetry"
 )
 
+// errListen is wrapped by errors of opening the process' addresses.
+var errListen = errors.New("cannot listen")
+
+// roleEntry is the role of entries in the instance list.
+const roleEntry = "entry"
+
 // process is one running entry: the core loop and the edges round it.
 type process struct {
-	settings settings.Entry
-	loop     *duty.Loop[*entry.Entry]
-	log      *platform.Log
+	settings  settings.Entry
+	logger    *logrus.Logger
+	metrics   *telemetry.Metrics
+	loop      *duty.Loop[*entry.Entry]
+	log       *platform.Log
+	links     *peers.Links
+	data      dataPlane
+	operators *operators.Server
+	views     *views
 }
 
+// newProcess makes all parts; none of them listens or connects yet.
 func newProcess(s settings.Entry, cfg entry.Config) (*process, error) {
-	p := &process{settings: s}
-	p.loop = duty.NewLoop(entry.New(cfg, time.Now()), time.Now)
+	logger, err := telemetry.NewLogger(os.Stdout, s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	tls, err := s.TLS.Config()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		settings: s,
+		logger:   logger,
+		metrics:  telemetry.NewMetrics(s.Name, s.Zone),
+		loop:     duty.NewLoop(entry.New(cfg, time.Now()), time.Now),
+		views:    &views{},
+	}
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
+	p.links = peers.New(peers.Options{
+		Self:    cfg.Self,
+		Key:     []byte(s.SharedKey),
+		TLS:     tls,
+		Seeds:   s.Peers,
+		Deliver: p.loop.Deliver,
+		Log:     p.logger.WithField("duty", "peers"),
+	})
+	if p.data, err = newDataPlane(p); err != nil {
+		return nil, err
+	}
+	if p.operators, err = p.newOperators(); err != nil {
+		return nil, err
+	}
+	p.loop.Connect(duty.Edges{
+		Targets:   p.data,
+		Flights:   p.data,
+		Peers:     p.links,
+		Platform:  p.log,
+		Publisher: publishers{p.views, p.data},
+		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
+	})
 	return p, nil
 }
 
-// run returns nil once drained, and an error when it was told not to wait.
+func (p *process) newOperators() (*operators.Server, error) {
+	return operators.New(operators.Options{
+		TokenSHA256: p.settings.OperatorTokenSHA256,
+		Inspector:   &inspector{loop: p.loop, views: p.views},
+		Controls:    p,
+		Check:       checkDocument,
+		Log:         p.log,
+		Metrics:     p.metrics.Handler,
+		Logger:      p.logger.WithField("duty", "operators"),
+	})
+}
+
+// run serves until the drain is over.
 func (p *process) run(ctx context.Context) error {
+	listeners, err := listen(p.settings)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.loop.Run(ctx)
-	return p.wait()
-}
-
-// wait turns signals into a drain. A second SIGTERM changes nothing, since a
-// planned stop cuts no request; SIGINT after it is the operator's word to stop
-// at once.
-func (p *process) wait() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	draining := false
-	for {
-		select {
-		case <-p.loop.Drained():
-			return nil
-		case sig := <-signals:
-			if draining && sig == syscall.SIGINT {
-				return fmt.Errorf("stopped by %v before the drain was over", sig)
-			}
-			draining = true
-			p.loop.Deliver(entry.DrainStart{})
+	p.links.Start(listeners.peers)
+	go p.serve("operators", func() error { return p.operators.Serve(listeners.operators) })
+	go p.serve("callers", func() error { return p.data.Serve(listeners.callers) })
+	go platform.PollInstances(ctx, p.settings.Platform.Instances, p.listed, p.listFailed)
+	go p.reportGauges(ctx)
+	p.logger.WithField("version", version).Info("entry started")
+	err = p.wait()
+	p.close()
+	return err
+}
+
+func (p *process) serve(name string, serve func() error) {
+	if err := serve(); err != nil {
+		p.logger.WithError(err).WithField("listener", name).Error("listener ended")
+	}
+}
+
+// listed hands the instance list to the core, which decides on membership, and
+// to the links, which connect to every entry that it names.
+func (p *process) listed(list entry.InstanceList) {
+	addresses := make([]string, 0, len(list.Instances))
+	for _, instance := range list.Instances {
+		if instance.Role == roleEntry {
+			addresses = append(addresses, instance.Address)
+		}
+	}
+	p.links.Listed(addresses)
+	p.loop.Submit(list)
+}
+
+func (p *process) listFailed(err error) {
+	p.logger.WithError(err).Warn("instance list cannot be read")
+}
+
+// Drain begins a planned stop, for SIGTERM and for operators.
+func (p *process) Drain() { p.loop.Deliver(entry.DrainStart{}) }
+
+// SetLogLevel changes the level while the process runs.
+func (p *process) SetLogLevel(level string) error { return telemetry.SetLevel(p.logger, level) }
+
+// close ends the edges while the core still takes what they deliver.
+func (p *process) close() {
+	p.data.Close()
+	p.links.Close()
+	p.log.Close()
+	if err := p.operators.Close(); err != nil {
+		p.logger.WithError(err).Warn("operators' listener did not close")
+	}
+	if err := p.metrics.Close(); err != nil {
+		p.logger.WithError(err).Warn("metrics did not close")
+	}
+}
+
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// listen opens all addresses, or none and says which of them fail.
+func listen(s settings.Entry) (listeners, error) {
+	var opened listeners
+	var faults []error
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.CallersAddress, &opened.callers},
+		{s.PeersAddress, &opened.peers},
+		{s.OperatorsAddress, &opened.operators},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%w: %w", errListen, err))
+			continue
 		}
+		*one.into = listener
 	}
+	return opened, errors.Join(faults...)
 }
