Carry completions from callers to targets and back

The thin path: callers' HTTP, flights in memory, dispatch to an engine, events or a whole answer back with count and checksum. Observed in process: a streamed and a whole completion arrive complete, one RunStarted and one RunEnded each.

--- /dev/null
+++ b/internal/callers/admit.go
@@ -0,0 +1,187 @@
+package callers
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+)
+
+// refusalError is a refusal that the edge decided; the core got nothing.
+type refusalError struct{ status outcome.Status }
+
+func (e *refusalError) Error() string {
+	return fmt.Sprintf("refused (%s): %s", e.status.Reason, e.status.Detail)
+}
+
+func refused(reason outcome.Reason, format string, args ...any) error {
+	return &refusalError{outcome.Refused(reason, 0, fmt.Sprintf(format, args...))}
+}
+
+// notReadyRetry is the advice of an entry that has no document yet.
+const notReadyRetry = time.Second
+
+// call is a request that is being checked.
+type call struct {
+	ctx  *fasthttp.RequestCtx
+	view *entry.View
+	ix   *index
+	org  *organisation
+	tier string
+	id   ident.RequestID
+}
+
+// identify checks what all calls share: a document in force, header size, and
+// the organisation.
+func (s *Server) identify(ctx *fasthttp.RequestCtx) (*call, error) {
+	view := s.cfg.View()
+	if view.Document == nil || view.State == message.Starting || view.State == message.Stopped {
+		return nil, &refusalError{outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry is "+view.State.String())}
+	}
+	if size := len(ctx.Request.Header.Header()); size > view.Document.Limits.HeaderBytes {
+		return nil, refused(outcome.ReasonTooLarge, "the header has %d bytes; limits.header_bytes is %d", size, view.Document.Limits.HeaderBytes)
+	}
+	c := &call{ctx: ctx, view: view, ix: s.indexFor(view)}
+	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte("Bearer "))
+	if !found {
+		return nil, refused(outcome.ReasonUnauthorised, "send Authorization: Bearer and the organisation's key")
+	}
+	if c.org = c.ix.organisationOf(token); c.org == nil {
+		return nil, refused(outcome.ReasonUnauthorised, "no organisation has this key")
+	}
+	return c, nil
+}
+
+// describe forms the part of a request that its header determines.
+func (c *call) describe(now time.Time, body []byte, model string) (request.Request, error) {
+	req := request.Request{Organisation: c.org.name, Model: model, Idempotent: true, Arrived: now}
+	var err error
+	if req.ID, err = c.requestID(); err != nil {
+		return req, err
+	}
+	c.id = req.ID
+	if req.Tier, err = c.chooseTier(); err != nil {
+		return req, err
+	}
+	if err = c.setTimes(&req); err != nil {
+		return req, err
+	}
+	req.Key = c.keyHash()
+	req.Fingerprint = fingerprint(c.org.name, model, body)
+	return req, nil
+}
+
+const suffixBytes = 12
+
+// requestID takes the caller's id, or forms one that this entry owns.
+func (c *call) requestID() (ident.RequestID, error) {
+	given := c.ctx.Request.Header.Peek(headerRequestID)
+	if len(given) > 0 {
+		id := ident.RequestID(given)
+		if _, err := ident.Parse(id); err != nil {
+			return "", refused(outcome.ReasonMalformed, "X-Request-Id: %v", err)
+		}
+		return id, nil
+	}
+	if c.view.Prefix == "" {
+		return "", &refusalError{outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry hands out no request ids now")}
+	}
+	var random [suffixBytes]byte
+	_, _ = rand.Read(random[:])
+	return c.view.Prefix.ID(hex.EncodeToString(random[:])), nil
+}
+
+func (c *call) chooseTier() (request.Tier, error) {
+	c.tier = c.org.first
+	if asked := c.ctx.Request.Header.Peek(headerTier); len(asked) > 0 {
+		c.tier = string(asked)
+	}
+	rank, allowed := c.org.tiers[c.tier]
+	if !allowed {
+		return 0, refused(outcome.ReasonTierNotAllowed, "the organisation may not use the tier %q", c.tier)
+	}
+	return rank, nil
+}
+
+// setTimes sets the deadlines from the header, else from the tier.
+func (c *call) setTimes(req *request.Request) error {
+	tier := &c.view.Document.Tiers[req.Tier]
+	longest := c.view.Document.Limits.DeadlineMS
+	deadline, err := c.milliseconds(headerDeadline, tier.DeadlineMS, longest)
+	if err != nil {
+		return err
+	}
+	first, err := c.milliseconds(headerFirstToken, tier.FirstTokenMS, longest)
+	if err != nil {
+		return err
+	}
+	req.Deadline = req.Arrived.Add(document.Milliseconds(deadline))
+	if first > 0 {
+		req.FirstTokenBy = req.Arrived.Add(document.Milliseconds(first))
+	}
+	return nil
+}
+
+func (c *call) milliseconds(header string, otherwise, longest int) (int, error) {
+	given := c.ctx.Request.Header.Peek(header)
+	if len(given) == 0 {
+		return otherwise, nil
+	}
+	ms, err := strconv.Atoi(string(given))
+	if err != nil || ms <= 0 {
+		return 0, refused(outcome.ReasonMalformed, "%s is not a positive number of milliseconds", header)
+	}
+	if ms > longest {
+		return 0, refused(outcome.ReasonMalformed, "%s is above limits.deadline_ms, %d", header, longest)
+	}
+	return ms, nil
+}
+
+func (c *call) keyHash() request.KeyHash {
+	key := c.ctx.Request.Header.Peek(headerKey)
+	if len(key) == 0 {
+		return ""
+	}
+	digest := sha256.New()
+	_, _ = digest.Write([]byte(c.org.name))
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(key)
+	return request.KeyHash(hex.EncodeToString(digest.Sum(nil)))
+}
+
+// idempotentMark reads X-Idempotent; otherwise holds when it is absent.
+func (c *call) idempotentMark(otherwise bool) (bool, error) {
+	switch string(c.ctx.Request.Header.Peek(headerIdempotent)) {
+	case "":
+		return otherwise, nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, refused(outcome.ReasonMalformed, "X-Idempotent is neither true nor false")
+}
+
+func fingerprint(organisation, model string, body []byte) request.Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(organisation)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(model)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return request.Fingerprint(digest.Sum64())
+}
--- /dev/null
+++ b/internal/callers/answer.go
@@ -0,0 +1,308 @@
+package callers
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/flight"
+)
+
+// run submits a checked request and answers its caller.
+func (s *Server) run(c *call, req request.Request, f *flight.Flight) {
+	standing, added := s.cfg.Flights.Put(f)
+	if standing == nil {
+		s.refuse(c.ctx, fasthttp.StatusServiceUnavailable, string(req.ID),
+			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can"))
+		return
+	}
+	if !added && (standing.Organisation != f.Organisation || standing.Fingerprint != f.Fingerprint) {
+		s.refuse(c.ctx, fasthttp.StatusBadRequest, string(req.ID),
+			outcome.Refused(outcome.ReasonMalformed, 0, "X-Request-Id names another request"))
+		return
+	}
+	f = standing
+	f.Enter()
+	f.Submitting()
+	if !s.cfg.Core.Submit(entry.Submit{Request: req}) && f.SubmitFailed() {
+		// The core never got the request: nobody can have run it.
+		status := outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry takes no more requests for a moment")
+		s.cfg.Flights.Remove(f)
+		s.cfg.Flights.Finish(f, status)
+	}
+	w := &waiting{s: s, ctx: c.ctx, f: f, stream: f.Stream, tier: c.tier, model: req.Model,
+		began: req.Arrived, until: req.Deadline.Add(s.cfg.Grace)}
+	w.answer()
+}
+
+// waiting is one caller that waits for an answer.
+type waiting struct {
+	s      *Server
+	ctx    *fasthttp.RequestCtx
+	f      *flight.Flight
+	stream bool
+	tier   string
+	model  string
+	began  time.Time
+	// until bounds the wait for a core that gives no final word.
+	until time.Time
+
+	// from is the number of the next chunk for this caller.
+	from      int
+	firstByte time.Duration
+	reread    bool
+	left      bool
+}
+
+// answer waits for the beginning of the answer and chooses its form.
+func (w *waiting) answer() {
+	chunks, p, gone := w.wait(nil)
+	if gone {
+		w.leave()
+		w.ctx.SetConnectionClose()
+		return
+	}
+	w.ctx.Response.Header.Set(headerRequestID, string(w.f.ID))
+	switch {
+	case p.Trimmed:
+		w.refuse(outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the answer's beginning is no longer held"))
+	case p.End != nil && p.Head == nil:
+		w.refuse(p.End.Status)
+	case p.Head != nil && p.Head.Events && w.stream:
+		w.answerStream(chunks)
+	default:
+		w.answerWhole(chunks, p)
+	}
+}
+
+// refuse ends the wait with a refusal.
+func (w *waiting) refuse(status outcome.Status) {
+	w.leave()
+	w.observe(status)
+	w.s.refuse(w.ctx, statusCode(status), string(w.f.ID), status)
+}
+
+// wait reads the next chunks, looking at the caller's connection meanwhile.
+func (w *waiting) wait(dst [][]byte) (chunks [][]byte, p flight.Progress, gone bool) {
+	for {
+		chunks, p = w.f.Answer.Read(dst, w.from, w.s.cfg.LookEvery)
+		if len(chunks) > len(dst) || p.End != nil || p.Trimmed {
+			if w.firstByte == 0 && len(chunks) > 0 {
+				w.firstByte = w.s.cfg.Now().Sub(w.began)
+			}
+			w.from = p.Next
+			return chunks, p, false
+		}
+		if hungUp(w.ctx.Conn()) {
+			return dst, p, true
+		}
+		if w.s.cfg.Now().After(w.until) {
+			end := &flight.End{Status: outcome.Undetermined(outcome.ReasonDeadlinePassed, "no final word came by the deadline"), Chunks: p.Next}
+			return dst, flight.Progress{Next: p.Next, Head: p.Head, End: end}, false
+		}
+	}
+}
+
+// hungUp reports whether the caller closed its connection. A write would tell
+// too, but while a request waits there is nothing to write. Control, unlike
+// Read, takes no notice of the read deadline that the server has set.
+func hungUp(conn net.Conn) bool {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return gone || err != nil
+}
+
+const (
+	// goneAttempts bounds the attempts to tell the core that a caller left.
+	goneAttempts = 100
+	gonePause    = 20 * time.Millisecond
+)
+
+// leave counts the caller out; the core learns when nobody is left.
+func (w *waiting) leave() {
+	if w.left {
+		return
+	}
+	w.left = true
+	if !w.f.Leave() || w.reread {
+		return
+	}
+	for range goneAttempts {
+		if w.s.cfg.Core.Submit(entry.CallerGone{ID: w.f.ID}) {
+			return
+		}
+		time.Sleep(gonePause)
+	}
+}
+
+func (w *waiting) observe(status outcome.Status) {
+	if w.reread {
+		return
+	}
+	w.s.cfg.Observe(Observation{
+		Organisation: w.f.Organisation, Tier: w.tier, Model: w.model, Status: status,
+		FirstByte: w.firstByte, Total: w.s.cfg.Now().Sub(w.began),
+	})
+}
+
+// setToken gives the caller the means to read the stream at any entry.
+func (w *waiting) setToken() {
+	target, known := w.f.Target()
+	if !known || w.f.Kind != request.Engine {
+		return
+	}
+	t := streamToken{Target: target.Name, ID: w.f.ID, Organisation: w.f.Organisation,
+		Expires: w.s.cfg.Now().Add(w.s.cfg.TokenLife).Unix()}
+	w.ctx.Response.Header.Set(headerStreamToken, t.sign(w.s.cfg.TokenKey))
+}
+
+// answerWhole collects the answer and gives it in one piece.
+func (w *waiting) answerWhole(chunks [][]byte, p flight.Progress) {
+	for p.End == nil {
+		var gone bool
+		if chunks, p, gone = w.wait(chunks); gone {
+			w.leave()
+			w.ctx.SetConnectionClose()
+			return
+		}
+		if p.Trimmed {
+			w.refuse(outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the answer is longer than limits.stream_bytes"))
+			return
+		}
+	}
+	if p.End.Status.Outcome != outcome.Answered {
+		w.refuse(p.End.Status)
+		return
+	}
+	w.leave()
+	w.observe(p.End.Status)
+	w.setToken()
+	header := &w.ctx.Response.Header
+	header.Set(headerOutcome, string(p.End.Status.Outcome))
+	header.Set(headerReason, string(p.End.Status.Reason))
+	header.Set(headerChecksum, checksumText(p.End.Checksum))
+	if p.Head == nil {
+		return
+	}
+	w.ctx.SetStatusCode(p.Head.Status)
+	for _, field := range p.Head.Fields {
+		header.Add(field.Name, field.Value)
+	}
+	if p.Head.Events {
+		body := assemble(chunks)
+		header.Set(headerChecksum, checksumText(checksum(body)))
+		w.ctx.SetContentType(jsonType)
+		w.ctx.SetBody(body)
+		return
+	}
+	w.ctx.SetContentType(p.Head.ContentType)
+	for _, chunk := range chunks {
+		w.ctx.Response.AppendBody(chunk)
+	}
+}
+
+// answerStream passes the chunks on as server-sent events while they come.
+func (w *waiting) answerStream(first [][]byte) {
+	w.setToken()
+	w.ctx.SetStatusCode(fasthttp.StatusOK)
+	w.ctx.SetContentType(eventStreamType)
+	w.ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	events := &eventWriter{w: w, conn: w.ctx.Conn()}
+	events.frame(w.from-len(first), first)
+	w.ctx.SetBodyStream(events, -1)
+}
+
+// eventWriter is the body of a streamed answer. fasthttp reads it and flushes
+// after each Read, so all chunks that are there go out together.
+type eventWriter struct {
+	w      *waiting
+	conn   net.Conn
+	chunks [][]byte // scratch of frame
+	buf    []byte
+	sent   int // of buf
+	ended  bool
+}
+
+// Read waits for chunks and gives them as events.
+func (e *eventWriter) Read(p []byte) (int, error) {
+	for e.sent == len(e.buf) {
+		if e.ended {
+			return 0, io.EOF
+		}
+		e.buf, e.sent = e.buf[:0], 0
+		if err := e.more(); err != nil {
+			return 0, err
+		}
+	}
+	// A caller that stopped reading holds its memory here no longer than this.
+	_ = e.conn.SetWriteDeadline(time.Now().Add(e.w.s.cfg.WriteTimeout))
+	n := copy(p, e.buf[e.sent:])
+	e.sent += n
+	return n, nil
+}
+
+// more waits for news and frames it.
+func (e *eventWriter) more() error {
+	from := e.w.from
+	chunks, p, gone := e.w.wait(e.chunks[:0])
+	if gone {
+		return io.ErrClosedPipe
+	}
+	e.frame(from, chunks)
+	clear(chunks)
+	e.chunks = chunks[:0]
+	if p.Trimmed {
+		lost := outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the caller fell behind by more than limits.stream_bytes")
+		p.End = &flight.End{Status: lost, Chunks: from}
+	}
+	if p.End != nil {
+		e.end(p.End)
+	}
+	return nil
+}
+
+func (e *eventWriter) frame(from int, chunks [][]byte) {
+	for i, chunk := range chunks {
+		e.buf = append(e.buf, "id: "...)
+		e.buf = strconv.AppendInt(e.buf, int64(from+i), 10)
+		e.buf = append(e.buf, "\ndata: "...)
+		e.buf = append(e.buf, chunk...)
+		e.buf = append(e.buf, "\n\n"...)
+	}
+}
+
+func (e *eventWriter) end(end *flight.End) {
+	e.ended = true
+	e.buf = append(e.buf, "event: outcome\ndata: "...)
+	e.buf = append(e.buf, endMark(end)...)
+	e.buf = append(e.buf, "\n\ndata: [DONE]\n\n"...)
+	e.w.observe(end.Status)
+}
+
+// Close is called by fasthttp after the last byte, and when a write failed.
+func (e *eventWriter) Close() error {
+	e.w.leave()
+	return nil
+}
--- /dev/null
+++ b/internal/callers/entries.go
@@ -0,0 +1,59 @@
+package callers
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/outcome"
+)
+
+// EntriesAnswer tells a caller which entries to use, the best first.
+type EntriesAnswer struct {
+	Entries   []EntryRow `json:"entries"`
+	GoodForMS int64      `json:"good_for_ms"`
+	IDPrefix  string     `json:"id_prefix"`
+}
+
+// EntryRow is one entry that a caller may use.
+type EntryRow struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// entries answers /v1/entries.
+func (s *Server) entries(ctx *fasthttp.RequestCtx) {
+	view := s.cfg.View()
+	if len(view.Entries) == 0 {
+		s.refuse(ctx, fasthttp.StatusServiceUnavailable, "",
+			outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry knows of none that is ready"))
+		return
+	}
+	body, err := json.Marshal(entriesFor(view, string(ctx.QueryArgs().Peek("zone"))))
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
+
+// entriesFor puts the entries of the caller's availability zone first; apart
+// from that the view's order stays, by which entries spread their callers.
+func entriesFor(view *entry.View, zone string) EntriesAnswer {
+	answer := EntriesAnswer{
+		Entries:   make([]EntryRow, 0, len(view.Entries)),
+		GoodForMS: view.GoodFor.Milliseconds(),
+		IDPrefix:  string(view.Prefix),
+	}
+	for _, near := range []bool{true, false} {
+		for _, m := range view.Entries {
+			if (m.Zone == zone) == near {
+				answer.Entries = append(answer.Entries, EntryRow{Name: m.Name, Address: m.CallerAddress, Zone: m.Zone})
+			}
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/callers/reread.go
@@ -0,0 +1,99 @@
+package callers
+
+import (
+	"errors"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/flight"
+)
+
+// reread answers /v1/streams/{token}: the answer again from a chunk on, at any
+// entry. Here "not run" is never said, since the request itself may have run.
+func (s *Server) reread(ctx *fasthttp.RequestCtx) {
+	c, err := s.identify(ctx)
+	if err != nil {
+		s.rereadRefused(ctx, err)
+		return
+	}
+	text, _ := ctx.UserValue("token").(string)
+	token, err := readToken(text, s.cfg.TokenKey, s.cfg.Now())
+	if err != nil {
+		code := fasthttp.StatusBadRequest
+		reason := outcome.ReasonMalformed
+		if errors.Is(err, errTokenExpired) {
+			code, reason = fasthttp.StatusNotFound, outcome.ReasonAnswerNotHeld
+		}
+		s.refuse(ctx, code, "", outcome.Undetermined(reason, err.Error()))
+		return
+	}
+	if token.Organisation != c.org.name {
+		s.refuse(ctx, fasthttp.StatusUnauthorized, string(token.ID),
+			outcome.Undetermined(outcome.ReasonUnauthorised, "the stream belongs to another organisation"))
+		return
+	}
+	from, err := numberFrom(ctx.QueryArgs().Peek("from"))
+	if err != nil {
+		s.refuse(ctx, fasthttp.StatusBadRequest, string(token.ID), outcome.Undetermined(outcome.ReasonMalformed, err.Error()))
+		return
+	}
+	s.attach(c, token, from)
+}
+
+// rereadRefused turns a refusal of identify into one that claims nothing about
+// the request.
+func (s *Server) rereadRefused(ctx *fasthttp.RequestCtx, err error) {
+	var r *refusalError
+	if !errors.As(err, &r) {
+		s.refuseError(ctx, "", err)
+		return
+	}
+	status := r.status
+	code := statusCode(status)
+	status.Outcome = outcome.Unknown
+	s.refuse(ctx, code, "", status)
+}
+
+// attach follows the stream: its flight, when this entry has it, else at its target.
+func (s *Server) attach(c *call, token streamToken, from int) {
+	f := s.cfg.Flights.Get(token.ID)
+	if f == nil || f.Organisation != token.Organisation {
+		if f = s.remote(c, token); f == nil {
+			return
+		}
+	}
+	f.Enter()
+	now := s.cfg.Now()
+	longest := document.Milliseconds(c.view.Document.Limits.DeadlineMS)
+	w := &waiting{s: s, ctx: c.ctx, f: f, stream: true, began: now, from: from, reread: true,
+		until: now.Add(longest).Add(s.cfg.Grace)}
+	w.answer()
+}
+
+// remote readies the flight of a stream that another entry dispatched; nil when
+// the caller has been refused.
+func (s *Server) remote(c *call, token streamToken) *flight.Flight {
+	target := c.ix.targets[token.Target]
+	if target == nil {
+		s.refuse(c.ctx, fasthttp.StatusNotFound, string(token.ID),
+			outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the stream's target is no longer configured"))
+		return nil
+	}
+	limit := c.view.Document.Limits.StreamBytes
+	f, added := s.cfg.Rereads.Put(flight.New(&flight.Flight{
+		ID: token.ID, Organisation: token.Organisation, Kind: request.Engine, Stream: true, MaxAnswer: limit,
+	}, nil, limit))
+	if f == nil {
+		s.refuse(c.ctx, fasthttp.StatusServiceUnavailable, string(token.ID),
+			outcome.Undetermined(outcome.ReasonEntryFull, "this entry follows as many streams as it can"))
+		return nil
+	}
+	if added {
+		s.cfg.Follower.Follow(f, token.Target, target.Address, func(message.Result) {})
+	}
+	return f
+}
--- /dev/null
+++ b/internal/callers/service.go
@@ -0,0 +1,84 @@
+package callers
+
+import (
+	"bytes"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/flight"
+)
+
+// service passes a call of a plain service whole to a target of its pool.
+func (s *Server) service(ctx *fasthttp.RequestCtx) {
+	c, err := s.identify(ctx)
+	if err != nil {
+		s.refuseError(ctx, "", err)
+		return
+	}
+	req, f, err := s.readService(c)
+	if err != nil {
+		s.refuseError(ctx, string(c.id), err)
+		return
+	}
+	s.run(c, req, f)
+}
+
+func (s *Server) readService(c *call) (request.Request, *flight.Flight, error) {
+	name, _ := c.ctx.UserValue("service").(string)
+	sv := c.ix.services[name]
+	if sv == nil || !c.org.services[name] {
+		return request.Request{}, nil, refused(outcome.ReasonUnknownService, "the organisation has no service %q", name)
+	}
+	body := append([]byte(nil), c.ctx.PostBody()...)
+	path := servicePath(c.ctx.Request.Header.RequestURI())
+	method := string(c.ctx.Method())
+	req, err := c.describe(s.cfg.Now(), append([]byte(method+" "+path+"\n"), body...), name)
+	if err != nil {
+		return req, nil, err
+	}
+	// The header may only make a call stricter: what the document says may not
+	// be repeated stays so, whatever a caller believes.
+	mark, err := c.idempotentMark(true)
+	if err != nil {
+		return req, nil, err
+	}
+	req.Idempotent = mark && sv.repeatable[method]
+	req.Kind = request.Service
+	req.Pool = sv.pool
+	return req, s.newFlight(c, &req, path, false, body), nil
+}
+
+// servicePath is what follows the service's name, with the query, as it came.
+func servicePath(uri []byte) string {
+	rest := uri[len("/v1/services/"):]
+	end := bytes.IndexAny(rest, "/?")
+	if end < 0 {
+		return "/"
+	}
+	if rest[end] == '?' {
+		return "/" + string(rest[end:])
+	}
+	return string(rest[end:])
+}
+
+// ownFields are fields of a caller's request that are not passed on: they
+// belong to the connection or to this system. The caller's key stays here.
+var ownFields = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Te": true,
+	"Trailer": true, "Upgrade": true, "Proxy-Connection": true, "Proxy-Authorization": true, "Expect": true,
+	"Host": true, fasthttp.HeaderAuthorization: true, headerRequestID: true, headerTier: true,
+	headerDeadline: true, headerFirstToken: true, headerIdempotent: true, "Accept-Encoding": true,
+}
+
+// passedOn copies the fields that go to the target.
+func passedOn(header *fasthttp.RequestHeader) []flight.Field {
+	var fields []flight.Field
+	for name, value := range header.All() {
+		if !ownFields[string(name)] {
+			fields = append(fields, flight.Field{Name: string(name), Value: string(value)})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/flight/registry.go
@@ -0,0 +1,166 @@
+package flight
+
+import (
+	"sync"
+	"time"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/outcome"
+)
+
+// Config bounds a Registry.
+type Config struct {
+	// MaxOpen bounds flights that have not ended.
+	MaxOpen int
+	// Retain is how long an ended flight stays for re-reading, RetainBytes how
+	// much memory the answers of ended flights may take together.
+	Retain      time.Duration
+	RetainBytes int
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+// endedOverhead is what an ended flight counts beside its answer, so that many
+// empty answers are bounded too.
+const endedOverhead = 1 << 10
+
+// Registry finds the flights of one entry by request id. It is safe for
+// concurrent use.
+type Registry struct {
+	cfg Config
+
+	mu      sync.Mutex
+	flights map[ident.RequestID]*Flight
+	open    int
+	// ended is a queue of ended flights, the oldest first.
+	ended      []endedFlight
+	endedBytes int
+}
+
+type endedFlight struct {
+	flight *Flight
+	bytes  int
+}
+
+// NewRegistry forms an empty registry.
+func NewRegistry(cfg Config) *Registry {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Registry{cfg: cfg, flights: make(map[ident.RequestID]*Flight)}
+}
+
+// Put adds a flight, or returns the one of the same id that stands here. It
+// returns nil when the registry is full.
+func (r *Registry) Put(f *Flight) (standing *Flight, added bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep()
+	if known, there := r.flights[f.ID]; there {
+		return known, false
+	}
+	if r.open >= r.cfg.MaxOpen {
+		return nil, false
+	}
+	r.flights[f.ID] = f
+	r.open++
+	return f, true
+}
+
+// Get finds a flight; nil when it is not held.
+func (r *Registry) Get(id ident.RequestID) *Flight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.flights[id]
+}
+
+// Remove forgets a flight that the core never got.
+func (r *Registry) Remove(f *Flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.flights[f.ID] != f || f.done {
+		return
+	}
+	delete(r.flights, f.ID)
+	r.open--
+}
+
+// Finish closes a flight's answer and keeps it for re-reading for a while. Only
+// the first end of a flight counts; it reports whether this was the first.
+func (r *Registry) Finish(f *Flight, status outcome.Status) bool {
+	if !f.Answer.Close(status) {
+		return false
+	}
+	f.body.Store(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.flights[f.ID] != f {
+		return true
+	}
+	f.done = true
+	f.ended = r.cfg.Now()
+	r.open--
+	bytes := f.Answer.size() + endedOverhead
+	r.ended = append(r.ended, endedFlight{flight: f, bytes: bytes})
+	r.endedBytes += bytes
+	r.sweep()
+	return true
+}
+
+// sweep drops ended flights that are too old or too many bytes.
+func (r *Registry) sweep() {
+	oldest := r.cfg.Now().Add(-r.cfg.Retain)
+	drop := 0
+	for drop < len(r.ended) {
+		e := r.ended[drop]
+		if r.endedBytes <= r.cfg.RetainBytes && e.flight.ended.After(oldest) {
+			break
+		}
+		delete(r.flights, e.flight.ID)
+		r.endedBytes -= e.bytes
+		r.ended[drop] = endedFlight{}
+		drop++
+	}
+	r.ended = r.ended[drop:]
+}
+
+// Sweep drops ended flights whose time is over; called now and then, so that an
+// idle entry frees them too.
+func (r *Registry) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep()
+}
+
+// Settle gives a flight its final status, as the core decided it.
+func (r *Registry) Settle(s entry.Settle) {
+	if f := r.Get(s.ID); f != nil {
+		r.Finish(f, s.Status)
+	}
+}
+
+// Join carries out the core's decision that a submission joins the run of the
+// same id here. The reader follows that run's flight already, unless its answer
+// was dropped in the meantime.
+func (r *Registry) Join(j entry.Join) {
+	f := r.Get(j.ID)
+	if f == nil {
+		return
+	}
+	if f.joined() {
+		r.Finish(f, noAnswer())
+	}
+}
+
+// Stats counts what a registry holds.
+type Stats struct {
+	Open, Ended, EndedBytes int
+}
+
+// Stats returns the present counts.
+func (r *Registry) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Stats{Open: r.open, Ended: len(r.ended), EndedBytes: r.endedBytes}
+}
--- /dev/null
+++ b/internal/targets/control.go
@@ -0,0 +1,108 @@
+package targets
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/request"
+)
+
+const (
+	// cancelAttempts bounds the calls to cancel one stream.
+	cancelAttempts = 5
+	cancelPause    = 100 * time.Millisecond
+)
+
+// errStatus is wrapped by errors of control calls with an unexpected status.
+var errStatus = errors.New("unexpected status")
+
+// cancel stops the run at its engine. A plain service has no such call: what it
+// began goes on, and only the caller is released.
+func (r *run) cancel() {
+	if !r.cancelled.CompareAndSwap(false, true) || r.kind == request.Service {
+		return
+	}
+	if r.t.control.Go(r.cancelAtEngine) != nil {
+		r.end(message.ResultBroken, true)
+	}
+}
+
+// cancelAtEngine calls the engine until it has the stream cancelled, a bounded
+// number of times. The call may overtake the dispatch, which is then on its way
+// and would run on unseen; so "not held" counts only once the answer has begun.
+func (r *run) cancelAtEngine() {
+	for attempt := 0; attempt < cancelAttempts; attempt++ {
+		if attempt > 0 {
+			time.Sleep(cancelPause)
+		}
+		answered := r.answered.Load()
+		status, _, err := r.t.call(r.address, fasthttp.MethodDelete, streamPath(string(r.f.ID)), nil)
+		if err == nil && (status == fasthttp.StatusOK || status == fasthttp.StatusNotFound && answered) {
+			r.end(message.ResultCancelled, true)
+			return
+		}
+		if err != nil && nothingSent(err) {
+			break
+		}
+	}
+	r.end(message.ResultBroken, true)
+}
+
+// call makes one short call to an engine and returns its answer.
+func (t *Targets) call(address, method, path string, body []byte) (status int, answer []byte, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	req.SetTimeout(t.cfg.ControlTimeout)
+	if err := t.client(address, request.Engine).Do(req, resp); err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
+
+// orderBody is the engines' form of an order.
+type orderBody struct {
+	Fencing  int64    `json:"fencing"`
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+}
+
+const roleBoth = "both"
+
+// Order tells a target what to hold; an OrderDone follows.
+func (t *Targets) Order(o entry.Order) {
+	if t.control.Go(func() { t.outbox.put(t.order(o)) }) != nil {
+		t.outbox.put(entry.OrderDone{Target: o.Target, Failed: true})
+	}
+}
+
+func (t *Targets) order(o entry.Order) entry.OrderDone {
+	body, err := json.Marshal(orderBody{Fencing: o.Fencing, Model: o.Model, Version: o.Version, Adapters: o.Adapters, Role: roleBoth})
+	if err != nil {
+		return entry.OrderDone{Target: o.Target, Failed: true}
+	}
+	status, _, err := t.call(o.Address, fasthttp.MethodPost, "/orders", body)
+	switch {
+	case err != nil:
+		return entry.OrderDone{Target: o.Target, Failed: true}
+	case status == fasthttp.StatusConflict:
+		return entry.OrderDone{Target: o.Target, Refused: true}
+	case status >= fasthttp.StatusMultipleChoices:
+		return entry.OrderDone{Target: o.Target, Failed: true}
+	}
+	return entry.OrderDone{Target: o.Target}
+}
--- /dev/null
+++ b/internal/targets/targets.go
@@ -0,0 +1,227 @@
+// Package targets speaks HTTP to model engines and plain services. It carries
+// out what the core decided - dispatch, cancel, attach, order - and tells the
+// core what it saw. It never decides to send a request a second time.
+package targets
+
+import (
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/flight"
+)
+
+// Core takes the inputs of the entry's state machine.
+type Core interface {
+	// Submit hands an input over; false when the ring is full.
+	Submit(entry.Input) bool
+}
+
+// Config is what the edge is started with. Zero fields get defaults.
+type Config struct {
+	Core    Core
+	Flights *flight.Registry
+	Log     *logrus.Logger
+
+	// MaxRuns bounds requests running at targets, and with them goroutines.
+	MaxRuns int
+	// ControlWorkers bounds cancellations and orders under way.
+	ControlWorkers int
+	// ProbeWorkers bounds probes under way.
+	ProbeWorkers int
+
+	DialTimeout time.Duration
+	// KeepAlive is how long an idle connection is kept.
+	KeepAlive time.Duration
+	// IdleTimeout bounds an engine's silence after its first token, before the
+	// stream is asked for again.
+	IdleTimeout time.Duration
+	// ControlTimeout bounds one call to cancel, order or probe.
+	ControlTimeout time.Duration
+	// ResumeAttempts bounds resumptions in a row that bring no new token.
+	ResumeAttempts int
+	// ResumePause is the wait before a resumption that follows a vain one.
+	ResumePause time.Duration
+	// ProgressEvery is the least time between two RunProgress of one run.
+	ProgressEvery time.Duration
+	// ProbeEvery is the time between two probes of one target.
+	ProbeEvery time.Duration
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxRuns, 4096)
+	setDefault(&c.ControlWorkers, 64)
+	setDefault(&c.ProbeWorkers, 32)
+	setDefault(&c.DialTimeout, time.Second)
+	setDefault(&c.KeepAlive, 5*time.Second)
+	setDefault(&c.IdleTimeout, 5*time.Second)
+	setDefault(&c.ControlTimeout, 2*time.Second)
+	setDefault(&c.ResumeAttempts, 3)
+	setDefault(&c.ResumePause, 50*time.Millisecond)
+	setDefault(&c.ProgressEvery, 100*time.Millisecond)
+	setDefault(&c.ProbeEvery, time.Second)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Targets is the edge. Its methods never block, so that the core's loop may
+// call them.
+type Targets struct {
+	cfg     Config
+	outbox  *outbox
+	runs    pond.Pool
+	control pond.Pool
+	probes  pond.Pool
+
+	mu      sync.Mutex
+	running map[ident.RequestID]*run
+	clients map[clientKey]*fasthttp.HostClient
+}
+
+type clientKey struct {
+	address string
+	kind    request.Kind
+}
+
+// New starts the edge; Close stops it.
+func New(cfg Config) *Targets {
+	cfg.setDefaults()
+	return &Targets{
+		cfg:     cfg,
+		outbox:  newOutbox(cfg.Core),
+		runs:    newPool(cfg.MaxRuns, 0),
+		control: newPool(cfg.ControlWorkers, cfg.MaxRuns),
+		probes:  newPool(cfg.ProbeWorkers, 0),
+		running: make(map[ident.RequestID]*run),
+		clients: make(map[clientKey]*fasthttp.HostClient),
+	}
+}
+
+// newPool forms a pool that refuses what is beyond its workers and queue.
+func newPool(workers, queue int) pond.Pool {
+	return pond.NewPool(workers, pond.WithQueueSize(queue), pond.WithNonBlocking(true))
+}
+
+// Close stops probes and control calls and waits for the runs under way.
+func (t *Targets) Close() {
+	t.probes.StopAndWait()
+	t.runs.StopAndWait()
+	t.control.StopAndWait()
+	t.outbox.close()
+}
+
+// client finds or forms the client of a target.
+func (t *Targets) client(address string, kind request.Kind) *fasthttp.HostClient {
+	key := clientKey{address: address, kind: kind}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	client, there := t.clients[key]
+	if !there {
+		idle := t.cfg.IdleTimeout
+		if kind == request.Service {
+			idle = 0
+		}
+		client = newClient(address, t.cfg, idle)
+		t.clients[key] = client
+	}
+	return client
+}
+
+// Dispatch sends a request to a target and follows its answer. Whatever
+// happens, exactly one RunEnded follows.
+func (t *Targets) Dispatch(d entry.Dispatch) {
+	f := t.cfg.Flights.Get(d.ID)
+	if f == nil || f.Answer.Ended() != nil {
+		t.notSent(d.ID)
+		return
+	}
+	f.SetTarget(d.Target, d.Address)
+	r := &run{t: t, f: f, target: d.Target, address: d.Address, deadline: d.Deadline, kind: d.Kind}
+	if !t.start(r, r.dispatch) {
+		t.notSent(d.ID)
+	}
+}
+
+// Attach follows a stream that another entry dispatched. Its end closes the
+// answer here, and a RunEnded tells the core that nothing is left to follow.
+func (t *Targets) Attach(a entry.Attach) {
+	if f := t.cfg.Flights.Get(a.ID); f != nil {
+		t.Follow(f, a.Target, a.Address, func(result message.Result) {
+			t.outbox.put(entry.RunEnded{ID: a.ID, Result: result, Wrote: true})
+		})
+	}
+}
+
+// Follow reads the stream of a flight at its target from the first token on.
+// It reports whether it began; a stream that is followed already counts.
+func (t *Targets) Follow(f *flight.Flight, target, address string, ended func(message.Result)) bool {
+	if !f.Follow() {
+		return true
+	}
+	f.SetTarget(target, address)
+	r := &run{t: t, f: f, target: target, address: address, kind: f.Kind, attached: true, onEnd: ended}
+	if t.start(r, r.attach) {
+		return true
+	}
+	t.cfg.Flights.Finish(f, outcome.Undetermined(outcome.ReasonEntryFull, "this entry follows too many streams"))
+	ended(message.ResultBroken)
+	return false
+}
+
+func (t *Targets) start(r *run, work func()) bool {
+	r.began = t.cfg.Now()
+	t.mu.Lock()
+	if !r.attached {
+		t.running[r.f.ID] = r
+	}
+	t.mu.Unlock()
+	if err := t.runs.Go(work); err != nil {
+		t.forget(r)
+		return false
+	}
+	return true
+}
+
+func (t *Targets) forget(r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running[r.f.ID] == r {
+		delete(t.running, r.f.ID)
+	}
+}
+
+// notSent tells the core that a dispatch ended before anything was sent.
+func (t *Targets) notSent(id ident.RequestID) {
+	t.outbox.put(entry.RunEnded{ID: id, Result: message.ResultNotAdmitted})
+}
+
+// Cancel gives the caller its status and cancels the run at its target.
+func (t *Targets) Cancel(c entry.CancelRun) {
+	t.cfg.Flights.Settle(entry.Settle{ID: c.ID, Status: c.Status})
+	t.mu.Lock()
+	r := t.running[c.ID]
+	t.mu.Unlock()
+	if r != nil {
+		r.cancel()
+	}
+}
