--- /dev/null
+++ b/internal/replay/report/report.go
@@ -0,0 +1,233 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+)
+
+// Input is a finished replay.
+type Input struct {
+	Trace  string
+	Mode   string
+	Policy string
+	Seed   uint64
+	Load   float64
+	// Tiers are the names by rank.
+	Tiers []string
+	Calls []Call
+	Runs  []Run
+	// Tolerance is the uncertainty of comparing a caller's time with a ledger's;
+	// an inversion counts only if it exceeds it.
+	Tolerance time.Duration
+	// Lost names targets whose ledger could not be read; with any of them the
+	// counts from ledgers are lower bounds.
+	LostLedgers []string
+}
+
+// Report is the result of a replay. Times are in milliseconds.
+type Report struct {
+	Trace  string  `json:"trace"`
+	Mode   string  `json:"mode"`
+	Policy string  `json:"policy,omitempty"`
+	Seed   uint64  `json:"seed"`
+	Load   float64 `json:"load,omitempty"`
+
+	Requests      int `json:"requests"`
+	Answered      int `json:"answered"`
+	RefusedNotRun int `json:"refused_not_run"`
+	RanInPart     int `json:"ran_in_part"`
+	Unknown       int `json:"unknown"`
+	// Unanswered callers never got a final word.
+	Unanswered int `json:"unanswered"`
+	// IncompleteAnswers claimed to be whole and were not, or were another's.
+	IncompleteAnswers int `json:"incomplete_answers"`
+	// DispatchedTwice counts request ids that ran more than once.
+	DispatchedTwice int `json:"dispatched_twice"`
+	// NonIdempotentRanTwice counts calls, by key or else by id, that may not be
+	// repeated and ran more than once.
+	NonIdempotentRanTwice int `json:"non_idempotent_ran_twice"`
+	// FalseNotRun counts refusals "not run" of requests that ran.
+	FalseNotRun int `json:"false_not_run"`
+	// TierInversions counts refusals for load while lower work was served.
+	TierInversions int `json:"tier_inversions"`
+	// PreemptedAboveLower counts preempted requests while repeatable lower work
+	// that is an engine's ran on in the pool.
+	PreemptedAboveLower int `json:"preempted_above_lower"`
+
+	// Goodput by tier: answered whole and in time / sent.
+	Goodput map[string]float64 `json:"goodput"`
+	Sent    map[string]int     `json:"sent"`
+	// WastedPrefillTokens were computed for runs whose answer nobody got whole.
+	WastedPrefillTokens int `json:"wasted_prefill_tokens"`
+	// LatePrefillTokens were computed for whole answers that came too late; they
+	// are not counted as wasted.
+	LatePrefillTokens int `json:"late_prefill_tokens"`
+	PrefillTokens     int `json:"prefill_tokens"`
+	CachedTokens      int `json:"cached_tokens"`
+
+	FirstToken map[string]Percentiles `json:"ttft_ms"`
+	InterToken map[string]Percentiles `json:"itl_ms"`
+
+	// Refusals by tier and reason; RetryAfter is the spread of the advice.
+	Refusals   map[string]map[outcome.Reason]int `json:"refusals"`
+	RetryAfter Percentiles                       `json:"retry_after_ms"`
+	// Faults of answers, by what was wrong.
+	AnswerFaults map[string]int `json:"answer_faults,omitempty"`
+	// Resent counts requests that were asked of more than one entry.
+	Resent int `json:"resent"`
+	// RunsByTarget counts the runs in each ledger.
+	RunsByTarget map[string]int `json:"runs_by_target"`
+	LostLedgers  []string       `json:"lost_ledgers,omitempty"`
+	// ToleranceMS is the tolerance used for tier_inversions.
+	ToleranceMS float64 `json:"tolerance_ms"`
+	// Violations name the request ids behind the counts that should be zero,
+	// the first few of each.
+	Violations map[string][]string `json:"violations,omitempty"`
+}
+
+// violationsKept bounds the examples kept of each sort.
+const violationsKept = 10
+
+// Compute works the report out.
+func Compute(in Input) *Report {
+	r := &Report{
+		Trace: in.Trace, Mode: in.Mode, Policy: in.Policy, Seed: in.Seed, Load: in.Load,
+		Requests: len(in.Calls), Goodput: map[string]float64{}, Sent: map[string]int{},
+		FirstToken: map[string]Percentiles{}, InterToken: map[string]Percentiles{},
+		Refusals: map[string]map[outcome.Reason]int{}, AnswerFaults: map[string]int{},
+		RunsByTarget: map[string]int{}, LostLedgers: in.LostLedgers,
+		ToleranceMS: milliseconds(in.Tolerance), Violations: map[string][]string{},
+	}
+	r.countCalls(&in)
+	r.countTiers(&in)
+	books := newBooks(&in)
+	r.countRuns(books)
+	r.countInversions(books, in.Tolerance)
+	return r
+}
+
+func (r *Report) countCalls(in *Input) {
+	var advice []time.Duration
+	for i := range in.Calls {
+		c := &in.Calls[i]
+		if c.Attempts > 1 {
+			r.Resent++
+		}
+		if !c.Settled {
+			r.Unanswered++
+			r.violation("unanswered", c.ID)
+			continue
+		}
+		if c.Status.RetryAfter > 0 {
+			advice = append(advice, c.Status.RetryAfter)
+		}
+		r.countOutcome(c, tierName(in.Tiers, c.Tier))
+	}
+	r.RetryAfter = percentiles(advice)
+}
+
+func (r *Report) countOutcome(c *Call, tier string) {
+	switch c.Status.Outcome {
+	case outcome.Answered:
+		if c.Fault != "" {
+			r.IncompleteAnswers++
+			r.AnswerFaults[c.Fault]++
+			r.violation("incomplete_answers", c.ID)
+			return
+		}
+		r.Answered++
+		return
+	case outcome.NotRun:
+		r.RefusedNotRun++
+	case outcome.RanInPart:
+		r.RanInPart++
+	default:
+		r.Unknown++
+	}
+	if r.Refusals[tier] == nil {
+		r.Refusals[tier] = map[outcome.Reason]int{}
+	}
+	r.Refusals[tier][c.Status.Reason]++
+}
+
+func (r *Report) countTiers(in *Input) {
+	for rank, name := range in.Tiers {
+		sent, good := 0, 0
+		var first, gaps []time.Duration
+		for i := range in.Calls {
+			c := &in.Calls[i]
+			if c.Tier != request.Tier(rank) {
+				continue
+			}
+			sent++
+			if c.good() {
+				good++
+			}
+			if c.answered() && c.Kind == request.Engine {
+				first = append(first, c.First-c.Sent)
+				gaps = append(gaps, c.Gaps...)
+			}
+		}
+		if sent == 0 {
+			continue
+		}
+		r.Sent[name] = sent
+		r.Goodput[name] = float64(good) / float64(sent)
+		r.FirstToken[name] = percentiles(first)
+		r.InterToken[name] = percentiles(gaps)
+	}
+}
+
+func (r *Report) violation(sort, id string) {
+	if len(r.Violations[sort]) < violationsKept {
+		r.Violations[sort] = append(r.Violations[sort], id)
+	}
+}
+
+// WriteFile writes the report as indented JSON; equal reports give equal bytes.
+func (r *Report) WriteFile(path string) error {
+	data, err := r.Bytes()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// Bytes is the report's JSON.
+func (r *Report) Bytes() ([]byte, error) {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode report: %w", err)
+	}
+	return append(data, '\n'), nil
+}
+
+// ReadFile reads a report.
+func ReadFile(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read report: %w", err)
+	}
+	r := &Report{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("read report %s: %w", path, err)
+	}
+	return r, nil
+}
+
+func tierName(tiers []string, rank request.Tier) string {
+	if int(rank) < len(tiers) {
+		return tiers[rank]
+	}
+	return fmt.Sprintf("tier-%d", rank)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/replay/trace/capacity.go
@@ -0,0 +1,91 @@
+package trace
+
+import (
+	"fmt"
+
+	"sycamoretrail/internal/core/document"
+)
+
+// Mix is the mean request that capacity is worked out for.
+type Mix struct {
+	PromptTokens float64
+	// CachedTokens of the prompt are taken from the engine's prefix cache.
+	CachedTokens float64
+	AnswerTokens float64
+}
+
+// EngineRate is how many requests of the mix a second one target of the class
+// completes when its batch is full. An engine spends its time on prefill and on
+// steps that serve the whole batch, so a request costs
+// (prompt − cached) / prefill_rate + answer × step / max_in_flight seconds.
+func EngineRate(class *document.Class, mix Mix) float64 {
+	if class.PrefillRate <= 0 || class.MaxInFlight <= 0 {
+		return 0
+	}
+	prefill := (mix.PromptTokens - mix.CachedTokens) / class.PrefillRate
+	steps := mix.AnswerTokens * class.StepMS / 1000 / float64(class.MaxInFlight)
+	return 1 / (prefill + steps)
+}
+
+// Capacity is the sum of EngineRate over the engines of a pool, in requests a
+// second; targets marked as leaving count for nothing.
+func Capacity(doc *document.Document, pool string, mix Mix) float64 {
+	total := 0.0
+	for i := range doc.Targets {
+		target := &doc.Targets[i]
+		class := classOf(doc, target.Class)
+		if target.Pool != pool || target.Leaving || class == nil || class.Kind != document.KindEngine {
+			continue
+		}
+		total += EngineRate(class, mix)
+	}
+	return total
+}
+
+// CapacityNote says in words how the load factor was worked out.
+func CapacityNote(pool string, mix Mix, rate float64) string {
+	return fmt.Sprintf("pool %s: %.1f requests/s at load 1, for a mean prompt of %.0f tokens (%.0f cached) and answer of %.0f; "+
+		"per engine 1/((prompt-cached)/prefill_rate + answer*step/max_in_flight)",
+		pool, rate, mix.PromptTokens, mix.CachedTokens, mix.AnswerTokens)
+}
+
+func classOf(doc *document.Document, name string) *document.Class {
+	for i := range doc.Classes {
+		if doc.Classes[i].Name == name {
+			return &doc.Classes[i]
+		}
+	}
+	return nil
+}
+
+func modelOf(doc *document.Document, name string) *document.Model {
+	for i := range doc.Models {
+		if doc.Models[i].Name == name {
+			return &doc.Models[i]
+		}
+	}
+	return nil
+}
+
+func serviceOf(doc *document.Document, name string) *document.Service {
+	for i := range doc.Services {
+		if doc.Services[i].Name == name {
+			return &doc.Services[i]
+		}
+	}
+	return nil
+}
+
+// PoolOf finds the pool that serves a line's model or service; empty: none.
+func PoolOf(doc *document.Document, line *Line) string {
+	if line.Kind == Engine {
+		if model := modelOf(doc, line.Model); model != nil {
+			return model.Pool
+		}
+		return ""
+	}
+	if service := serviceOf(doc, line.Service); service != nil {
+		return service.Pool
+	}
+	return ""
+}
