--- /dev/null
+++ b/internal/replay/live/exchange.go
@@ -0,0 +1,165 @@
+package live
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/replay/trace"
+)
+
+// Names of documented headers.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerKey         = "Idempotency-Key"
+	headerTier        = "X-Tier"
+	headerDeadline    = "X-Deadline-Ms"
+	headerFirstToken  = "X-First-Token-Ms"
+	headerIdempotent  = "X-Idempotent"
+	headerStreamToken = "X-Stream-Token"
+	headerOutcome     = "X-Outcome"
+	headerReason      = "X-Reason"
+	headerChecksum    = "X-Checksum"
+)
+
+// errNoOutcome: an answer that does not say what became of the request.
+var errNoOutcome = errors.New("answer says no outcome")
+
+// refusal is the JSON body of every refusal.
+type refusal struct {
+	Outcome      outcome.Outcome `json:"outcome"`
+	Reason       outcome.Reason  `json:"reason"`
+	RetryAfterMS int64           `json:"retry_after_ms"`
+	Detail       string          `json:"detail"`
+}
+
+// exchange is one request under way, over as many entries as it takes.
+type exchange struct {
+	http  *fasthttp.Client
+	line  *trace.Line
+	id    string
+	key   string
+	token string
+	body  []byte
+	// stream is the token to attach with, once an entry gave it.
+	stream string
+	answer *answer
+	ended  time.Time
+}
+
+// ask sends the request to an entry, or attaches to its stream there, and
+// returns the final status. An error means that another entry is to be asked.
+func (x *exchange) ask(address string, until time.Time) (outcome.Status, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	x.form(req, address)
+	resp.StreamBody = true
+	if err := x.http.DoDeadline(req, resp, until); err != nil {
+		return outcome.Status{}, fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	status, err := x.read(resp)
+	if err != nil {
+		// What is left of a broken answer must not reach the next request.
+		resp.SetConnectionClose()
+		return outcome.Status{}, fmt.Errorf("answer of %s: %w", address, err)
+	}
+	x.ended = time.Now()
+	return status, nil
+}
+
+// form writes the request: the first time whole, later an attach by token.
+func (x *exchange) form(req *fasthttp.Request, address string) {
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.token)
+	req.Header.Set(headerRequestID, x.id)
+	if x.stream != "" {
+		query := "?from=" + strconv.Itoa(x.answer.next)
+		req.SetRequestURI("http://" + address + "/v1/streams/" + url.PathEscape(x.stream) + query)
+		return
+	}
+	path := "/v1/chat/completions"
+	method := fasthttp.MethodPost
+	if x.line.Kind == trace.Service {
+		path = "/v1/services/" + x.line.Service + "/" + x.line.Path
+		method = x.line.Method
+	}
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(headerTier, x.line.Tier)
+	if x.key != "" {
+		req.Header.Set(headerKey, x.key)
+	}
+	if x.line.DeadlineMS > 0 {
+		req.Header.Set(headerDeadline, strconv.FormatInt(x.line.DeadlineMS, 10))
+	}
+	if x.line.FirstTokenMS > 0 {
+		req.Header.Set(headerFirstToken, strconv.FormatInt(x.line.FirstTokenMS, 10))
+	}
+	if x.line.Kind == trace.Engine {
+		req.Header.Set(headerIdempotent, strconv.FormatBool(x.line.Idempotent))
+	}
+	if method != fasthttp.MethodGet {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(x.body)
+	}
+}
+
+// read takes an entry's answer apart.
+func (x *exchange) read(resp *fasthttp.Response) (outcome.Status, error) {
+	if token := resp.Header.Peek(headerStreamToken); len(token) > 0 && x.line.Kind == trace.Engine {
+		x.stream = string(token)
+	}
+	if resp.StatusCode() == fasthttp.StatusOK && x.line.Kind == trace.Engine {
+		mark, err := x.answer.follow(resp.BodyStream())
+		if err != nil {
+			return outcome.Status{}, err
+		}
+		return outcome.Status{Outcome: mark.Outcome, Reason: mark.Reason, RetryAfter: retryAfter(mark.RetryAfterMS)}, nil
+	}
+	body, err := readAll(resp)
+	if err != nil {
+		return outcome.Status{}, err
+	}
+	said := outcome.Outcome(resp.Header.Peek(headerOutcome))
+	if said == outcome.Answered {
+		x.checkWhole(resp, body)
+		return outcome.Complete(), nil
+	}
+	var r refusal
+	if err := json.Unmarshal(body, &r); err != nil || r.Outcome == "" {
+		return outcome.Status{}, fmt.Errorf("%w: status %d", errNoOutcome, resp.StatusCode())
+	}
+	return outcome.Status{Outcome: r.Outcome, Reason: r.Reason, RetryAfter: retryAfter(r.RetryAfterMS), Detail: r.Detail}, nil
+}
+
+// checkWhole checks an answer that came in one piece.
+func (x *exchange) checkWhole(resp *fasthttp.Response, body []byte) {
+	now := time.Now()
+	x.answer.first, x.answer.last = now, now
+	if got := string(resp.Header.Peek(headerRequestID)); got != x.id {
+		x.answer.setFault(faultForeign)
+	}
+	digest := xxhash.New()
+	_, _ = digest.Write(body)
+	if sum := string(resp.Header.Peek(headerChecksum)); sum != checksum(digest) {
+		x.answer.setFault(faultChecksum)
+	}
+}
+
+func readAll(resp *fasthttp.Response) ([]byte, error) {
+	body, err := resp.BodyUncompressed()
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return append([]byte(nil), body...), nil
+}
+
+func retryAfter(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/replay/live/ledger.go
@@ -0,0 +1,89 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/replay/report"
+)
+
+// ledger is the body of GET /admin/ledger.
+type ledger struct {
+	Runs []ledgerRun `json:"runs"`
+}
+
+type ledgerRun struct {
+	ID                   string  `json:"id"`
+	Key                  string  `json:"key"`
+	StartedMS            float64 `json:"started_ms"`
+	EndedMS              float64 `json:"ended_ms"`
+	Complete             bool    `json:"complete"`
+	Cancelled            bool    `json:"cancelled"`
+	PromptTokens         int     `json:"prompt_tokens"`
+	CachedTokens         int     `json:"cached_tokens"`
+	ComputedPromptTokens int     `json:"computed_prompt_tokens"`
+	Tokens               int     `json:"tokens"`
+}
+
+// ledgerResolution: ledgers cut their times to whole milliseconds.
+const ledgerResolution = time.Millisecond
+
+// ledgerTimeout bounds the reading of one ledger.
+const ledgerTimeout = 10 * time.Second
+
+// readLedgers collects the runs begun at all targets since start; lost names
+// those whose ledger could not be read.
+func readLedgers(http *fasthttp.Client, doc *document.Document, start time.Time) (runs []report.Run, lost []string) {
+	for i := range doc.Targets {
+		target := &doc.Targets[i]
+		book, err := readLedger(http, target.Address)
+		if err != nil {
+			lost = append(lost, target.Name)
+			continue
+		}
+		for j := range book.Runs {
+			run := toRun(&book.Runs[j], target, start)
+			if run.Began >= -ledgerResolution {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs, lost
+}
+
+func readLedger(http *fasthttp.Client, address string) (ledger, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + "/admin/ledger")
+	if err := http.DoTimeout(req, resp, ledgerTimeout); err != nil {
+		return ledger{}, fmt.Errorf("%w: %s: %w", ErrNoLedger, address, err)
+	}
+	var book ledger
+	if err := json.Unmarshal(resp.Body(), &book); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		return ledger{}, fmt.Errorf("%w: %s: status %d", ErrNoLedger, address, resp.StatusCode())
+	}
+	return book, nil
+}
+
+// toRun turns Unix milliseconds into times from the replay's start.
+func toRun(r *ledgerRun, target *document.Target, start time.Time) report.Run {
+	run := report.Run{
+		Target: target.Name, Pool: target.Pool, ID: r.ID, Key: r.Key,
+		Began: sinceStart(r.StartedMS, start), Complete: r.Complete, Cancelled: r.Cancelled,
+		PromptTokens: r.PromptTokens, CachedTokens: r.CachedTokens,
+		ComputedPromptTokens: r.ComputedPromptTokens, Tokens: r.Tokens,
+	}
+	if r.EndedMS > 0 {
+		run.Ended = sinceStart(r.EndedMS, start)
+	}
+	return run
+}
+
+func sinceStart(unixMS float64, start time.Time) time.Duration {
+	return time.Duration(unixMS*float64(time.Millisecond)) - time.Duration(start.UnixNano())
+}
