--- /dev/null
+++ b/internal/replay/virtual/options.go
@@ -0,0 +1,83 @@
+// Package virtual replays a trace on a virtual clock: an event heap, the real
+// core of several entries, and one small fake for each interface (engine, plain
+// service, log, instance list, caller). Messages take a fixed time for each sort
+// of link; hosts, networks and zones are not modelled beyond that. Equal options
+// give equal reports. It never stands in for the live mode.
+package virtual
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/replay/trace"
+)
+
+// Core is the state machine of one entry; *entry.Entry is one.
+type Core interface {
+	Step(now time.Time, in entry.Input) []entry.Output
+}
+
+// Options of a virtual replay.
+type Options struct {
+	Trace    *trace.Trace
+	Document *document.Document
+	Policy   entry.Policy
+	Entries  int
+	Seed     uint64
+	Faults   []Fault
+	// ReportAge is how old the engines' load reports are.
+	ReportAge time.Duration
+	// Tolerance for tier inversions; the virtual clock needs none.
+	Tolerance time.Duration
+	// NewCore makes the core of an entry; nil: entry.New.
+	NewCore func(cfg entry.Config, now time.Time) Core
+}
+
+// Fixed delays, one way.
+const (
+	callerDelay = 2 * time.Millisecond
+	peerDelay   = 500 * time.Microsecond
+	targetDelay = 500 * time.Microsecond
+	logDelay    = 5 * time.Millisecond
+)
+
+// Intervals and limits of the edges, as they are in the live system.
+const (
+	tickEvery     = 20 * time.Millisecond
+	probeEvery    = 500 * time.Millisecond
+	listEvery     = time.Second
+	progressEvery = 100 * time.Millisecond
+	pollWait      = time.Second
+	logRetry      = 500 * time.Millisecond
+	// streamHeld is how long an engine holds a stream after its end.
+	streamHeld = 30 * time.Second
+	// cutNoticed is when a link on which nothing comes counts as broken.
+	cutNoticed = time.Second
+	// serviceTime is a plain call's time where its class gives no step_ms.
+	serviceTime = 40 * time.Millisecond
+	// logRate is how many appends a second the log takes.
+	logRate = 400
+)
+
+// What callers do; as in the live mode.
+const (
+	callersPerEntry = 4
+	askTimeout      = 2 * time.Second
+	restAfterRound  = 100 * time.Millisecond
+	patience        = 2 * time.Second
+	giveUp          = 12 * time.Second
+)
+
+// warmUp passes before the trace begins, so that entries can become ready.
+const warmUp = 5 * time.Second
+
+// epoch is the beginning of virtual time.
+var epoch = time.Unix(1_700_000_000, 0).UTC()
+
+func (o *Options) core(cfg entry.Config, now time.Time) Core {
+	if o.NewCore != nil {
+		return o.NewCore(cfg, now)
+	}
+	return entry.New(cfg, now)
+}
--- /dev/null
+++ b/internal/replay/virtual/world.go
@@ -0,0 +1,225 @@
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/record"
+	"sycamoretrail/internal/replay/report"
+	"sycamoretrail/internal/replay/trace"
+)
+
+// world is a virtual replay under way.
+type world struct {
+	clock
+	options Options
+	random  *rand.Rand
+	start   time.Time
+	zones   []string
+	// hosts are the entry processes that stand now, by place.
+	hosts   []*host
+	targets []*target
+	byName  map[string]*target
+	log     *logService
+	callers []*caller
+	calls   []*call
+	open    int
+	// cut marks directions between entries in which nothing passes.
+	cut map[direction]bool
+	// listed are the states of the instance list, oldest first.
+	listed  []listState
+	listLag time.Duration
+}
+
+type direction struct{ from, to int }
+
+type listState struct {
+	at   time.Time
+	rows []entry.Instance
+}
+
+// Run replays the trace and returns what the report is made of.
+func Run(options Options) (report.Input, error) {
+	w := &world{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), byName: map[string]*target{},
+		cut: map[direction]bool{}, clock: clock{now: epoch}, start: epoch.Add(warmUp),
+	}
+	w.log = newLogService(w)
+	if err := w.publish(); err != nil {
+		return report.Input{}, err
+	}
+	if err := w.build(); err != nil {
+		return report.Input{}, err
+	}
+	if err := w.planFaults(); err != nil {
+		return report.Input{}, err
+	}
+	end := w.planCalls()
+	w.run(end, func() bool { return w.open == 0 })
+	return w.result(), nil
+}
+
+// publish puts the document on the log, as its first record.
+func (w *world) publish() error {
+	data, err := json.Marshal(w.options.Document)
+	if err != nil {
+		return fmt.Errorf("encode document: %w", err)
+	}
+	encoded, err := record.Encode(record.Record{Document: &record.Document{Data: data}})
+	if err != nil {
+		return err
+	}
+	w.log.write(record.StreamDocuments, encoded)
+	return nil
+}
+
+// build makes targets, entries and callers.
+func (w *world) build() error {
+	for i := range w.options.Document.Targets {
+		t, err := newTarget(w, &w.options.Document.Targets[i])
+		if err != nil {
+			return err
+		}
+		w.targets = append(w.targets, t)
+		w.byName[t.name] = t
+		if !slices.Contains(w.zones, t.zone) {
+			w.zones = append(w.zones, t.zone)
+		}
+	}
+	w.hosts = make([]*host, w.options.Entries)
+	for i := range w.hosts {
+		w.startEntry(i)
+	}
+	w.noteList()
+	for i := range w.options.Entries * callersPerEntry {
+		w.callers = append(w.callers, &caller{world: w, first: i})
+	}
+	return nil
+}
+
+// startEntry starts a new process at a place, with nothing kept.
+func (w *world) startEntry(place int) {
+	incarnation := ident.NewIncarnation(w.random.Uint64(), w.now.Unix())
+	h := newHost(w, place, message.Member{
+		Name: fmt.Sprintf("entry-%d", place), Incarnation: incarnation, Zone: w.zones[place%len(w.zones)],
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7000", place+1), CallerAddress: fmt.Sprintf("10.0.0.%d:8000", place+1),
+	})
+	w.hosts[place] = h
+	h.begin()
+	for _, peer := range w.hosts {
+		if peer != nil && peer != h && peer.up {
+			w.connect(h, peer)
+			w.connect(peer, h)
+		}
+	}
+}
+
+// connect tells an entry that its link to a peer stands.
+func (w *world) connect(at, peer *host) {
+	member := peer.member
+	w.after(peerDelay, func() { at.input(entry.PeerUp{Member: member}) })
+}
+
+// noteList records the instance list as it is from now on.
+func (w *world) noteList() {
+	var rows []entry.Instance
+	for _, h := range w.hosts {
+		if h.up {
+			rows = append(rows, entry.Instance{Name: h.member.Name, Address: h.member.PeerAddress, Zone: h.member.Zone, Role: "entry"})
+		}
+	}
+	for _, t := range w.targets {
+		if t.up {
+			rows = append(rows, entry.Instance{Name: t.name, Address: t.address, Zone: t.zone, Role: "target", Leaving: t.leaving})
+		}
+	}
+	w.listed = append(w.listed, listState{at: w.now, rows: rows})
+}
+
+// list is the instance list as its readers see it: late.
+func (w *world) list() []entry.Instance {
+	seen := w.listed[0]
+	for _, state := range w.listed {
+		if !state.at.After(w.now.Add(-w.listLag)) {
+			seen = state
+		}
+	}
+	return slices.Clone(seen.rows)
+}
+
+// planCalls plans each line of the trace and returns when all must be over.
+func (w *world) planCalls() time.Time {
+	lines := w.options.Trace.Lines
+	end := w.start
+	for i := range lines {
+		c := newCall(w, i, &lines[i])
+		w.calls = append(w.calls, c)
+		w.at(w.start.Add(lines[i].At()), c.begin)
+		end = later(end, w.start.Add(lines[i].At()+c.seen.Deadline+giveUp))
+	}
+	w.open += len(lines)
+	// Callers of poisonous requests go on after the trace's end.
+	return end.Add(giveUp + time.Minute)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// result hands over what callers saw and what targets' ledgers hold.
+func (w *world) result() report.Input {
+	in := report.Input{
+		Trace: w.options.Trace.Header.Name, Mode: "virtual", Policy: string(w.options.Policy),
+		Seed: w.options.Seed, Load: w.options.Trace.Header.Load, Tolerance: w.options.Tolerance,
+	}
+	for i := range w.options.Document.Tiers {
+		in.Tiers = append(in.Tiers, w.options.Document.Tiers[i].Name)
+	}
+	for _, c := range w.calls {
+		if c.seen.Ended == 0 {
+			c.seen.Ended = w.now.Sub(w.start)
+		}
+		in.Calls = append(in.Calls, c.seen)
+	}
+	for _, t := range w.targets {
+		for _, run := range t.ledger {
+			in.Runs = append(in.Runs, *run)
+		}
+	}
+	return in
+}
+
+// sinceStart is the report's time of now.
+func (w *world) sinceStart() time.Duration { return w.now.Sub(w.start) }
+
+// hostAt finds the process that answers at a caller address now.
+func (w *world) hostAt(address string) *host {
+	for _, h := range w.hosts {
+		if h.member.CallerAddress == address {
+			return h
+		}
+	}
+	return nil
+}
+
+// hostOf finds the process of an incarnation.
+func (w *world) hostOf(incarnation ident.Incarnation) *host {
+	for _, h := range w.hosts {
+		if h.member.Incarnation == incarnation {
+			return h
+		}
+	}
+	return nil
+}
+
+// poolOf and tierOf read the document for a line.
+func (w *world) poolOf(line *trace.Line) string { return trace.PoolOf(w.options.Document, line) }
