--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -81,8 +81,8 @@
 	asks            uint64
 
 	plan    *placement.Plan
-	homes    [partitions]ident.Incarnation
-	watches  map[string]*targetWatch
+	homes   [partitions]ident.Incarnation
+	watches map[string]*targetWatch
 
 	deaths     map[string]*death
 	deathOrder []string
@@ -184,7 +184,7 @@
 	case FromPeer:
 		e.deliver(in.From, in.Message, fromPlaces)
 	case RunStarted:
-		e.runStarted(in.ID)
+		// The dispatch was counted when it was put out; the first token matters.
 	case RunProgress:
 		e.runProgress(in)
 	case RunEnded:
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -108,8 +108,8 @@
 	e.placeTargets(len(live))
 	e.placePartitions(live)
 	quorum := e.members.Quorum(e.now)
-	e.perform(e.places.SetQuorum(e.now, quorum), fromPlaces)
-	e.perform(e.share.SetQuorum(e.now, quorum), fromShare)
+	e.places.SetQuorum(e.now, quorum)
+	e.share.SetQuorum(e.now, quorum)
 	e.setPools(live)
 	e.reportMoved(moves)
 }
@@ -149,6 +149,7 @@
 			others = append(others, m.Incarnation)
 		}
 	}
+	e.places.SetMembers(e.now, incarnations(live))
 	for i := range e.doc.Pools {
 		e.places.SetPool(e.doc.Pools[i].Name, others)
 	}
@@ -205,6 +206,14 @@
 	return targets
 }
 
+func incarnations(members []message.Member) []ident.Incarnation {
+	list := make([]ident.Incarnation, len(members))
+	for i := range members {
+		list[i] = members[i].Incarnation
+	}
+	return list
+}
+
 func names(targets []scheduler.Target) []string {
 	list := make([]string, len(targets))
 	for i := range targets {
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -6,6 +6,7 @@
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/scheduler"
 	"sycamoretrail/internal/core/suspects"
 )
 
@@ -210,7 +211,7 @@
 	switch {
 	case r.Settled:
 		e.abandon(f, outcome.Refused(r.Reason, r.RetryAfter, detailOf(r.Reason)))
-	case r.Elsewhere == f.target:
+	case scheduler.Moved(r):
 		e.wakeAt(f, e.now.Add(replaceWait))
 	case r.Elsewhere != "":
 		e.offerAt(f, r.Elsewhere)
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 )
@@ -47,20 +46,18 @@
 	return message.RunningOne{Offer: e.offer(f), Tokens: f.tokens, Started: f.started, Age: e.now.Sub(f.dispatched)}
 }
 
-func (e *Entry) runStarted(id ident.RequestID) {
-	if f := e.flights[id]; f != nil && f.stage == stageRunning {
-		f.started = true
-	}
-}
-
 // runProgress passes on how far a run is, which preemption weighs.
 func (e *Entry) runProgress(p RunProgress) {
 	f := e.flights[p.ID]
 	if f == nil || f.stage != stageRunning {
 		return
 	}
-	f.started = true
 	f.tokens = p.Tokens
+	if !f.started {
+		// The prompt is computed: the scheduler may let the next long one in.
+		f.started = true
+		e.sendRunning(f)
+	}
 }
 
 // runEnded settles a run, or moves the request on if it provably did not run.
