--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -68,7 +68,7 @@
 	places   *scheduler.Scheduler
 	share    *scheduler.Scheduler
 	router   *routing.Router
-	claims   *claims.Claims
+	claims   *claims.Home
 	suspects *suspects.Suspects
 	orders   *orders.Orders
 	drain    *drain.Drain
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -162,6 +162,9 @@
 	if f.subject == f.req.ID {
 		return
 	}
+	// A loser of its key runs never. Its claim is released, or it would hold
+	// the key once the winner's claim is released or has aged out.
+	e.releaseKey(&f.req)
 	e.ids.Finish(e.now, f.req.ID, outcome.Refused(outcome.ReasonDuplicateKey, 0, "the idempotency key belongs to another request"))
 	waiting := e.asking[f.subject]
 	for i, id := range waiting {
--- a/internal/core/entry/keys.go
+++ b/internal/core/entry/keys.go
@@ -49,11 +49,17 @@
 
 // releaseClaim gives up the claim of a request that did not and will not run.
 func (e *Entry) releaseClaim(f *flight) {
-	if f.req.Key == "" || f.req.Idempotent || f.stage == stageAsking {
+	if f.stage != stageAsking {
+		e.releaseKey(&f.req)
+	}
+}
+
+func (e *Entry) releaseKey(req *request.Request) {
+	if req.Key == "" || req.Idempotent {
 		return
 	}
-	if home := e.homeOf(f.req.Key); home != "" {
-		e.send(home, message.ClaimRelease{Key: f.req.Key, ID: f.req.ID})
+	if home := e.homeOf(req.Key); home != "" {
+		e.send(home, message.ClaimRelease{Key: req.Key, ID: req.ID})
 	}
 }
 
