--- a/internal/core/membership/list.go
+++ b/internal/core/membership/list.go
@@ -46,7 +46,7 @@
 func (m *Membership) prune(now time.Time) {
 	for i := len(m.peers) - 1; i >= 0; i-- {
 		p := m.peers[i]
-		silent := now.Sub(p.heard) > m.silence()
+		silent := now.Sub(p.heard) > m.Silence()
 		if p.listed || !p.shown || p.linked || !silent {
 			continue
 		}
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -231,7 +231,7 @@
 func (m *Membership) touch(now time.Time) {
 	gap := now.Sub(m.last)
 	m.last = now
-	if gap <= m.silence() {
+	if gap <= m.Silence() {
 		return
 	}
 	m.gap = max(m.gap, gap)
@@ -246,7 +246,8 @@
 	return m.cfg.Heartbeat * time.Duration(m.scale())
 }
 
-func (m *Membership) silence() time.Duration {
+// Silence is the silence limit at the present number of members; a drain waits it out.
+func (m *Membership) Silence() time.Duration {
 	return m.cfg.Silence * time.Duration(m.scale())
 }
 
--- a/internal/core/membership/peer.go
+++ b/internal/core/membership/peer.go
@@ -52,7 +52,7 @@
 	if p.gone || p.echoed == 0 {
 		return false
 	}
-	return now.Sub(m.sentAt(p.echoed)) <= m.silence()
+	return now.Sub(m.sentAt(p.echoed)) <= m.Silence()
 }
 
 // counts: the peer belongs to the members of which a quorum hears more than half.
