--- a/internal/standin/base/answer.go
+++ b/internal/standin/base/answer.go
@@ -116,8 +116,8 @@
 	return value, true
 }
 
-// TooMany answers 429 with Retry-After in whole seconds, at least one.
-func TooMany(ctx *fasthttp.RequestCtx, wait time.Duration) {
+// answerTooMany answers 429 with Retry-After in whole seconds, at least one.
+func answerTooMany(ctx *fasthttp.RequestCtx, wait time.Duration) {
 	Fail(ctx, fasthttp.StatusTooManyRequests, "over the rate")
 	seconds := max(1, int(math.Ceil(wait.Seconds())))
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
--- a/internal/standin/base/host.go
+++ b/internal/standin/base/host.go
@@ -58,6 +58,7 @@
 	orders sync.Mutex // one change of faults at a time
 	mu     sync.Mutex // guards what follows
 	faults Faults
+	bucket Bucket
 	closed bool
 	main   *trackedListener
 	admin  *trackedListener
@@ -139,6 +140,17 @@
 	return h.change(func(Faults) (Faults, error) { return next, next.Validate() })
 }
 
+// TakeRate spends one call of the rate; over it, it answers 429 and is false.
+func (h *Host) TakeRate(ctx *fasthttp.RequestCtx) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wait, ok := h.bucket.Take(time.Now(), h.faults.Rate)
+	if !ok {
+		answerTooMany(ctx, wait)
+	}
+	return ok
+}
+
 // Crash crashes as the fault does; calls of the stand-in itself use it.
 func (h *Host) Crash() {
 	err := h.change(func(f Faults) (Faults, error) { f.Crash = true; return f, nil })
--- a/internal/standin/base/ledger.go
+++ b/internal/standin/base/ledger.go
@@ -24,8 +24,8 @@
 	Tokens               int    `json:"tokens"`
 }
 
-// Report is the answer of /admin/ledger. Incarnation counts starts, from 1.
-type Report struct {
+// LedgerReport is the answer of /admin/ledger. Incarnation counts starts, from 1.
+type LedgerReport struct {
 	Incarnation int   `json:"incarnation"`
 	Runs        []Run `json:"runs"`
 }
@@ -78,10 +78,10 @@
 }
 
 // Report copies the ledger.
-func (l *Ledger) Report() Report {
+func (l *Ledger) Report() LedgerReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Report{Incarnation: l.incarnation, Runs: append([]Run{}, l.runs...)}
+	return LedgerReport{Incarnation: l.incarnation, Runs: append([]Run{}, l.runs...)}
 }
 
 func (l *Ledger) current() int {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -59,7 +59,6 @@
 
 	mu      sync.Mutex // guards what follows
 	streams map[string]*stream
-	bucket  base.Bucket
 }
 
 // Start serves a log on an address.
@@ -89,9 +88,7 @@
 		base.Fail(ctx, fasthttp.StatusRequestEntityTooLarge, "record above 1 MiB")
 		return
 	}
-	wait, ok := s.takeRate()
-	if !ok {
-		base.TooMany(ctx, wait)
+	if !s.TakeRate(ctx) {
 		return
 	}
 	offset, err := s.append(ctx, base.PathValue(ctx, paramStream))
@@ -102,13 +99,6 @@
 	base.JSON(ctx, fasthttp.StatusOK, appended{Offset: offset})
 }
 
-func (s *Server) takeRate() (time.Duration, bool) {
-	rate := s.Faults().Rate
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.bucket.Take(time.Now(), rate)
-}
-
 var errCrashed = errors.New("crashed since the call came in")
 
 func (s *Server) append(ctx *fasthttp.RequestCtx, name string) (uint64, error) {
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -4,8 +4,6 @@
 
 import (
 	"errors"
-	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fasthttp/router"
@@ -42,9 +40,6 @@
 type Server struct {
 	*base.Host
 	bytes int
-
-	mu     sync.Mutex // guards what follows
-	bucket base.Bucket
 }
 
 // Start serves a store on an address.
@@ -66,9 +61,7 @@
 }
 
 func (s *Server) handleFetch(ctx *fasthttp.RequestCtx) {
-	wait, ok := s.takeRate()
-	if !ok {
-		base.TooMany(ctx, wait)
+	if !s.TakeRate(ctx) {
 		return
 	}
 	name := base.PathValue(ctx, "model") + "/" + base.PathValue(ctx, "version")
@@ -82,13 +75,6 @@
 	s.Ledger().End(ticket, func(run *base.Run) { run.Complete = true })
 }
 
-func (s *Server) takeRate() (time.Duration, bool) {
-	rate := s.Faults().Rate
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.bucket.Take(time.Now(), rate)
-}
-
 // content is the same for the same name, and differs between names.
 func content(name string, size int) []byte {
 	seed := xxhash.Sum64String(name)
