--- a/internal/core/entry/documents.go
+++ b/internal/core/entry/documents.go
@@ -98,12 +98,12 @@
 	longest := document.Milliseconds(doc.Limits.DeadlineMS)
 	e.ids.Configure(e.now, document.Milliseconds(doc.Shutdown.EntriesTTLMS), longest, doc.Limits.RememberedIDs)
 	e.members.Configure(e.membershipConfig())
-	e.claims.Configure(e.now, e.timing.horizon)
+	e.performClaims(e.claims.SetHorizon(e.now, e.timing.horizon))
 	e.router.Configure(doc)
 	e.places.Configure(e.now, e.schedulerSettings())
 	e.share.Configure(e.now, e.schedulerSettings())
 	e.drain.Configure(e.drainConfig())
-	e.performOrders(e.orders.Configure(e.now, doc))
+	e.performOrders(e.orders.SetDocument(e.now, e.index))
 	e.rebalance()
 	e.changed = true
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -102,6 +102,7 @@
 	digestsAt time.Time
 
 	following bool
+	logUp     bool
 	changed   bool
 	prefix    ident.Prefix
 }
@@ -120,7 +121,7 @@
 		router:          routing.New(cfg.Seed, cfg.Self.Zone),
 		suspects:        suspects.New(suspects.Config{}),
 		plan:            placement.NewPlan(),
-		orders:          orders.New(cfg.Self.Incarnation),
+		orders:          orders.New(orders.DefaultConfig(cfg.Self.Incarnation)),
 		flights:         make(map[ident.RequestID]*flight),
 		asking:          make(map[ident.RequestID][]ident.RequestID),
 		perOrganisation: make(map[string]int),
@@ -140,7 +141,7 @@
 		Max: startingIDs, Validity: inputValidity,
 	}, now)
 	e.members = membership.New(cfg.Self, e.membershipConfig(), now)
-	e.claims = claims.New(claims.Config{Partitions: partitions, Horizon: e.timing.horizon})
+	e.claims = claims.New(claimsConfig(e.timing.horizon))
 	e.places = scheduler.New(cfg.Self.Incarnation, cfg.Seed, estimator)
 	e.share = scheduler.New(cfg.Self.Incarnation, cfg.Seed+1, estimator)
 	return e
--- a/internal/core/entry/keys.go
+++ b/internal/core/entry/keys.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"sycamoretrail/internal/core/claims"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
@@ -16,6 +18,23 @@
 // is refused; the log answers in far less when it is up.
 const claimPatience = 2
 
+// Bounds of a home of claims: the log takes several hundred appends a second
+// from all entries together, so claims share records.
+const (
+	claimBatchEvery = 10 * time.Millisecond
+	claimsPerRecord = 500
+	claimsHeld      = 500_000
+	claimTimeout    = 2 * time.Second
+)
+
+func claimsConfig(horizon time.Duration) claims.Config {
+	return claims.Config{
+		Partitions: partitions, Horizon: horizon,
+		BatchEvery: claimBatchEvery, MaxBatch: claimsPerRecord,
+		MaxKeys: claimsHeld, AppendTimeout: claimTimeout,
+	}
+}
+
 // claim asks the home of the key's partition for the right to run.
 func (e *Entry) claim(f *flight) {
 	f.stage = stageClaiming
--- a/internal/core/entry/platform.go
+++ b/internal/core/entry/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"sycamoretrail/internal/core/membership"
+	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/orders"
 	"sycamoretrail/internal/core/record"
 	"sycamoretrail/internal/core/suspects"
@@ -66,7 +67,7 @@
 	case rec.Document != nil:
 		e.documentRecorded(r.Offset, r.Age, *rec.Document)
 	case rec.Order != nil:
-		e.performOrders(e.orders.Record(e.now, r.Offset, *rec.Order))
+		e.performOrders(e.orders.Record(e.now, r.Offset, r.Age, *rec.Order))
 	default:
 		for _, v := range rec.Verdicts {
 			e.suspects.FromLog(e.now, r.Age, v)
@@ -79,8 +80,11 @@
 		e.performClaims(e.claims.CaughtUp(e.now, partition, c.Since))
 		return
 	}
-	if c.Stream == record.StreamOrders {
-		e.performOrders(e.orders.CaughtUp(e.now, c.Since))
+	switch c.Stream {
+	case record.StreamOrders:
+		e.performOrders(e.orders.CaughtUp(e.now))
+	case record.StreamDocuments:
+		e.logUp = true
 	}
 }
 
@@ -88,6 +92,12 @@
 	if partition, ok := e.partitionOf(d.Stream); ok {
 		e.performClaims(e.claims.Down(e.now, partition))
 	}
+	switch d.Stream {
+	case record.StreamOrders:
+		e.performOrders(e.orders.Down(e.now))
+	case record.StreamDocuments:
+		e.logUp = false
+	}
 }
 
 func (e *Entry) partitionOf(stream record.Stream) (int, bool) {
@@ -120,7 +130,7 @@
 	for _, effect := range effects {
 		switch o := effect.(type) {
 		case orders.Append:
-			e.append(record.StreamOrders, record.Record{Order: &o.Order}, appendOrders, o.Tag)
+			e.append(record.StreamOrders, o.Record, appendOrders, o.Tag)
 		case orders.Order:
 			e.order(o)
 		}
