Test the data path's edges; probe targets, orders, attaching again

Failures caused in process: connection cut before and in mid-answer, a token left out, a silent engine, a kept connection closed by the target, a refused connection, a caller gone before the first token, a cancellation that overtakes its dispatch.

--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -51,7 +51,7 @@
 	if view.Document == nil || view.State == message.Starting || view.State == message.Stopped {
 		return nil, &refusalError{outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry is "+view.State.String())}
 	}
-	if size := len(ctx.Request.Header.Header()); size > view.Document.Limits.HeaderBytes {
+	if size := len(ctx.Request.Header.RawHeaders()); size > view.Document.Limits.HeaderBytes {
 		return nil, refused(outcome.ReasonTooLarge, "the header has %d bytes; limits.header_bytes is %d", size, view.Document.Limits.HeaderBytes)
 	}
 	c := &call{ctx: ctx, view: view, ix: s.indexFor(view)}
--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"strconv"
@@ -35,7 +36,7 @@
 		// The core never got the request: nobody can have run it.
 		status := outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry takes no more requests for a moment")
 		s.cfg.Flights.Remove(f)
-		s.cfg.Flights.Finish(f, status)
+		f.Finish(status)
 	}
 	w := &waiting{s: s, ctx: c.ctx, f: f, stream: f.Stream, tier: c.tier, model: req.Model,
 		began: req.Arrived, until: req.Deadline.Add(s.cfg.Grace)}
@@ -57,8 +58,10 @@
 	// from is the number of the next chunk for this caller.
 	from      int
 	firstByte time.Duration
-	reread    bool
 	left      bool
+	// reread: attached by token, not by a request of its own; remote: to a
+	// stream that is read from its target for such callers only.
+	reread, remote bool
 }
 
 // answer waits for the beginning of the answer and chooses its form.
@@ -146,7 +149,13 @@
 		return
 	}
 	w.left = true
-	if !w.f.Leave() || w.reread {
+	if !w.f.Leave() {
+		return
+	}
+	if w.remote {
+		w.f.Finish(outcome.Undetermined(outcome.ReasonCallerGone, "nobody reads the stream at this entry any more"))
+	}
+	if w.reread {
 		return
 	}
 	for range goneAttempts {
@@ -218,6 +227,10 @@
 		return
 	}
 	w.ctx.SetContentType(p.Head.ContentType)
+	if len(chunks) == 1 {
+		w.ctx.Response.SetBodyRaw(chunks[0])
+		return
+	}
 	for _, chunk := range chunks {
 		w.ctx.Response.AppendBody(chunk)
 	}
@@ -283,12 +296,21 @@
 	return nil
 }
 
+var newline = []byte{'\n'}
+
 func (e *eventWriter) frame(from int, chunks [][]byte) {
 	for i, chunk := range chunks {
 		e.buf = append(e.buf, "id: "...)
 		e.buf = strconv.AppendInt(e.buf, int64(from+i), 10)
-		e.buf = append(e.buf, "\ndata: "...)
-		e.buf = append(e.buf, chunk...)
+		for rest := chunk; ; {
+			line, more, several := bytes.Cut(rest, newline)
+			e.buf = append(e.buf, "\ndata: "...)
+			e.buf = append(e.buf, line...)
+			if !several {
+				break
+			}
+			rest = more
+		}
 		e.buf = append(e.buf, "\n\n"...)
 	}
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -67,7 +67,8 @@
 	Grace time.Duration
 	// Metrics answers /metrics; nil: 404.
 	Metrics fasthttp.RequestHandler
-	// Observe is told of each request that the core got; may be nil.
+	// Observe is told of each request that was answered or refused, with what was
+	// known of it; may be nil.
 	Observe func(Observation)
 	Log     *logrus.Logger
 	// Now is the clock; time.Now when nil.
--- a/internal/callers/completion.go
+++ b/internal/callers/completion.go
@@ -34,23 +34,30 @@
 func (s *Server) completion(ctx *fasthttp.RequestCtx) {
 	c, err := s.identify(ctx)
 	if err != nil {
-		s.refuseError(ctx, "", err)
+		s.refuseError(ctx, nil, err)
 		return
 	}
 	req, f, err := s.readCompletion(c)
 	if err != nil {
-		s.refuseError(ctx, string(c.id), err)
+		s.refuseError(ctx, c, err)
 		return
 	}
 	s.run(c, req, f)
 }
 
-// refuseError answers with a refusal that the edge decided.
-func (s *Server) refuseError(ctx *fasthttp.RequestCtx, id string, err error) {
+// refuseError answers with a refusal that the edge decided; c is nil when the
+// caller could not be identified.
+func (s *Server) refuseError(ctx *fasthttp.RequestCtx, c *call, err error) {
 	status := outcome.Refused(outcome.ReasonMalformed, 0, err.Error())
 	if r, ok := err.(*refusalError); ok {
 		status = r.status
 	}
+	id, seen := "", Observation{Status: status}
+	if c != nil {
+		id = string(c.id)
+		seen.Organisation, seen.Tier = c.org.name, c.tier
+	}
+	s.cfg.Observe(seen)
 	s.refuse(ctx, statusCode(status), id, status)
 }
 
--- /dev/null
+++ b/internal/callers/failure_test.go
@@ -0,0 +1,324 @@
+package callers_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+)
+
+// cuttingServer answers each connection's first request by write and closes it.
+// It counts the requests of each method that it read whole.
+type cuttingServer struct {
+	posts, gets, deletes atomic.Int32
+	// write gives the answer to a request line; "" closes without an answer.
+	write func(line string) string
+}
+
+func (s *cuttingServer) start() string {
+	ln := listen()
+	DeferCleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.answer(conn)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func (s *cuttingServer) answer(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	var req fasthttp.Request
+	if req.Read(bufio.NewReader(conn)) != nil {
+		return
+	}
+	switch string(req.Header.Method()) {
+	case "POST":
+		s.posts.Add(1)
+	case "GET":
+		s.gets.Add(1)
+	case "DELETE":
+		s.deletes.Add(1)
+	}
+	_, _ = conn.Write([]byte(s.write(string(req.Header.Method()) + " " + string(req.RequestURI()))))
+}
+
+// chunked is an event stream in chunked coding; only a complete one has its end.
+func chunked(events string, complete bool) string {
+	text := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		fmt.Sprintf("%x\r\n%s\r\n", len(events), events)
+	if complete {
+		text += "0\r\n\r\n"
+	}
+	return text
+}
+
+const notFound = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+var _ = Describe("a target that breaks off", func() {
+	// The caller gets the whole answer, each token once. The engine's connection
+	// breaks after two tokens; the edge asks for the stream from token 2 on, and
+	// the engine repeats token 1 before it goes on. The engine holds streams
+	// across lost connections, so no second dispatch is needed.
+	It("is asked for the rest of the stream", func() {
+		engine := &cuttingServer{write: func(line string) string {
+			if strings.HasPrefix(line, "POST") {
+				return chunked(token(0)+token(1), false)
+			}
+			if strings.HasSuffix(line, "?from=2") {
+				return chunked(token(1)+token(2)+usageEvent+doneEvent, true)
+			}
+			return notFound
+		}}
+		n := newNode(engine.start(), "")
+		_, body := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		ids, chunks, mark := readStream(body)
+		Expect(ids).To(Equal([]string{"0", "1", "2", "3"}))
+		Expect(chunks[2]).To(ContainSubstring("t2"))
+		Expect(mark.Outcome).To(Equal("answered"))
+		Expect(engine.posts.Load()).To(Equal(int32(1)))
+	})
+
+	// The caller gets every token although one was left out in between. The
+	// engine sends token 0 and then 2; the edge sees by the numbers that 1 is
+	// missing and reads the stream again from there.
+	It("is asked again for a token that it left out", func() {
+		engine := &cuttingServer{write: func(line string) string {
+			if strings.HasPrefix(line, "POST") {
+				return chunked(token(0)+token(2)+doneEvent, true)
+			}
+			if strings.HasSuffix(line, "?from=1") {
+				return chunked(token(1)+token(2)+doneEvent, true)
+			}
+			return notFound
+		}}
+		n := newNode(engine.start(), "")
+		_, body := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		ids, chunks, mark := readStream(body)
+		Expect(ids).To(Equal([]string{"0", "1", "2"}))
+		Expect(chunks[1]).To(ContainSubstring("t1"))
+		Expect(mark.Chunks).To(Equal(3))
+	})
+
+	// The caller is told that the request ran in part, after the tokens that
+	// came. The engine dies mid-stream and has lost the stream when it is asked
+	// again; nothing is dispatched a second time.
+	It("ends the stream with ran_in_part when the stream is lost", func() {
+		engine := &cuttingServer{write: func(line string) string {
+			if strings.HasPrefix(line, "POST") {
+				return chunked(token(0), false)
+			}
+			return notFound
+		}}
+		n := newNode(engine.start(), "")
+		resp, body := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(200))
+		_, chunks, mark := readStream(body)
+		Expect(chunks).To(HaveLen(1))
+		Expect(mark.Outcome).To(Equal("ran_in_part"))
+		Expect(mark.Reason).To(Equal("target_failed"))
+		Expect(engine.posts.Load()).To(Equal(int32(1)))
+	})
+
+	// The caller gets 502 and no "not run". The engine reads the request and
+	// closes without a byte of answer: it may have begun. fasthttp would send a
+	// request again by itself here; the edge must not.
+	DescribeTable("gets a request that may have arrived exactly once", func(method, path string) {
+		target := &cuttingServer{write: func(line string) string {
+			if strings.Contains(line, "/streams/") {
+				return notFound
+			}
+			return ""
+		}}
+		address := target.start()
+		n := newNode(address, address)
+		resp, body := n.call(method, path, chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(refusal(body).Ran).NotTo(BeEquivalentTo("no"))
+		ended := all[entry.RunEnded](n.core)
+		Expect(ended).To(HaveLen(1))
+		Expect(ended[0].Result).To(Equal(message.ResultBroken))
+		Expect(ended[0].Wrote).To(BeTrue())
+		if method == "GET" {
+			Expect(target.gets.Load()).To(Equal(int32(1)))
+		} else {
+			Expect(target.posts.Load()).To(Equal(int32(1)))
+		}
+	},
+		Entry("completion", "POST", "/v1/chat/completions"),
+		Entry("service call that may not be repeated", "POST", "/v1/services/slots/reserve"),
+		Entry("service call that HTTP calls idempotent", "GET", "/v1/services/slots/free"),
+	)
+
+	// The caller gets its whole answer. A first request leaves a kept
+	// connection, which the target then closes; the second request must notice
+	// before its first byte and take a fresh connection, not fail as "unknown".
+	It("costs nothing when it closed a kept connection between requests", func() {
+		var served atomic.Int32
+		srv := &fasthttp.Server{Logger: quiet(), Handler: func(ctx *fasthttp.RequestCtx) {
+			served.Add(1)
+			ctx.SetBodyString("ok")
+		}}
+		closed := make(chan struct{}, 1)
+		srv.ConnState = func(_ net.Conn, state fasthttp.ConnState) {
+			if state == fasthttp.StateClosed {
+				closed <- struct{}{}
+			}
+		}
+		ln := listen()
+		conns := make(chan net.Conn, 4)
+		go func() { _ = srv.Serve(&tappedListener{Listener: ln, conns: conns}) }()
+		DeferCleanup(func() { _ = srv.Shutdown() })
+		n := newNode("", ln.Addr().String())
+		resp, _ := n.call("POST", "/v1/services/slots/reserve", "a", nil)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect((<-conns).Close()).To(Succeed())
+		Eventually(closed).Should(Receive())
+		resp, _ = n.call("POST", "/v1/services/slots/reserve", "b", nil)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(served.Load()).To(Equal(int32(2)))
+		Expect(conns).To(HaveLen(1))
+	})
+
+	// The caller gets "not run". Nothing listens at the target's address, so
+	// provably no byte was sent; the core may choose another target.
+	It("is not run where the connection is refused", func() {
+		ln := listen()
+		address := ln.Addr().String()
+		Expect(ln.Close()).To(Succeed())
+		n := newNode(address, "")
+		resp, body := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(refusal(body).Ran).To(BeEquivalentTo("no"))
+		ended := all[entry.RunEnded](n.core)
+		Expect(ended).To(HaveLen(1))
+		Expect(ended[0].Result).To(Equal(message.ResultNotAdmitted))
+		Expect(ended[0].Wrote).To(BeFalse())
+		Expect(all[entry.RunStarted](n.core)).To(BeEmpty())
+	})
+
+	DescribeTable("says so itself when it admits nothing", func(said string, result message.Result) {
+		engine := serve(func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set("X-Not-Admitted", said)
+			ctx.SetStatusCode(503)
+		})
+		n := newNode(engine, "")
+		resp, _ := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(all[entry.RunEnded](n.core)[0].Result).To(Equal(result))
+	},
+		Entry("full", "full", message.ResultNotAdmitted),
+		Entry("leaving", "leaving", message.ResultLeaving),
+	)
+
+	// The caller that asked for a whole answer gets one. The engine's whole
+	// answer breaks off; nothing of it was passed on, so the stream of the same
+	// request is read instead and put together.
+	It("has a broken whole answer put together from its stream", func() {
+		engine := &cuttingServer{write: func(line string) string {
+			if strings.HasPrefix(line, "POST") {
+				return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 900\r\n\r\n{\"choices\""
+			}
+			return chunked(token(0)+token(1)+usageEvent+doneEvent, true)
+		}}
+		n := newNode(engine.start(), "")
+		resp, body := n.call("POST", "/v1/chat/completions", wholeBody, nil)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(resp.Header.Get("X-Outcome")).To(Equal("answered"))
+		Expect(body).To(ContainSubstring(`"content":"t0 t1 "`))
+		Expect(engine.posts.Load()).To(Equal(int32(1)))
+	})
+})
+
+// tappedListener hands out the connections that it accepts.
+type tappedListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *tappedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.conns <- conn
+	}
+	return conn, err
+}
+
+var _ = Describe("a caller that is gone", func() {
+	// Nobody sees an answer. The caller closes its connection before the first
+	// token, when there is nothing to write yet; the edge sees it by looking at
+	// the socket, tells the core, and the core has the engine's stream cancelled.
+	It("has its request cancelled before the first token", func() {
+		release := make(chan struct{})
+		deleted := make(chan string, 1)
+		began := make(chan struct{}, 1)
+		engine := serve(func(ctx *fasthttp.RequestCtx) {
+			if ctx.IsDelete() {
+				deleted <- string(ctx.Path())
+				return
+			}
+			began <- struct{}{}
+			<-release
+		})
+		DeferCleanup(func() { close(release) })
+		n := newNode(engine, "")
+		cancelWhenGone(n)
+		conn, err := net.Dial("tcp", n.address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(chatBody), chatBody)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(began).Should(Receive())
+		Expect(conn.Close()).To(Succeed())
+		Eventually(deleted).Should(Receive(HavePrefix("/streams/" + string(prefix))))
+		Eventually(func() []entry.RunEnded { return all[entry.RunEnded](n.core) }).Should(HaveLen(1))
+		Expect(all[entry.RunEnded](n.core)[0].Result).To(Equal(message.ResultCancelled))
+	})
+
+	// As above, but after the first token has been passed on.
+	It("has its request cancelled in mid-stream", func() {
+		release := make(chan struct{})
+		deleted := make(chan string, 1)
+		engine := serve(func(ctx *fasthttp.RequestCtx) {
+			if ctx.IsDelete() {
+				deleted <- string(ctx.Path())
+				close(release)
+				return
+			}
+			ctx.SetContentType("text/event-stream")
+			ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+				_, _ = w.WriteString(token(0))
+				_ = w.Flush()
+				<-release
+			})
+		})
+		n := newNode(engine, "")
+		cancelWhenGone(n)
+		resp := n.open("POST", "/v1/chat/completions", chatBody, nil)
+		line, err := bufio.NewReader(resp.Body).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(Equal("id: 0\n"))
+		Expect(resp.Body.Close()).To(Succeed())
+		Eventually(deleted).Should(Receive())
+		Eventually(func() []entry.CallerGone { return all[entry.CallerGone](n.core) }).Should(HaveLen(1))
+	})
+})
+
+// cancelWhenGone makes the fake core cancel a run whose caller is gone.
+func cancelWhenGone(n *node) {
+	n.core.onGone = func(g entry.CallerGone) {
+		n.targets.Cancel(entry.CancelRun{ID: g.ID, Status: outcome.Partial(outcome.ReasonCallerGone, "")})
+	}
+}
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -73,6 +73,7 @@
 	full    bool
 	decide  func(entry.Submit)
 	onEnded func(entry.RunEnded)
+	onGone  func(entry.CallerGone)
 }
 
 func (c *fakeCore) Submit(in entry.Input) bool {
@@ -89,6 +90,10 @@
 		decide(in)
 	case entry.RunEnded:
 		onEnded(in)
+	case entry.CallerGone:
+		if c.onGone != nil {
+			c.onGone(in)
+		}
 	}
 	return true
 }
@@ -130,8 +135,11 @@
 	}
 }
 
-func newNode(engine, service string) *node {
+func newNode(engine, service string, edits ...func(*document.Document)) *node {
 	n := &node{core: &fakeCore{}, doc: testDocument(engine, service)}
+	for _, edit := range edits {
+		edit(n.doc)
+	}
 	n.flights = flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20})
 	n.targets = targets.New(targets.Config{Core: n.core, Flights: n.flights, Log: quiet()})
 	n.core.decide = func(s entry.Submit) {
--- /dev/null
+++ b/internal/callers/refusal_test.go
@@ -0,0 +1,118 @@
+package callers_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/outcome"
+)
+
+var _ = Describe("what the edge refuses", func() {
+	big := strings.Repeat("x", 70<<10)
+	long := `{"model":"m1","messages":[{"content":"` + strings.Repeat("word ", 4000) + `"}]}`
+
+	// Each caller sees a 4xx whose body says "not run", which is true because
+	// the core was never given the request.
+	DescribeTable("with a clear status and not run",
+		func(path, body string, header map[string]string, code int, reason outcome.Reason) {
+			n := newNode("", "")
+			resp, data := n.call("POST", path, body, header)
+			Expect(resp.StatusCode).To(Equal(code), "%s", data)
+			r := refusal(data)
+			Expect(r.Outcome).To(Equal(outcome.NotRun))
+			Expect(r.Reason).To(Equal(reason))
+			Expect(r.Ran).To(BeEquivalentTo("no"))
+			Expect(r.Detail).NotTo(BeEmpty())
+			Expect(resp.Header.Get("X-Outcome")).To(Equal("not_run"))
+			Expect(resp.Header.Get("X-Reason")).To(Equal(string(reason)))
+			Expect(all[entry.Submit](n.core)).To(BeEmpty())
+		},
+		Entry("no JSON", "/v1/chat/completions", "{", nil, 400, outcome.ReasonMalformed),
+		Entry("no prompt", "/v1/completions", `{"model":"m1"}`, nil, 400, outcome.ReasonMalformed),
+		Entry("max_tokens of 0", "/v1/completions", `{"model":"m1","prompt":"x","max_tokens":0}`, nil, 400, outcome.ReasonMalformed),
+		Entry("unknown model", "/v1/completions", `{"model":"zz","prompt":"x"}`, nil, 404, outcome.ReasonUnknownModel),
+		Entry("model of others", "/v1/completions", `{"model":"m2","prompt":"x"}`, nil, 404, outcome.ReasonUnknownModel),
+		Entry("unknown service", "/v1/services/zz/x", "", nil, 404, outcome.ReasonUnknownService),
+		Entry("unknown call", "/v1/zz", "", nil, 404, outcome.ReasonMalformed),
+		Entry("wrong key", "/v1/completions", `{}`, map[string]string{"Authorization": "Bearer zz"}, 401, outcome.ReasonUnauthorised),
+		Entry("no key", "/v1/completions", `{}`, map[string]string{"Authorization": "Basic zz"}, 401, outcome.ReasonUnauthorised),
+		Entry("oversize body", "/v1/completions", big, nil, 413, outcome.ReasonTooLarge),
+		Entry("oversize header", "/v1/completions", `{}`, map[string]string{"X-Other": big[:5<<10]}, 413, outcome.ReasonTooLarge),
+		Entry("header beyond any document", "/v1/completions", `{}`, map[string]string{"X-Other": big[:30<<10]}, 413, outcome.ReasonTooLarge),
+		Entry("prompt beyond the context", "/v1/completions", long, nil, 413, outcome.ReasonTooLarge),
+		Entry("tier of others", "/v1/completions", chatBody, map[string]string{"X-Tier": "batch"}, 400, outcome.ReasonTierNotAllowed),
+		Entry("malformed id", "/v1/completions", chatBody, map[string]string{"X-Request-Id": "zz"}, 400, outcome.ReasonMalformed),
+		Entry("deadline too long", "/v1/completions", chatBody, map[string]string{"X-Deadline-Ms": "60001"}, 400, outcome.ReasonMalformed),
+		Entry("deadline no number", "/v1/completions", chatBody, map[string]string{"X-Deadline-Ms": "soon"}, 400, outcome.ReasonMalformed),
+		Entry("unclear mark", "/v1/completions", chatBody, map[string]string{"X-Idempotent": "maybe"}, 400, outcome.ReasonMalformed),
+	)
+
+	// The caller sees 503 "not run" with the time to come back: the core's ring
+	// is full, so the request was never handed over.
+	It("when the core takes no more", func() {
+		n := newNode("", "")
+		n.core.full = true
+		resp, data := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(refusal(data).Reason).To(Equal(outcome.ReasonEntryFull))
+		Expect(resp.Header.Get("Retry-After")).To(Equal("1"))
+		Expect(n.flights.Stats().Open).To(BeZero())
+	})
+
+	// The caller sees the core's refusal as JSON with a status code, since no
+	// byte of an answer has been sent.
+	DescribeTable("what the core refuses", func(status outcome.Status, code int, said string) {
+		n := newNode("", "")
+		n.core.decide = func(s entry.Submit) { n.flights.Settle(entry.Settle{ID: s.Request.ID, Status: status}) }
+		resp, data := n.call("POST", "/v1/chat/completions", chatBody, nil)
+		Expect(resp.StatusCode).To(Equal(code))
+		Expect(refusal(data).Ran).To(BeEquivalentTo(said))
+		Expect(refusal(data).RequestID).To(Equal(resp.Header.Get("X-Request-Id")))
+	},
+		Entry("load", outcome.Refused(outcome.ReasonOverload, 0, ""), 503, "no"),
+		Entry("organisation's limit", outcome.Refused(outcome.ReasonOrganisationLimit, 0, ""), 429, "no"),
+		Entry("key in use", outcome.Undetermined(outcome.ReasonDuplicateKey, ""), 409, "unknown"),
+		Entry("deadline", outcome.Refused(outcome.ReasonDeadlinePassed, 0, ""), 504, "no"),
+		Entry("unknown", outcome.Undetermined(outcome.ReasonOwnerUnreachable, ""), 502, "unknown"),
+		Entry("ran in part", outcome.Partial(outcome.ReasonPreempted, ""), 502, "in_part"),
+	)
+
+	// The second caller sees 400 and none of the first one's answer: both used
+	// the same request id for different bodies.
+	It("an id that names another request", func() {
+		engine := serve(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("{}") })
+		n := newNode(engine, "")
+		id := map[string]string{"X-Request-Id": string(prefix) + "same"}
+		resp, _ := n.call("POST", "/v1/chat/completions", wholeBody, id)
+		Expect(resp.StatusCode).To(Equal(200))
+		resp, data := n.call("POST", "/v1/chat/completions", strings.Replace(wholeBody, "hello", "other", 1), id)
+		Expect(resp.StatusCode).To(Equal(400))
+		Expect(refusal(data).Reason).To(Equal(outcome.ReasonMalformed))
+		Expect(all[entry.Submit](n.core)).To(HaveLen(1))
+	})
+
+	// The connection beyond the limit sees a whole HTTP answer, 503 "not run".
+	It("connections beyond the limit", func() {
+		n := newNode("", "", func(d *document.Document) { d.Limits.Connections = 1 })
+		first, err := net.Dial("tcp", n.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(first.Close)
+		Eventually(func() int {
+			resp, err := http.Get("http://" + n.address + "/healthz")
+			if err != nil {
+				return 0
+			}
+			defer func() { _ = resp.Body.Close() }()
+			_, _ = io.Copy(io.Discard, resp.Body)
+			return resp.StatusCode
+		}).Should(Equal(503))
+	})
+})
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -49,7 +49,7 @@
 func (s *Server) rereadRefused(ctx *fasthttp.RequestCtx, err error) {
 	var r *refusalError
 	if !errors.As(err, &r) {
-		s.refuseError(ctx, "", err)
+		s.refuseError(ctx, nil, err)
 		return
 	}
 	status := r.status
@@ -61,7 +61,8 @@
 // attach follows the stream: its flight, when this entry has it, else at its target.
 func (s *Server) attach(c *call, token streamToken, from int) {
 	f := s.cfg.Flights.Get(token.ID)
-	if f == nil || f.Organisation != token.Organisation {
+	remote := f == nil || f.Organisation != token.Organisation
+	if remote {
 		if f = s.remote(c, token); f == nil {
 			return
 		}
@@ -69,7 +70,7 @@
 	f.Enter()
 	now := s.cfg.Now()
 	longest := document.Milliseconds(c.view.Document.Limits.DeadlineMS)
-	w := &waiting{s: s, ctx: c.ctx, f: f, stream: true, began: now, from: from, reread: true,
+	w := &waiting{s: s, ctx: c.ctx, f: f, stream: true, began: now, from: from, reread: true, remote: remote,
 		until: now.Add(longest).Add(s.cfg.Grace)}
 	w.answer()
 }
@@ -84,6 +85,9 @@
 		return nil
 	}
 	limit := c.view.Document.Limits.StreamBytes
+	if failed := s.cfg.Rereads.Get(token.ID); failed != nil && lost(failed.Answer.Ended()) {
+		s.cfg.Rereads.Drop(failed)
+	}
 	f, added := s.cfg.Rereads.Put(flight.New(&flight.Flight{
 		ID: token.ID, Organisation: token.Organisation, Kind: request.Engine, Stream: true, MaxAnswer: limit,
 	}, nil, limit))
@@ -97,3 +101,9 @@
 	}
 	return f
 }
+
+// lost reports whether a reading has ended without the whole answer; the next
+// caller's reading starts anew, since the target may hold the stream still.
+func lost(end *flight.End) bool {
+	return end != nil && end.Status.Outcome != outcome.Answered
+}
--- a/internal/callers/service.go
+++ b/internal/callers/service.go
@@ -14,12 +14,12 @@
 func (s *Server) service(ctx *fasthttp.RequestCtx) {
 	c, err := s.identify(ctx)
 	if err != nil {
-		s.refuseError(ctx, "", err)
+		s.refuseError(ctx, nil, err)
 		return
 	}
 	req, f, err := s.readService(c)
 	if err != nil {
-		s.refuseError(ctx, string(c.id), err)
+		s.refuseError(ctx, c, err)
 		return
 	}
 	s.run(c, req, f)
--- /dev/null
+++ b/internal/callers/token_test.go
@@ -0,0 +1,43 @@
+package callers
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// FuzzReadToken gives any text as a token. None but the signed one may pass, and
+// none may panic: tokens come from callers.
+func FuzzReadToken(f *testing.F) {
+	key := []byte("k")
+	now := time.Unix(1000, 0)
+	good := streamToken{Target: "e1", ID: "a-1.0.x", Organisation: "acme", Expires: 2000}
+	text := good.sign(key)
+	f.Add(text)
+	f.Add(text[:len(text)-1])
+	f.Add("")
+	f.Add(good.sign([]byte("another")))
+	f.Fuzz(func(t *testing.T, in string) {
+		got, err := readToken(in, key, now)
+		if err != nil {
+			if in == text {
+				t.Fatalf("the signed token was refused: %v", err)
+			}
+			return
+		}
+		if got != good {
+			t.Fatalf("%q passed as %+v", in, got)
+		}
+	})
+}
+
+func TestTokenExpires(t *testing.T) {
+	key := []byte("k")
+	text := streamToken{Target: "e1", Expires: 2000}.sign(key)
+	if _, err := readToken(text, key, time.Unix(1999, 0)); err != nil {
+		t.Fatalf("before its end: %v", err)
+	}
+	if _, err := readToken(text, key, time.Unix(2000, 0)); !errors.Is(err, errTokenExpired) {
+		t.Fatalf("at its end: %v", err)
+	}
+}
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -43,9 +43,27 @@
 	submits int
 	joins   int
 	done    bool
+	home    *Registry
 	ended   time.Time
 }
 
+// Finish closes the flight's answer with its final status; its registry keeps it
+// for re-reading for a while. An answer has one end: only the first call
+// counts, and it reports whether this was the first.
+func (f *Flight) Finish(status outcome.Status) bool {
+	if !f.Answer.Close(status) {
+		return false
+	}
+	f.body.Store(nil)
+	f.mu.Lock()
+	home := f.home
+	f.mu.Unlock()
+	if home != nil {
+		home.retain(f)
+	}
+	return true
+}
+
 // Target is where a request was dispatched.
 type Target struct{ Name, Address string }
 
--- a/internal/flight/registry.go
+++ b/internal/flight/registry.go
@@ -6,7 +6,6 @@
 
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/ident"
-	"sycamoretrail/internal/core/outcome"
 )
 
 // Config bounds a Registry.
@@ -63,6 +62,9 @@
 	if r.open >= r.cfg.MaxOpen {
 		return nil, false
 	}
+	f.mu.Lock()
+	f.home = r
+	f.mu.Unlock()
 	r.flights[f.ID] = f
 	r.open++
 	return f, true
@@ -86,26 +88,29 @@
 	r.open--
 }
 
-// Finish closes a flight's answer and keeps it for re-reading for a while. Only
-// the first end of a flight counts; it reports whether this was the first.
-func (r *Registry) Finish(f *Flight, status outcome.Status) bool {
-	if !f.Answer.Close(status) {
-		return false
-	}
-	f.body.Store(nil)
+// retain moves a flight that ended to those kept for re-reading.
+func (r *Registry) retain(f *Flight) {
+	bytes := f.Answer.size() + endedOverhead
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.flights[f.ID] != f {
-		return true
+		return
 	}
 	f.done = true
 	f.ended = r.cfg.Now()
 	r.open--
-	bytes := f.Answer.size() + endedOverhead
 	r.ended = append(r.ended, endedFlight{flight: f, bytes: bytes})
 	r.endedBytes += bytes
 	r.sweep()
-	return true
+}
+
+// Drop forgets an ended flight before its time.
+func (r *Registry) Drop(f *Flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.done && r.flights[f.ID] == f {
+		delete(r.flights, f.ID)
+	}
 }
 
 // sweep drops ended flights that are too old or too many bytes.
@@ -117,7 +122,9 @@
 		if r.endedBytes <= r.cfg.RetainBytes && e.flight.ended.After(oldest) {
 			break
 		}
-		delete(r.flights, e.flight.ID)
+		if r.flights[e.flight.ID] == e.flight {
+			delete(r.flights, e.flight.ID)
+		}
 		r.endedBytes -= e.bytes
 		r.ended[drop] = endedFlight{}
 		drop++
@@ -136,7 +143,7 @@
 // Settle gives a flight its final status, as the core decided it.
 func (r *Registry) Settle(s entry.Settle) {
 	if f := r.Get(s.ID); f != nil {
-		r.Finish(f, s.Status)
+		f.Finish(s.Status)
 	}
 }
 
@@ -149,7 +156,7 @@
 		return
 	}
 	if f.joined() {
-		r.Finish(f, noAnswer())
+		f.Finish(noAnswer())
 	}
 }
 
--- a/internal/targets/conn.go
+++ b/internal/targets/conn.go
@@ -47,6 +47,8 @@
 	if stale(c.Conn) {
 		return 0, errStale
 	}
+	// The silence allowed in the last answer on this connection is over.
+	_ = c.SetReadDeadline(time.Time{})
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
 		return 0, fmt.Errorf("%w: %w", errNothingSent, err)
--- a/internal/targets/control.go
+++ b/internal/targets/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -19,9 +18,6 @@
 	cancelPause    = 100 * time.Millisecond
 )
 
-// errStatus is wrapped by errors of control calls with an unexpected status.
-var errStatus = errors.New("unexpected status")
-
 // cancel stops the run at its engine. A plain service has no such call: what it
 // began goes on, and only the caller is released.
 func (r *run) cancel() {
@@ -72,17 +68,14 @@
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
-// orderBody is the engines' form of an order.
+// orderBody is the engines' form of an order; the role is left as it is.
 type orderBody struct {
 	Fencing  int64    `json:"fencing"`
 	Model    string   `json:"model"`
 	Version  string   `json:"version"`
 	Adapters []string `json:"adapters"`
-	Role     string   `json:"role"`
 }
 
-const roleBoth = "both"
-
 // Order tells a target what to hold; an OrderDone follows.
 func (t *Targets) Order(o entry.Order) {
 	if t.control.Go(func() { t.outbox.put(t.order(o)) }) != nil {
@@ -91,7 +84,7 @@
 }
 
 func (t *Targets) order(o entry.Order) entry.OrderDone {
-	body, err := json.Marshal(orderBody{Fencing: o.Fencing, Model: o.Model, Version: o.Version, Adapters: o.Adapters, Role: roleBoth})
+	body, err := json.Marshal(orderBody{Fencing: o.Fencing, Model: o.Model, Version: o.Version, Adapters: o.Adapters})
 	if err != nil {
 		return entry.OrderDone{Target: o.Target, Failed: true}
 	}
--- a/internal/targets/run.go
+++ b/internal/targets/run.go
@@ -74,12 +74,14 @@
 		}
 		result = message.ResultCancelled
 	}
-	if result == message.ResultComplete {
-		r.t.cfg.Flights.Finish(r.f, outcome.Status{Outcome: outcome.Answered, Reason: r.rejected})
-	}
 	r.end(result, wrote)
 }
 
+// complete gives the caller the end of its answer.
+func (r *run) complete() {
+	r.f.Finish(outcome.Status{Outcome: outcome.Answered, Reason: r.rejected})
+}
+
 // end tells the core how the run ended, once.
 func (r *run) end(result message.Result, wrote bool) {
 	r.endOnce.Do(func() {
@@ -101,10 +103,11 @@
 	r.answered.Store(true)
 	if refusal := resp.Header.Peek(headerNotAdmitted); resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(refusal) > 0 {
 		_ = resp.CloseBodyStream()
+		// The target says that it took nothing of what was sent.
 		if string(refusal) == notAdmittedLeave {
-			return message.ResultLeaving, true
+			return message.ResultLeaving, false
 		}
-		return message.ResultNotAdmitted, true
+		return message.ResultNotAdmitted, false
 	}
 	if r.kind == request.Engine && resp.StatusCode() >= fasthttp.StatusInternalServerError {
 		_ = resp.CloseBodyStream()
@@ -218,6 +221,7 @@
 		r.f.Answer.AppendOwned(body)
 	}
 	r.stream.noteWhole(body)
+	r.complete()
 	return nil
 }
 
--- a/internal/targets/stream.go
+++ b/internal/targets/stream.go
@@ -93,6 +93,8 @@
 			return fmt.Errorf("%w: %w", errBroken, err)
 		}
 		if bytes.Equal(ev.data, doneMark) {
+			r.complete()
+			drain(src)
 			return nil
 		}
 		if err := r.take(ev); err != nil {
@@ -101,6 +103,16 @@
 	}
 }
 
+// drain reads what follows an end mark, so that the connection can be used
+// again; the caller has its answer already.
+func drain(src io.Reader) {
+	_, _ = io.CopyN(io.Discard, src, maxDrain)
+}
+
+// maxDrain is the most that is read after an end mark before the connection is
+// given up.
+const maxDrain = 4 << 10
+
 // take passes one event on, and drops it when it came before.
 func (r *run) take(ev event) error {
 	s := &r.stream
@@ -227,7 +239,7 @@
 	if err != nil {
 		status, result = r.lostStatus(err), message.ResultBroken
 	}
-	r.t.cfg.Flights.Finish(r.f, status)
+	r.f.Finish(status)
 	r.onEnd(result)
 }
 
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -52,6 +52,8 @@
 	ResumePause time.Duration
 	// ProgressEvery is the least time between two RunProgress of one run.
 	ProgressEvery time.Duration
+	// AttachTimeout bounds the following of another entry's stream.
+	AttachTimeout time.Duration
 	// ProbeEvery is the time between two probes of one target.
 	ProbeEvery time.Duration
 	// Now is the clock; time.Now when nil.
@@ -69,6 +71,7 @@
 	setDefault(&c.ResumeAttempts, 3)
 	setDefault(&c.ResumePause, 50*time.Millisecond)
 	setDefault(&c.ProgressEvery, 100*time.Millisecond)
+	setDefault(&c.AttachTimeout, 10*time.Minute)
 	setDefault(&c.ProbeEvery, time.Second)
 	if c.Now == nil {
 		c.Now = time.Now
@@ -96,6 +99,7 @@
 	mu      sync.Mutex
 	running map[ident.RequestID]*run
 	clients map[clientKey]*fasthttp.HostClient
+	probing map[string]bool
 }
 
 type clientKey struct {
@@ -114,6 +118,7 @@
 		probes:  newPool(cfg.ProbeWorkers, 0),
 		running: make(map[ident.RequestID]*run),
 		clients: make(map[clientKey]*fasthttp.HostClient),
+		probing: make(map[string]bool),
 	}
 }
 
@@ -179,11 +184,12 @@
 		return true
 	}
 	f.SetTarget(target, address)
-	r := &run{t: t, f: f, target: target, address: address, kind: f.Kind, attached: true, onEnd: ended}
+	r := &run{t: t, f: f, target: target, address: address, kind: f.Kind, attached: true, onEnd: ended,
+		deadline: t.cfg.Now().Add(t.cfg.AttachTimeout)}
 	if t.start(r, r.attach) {
 		return true
 	}
-	t.cfg.Flights.Finish(f, outcome.Undetermined(outcome.ReasonEntryFull, "this entry follows too many streams"))
+	f.Finish(outcome.Undetermined(outcome.ReasonEntryFull, "this entry follows too many streams"))
 	ended(message.ResultBroken)
 	return false
 }
