Keep prefixes in the cache longer than what builds on them

The cache dropped the root of a chain first, since blocks were touched again shortest first; the rest was then useless. And no test noticed a handler that outlives a crash ending its run as complete. Both have tests now; list and weight store have theirs too.

--- a/internal/standin/base/base_test.go
+++ b/internal/standin/base/base_test.go
@@ -1,11 +1,13 @@
 package base_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/standin/base"
 )
@@ -35,6 +37,41 @@
 	)
 })
 
+var _ = Describe("a crash", func() {
+	// A call is running when the process dies, and its handler comes to its end
+	// after the restart. The caller saw the connection close; the run must stay
+	// incomplete, and the handler must not begin anything in the new process.
+	It("leaves nothing to a handler that outlives it", func() {
+		began, release, ended := make(chan bool), make(chan bool), make(chan bool)
+		var h *base.Host
+		h = base.New(base.Common{}, base.Behaviour{Handle: func(ctx *fasthttp.RequestCtx) {
+			ticket, begun := h.Ledger().Begin(ctx, "id-1")
+			began <- begun
+			<-release
+			h.Ledger().End(ticket, func(run *base.Run) { run.Complete = true })
+			_, begun = h.Ledger().Begin(ctx, "id-2")
+			ended <- begun
+		}})
+		Expect(h.Start("127.0.0.1:0")).To(Succeed())
+		DeferCleanup(h.Close)
+		failed := make(chan error)
+		go func() {
+			_, err := http.Get("http://" + h.Address() + "/")
+			failed <- err
+		}()
+		Expect(<-began).To(BeTrue())
+		h.Crash()
+		Expect(<-failed).To(HaveOccurred())
+		Expect(h.Apply(base.Faults{})).To(Succeed())
+		close(release)
+		Expect(<-ended).To(BeFalse())
+		report := h.Ledger().Report()
+		Expect(report.Incarnation).To(Equal(2))
+		Expect(report.Runs).To(HaveLen(1))
+		Expect(report.Runs[0].Complete).To(BeFalse())
+	})
+})
+
 var _ = Describe("Bucket", func() {
 	It("lets the rate through and tells when to come again", func() {
 		var b base.Bucket
--- a/internal/standin/enginemodel/model.go
+++ b/internal/standin/enginemodel/model.go
@@ -231,7 +231,8 @@
 		}
 		m.waiting = m.waiting[1:]
 		m.reserved += seq.reservation()
-		seq.reuse(m.cache.match(seq.job.Prefixes) * request.PrefixBlockTokens)
+		seq.blocks = m.cache.match(seq.job.Prefixes)
+		seq.reuse(seq.blocks * request.PrefixBlockTokens)
 		m.running = append(m.running, seq)
 	}
 }
@@ -288,6 +289,9 @@
 // cacheBlocks puts the blocks that are now computed into the prefix cache.
 func (m *Model) cacheBlocks(at time.Time, seq *sequence, events []Event) []Event {
 	whole := min((seq.cached+seq.computed)/request.PrefixBlockTokens, len(seq.job.Prefixes))
+	if seq.blocks >= whole {
+		return events
+	}
 	for ; seq.blocks < whole; seq.blocks++ {
 		hash := seq.job.Prefixes[seq.blocks]
 		added, dropped, evicted := m.cache.add(hash)
@@ -298,5 +302,6 @@
 			events = append(events, Event{Kind: CacheAdded, At: at, Hash: hash})
 		}
 	}
+	m.cache.match(seq.job.Prefixes[:whole])
 	return events
 }
--- a/internal/standin/enginemodel/model_test.go
+++ b/internal/standin/enginemodel/model_test.go
@@ -165,6 +165,21 @@
 		Expect(of(events, CacheDropped, "")).To(HaveLen(1))
 		Expect(of(events, CacheDropped, "")[0].Hash).To(Equal(prefixes(2, 1)[0]))
 	})
+
+	It("keeps a prefix longer than what builds on it", func() {
+		for _, again := range []bool{false, true} {
+			p := Newer()
+			p.CacheTokens = 3 * block
+			m := New(p)
+			run(m, "a", prefixes(1, 2), 2*block+1)
+			if again {
+				run(m, "a again", prefixes(1, 2), 2*block+1)
+			}
+			run(m, "b", prefixes(2, 1), block)
+			events := run(m, "c", prefixes(3, 1), block)
+			Expect(of(events, CacheDropped, "")[0].Hash).To(Equal(prefixes(1, 2)[1]))
+		}
+	})
 })
 
 var _ = Describe("losing work", func() {
--- a/internal/standin/enginemodel/sequence.go
+++ b/internal/standin/enginemodel/sequence.go
@@ -13,7 +13,7 @@
 	computed  int  // prompt tokens computed
 	chunk     int  // prompt tokens computed in the step under way
 	yields    bool // the step under way gives a token
-	blocks    int  // prefixes offered to the cache
+	blocks    int  // prefixes that the cache has or was offered
 	tokens    int  // tokens that exist
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -97,7 +97,9 @@
 		base.DropConnection(ctx)
 		return
 	}
-	s.Pause(time.Duration(s.params.ServiceMS * f.Slowdown() * float64(time.Millisecond)))
+	if !s.Pause(time.Duration(s.params.ServiceMS * f.Slowdown() * float64(time.Millisecond))) {
+		return
+	}
 	if f.CrashesOn(ctx.PostBody()) {
 		s.Crash()
 		return
--- a/internal/standin/settings/settings.go
+++ b/internal/standin/settings/settings.go
@@ -30,6 +30,9 @@
 	KindWeights   = "weights"
 )
 
+// anyPort lets the system choose; it may stand in a file more than once.
+const anyPort = "0"
+
 // File is a settings file.
 type File struct {
 	StandIns []StandIn `json:"standins"`
@@ -81,9 +84,10 @@
 		}
 		names[s.Name] = true
 		for _, address := range []string{s.Address, s.AdminAddress} {
-			if _, _, err := net.SplitHostPort(address); err != nil {
+			_, port, err := net.SplitHostPort(address)
+			if err != nil {
 				fail(fmt.Errorf("address %q: %w", address, err))
-			} else if addresses[address] {
+			} else if addresses[address] && port != anyPort {
 				fail(fmt.Errorf("address %q is used twice", address))
 			}
 			addresses[address] = true
--- a/internal/standin/settings/settings_test.go
+++ b/internal/standin/settings/settings_test.go
@@ -34,20 +34,21 @@
 	It("starts all that it lists", func() {
 		var list []string
 		for _, kind := range []string{KindEngine, KindService, KindLog, KindInstances, KindWeights} {
-			list = append(list, `{"kind":"`+kind+`","name":"`+kind+`","address":"127.0.0.1:0","admin_address":"localhost:0"}`)
+			list = append(list, `{"kind":"`+kind+`","name":"`+kind+`","address":"127.0.0.1:0","admin_address":"127.0.0.1:0"}`)
 		}
-		for _, one := range list {
-			file, err := Parse([]byte(`{"standins":[` + one + `]}`))
-			Expect(err).NotTo(HaveOccurred())
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			running, err := file.Start(log)
-			Expect(err).NotTo(HaveOccurred())
-			answer, err := http.Get("http://" + running[0].AdminAddress() + "/admin/ledger")
+		file, err := Parse([]byte(`{"standins":[` + strings.Join(list, ",") + `]}`))
+		Expect(err).NotTo(HaveOccurred())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		running, err := file.Start(log)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(CloseAll, running)
+		Expect(running).To(HaveLen(len(list)))
+		for _, one := range running {
+			answer, err := http.Get("http://" + one.AdminAddress() + "/admin/ledger")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(answer.StatusCode).To(Equal(http.StatusOK))
 			Expect(answer.Body.Close()).To(Succeed())
-			Expect(CloseAll(running)).To(Succeed())
 		}
 	})
 })
