--- a/internal/core/claims/claims.go
+++ b/internal/core/claims/claims.go
@@ -44,7 +44,9 @@
 	// MaxBatch, how many share one at most.
 	BatchEvery time.Duration
 	MaxBatch   int
-	// MaxKeys bounds what is remembered and waits, over all partitions.
+	// MaxKeys bounds what is remembered and waits, over all partitions: beyond
+	// it no new key is taken. What is read from others and the releases may
+	// bring memory to twice as much; beyond that a partition is given up.
 	MaxKeys int
 	// AppendTimeout is how long an ask may wait for its verdict.
 	AppendTimeout time.Duration
@@ -212,7 +214,7 @@
 		p.released(c)
 	}
 	p.fold.expire(now.Add(-h.cfg.Horizon))
-	if h.Size() > h.cfg.MaxKeys {
+	if h.remembered() > overflowAt*h.cfg.MaxKeys {
 		h.overflow(now, p)
 		return h.out
 	}
@@ -223,6 +225,10 @@
 	return h.out
 }
 
+// overflowAt, times MaxKeys, is the bound on what is remembered. A home that
+// takes keys up to MaxKeys must have room for the release of each.
+const overflowAt = 2
+
 // overflow gives a partition up for a while, since it holds more claims than
 // there is memory for; without all of them no verdict is safe.
 func (h *Home) overflow(now time.Time, p *partition) {
@@ -350,9 +356,18 @@
 
 // Size is the number of claims and releases remembered and of asks waiting.
 func (h *Home) Size() int {
+	n := h.remembered()
+	for _, p := range h.partitions {
+		n += len(p.asks) + len(p.releases)
+	}
+	return n
+}
+
+// remembered is the number of claims and releases that were read.
+func (h *Home) remembered() int {
 	n := 0
 	for _, p := range h.partitions {
-		n += p.fold.size() + len(p.asks) + len(p.releases)
+		n += p.fold.size()
 	}
 	return n
 }
--- /dev/null
+++ b/internal/core/claims/claims_test.go
@@ -0,0 +1,378 @@
+package claims_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/claims"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/record"
+	"sycamoretrail/internal/core/request"
+)
+
+func TestClaims(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claims")
+}
+
+const (
+	horizon = time.Hour
+	timeout = 2 * time.Second
+	key     = request.KeyHash("k")
+)
+
+func config() claims.Config {
+	return claims.Config{Partitions: 1, Horizon: horizon, BatchEvery: 50 * time.Millisecond, MaxBatch: 64, MaxKeys: 1000, AppendTimeout: timeout}
+}
+
+// world is one partition's stream and the homes that read it.
+type world struct {
+	now   time.Time
+	log   []record.Record
+	taken []time.Time
+	// lose says what becomes of the next appends.
+	lose lose
+	// late are appends that have not landed yet.
+	late []record.Record
+	down bool
+}
+
+type lose uint8
+
+const (
+	// loseNothing: appends land and are answered.
+	loseNothing lose = iota
+	// loseAnswer: they land, and nobody learns of it.
+	loseAnswer
+	// loseRecord: they do not land, and nobody learns of it.
+	loseRecord
+	// loseBoth: they land later, and nobody learns of it.
+	loseBoth
+	// refuse: the log says no.
+	refuse
+)
+
+func newWorld() *world { return &world{now: time.Unix(1_000_000, 0)} }
+
+func (w *world) land(rec record.Record) {
+	w.log = append(w.log, rec)
+	w.taken = append(w.taken, w.now)
+}
+
+// node is one home.
+type node struct {
+	*claims.Home
+	w       *world
+	reads   bool
+	next    int
+	answers []claims.Verdict
+	appends int
+}
+
+func (w *world) node(cfg claims.Config) *node {
+	n := &node{Home: claims.New(cfg), w: w}
+	n.do(n.SetHome(w.now, []int{0}))
+	return n
+}
+
+func (n *node) do(effects []claims.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case claims.Follow:
+			n.reads, n.next = true, 0
+		case claims.Unfollow:
+			n.reads = false
+		case claims.Verdict:
+			n.answers = append(n.answers, e)
+		case claims.Append:
+			n.append(e)
+		}
+	}
+}
+
+func (n *node) append(e claims.Append) {
+	n.appends++
+	switch n.w.lose {
+	case loseNothing:
+		n.w.land(e.Record)
+		n.do(n.Appended(n.w.now, e.Tag, int64(len(n.w.log)), false))
+	case loseAnswer:
+		n.w.land(e.Record)
+		n.do(n.Appended(n.w.now, e.Tag, -1, false))
+	case loseRecord:
+		n.do(n.Appended(n.w.now, e.Tag, -1, false))
+	case loseBoth:
+		n.w.late = append(n.w.late, e.Record)
+		n.do(n.Appended(n.w.now, e.Tag, -1, false))
+	case refuse:
+		n.do(n.Appended(n.w.now, e.Tag, -1, true))
+	}
+}
+
+// read delivers the log to its end.
+func (n *node) read() {
+	if n.w.down || !n.reads {
+		return
+	}
+	since := n.w.now
+	for ; n.next < len(n.w.log); n.next++ {
+		age := n.w.now.Sub(n.w.taken[n.next])
+		if age <= horizon {
+			n.do(n.Record(n.w.now, 0, int64(n.next+1), age, n.w.log[n.next]))
+		}
+	}
+	n.do(n.CaughtUp(n.w.now, 0, since))
+}
+
+// pass lets time pass in steps and has the nodes read.
+func (w *world) pass(d time.Duration, nodes ...*node) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(20 * time.Millisecond)
+		for _, n := range nodes {
+			n.do(n.Tick(w.now))
+			n.read()
+		}
+	}
+}
+
+func (n *node) ask(id ident.RequestID) { n.do(n.Ask(n.w.now, "owner", key, id)) }
+func (n *node) giveUp(id ident.RequestID) {
+	n.do(n.Release(n.w.now, key, id))
+}
+
+// winners lists the answers as "id>winner".
+func (n *node) winners() []string {
+	var out []string
+	for _, v := range n.answers {
+		out = append(out, fmt.Sprintf("%s>%s", v.ID, v.Winner))
+	}
+	n.answers = nil
+	return out
+}
+
+func claimOf(id ident.RequestID) record.Record {
+	return record.Record{Claims: []record.Claim{{Key: key, ID: id}}}
+}
+
+func releaseOf(id ident.RequestID) record.Record {
+	return record.Record{Releases: []record.Claim{{Key: key, ID: id}}}
+}
+
+// What follows from a log alone: each home reads it and is asked by one more
+// request, and by those whose claims stand in it.
+var _ = DescribeTable("the order of records decides",
+	func(log []record.Record, want ...string) {
+		w := newWorld()
+		for _, rec := range log {
+			w.land(rec)
+		}
+		n := w.node(config())
+		n.read()
+		for _, id := range []ident.RequestID{"a", "b", "c"} {
+			n.ask(id)
+			w.pass(200*time.Millisecond, n)
+		}
+		Expect(n.winners()).To(Equal(want))
+	},
+	Entry("first claim holds", []record.Record{claimOf("a"), claimOf("b")}, "a>a", "b>a", "c>a"),
+	Entry("copies change nothing", []record.Record{claimOf("a"), claimOf("b"), claimOf("a")}, "a>a", "b>a", "c>a"),
+	// The owner of a was told nothing in time: it refused "not run", voided a
+	// and released it. The caller tries again as b, which runs.
+	Entry("claim after a release holds", []record.Record{claimOf("a"), releaseOf("a"), claimOf("b")}, "a>", "b>b", "c>b"),
+	// As before, but the append of a's claim lands only after its release. The
+	// key must not be held by a, which will never run.
+	Entry("late claim of a released id is dead", []record.Record{releaseOf("a"), claimOf("a"), claimOf("b")}, "a>", "b>b", "c>b"),
+	// b lost against a and was not released; then a is. b holds the key: a
+	// reader that started after a's claim knows no more than that.
+	Entry("claim behind a released one moves up", []record.Record{claimOf("a"), claimOf("b"), releaseOf("a"), claimOf("c")}, "a>", "b>b", "c>b"),
+	Entry("loser that was released stands back", []record.Record{claimOf("a"), claimOf("b"), releaseOf("b"), releaseOf("a"), claimOf("c")}, "a>", "b>", "c>c"),
+)
+
+var _ = Describe("appends with faults", func() {
+	DescribeTable("settles one claim whose append is troubled",
+		func(fault lose, appends int) {
+			w := newWorld()
+			n := w.node(config())
+			n.read()
+			w.lose = fault
+			n.ask("a")
+			w.pass(100*time.Millisecond, n)
+			w.lose = loseNothing
+			w.pass(500*time.Millisecond, n)
+			Expect(n.winners()).To(Equal([]string{"a>a"}))
+			Expect(n.appends).To(Equal(appends))
+		},
+		Entry("nothing lost", loseNothing, 1),
+		// The record is there: reading it back settles the claim.
+		Entry("answer lost", loseAnswer, 1),
+		// A reading begun after the append's end does not show the record, so
+		// it is written again while the caller waits.
+		Entry("record and answer lost", loseRecord, 2),
+		Entry("refused by the log", refuse, 2),
+	)
+
+	// The append seems lost and the home writes the claim again; then the
+	// first lands too. Both records name the same request: nothing changes.
+	It("takes a second landing of the same claim without harm", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		w.lose = loseBoth
+		n.ask("a")
+		w.pass(100*time.Millisecond, n)
+		w.lose = loseNothing
+		w.pass(300*time.Millisecond, n)
+		for _, rec := range w.late {
+			w.land(rec)
+		}
+		n.ask("b")
+		w.pass(300*time.Millisecond, n)
+		Expect(n.winners()).To(Equal([]string{"a>a", "b>a"}))
+	})
+
+	// The claim's fate is unknown until the caller's time is over: the owner
+	// gets no verdict, refuses "not run", voids the id and releases it. The
+	// claim lands after all, and the caller's next try must not be shut out.
+	It("lets the next request run after a claim that timed out lands late", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		w.lose = loseBoth
+		n.ask("a")
+		w.pass(timeout+time.Second, n)
+		Expect(n.winners()).To(Equal([]string{"a>"}))
+		w.lose = loseNothing
+		n.giveUp("a")
+		w.pass(200*time.Millisecond, n)
+		for _, rec := range w.late {
+			w.land(rec)
+		}
+		n.ask("b")
+		w.pass(300*time.Millisecond, n)
+		Expect(n.winners()).To(Equal([]string{"b>b"}))
+	})
+
+	// The log goes down while a claim waits: the caller is refused at once
+	// instead of waiting for an outage to end, and so is whoever asks during it.
+	It("gives no verdict at once while the log is down", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		n.ask("a")
+		w.down = true
+		n.do(n.Down(w.now, 0))
+		n.ask("b")
+		Expect(n.winners()).To(Equal([]string{"a>", "b>"}))
+		n.giveUp("a")
+		w.down = false
+		w.pass(300*time.Millisecond, n)
+		n.ask("c")
+		w.pass(300*time.Millisecond, n)
+		Expect(n.winners()).To(Equal([]string{"c>c"}))
+	})
+})
+
+var _ = Describe("homes", func() {
+	// Membership is in change and two entries believe to be the home. Each
+	// writes its own request's claim; the log's order decides for both.
+	It("agree when there are two at once", func() {
+		w := newWorld()
+		m, n := w.node(config()), w.node(config())
+		m.read()
+		n.read()
+		m.ask("a")
+		n.ask("b")
+		w.pass(300*time.Millisecond, m, n)
+		Expect(m.winners()).To(Equal([]string{"a>a"}))
+		Expect(n.winners()).To(Equal([]string{"b>a"}))
+	})
+
+	// The home changes after it wrote a claim and before its verdict. The
+	// owner asks the new home with the same id, while the caller's second try
+	// asks too. The new home must say nothing before it has read back.
+	It("change in the middle of a claim", func() {
+		w := newWorld()
+		m := w.node(config())
+		m.read()
+		m.ask("a")
+		w.pass(60*time.Millisecond, m)
+		n := w.node(config())
+		n.ask("b")
+		n.ask("a")
+		n.do(n.Tick(w.now))
+		Expect(n.winners()).To(BeEmpty())
+		m.do(m.SetHome(w.now, nil))
+		w.pass(100*time.Millisecond, m, n)
+		Expect(n.winners()).To(Equal([]string{"b>a", "a>a"}))
+		Expect(m.reads).To(BeFalse())
+	})
+
+	It("give up a key after the horizon, not before", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		n.ask("a")
+		w.pass(100*time.Millisecond, n)
+		w.now = w.now.Add(horizon - time.Minute)
+		n.ask("b")
+		w.now = w.now.Add(2 * time.Minute)
+		n.do(n.Tick(w.now))
+		n.ask("c")
+		w.pass(100*time.Millisecond, n)
+		Expect(n.winners()).To(Equal([]string{"a>a", "b>a", "c>c"}))
+	})
+
+	It("share one record among claims of a batch", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		for i := range 100 {
+			n.do(n.Ask(w.now, "owner", request.KeyHash(fmt.Sprint("k", i)), "a"))
+		}
+		w.pass(100*time.Millisecond, n)
+		Expect(n.appends).To(Equal(2))
+		Expect(n.winners()).To(HaveLen(100))
+	})
+
+	// Memory is full: a claim that is forgotten early would let its key run
+	// twice, so new keys get no verdict, and known ones keep theirs.
+	It("refuse new keys when full, and keep what they know", func() {
+		cfg := config()
+		cfg.MaxKeys = 10
+		w := newWorld()
+		n := w.node(cfg)
+		n.read()
+		for i := range 12 {
+			n.do(n.Ask(w.now, "owner", request.KeyHash(fmt.Sprint("k", i)), "a"))
+		}
+		w.pass(100*time.Millisecond, n)
+		Expect(n.Size()).To(Equal(10))
+		n.do(n.Ask(w.now, "owner", "k0", "b"))
+		Expect(n.winners()).To(ContainElements("a>", "b>a"))
+	})
+
+	// Other homes fill a partition beyond this one's memory. It can hold only
+	// part of the claims, so it may speak for none of them until there is room.
+	It("give a partition up that is too large, and read it again later", func() {
+		cfg := config()
+		cfg.MaxKeys = 10
+		w := newWorld()
+		n := w.node(cfg)
+		for i := range 21 {
+			w.land(record.Record{Claims: []record.Claim{{Key: request.KeyHash(fmt.Sprint("k", i)), ID: "a"}}})
+		}
+		n.read()
+		Expect(n.reads).To(BeFalse())
+		n.ask("b")
+		Expect(n.winners()).To(Equal([]string{"b>"}))
+		w.now = w.now.Add(horizon + time.Minute)
+		w.pass(100*time.Millisecond, n)
+		n.ask("c")
+		w.pass(100*time.Millisecond, n)
+		Expect(n.winners()).To(Equal([]string{"c>c"}))
+	})
+})
