--- a/internal/core/claims/claims_test.go
+++ b/internal/core/claims/claims_test.go
@@ -256,6 +256,50 @@
 		Expect(n.winners()).To(Equal([]string{"b>b"}))
 	})
 
+	// A reading that was begun before the append ended says nothing about it:
+	// were it taken as proof, each claim on a slow log would be written twice.
+	It("waits for a reading begun after the append's end", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		w.lose = loseRecord
+		n.ask("a")
+		begun := w.now
+		w.now = w.now.Add(100 * time.Millisecond)
+		n.do(n.Tick(w.now))
+		n.do(n.CaughtUp(w.now, 0, begun))
+		w.now = w.now.Add(100 * time.Millisecond)
+		n.do(n.Tick(w.now))
+		Expect(n.appends).To(Equal(1))
+		n.do(n.CaughtUp(w.now, 0, w.now))
+		Expect(n.appends).To(Equal(2))
+	})
+
+	// The claim of a has not landed, another home's claim of b holds the key,
+	// and a's owner releases. The release must be written although nothing of
+	// a was read: a's claim may land and stand behind b's.
+	It("writes the release of a claim that may still land", func() {
+		w := newWorld()
+		n := w.node(config())
+		n.read()
+		w.lose = loseBoth
+		n.ask("a")
+		w.pass(100*time.Millisecond, n)
+		w.land(claimOf("b"))
+		n.read()
+		Expect(n.winners()).To(Equal([]string{"a>b"}))
+		w.lose = loseNothing
+		n.giveUp("a")
+		w.pass(100*time.Millisecond, n)
+		Expect(w.log).To(ContainElement(releaseOf("a")))
+
+		appends := n.appends
+		n.ask("c")
+		n.giveUp("c")
+		w.pass(100*time.Millisecond, n)
+		Expect(n.appends).To(Equal(appends), "the claim of c was never written")
+	})
+
 	// The log goes down while a claim waits: the caller is refused at once
 	// instead of waiting for an outage to end, and so is whoever asks during it.
 	It("gives no verdict at once while the log is down", func() {
@@ -304,10 +348,12 @@
 		n.ask("b")
 		n.ask("a")
 		n.do(n.Tick(w.now))
+		n.do(n.Record(w.now, 0, 1, 0, w.log[0]))
+		n.ask("c")
 		Expect(n.winners()).To(BeEmpty())
 		m.do(m.SetHome(w.now, nil))
 		w.pass(100*time.Millisecond, m, n)
-		Expect(n.winners()).To(Equal([]string{"b>a", "a>a"}))
+		Expect(n.winners()).To(Equal([]string{"b>a", "a>a", "c>a"}))
 		Expect(m.reads).To(BeFalse())
 	})
 
--- a/internal/core/orders/orders.go
+++ b/internal/core/orders/orders.go
@@ -172,8 +172,9 @@
 	order := holding{model: rec.Model, version: rec.Version, adapters: sorted(rec.Adapters)}
 	t.latest = logged{offset: offset, order: order, holder: rec.Holder, taken: now.Add(-age)}
 	t.latest.finished = t.agrees(order)
-	if rec.Holder != o.cfg.Self {
-		// Not this one's order: whatever was begun here is older than it.
+	// An order of before this entry's hold is the former holder's, who is
+	// replaced; a later one is of another that may be the holder now.
+	if rec.Holder != o.cfg.Self && o.caught && t.latest.taken.After(t.from) {
 		t.standBack()
 	}
 	o.act(now)
