--- a/internal/core/document/defaults.go
+++ b/internal/core/document/defaults.go
@@ -32,6 +32,8 @@
 	return Refusal{
 		RetryAfterMinMS:   200,
 		RetryAfterMaxMS:   3000,
+		Early:             true,
+		Preempt:           true,
 		FloorMS:           1000,
 		ShortPromptTokens: 512,
 	}
--- a/internal/core/orders/orders_test.go
+++ b/internal/core/orders/orders_test.go
@@ -19,8 +19,8 @@
 	RunSpecs(t, "orders")
 }
 
-// index wants version v of model m, with adapters, at four targets: two of a
-// class that checks fencing numbers, two of one that does not.
+// index wants version v of model m, with adapters, at targets of a
+// class that checks fencing numbers and at one of a class that does not.
 func index(version string) *document.Index {
 	return document.NewIndex(&document.Document{
 		Pools: []document.Pool{{Name: "p"}, {Name: "q"}},
@@ -37,6 +37,7 @@
 			{Name: "c1", Pool: "p", Class: "checks"},
 			{Name: "c2", Pool: "p", Class: "checks"},
 			{Name: "c3", Pool: "p", Class: "checks"},
+			{Name: "c4", Pool: "p", Class: "checks"},
 			{Name: "t1", Pool: "q", Class: "trusts"},
 		},
 	})
@@ -60,7 +61,7 @@
 
 func newWorld() *world {
 	w := &world{now: time.Unix(1_000_000, 0), engines: map[string]*engine{}}
-	for _, name := range []string{"c1", "c2", "c3", "t1"} {
+	for _, name := range []string{"c1", "c2", "c3", "c4", "t1"} {
 		w.engines[name] = &engine{checks: name[0] == 'c'}
 	}
 	return w
@@ -196,21 +197,32 @@
 		Expect(h.sent).To(HaveLen(3))
 	})
 
-	// Three entries begin an order in the same pool at one time, each unaware
-	// of the others. The log's order says whose turn it is.
+	// Four entries begin an order in the same pool at one time, each unaware of
+	// the others. The log's order says who goes first, and who when one is done.
 	It("share a pool's places between holders in the order of the log", func() {
 		w := newWorld()
-		a, b, c := w.holder("a", "c1"), w.holder("b", "c2"), w.holder("c", "c3")
-		a.do(a.Observed(w.now, "c1", "", "", nil))
-		b.do(b.Observed(w.now, "c2", "", "", nil))
-		c.do(c.Observed(w.now, "c3", "", "", nil))
-		Expect(w.log).To(HaveLen(3))
-		for _, h := range []*holder{a, b, c} {
+		names := []string{"c1", "c2", "c3", "c4"}
+		var holders []*holder
+		for i, name := range names {
+			h := w.holder(ident.Incarnation(fmt.Sprint("h", i)), name)
+			h.do(h.Observed(w.now, name, "", "", nil))
+			holders = append(holders, h)
+		}
+		Expect(w.log).To(HaveLen(4))
+		sent := func() (out []int) {
+			for _, h := range holders {
+				out = append(out, len(h.sent))
+			}
+			return out
+		}
+		for _, h := range holders {
 			h.look()
 		}
-		Expect(append(a.sent, append(b.sent, c.sent...)...)).To(HaveLen(2))
-		c.look("c1", "c2")
-		Expect(c.sent).To(HaveLen(1))
+		Expect(sent()).To(Equal([]int{1, 1, 0, 0}))
+		for _, h := range holders {
+			h.look("c1")
+		}
+		Expect(sent()).To(Equal([]int{1, 1, 1, 0}))
 	})
 
 	It("stop while the log is down, since nothing can be fenced", func() {
