Serve a request end to end through one entry

Cause: until now only the parts stood. The entry's core composes its duties, the daemon wires core, callers, targets, links and log; sycamore-standin layout writes the settings of a whole deployment from its document. Found on the way: an entry that became ready did not place targets, since a change of its own state is no change of a member; the state's change rebalances now. Conclusion: the thin path stands; load, failures and several entries are next.

--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -1,25 +1,108 @@
 package main
 
 import (
-	"errors"
 	"net"
+	"time"
 
+	"sycamoretrail/internal/callers"
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/duty"
+	"sycamoretrail/internal/flight"
+	"sycamoretrail/internal/targets"
+	"sycamoretrail/internal/telemetry"
+)
+
+// Bounds of the data plane that no document sets.
+const (
+	// openFlights exceeds any document's limit of requests in flight, which the
+	// core enforces by tier; this one only bounds memory.
+	openFlights = 20_000
+	// retainAnswers is how long an ended answer can be read again here.
+	retainAnswers = 30 * time.Second
+	retainBytes   = 64 << 20
+	sweepEvery    = time.Second
 )
 
 // dataPlane is the way of requests through the process: callers, flights, targets.
-type dataPlane interface {
-	duty.Targets
-	duty.Flights
-	duty.Publisher
-	// Serve answers callers until Close.
-	Serve(net.Listener) error
-	Close()
+type dataPlane struct {
+	*targets.Targets
+	*flight.Registry
+	callers *callers.Server
+	rereads *flight.Registry
+	stop    chan struct{}
+}
+
+// coreInputs brings the edges' inputs to the core. Ends must not be lost; all
+// else is refused or dropped when the ring is full.
+type coreInputs struct{ loop *duty.Loop[*entry.Entry] }
+
+// Submit hands an input over; false when the ring is full.
+func (c coreInputs) Submit(in entry.Input) bool {
+	switch in.(type) {
+	case entry.RunEnded, entry.RunStarted, entry.CallerGone, entry.OrderDone:
+		c.loop.Deliver(in)
+		return true
+	}
+	return c.loop.Submit(in)
+}
+
+func newDataPlane(p *process) *dataPlane {
+	registry := flight.Config{MaxOpen: openFlights, Retain: retainAnswers, RetainBytes: retainBytes}
+	d := &dataPlane{
+		Registry: flight.NewRegistry(registry),
+		rereads:  flight.NewRegistry(registry),
+		stop:     make(chan struct{}),
+	}
+	core := coreInputs{loop: p.loop}
+	d.Targets = targets.New(targets.Config{Core: core, Flights: d.Registry, Log: p.logger})
+	d.callers = callers.New(callers.Config{
+		Core: core, View: p.views.current.Load, Flights: d.Registry, Rereads: d.rereads, Follower: d.Targets,
+		TokenKey: []byte(p.settings.SharedKey), Metrics: p.metrics.Handler, Observe: p.observe, Log: p.logger,
+	})
+	go d.Targets.Watch(d.stop, p.views.current.Load, p.views.probed)
+	go d.sweep()
+	return d
 }
 
-// errNoDataPlane: this build has no callers' and targets' side.
-var errNoDataPlane = errors.New("the data plane is not wired into this build")
+// Serve answers callers until Close.
+func (d *dataPlane) Serve(listener net.Listener) error { return d.callers.Serve(listener) }
 
-// newDataPlane is to be replaced by the wiring of internal/callers, flight and
-// targets, which take p.loop as their core.
-func newDataPlane(*process) (dataPlane, error) { return nil, errNoDataPlane }
+// Close ends the callers' side first, so that nothing new arrives.
+func (d *dataPlane) Close() error {
+	close(d.stop)
+	err := d.callers.Shutdown()
+	d.Targets.Close()
+	return err
+}
+
+func (d *dataPlane) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-ticker.C:
+			d.Registry.Sweep()
+			d.rereads.Sweep()
+		}
+	}
+}
+
+// observe counts an answered request.
+func (p *process) observe(o callers.Observation) {
+	p.metrics.Settled(telemetry.Settled{
+		Organisation: o.Organisation, Tier: o.Tier, Status: o.Status, FirstToken: o.FirstByte, Total: o.Total,
+	})
+}
+
+// probed reports whether this entry watches a target: those that it schedules.
+func (v *views) probed(t *document.Target) bool {
+	for i := range v.Latest().Probes {
+		if v.Latest().Probes[i].Name == t.Name {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/sycamore-entry/inspector.go
+++ b/cmd/sycamore-entry/inspector.go
@@ -3,72 +3,166 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
+	"time"
 
+	"sycamoretrail/internal/core/acceptance"
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/duty"
 	"sycamoretrail/internal/operators"
 )
 
-// errNotOffered: the core has no such read yet.
-var errNotOffered = errors.New("the core does not offer this read")
-
-// inspector answers operators from the core and the view.
+// inspector answers operators; each answer is one read on the core loop.
 type inspector struct {
 	loop  *duty.Loop[*entry.Entry]
 	views *views
 }
 
-// Status tells what the view says; the core's own words are to be added.
+// Status tells how the entry and its peers stand.
 func (i *inspector) Status(ctx context.Context) (operators.Status, error) {
-	if err := i.loop.Do(ctx, func(*entry.Entry) {}); err != nil {
+	var s entry.Status
+	if err := i.loop.Do(ctx, func(e *entry.Entry) { s = e.Status() }); err != nil {
 		return operators.Status{}, err
 	}
-	status := operators.Status{WaitingInputs: i.loop.Waiting()}
-	view := i.views.Latest()
-	if view == nil {
-		return status, nil
+	status := operators.Status{
+		Entry: memberOf(s.Self), State: s.State.String(), Version: s.Version, DocumentID: s.Document,
+		InFlight: s.InFlight, LogAvailable: s.LogUp, WaitingInputs: i.loop.Waiting(),
 	}
-	status.State = view.State.String()
-	status.Version = view.Version
-	if view.Document != nil {
-		status.DocumentID = view.Document.ID
+	for _, p := range s.Peers {
+		status.Peers = append(status.Peers, operators.Peer{
+			Member: memberOf(p.Member), State: p.State.String(), Version: p.ConfigVersion,
+			InFlight: p.InFlight, Linked: p.Linked, SilentMS: p.Silent.Milliseconds(),
+		})
 	}
 	return status, nil
 }
 
-// Document returns the document in force.
-func (i *inspector) Document(context.Context) (operators.Document, error) {
-	view := i.views.Latest()
-	if view == nil || view.Document == nil {
-		return operators.Document{}, nil
+func memberOf(m message.Member) operators.Member {
+	return operators.Member{
+		Name: m.Name, Incarnation: string(m.Incarnation), Zone: m.Zone,
+		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress,
+	}
+}
+
+// Targets lists the targets as this entry sees them.
+func (i *inspector) Targets(ctx context.Context) (operators.Targets, error) {
+	var seen []entry.TargetStatus
+	if err := i.loop.Do(ctx, func(e *entry.Entry) { seen = e.Targets() }); err != nil {
+		return operators.Targets{}, err
+	}
+	list := operators.Targets{Targets: make([]operators.Target, 0, len(seen))}
+	for _, s := range seen {
+		list.Targets = append(list.Targets, targetOf(s))
+	}
+	return list, nil
+}
+
+func targetOf(s entry.TargetStatus) operators.Target {
+	t := operators.Target{
+		Name: s.Name, Pool: s.Pool, Class: s.Class, Zone: s.Zone,
+		Scheduler: s.SchedulerName, Here: s.Here, Leaving: s.Leaving,
+	}
+	if s.Heard {
+		t.Available = s.Digest.Available
+		t.Limit = s.Digest.Limit
+		t.InFlight = s.Digest.InFlight
+		t.QueuedByTier = []int{s.Digest.Queued}
+		t.PrefillRate = s.Digest.PrefillRate
+		t.StepMS = float64(s.Digest.StepTime) / float64(time.Millisecond)
+		t.WaitMS = s.Digest.Wait.Milliseconds()
 	}
-	data, err := json.Marshal(view.Document)
-	return operators.Document{Version: view.Version, ID: view.Document.ID, Data: data}, err
+	if s.Here {
+		t.Straggler = s.View.Straggler
+		t.QueuedByTier = s.View.Queued
+		t.Suspects = s.View.Suspects
+	}
+	return t
 }
 
-func (i *inspector) Targets(context.Context) (operators.Targets, error) {
-	return operators.Targets{}, errNotOffered
+// Floors lists the floors in force here.
+func (i *inspector) Floors(ctx context.Context) (operators.Floors, error) {
+	var seen []entry.FloorStatus
+	if err := i.loop.Do(ctx, func(e *entry.Entry) { seen = e.Floors() }); err != nil {
+		return operators.Floors{}, err
+	}
+	list := operators.Floors{Floors: make([]operators.Floor, 0, len(seen))}
+	for _, f := range seen {
+		list.Floors = append(list.Floors, operators.Floor{Pool: f.Pool, Tier: f.Tier})
+	}
+	return list, nil
 }
 
-func (i *inspector) Floors(context.Context) (operators.Floors, error) {
-	return operators.Floors{}, errNotOffered
+// Explain tells what was decided on a request.
+func (i *inspector) Explain(ctx context.Context, id string) (operators.Explanation, error) {
+	var x entry.Explanation
+	if err := i.loop.Do(ctx, func(e *entry.Entry) { x = e.Explain(ident.RequestID(id)) }); err != nil {
+		return operators.Explanation{}, err
+	}
+	answer := operators.Explanation{ID: id, Known: x.Known, Owner: string(x.Owner), Standing: x.Standing.String()}
+	for _, n := range x.Noted {
+		answer.Decisions = append(answer.Decisions, operators.Decision{
+			AgeMS: time.Since(n.At).Milliseconds(), Event: string(n.Event), Target: n.Target,
+			Tier: n.Tier, Reason: string(n.Reason), Detail: n.Detail,
+		})
+	}
+	return answer, nil
 }
 
-func (i *inspector) Explain(context.Context, string) (operators.Explanation, error) {
-	return operators.Explanation{}, errNotOffered
+// Document returns the document in force.
+func (i *inspector) Document(context.Context) (operators.Document, error) {
+	view := i.views.Latest()
+	if view.Document == nil {
+		return operators.Document{}, nil
+	}
+	data, err := document.Encode(view.Document)
+	if err != nil {
+		return operators.Document{}, fmt.Errorf("document in force: %w", err)
+	}
+	return operators.Document{Version: view.Version, ID: view.Document.ID, Data: json.RawMessage(data)}, nil
 }
 
-func (i *inspector) Verdict(context.Context, string) (operators.Published, error) {
-	return operators.Published{}, errNotOffered
+// Verdict says what became of a published document here.
+func (i *inspector) Verdict(ctx context.Context, documentID string) (operators.Published, error) {
+	var verdict acceptance.Verdict
+	var known bool
+	read := func(e *entry.Entry) { verdict, known = e.DocumentVerdict(documentID) }
+	if err := i.loop.Do(ctx, read); err != nil || !known {
+		return operators.Published{ID: documentID}, err
+	}
+	published := operators.Published{
+		ID: documentID, Version: verdict.Version, Winner: verdict.Winner, WinnerVersion: verdict.WinnerVersion,
+		Faults: faultsOf(verdict.Faults),
+	}
+	switch verdict.Kind {
+	case acceptance.Accepted, acceptance.Duplicate:
+		published.Result = operators.ResultAccepted
+	case acceptance.Beaten:
+		published.Result = operators.ResultBeaten
+	case acceptance.Invalid:
+		published.Result = operators.ResultInvalid
+	}
+	return published, nil
 }
 
 // checkDocument judges a document before it goes to the log.
 func checkDocument(data []byte) (string, []operators.Fault) {
-	var doc document.Document
-	if err := json.Unmarshal(data, &doc); err != nil {
-		return "", []operators.Fault{{Path: "(document)", Problem: err.Error(), Remedy: "write one JSON document"}}
+	doc, err := document.Parse(data)
+	if err != nil {
+		return "", []operators.Fault{{Path: "(document)", Problem: err.Error(), Remedy: "write one JSON document of this form"}}
+	}
+	if faults := doc.Check(); len(faults) > 0 {
+		return doc.ID, faultsOf(faults)
 	}
 	return doc.ID, nil
 }
+
+func faultsOf(faults document.Faults) []operators.Fault {
+	var list []operators.Fault
+	for _, f := range faults {
+		list = append(list, operators.Fault{Path: f.Path, Problem: f.Problem, Remedy: f.Remedy})
+	}
+	return list
+}
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -33,7 +33,7 @@
 	loop      *duty.Loop[*entry.Entry]
 	log       *platform.Log
 	links     *peers.Links
-	data      dataPlane
+	data      *dataPlane
 	operators *operators.Server
 	views     *views
 }
@@ -53,7 +53,7 @@
 		logger:   logger,
 		metrics:  telemetry.NewMetrics(s.Name, s.Zone),
 		loop:     duty.NewLoop(entry.New(cfg, time.Now()), time.Now),
-		views:    &views{},
+		views:    newViews(),
 	}
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
 	p.links = peers.New(peers.Options{
@@ -64,9 +64,7 @@
 		Deliver: p.loop.Deliver,
 		Log:     p.logger.WithField("duty", "peers"),
 	})
-	if p.data, err = newDataPlane(p); err != nil {
-		return nil, err
-	}
+	p.data = newDataPlane(p)
 	if p.operators, err = p.newOperators(); err != nil {
 		return nil, err
 	}
@@ -75,7 +73,7 @@
 		Flights:   p.data,
 		Peers:     p.links,
 		Platform:  p.log,
-		Publisher: publishers{p.views, p.data},
+		Publisher: p.views,
 		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
 	})
 	return p, nil
@@ -144,7 +142,9 @@
 
 // close ends the edges while the core still takes what they deliver.
 func (p *process) close() {
-	p.data.Close()
+	if err := p.data.Close(); err != nil {
+		p.logger.WithError(err).Warn("callers' listener did not close")
+	}
 	p.links.Close()
 	p.log.Close()
 	if err := p.operators.Close(); err != nil {
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -67,6 +67,10 @@
 		return
 	}
 	e.membersAt = e.now.Add(membershipEvery)
+	e.takeChanges()
+}
+
+func (e *Entry) takeChanges() {
 	changes := e.members.Tick(e.now)
 	if len(changes) == 0 {
 		return
@@ -254,7 +258,8 @@
 	}
 	e.state = next
 	e.tellSelf()
-	e.membersAt = e.now
+	e.takeChanges()
+	e.rebalance()
 	e.changed = true
 	if next == message.Stopped {
 		e.emit(Drained{})
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -254,6 +254,23 @@
 	StandingExpired
 )
 
+// String returns the standing's name for operators.
+func (s Standing) String() string {
+	switch s {
+	case StandingVoided:
+		return "voided"
+	case StandingWaiting:
+		return "waiting"
+	case StandingRunning:
+		return "running"
+	case StandingFinished:
+		return "finished"
+	case StandingElsewhere:
+		return "elsewhere"
+	}
+	return "not remembered"
+}
+
 // OwnerReply answers an OwnerAsk.
 type OwnerReply struct {
 	Seq      uint64            `cbor:"1,keyasint"`
--- a/internal/standin/layout/layout.go
+++ b/internal/standin/layout/layout.go
@@ -189,6 +189,7 @@
 	e.OperatorsAddress = at(operatorsPort + i)
 	e.Platform = settings.Platform{Log: []string{"http://" + at(logPort)}, Instances: "http://" + at(instancesPort)}
 	e.SharedKey = sharedKey
+	e.Peers = []string{}
 	e.OperatorTokenSHA256 = tokenHash()
 	if o.Policy != "" {
 		e.Policy = o.Policy
