--- a/internal/core/estimate/suite_test.go
+++ b/internal/core/estimate/suite_test.go
@@ -1,6 +1,7 @@
 package estimate
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,5 +10,6 @@
 
 func TestEstimate(t *testing.T) {
 	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RunSpecs(t, "estimate")
 }
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -10,14 +10,16 @@
 const (
 	// scoreAll is the size up to which every target of a pool is scored.
 	scoreAll = 16
-	// drawBest candidates are drawn from the pool's best, drawNear from the
-	// owner's zone, drawAny from the whole pool; those that hold a prefix of
-	// the prompt come on top.
-	drawBest = 4
-	drawNear = 4
-	drawAny  = 4
-	// widenTo candidates from the top of the pool's best are added when none of
-	// the sample is in time. All are scored only when the filters left none, so
+	// drawBest candidates are drawn from the pool's best (drawBestLong for a long
+	// prompt), drawNear from the owner's zone, drawAny from the whole pool; those
+	// that hold a prefix of the prompt come on top. All owners have the same best
+	// ones, so more draws from there bring herds.
+	drawBest     = 1
+	drawBestLong = 4
+	drawNear     = 3
+	drawAny      = 3
+	// widenTo candidates are added when none of the sample is in time and has a
+	// place: half from the top of the pool's best, half from anywhere. All are scored only when the filters left none, so
 	// that a choice stays cheap in an overload.
 	widenTo = 16
 )
@@ -96,7 +98,7 @@
 }
 
 // draw fills candidates with a sample of a large pool, a wider one if none of
-// the first is in time.
+// the first is in time and has a place.
 func (r *Router) draw(q *query) {
 	r.choices++
 	r.candidates = r.candidates[:0]
@@ -106,24 +108,26 @@
 	for i := range q.cached {
 		r.take(q, q.cached[i].target)
 	}
-	best := q.pool.best[listShort]
+	best, draws := q.pool.best[listShort], drawBest
 	if q.long {
-		best = q.pool.best[listLong]
+		best, draws = q.pool.best[listLong], drawBestLong
 	}
-	r.drawFrom(q, best, drawBest)
+	r.drawFrom(q, best, draws)
 	r.drawFrom(q, q.pool.near, drawNear)
 	r.drawFrom(q, q.pool.targets, drawAny)
-	if r.anyInTime(q) {
+	if r.anyFit(q) {
 		return
 	}
-	for _, t := range best[:min(widenTo, len(best))] {
+	for _, t := range best[:min(widenTo/2, len(best))] {
 		r.take(q, t)
 	}
+	r.drawFrom(q, q.pool.targets, widenTo/2)
 }
 
-func (r *Router) anyInTime(q *query) bool {
+func (r *Router) anyFit(q *query) bool {
 	for i := range r.candidates {
-		if r.candidates[i].inTime(q) {
+		c := &r.candidates[i]
+		if c.inTime(q) && c.view.inFlight < c.view.limit {
 			return true
 		}
 	}
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -10,34 +10,48 @@
 	// seconds: the older the view, the less a small difference says.
 	agePart     = 1.0 / 32
 	nearAgeMost = 0.1
-	// preferenceLoad is the difference in load, as a part of the limit, that a
-	// second of preference outweighs between two near-equal ones.
+	// preferenceLoad is the part of the limit that a second of preference takes
+	// from a target's room.
 	preferenceLoad = 10.0
+	// leastRoom is the part of its limit that a full target still counts for.
+	leastRoom = 0.02
 )
 
-// twoOfNear takes two random ones of the candidates near the best and keeps
-// the one with the lower burden.
+// nearByRoom takes a random one of the candidates near the best, each with a
+// chance in proportion to its free places.
 //
 // Failure: many owners hold the same stale digests. Symptom: all take the one
-// best target until its next digest. Two random choices among near-equal ones
-// suffice, since each owner's source of randomness is its own.
-type twoOfNear struct {
+// best target until its next digest. Chances in proportion to room suffice:
+// together the owners fill each target by the room it had, however many they are.
+type nearByRoom struct {
 	random *rand.Rand
 	close  []int // reused
 }
 
-func (p *twoOfNear) pick(q *query, cs []candidate) int {
+func (p *nearByRoom) pick(q *query, cs []candidate) int {
 	near := p.near(q, cs)
-	a := near[p.random.IntN(len(near))]
-	b := near[p.random.IntN(len(near))]
-	if cs[b].burden() < cs[a].burden() {
-		return b
+	total := 0.0
+	for _, i := range near {
+		total += cs[i].room()
 	}
-	return a
+	at := p.random.Float64() * total
+	for _, i := range near {
+		at -= cs[i].room()
+		if at < 0 {
+			return i
+		}
+	}
+	return near[len(near)-1]
+}
+
+// room is the free places, less what speaks against the target at any load.
+func (c *candidate) room() float64 {
+	free := 1 - c.view.loaded() - preferenceLoad*c.preference
+	return float64(c.view.limit) * max(free, leastRoom)
 }
 
 // near lists the candidates near the best; only those in time if any is.
-func (p *twoOfNear) near(q *query, cs []candidate) []int {
+func (p *nearByRoom) near(q *query, cs []candidate) []int {
 	best, anyInTime := bestOf(q, cs)
 	age := 0.0
 	for i := range cs {
@@ -71,10 +85,3 @@
 	}
 	return best, anyInTime
 }
-
-// burden is the part of the target's places that is taken or waited for, and
-// what speaks against the target at any load.
-func (c *candidate) burden() float64 {
-	taken := float64(c.view.inFlight+c.view.queued) / float64(c.view.limit)
-	return taken + preferenceLoad*c.preference
-}
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -47,6 +47,7 @@
 type rankedTarget struct {
 	target *target
 	cost   [lists]float64
+	loaded float64
 }
 
 // load is the mean part of the places in use.
@@ -84,7 +85,7 @@
 		p.inFlight += v.inFlight
 		p.limit += v.limit
 		rates += v.rate
-		p.ranked = append(p.ranked, rankedTarget{target: t, cost: references(&v)})
+		p.ranked = append(p.ranked, rankedTarget{target: t, cost: references(&v), loaded: v.loaded()})
 		if onTrial(t, &v) {
 			p.trials = append(p.trials, t)
 		}
@@ -100,7 +101,7 @@
 
 func (p *pool) rank(list int) {
 	slices.SortStableFunc(p.ranked, func(a, b rankedTarget) int {
-		return cmp.Compare(a.cost[list], b.cost[list])
+		return cmp.Or(cmp.Compare(a.cost[list], b.cost[list]), cmp.Compare(a.loaded, b.loaded))
 	})
 	p.best[list] = p.best[list][:0]
 	for i := range int(float64(len(p.ranked))*bestShare) + 1 {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -54,7 +54,7 @@
 	}
 	r.filters = []filter{kindFilter{}, availableFilter{}, excludedFilter{}, &r.able}
 	r.scorers = []scorer{finishScorer{}, zoneScorer{}, separationScorer{}}
-	r.picker = &twoOfNear{random: r.random}
+	r.picker = &nearByRoom{random: r.random}
 	return r
 }
 
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -120,6 +120,11 @@
 	return v
 }
 
+// loaded is the part of the target's places that is taken or waited for.
+func (v *view) loaded() float64 {
+	return float64(v.inFlight+v.queued) / float64(v.limit)
+}
+
 func (t *target) fromDigest(now time.Time, v *view) {
 	d := &t.digest
 	v.available = d.Available
