--- a/internal/core/routing/able.go
+++ b/internal/core/routing/able.go
@@ -1,5 +1,10 @@
 package routing
 
+import "sycamoretrail/internal/core/request"
+
+// hopelessMargin is how many times the time left the least possible time must be.
+const hopelessMargin = 1.5
+
 // ableFilter drops targets that could not finish in time with no queue at all.
 //
 // Failure: a long brief starts on a target too slow for its deadline. Symptom:
@@ -18,6 +23,24 @@
 	return first <= q.firstBy && first+decode(q, c) <= q.remaining
 }
 
+// hopeless reports, without a look at each target, that even the best speeds of
+// the pool put together would miss the deadline by a wide margin. The margin
+// covers what changed since the pool's last refresh.
+func (f *ableFilter) hopeless(q *query) bool {
+	if !f.early && !q.long || q.pool.topRate == 0 {
+		return false
+	}
+	prompt := float64(q.req.PromptTokens)
+	for i := range q.cached {
+		prompt = min(prompt, float64(q.req.PromptTokens)-q.cached[i].tokens)
+	}
+	least := q.pool.leastStep * float64(max(q.tokens, 1))
+	if q.req.Kind == request.Engine {
+		least += max(prompt, 0) / q.pool.topRate
+	}
+	return least > hopelessMargin*q.remaining
+}
+
 func (*ableFilter) status() Status { return NoneInTime }
 
 // decode is the seconds from the first token to the last.
--- a/internal/core/routing/able_test.go
+++ b/internal/core/routing/able_test.go
@@ -43,4 +43,29 @@
 		Expect(status.OK()).To(BeTrue())
 		Expect(name).NotTo(BeEmpty())
 	})
+
+	It("refuses short requests early only where the document says so", func() {
+		doc := poolOf(4, 0)
+		for early, want := range map[bool]Status{true: NoneInTime, false: ChosenLate} {
+			doc.Refusal.Early = early
+			req := ask(100, 5000) // 100 s of decode, 10 s left
+			_, status := routerFor(doc, 3).Choose(start, req, nil)
+			Expect(status).To(Equal(want))
+		}
+	})
+
+	// The prompt alone is hopeless at every speed of the pool, but one target
+	// holds most of it in its cache. The quick refusal must count that in.
+	It("does not call a brief hopeless that a cache holds", func() {
+		r := routerFor(poolOf(60, 0), 3)
+		r.Dispatched(start, "t7", prefixed(ask(51200, 20), 1, 400))
+		r.Digest(start, digest("t7", 0, 16))
+		brief := prefixed(ask(51200, 20), 1, 400)
+		brief.Deadline = start.Add(3 * time.Second)
+		Expect(first(r.Choose(start, brief, nil))).To(Equal("t7"))
+		other := ask(51200, 20)
+		other.Deadline = brief.Deadline
+		_, status := r.Choose(start, other, nil)
+		Expect(status).To(Equal(NoneInTime))
+	})
 })
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -24,6 +25,8 @@
 		{name: "long", prompt: 12800, left: 10 * time.Second},
 		{name: "late", prompt: 200, wait: time.Minute, left: 10 * time.Second},
 		{name: "hopeless", prompt: 200, left: time.Millisecond, hopeless: true},
+		{name: "rare", prompt: 40000, left: 4 * time.Second},
+		{name: "scanned", prompt: 200, left: 990 * time.Millisecond, hopeless: true},
 	}
 	for _, load := range loads {
 		for _, size := range []int{10, 50, 250, 1000, 1800} {
@@ -91,3 +94,21 @@
 		r.Configure(doc)
 	}
 }
+
+// BenchmarkMemory reports the heap of a router with 1,800 targets and a full
+// index of prefixes.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := routerFor(poolOf(1800, 600), 1)
+		for i := range 3000 {
+			r.Dispatched(start, named(i%1800), prefixed(ask(25600, 20), uint64(i), 200))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(r)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+}
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -32,6 +32,9 @@
 		return "", status
 	}
 	q.pool.refresh(now)
+	if r.able.hopeless(q) {
+		return "", NoneInTime
+	}
 	if t := r.trial(q); t != nil {
 		return t.name, Chosen
 	}
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,6 +40,9 @@
 	inFlight  int
 	limit     int
 	meanRate  float64
+	// topRate and leastStep are the best of the pool, of whichever target.
+	topRate   float64
+	leastStep float64
 	best      [lists][]*target
 	trials    []*target
 	ranked    []rankedTarget
@@ -48,6 +52,7 @@
 	target *target
 	cost   [lists]float64
 	loaded float64
+	at     int // place in the pool, so that no tie is left to the sort
 }
 
 // load is the mean part of the places in use.
@@ -76,8 +81,9 @@
 	p.inFlight, p.limit = 0, 0
 	p.ranked = p.ranked[:0]
 	p.trials = p.trials[:0]
+	p.topRate, p.leastStep = 0, math.Inf(1)
 	rates := 0.0
-	for _, t := range p.targets {
+	for i, t := range p.targets {
 		v := t.view(now)
 		if !v.available || !t.reachable || t.leaving {
 			continue
@@ -85,7 +91,9 @@
 		p.inFlight += v.inFlight
 		p.limit += v.limit
 		rates += v.rate
-		p.ranked = append(p.ranked, rankedTarget{target: t, cost: references(&v), loaded: v.loaded()})
+		p.topRate = max(p.topRate, v.rate)
+		p.leastStep = min(p.leastStep, v.step)
+		p.ranked = append(p.ranked, rankedTarget{target: t, cost: references(&v), loaded: v.loaded(), at: i})
 		if onTrial(t, &v) {
 			p.trials = append(p.trials, t)
 		}
@@ -100,8 +108,8 @@
 }
 
 func (p *pool) rank(list int) {
-	slices.SortStableFunc(p.ranked, func(a, b rankedTarget) int {
-		return cmp.Or(cmp.Compare(a.cost[list], b.cost[list]), cmp.Compare(a.loaded, b.loaded))
+	slices.SortFunc(p.ranked, func(a, b rankedTarget) int {
+		return cmp.Or(cmp.Compare(a.cost[list], b.cost[list]), cmp.Compare(a.loaded, b.loaded), cmp.Compare(a.at, b.at))
 	})
 	p.best[list] = p.best[list][:0]
 	for i := range int(float64(len(p.ranked))*bestShare) + 1 {
