--- a/cmd/sycamore-replay/main.go
+++ b/cmd/sycamore-replay/main.go
@@ -16,16 +16,16 @@
 	}
 }
 
+// root runs a replay itself when no other command is named.
 func root() *cobra.Command {
-	command := &cobra.Command{
-		Use:   "sycamore-replay",
-		Short: "Replay recorded traffic against stated outcomes",
-		Long: `sycamore-replay sends a trace of requests and reports what became of each: to
-running entries (run --mode live), or to the same core on a virtual clock
-(run --mode virtual). It exits with 1 when a stated outcome does not hold.`,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	command.AddCommand(generateCommand(), runCommand())
+	command := runCommand()
+	command.Use = "sycamore-replay"
+	command.Short = "Replay recorded traffic against stated outcomes"
+	command.Long = `sycamore-replay sends a trace of requests and reports what became of each: to
+running entries (--mode live), or to the same core on a virtual clock
+(--mode virtual). It exits with 1 when a stated outcome does not hold.`
+	command.SilenceUsage = true
+	command.SilenceErrors = true
+	command.AddCommand(generateCommand(), runCommand(), sweepCommand(), plotCommand())
 	return command
 }
--- a/cmd/sycamore-replay/run.go
+++ b/cmd/sycamore-replay/run.go
@@ -26,10 +26,13 @@
 type runFlags struct {
 	mode, trace, document, outcomes, report, tokens string
 	live                                            live.Options
+	entries                                         []string
 	toleranceMS                                     int
 	virtual                                         virtualFlags
 }
 
+// runCommand is the run command. The root command is one too, so that the name
+// may be left out.
 func runCommand() *cobra.Command {
 	f := &runFlags{}
 	command := &cobra.Command{
@@ -46,20 +49,21 @@
 	flags := command.Flags()
 	flags.StringVar(&f.mode, "mode", "live", "live or virtual")
 	flags.StringVar(&f.trace, "trace", "", "trace to send")
-	flags.StringVar(&f.document, "document", "", "document in force, for tiers, pools and targets")
+	flags.StringVar(&f.document, "document", "", "document in force (default: examples/<deployment of the trace>.json)")
 	flags.StringVar(&f.outcomes, "outcomes", "", "outcomes that must hold; exit 1 when one does not")
 	flags.StringVar(&f.report, "report", "", "file for the report as JSON")
 	flags.IntVar(&f.toleranceMS, "tolerance-ms", -1, "uncertainty of a caller's against a ledger's times, "+
 		"for tier inversions (default: 25 live, 0 virtual)")
-	flags.StringVar(&f.tokens, "tokens", "", "live: JSON file with the bearer token of each organisation")
-	flags.StringSliceVar(&f.live.Entries, "entries", nil, "live: addresses of some entries; callers learn the rest")
+	flags.StringVar(&f.tokens, "tokens", "", "live: JSON file with the bearer token of each organisation (default: examples/<deployment>-tokens.json)")
+	flags.StringSliceVar(&f.entries, "entries", nil, "live: addresses of some entries, callers learn the rest; virtual: how many entries (6)")
+	flags.IntVar(&f.live.AdminOffset, "admin-offset", live.DefaultAdminOffset, "live: added to a target's port to reach its ledger")
 	flags.IntVar(&f.live.Callers, "callers", live.DefaultCallers, "live: independent callers that share the trace")
 	flags.IntVar(&f.live.Concurrency, "concurrency", live.DefaultConcurrency, "live: bound on requests under way")
 	flags.DurationVar(&f.live.Patience, "patience", live.DefaultPatience, "live: wait past the deadline before another entry is asked")
 	flags.DurationVar(&f.live.GiveUp, "give-up", live.DefaultGiveUp, "live: wait past the deadline before a caller stops")
 	flags.BoolVar(&f.live.Ledgers, "ledgers", true, "live: count runs from the targets' ledgers")
 	f.virtual.register(flags)
-	must(command, "trace", "document")
+	must(command, "trace")
 	return command
 }
 
@@ -68,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	f.applyDefaults(t.Header.Deployment)
 	doc, err := readDocument(f.document)
 	if err != nil {
 		return err
@@ -94,6 +99,16 @@
 	return f.conclude(report.Compute(in), stated)
 }
 
+// applyDefaults names the example files of the trace's deployment.
+func (f *runFlags) applyDefaults(deployment string) {
+	if f.document == "" {
+		f.document = filepath.Join("examples", deployment+".json")
+	}
+	if f.tokens == "" {
+		f.tokens = filepath.Join("examples", deployment+"-tokens.json")
+	}
+}
+
 func (f *runFlags) runLive(ctx context.Context, options live.Options) (report.Input, error) {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -102,8 +117,9 @@
 		return report.Input{}, err
 	}
 	options.Tokens = tokens
-	options.Entries, options.Callers, options.Concurrency = f.live.Entries, f.live.Callers, f.live.Concurrency
-	options.Patience, options.GiveUp, options.Ledgers = f.live.Patience, f.live.GiveUp, f.live.Ledgers
+	options.Entries, options.Callers, options.Concurrency = f.entries, f.live.Callers, f.live.Concurrency
+	options.Patience, options.GiveUp = f.live.Patience, f.live.GiveUp
+	options.Ledgers, options.AdminOffset = f.live.Ledgers, f.live.AdminOffset
 	options.Tolerance = f.tolerance(live.DefaultTolerance)
 	return live.Run(ctx, options)
 }
@@ -146,9 +162,6 @@
 }
 
 func readTokens(path string) (map[string]string, error) {
-	if path == "" {
-		return nil, errors.New("--tokens is needed in live mode")
-	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read tokens: %w", err)
--- a/cmd/sycamore-replay/virtual.go
+++ b/cmd/sycamore-replay/virtual.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/spf13/pflag"
@@ -19,14 +20,12 @@
 // virtualFlags are the flags of the virtual mode.
 type virtualFlags struct {
 	policy, faults string
-	entries        int
 	seed           uint64
 	reportAge      time.Duration
 }
 
 func (v *virtualFlags) register(flags *pflag.FlagSet) {
 	flags.StringVar(&v.policy, "policy", string(entry.PolicyScheduler), "virtual: scheduler, shares or alone")
-	flags.IntVar(&v.entries, "entry-count", 6, "virtual: number of entries")
 	flags.StringVar(&v.faults, "faults", "", `virtual: schedule of failures; "all" is `+allFaults)
 	flags.Uint64Var(&v.seed, "seed", 1, "virtual: seed of the entries' choices")
 	flags.DurationVar(&v.reportAge, "report-age", time.Second, "virtual: age of the engines' load reports")
@@ -34,23 +33,42 @@
 
 func (v *virtualFlags) options(t *trace.Trace, doc *document.Document) (virtual.Options, error) {
 	options := virtual.Options{
-		Trace: t, Document: doc, Policy: entry.Policy(v.policy), Entries: v.entries, Seed: v.seed, ReportAge: v.reportAge,
+		Trace: t, Document: doc, Policy: entry.Policy(v.policy), Seed: v.seed, ReportAge: v.reportAge,
 	}
 	if err := checkPolicy(options.Policy); err != nil {
 		return options, err
 	}
-	if v.faults == "" {
-		return options, nil
-	}
-	path := v.faults
-	if path == "all" {
-		path = allFaults
-	}
 	var err error
-	options.Faults, err = virtual.ReadFaults(path)
+	options.Faults, err = readFaults(v.faults)
 	return options, err
 }
 
+// readFaults reads a schedule by its name; none for an empty name.
+func readFaults(name string) ([]virtual.Fault, error) {
+	switch name {
+	case "":
+		return nil, nil
+	case "all":
+		name = allFaults
+	}
+	return virtual.ReadFaults(name)
+}
+
+// defaultEntries is the number of entries of the deployments of today.
+const defaultEntries = 6
+
+// entryCount reads --entries in virtual mode.
+func (f *runFlags) entryCount() (int, error) {
+	if len(f.entries) == 0 {
+		return defaultEntries, nil
+	}
+	n, err := strconv.Atoi(f.entries[0])
+	if err != nil || n <= 0 || len(f.entries) > 1 {
+		return 0, fmt.Errorf("--entries in virtual mode must be a number, not %v", f.entries)
+	}
+	return n, nil
+}
+
 func checkPolicy(policy entry.Policy) error {
 	switch policy {
 	case entry.PolicyScheduler, entry.PolicyShares, entry.PolicyAlone:
@@ -64,6 +82,9 @@
 	if err != nil {
 		return report.Input{}, err
 	}
+	if options.Entries, err = f.entryCount(); err != nil {
+		return report.Input{}, err
+	}
 	options.Tolerance = f.tolerance(0)
 	return virtual.Run(options)
 }
--- a/internal/replay/live/exchange.go
+++ b/internal/replay/live/exchange.go
@@ -51,6 +51,7 @@
 	// stream is the token to attach with, once an entry gave it.
 	stream string
 	answer *answer
+	sent   time.Time
 	ended  time.Time
 }
 
@@ -98,10 +99,10 @@
 		req.Header.Set(headerKey, x.key)
 	}
 	if x.line.DeadlineMS > 0 {
-		req.Header.Set(headerDeadline, strconv.FormatInt(x.line.DeadlineMS, 10))
+		req.Header.Set(headerDeadline, x.remaining(x.line.DeadlineMS))
 	}
 	if x.line.FirstTokenMS > 0 {
-		req.Header.Set(headerFirstToken, strconv.FormatInt(x.line.FirstTokenMS, 10))
+		req.Header.Set(headerFirstToken, x.remaining(x.line.FirstTokenMS))
 	}
 	if x.line.Kind == trace.Engine {
 		req.Header.Set(headerIdempotent, strconv.FormatBool(x.line.Idempotent))
@@ -112,6 +113,13 @@
 	}
 }
 
+// remaining is what is left of a bound, in ms: an entry that is asked after
+// another must not begin the caller's time anew.
+func (x *exchange) remaining(boundMS int64) string {
+	left := boundMS - time.Since(x.sent).Milliseconds()
+	return strconv.FormatInt(max(left, 1), 10)
+}
+
 // read takes an entry's answer apart.
 func (x *exchange) read(resp *fasthttp.Response) (outcome.Status, error) {
 	if token := resp.Header.Peek(headerStreamToken); len(token) > 0 && x.line.Kind == trace.Engine {
--- a/internal/replay/live/ledger.go
+++ b/internal/replay/live/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -37,10 +39,10 @@
 
 // readLedgers collects the runs begun at all targets since start; lost names
 // those whose ledger could not be read.
-func readLedgers(http *fasthttp.Client, doc *document.Document, start time.Time) (runs []report.Run, lost []string) {
+func readLedgers(http *fasthttp.Client, doc *document.Document, offset int, start time.Time) (runs []report.Run, lost []string) {
 	for i := range doc.Targets {
 		target := &doc.Targets[i]
-		book, err := readLedger(http, target.Address)
+		book, err := readLedger(http, adminAddress(target.Address, offset))
 		if err != nil {
 			lost = append(lost, target.Name)
 			continue
@@ -55,6 +57,19 @@
 	return runs, lost
 }
 
+// adminAddress is where a stand-in serves its tester, also while it is crashed.
+func adminAddress(address string, offset int) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(number+offset))
+}
+
 func readLedger(http *fasthttp.Client, address string) (ledger, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/replay/live/options.go
+++ b/internal/replay/live/options.go
@@ -5,8 +5,11 @@
 package live
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/document"
@@ -40,6 +43,8 @@
 	Tolerance time.Duration
 	// Ledgers false: the targets keep none, and no run is counted.
 	Ledgers bool
+	// AdminOffset is added to a target's port to reach its ledger.
+	AdminOffset int
 }
 
 // Defaults for Options.
@@ -48,6 +53,7 @@
 	DefaultConcurrency = 4000
 	DefaultPatience    = 2 * time.Second
 	DefaultGiveUp      = 12 * time.Second
+	DefaultAdminOffset = 10000
 	DefaultTolerance   = 25 * time.Millisecond
 )
 
@@ -69,10 +75,25 @@
 		if o.Tokens[name] == "" {
 			return fmt.Errorf("%w: %q", ErrNoToken, name)
 		}
+		if !o.tokenFits(name) {
+			return fmt.Errorf("%w: %q: the token's hash is not in the document", ErrNoToken, name)
+		}
 	}
 	return nil
 }
 
+// tokenFits compares a token with the hashes of the document.
+func (o *Options) tokenFits(organisation string) bool {
+	sum := sha256.Sum256([]byte(o.Tokens[organisation]))
+	for i := range o.Document.Organisations {
+		declared := &o.Document.Organisations[i]
+		if declared.Name == organisation {
+			return slices.Contains(declared.KeyHashes, hex.EncodeToString(sum[:]))
+		}
+	}
+	return false
+}
+
 // zones are those of the document's targets, in order of appearance.
 func (o *Options) zones() []string {
 	var zones []string
--- a/internal/replay/live/replay.go
+++ b/internal/replay/live/replay.go
@@ -52,7 +52,7 @@
 		in.Tiers = append(in.Tiers, options.Document.Tiers[i].Name)
 	}
 	if options.Ledgers {
-		in.Runs, in.LostLedgers = readLedgers(r.http, options.Document, r.start)
+		in.Runs, in.LostLedgers = readLedgers(r.http, options.Document, options.AdminOffset, r.start)
 	}
 	return in, nil
 }
@@ -124,7 +124,7 @@
 	}
 	x := &exchange{
 		http: r.http, line: line, id: call.ID, key: call.Key, token: r.options.Tokens[line.Organisation],
-		body: content, answer: newAnswer(call.ID),
+		body: content, answer: newAnswer(call.ID), sent: r.start.Add(call.Sent),
 	}
 	r.askEntries(x, call, caller, entries, turn, giveUp)
 }
--- a/internal/replay/trace/capacity.go
+++ b/internal/replay/trace/capacity.go
@@ -27,13 +27,29 @@
 	return 1 / (prefill + steps)
 }
 
+// DefaultServiceMS is a plain call's time where its class gives no step_ms.
+const DefaultServiceMS = 5
+
+// ServiceMS is the time of one call at a plain service, in ms.
+func ServiceMS(class *document.Class) float64 {
+	if class.StepMS > 0 {
+		return class.StepMS
+	}
+	return DefaultServiceMS
+}
+
+// ServiceRate is how many calls a second one plain service serves.
+func ServiceRate(class *document.Class) float64 {
+	return float64(max(class.MaxInFlight, 1)) * 1000 / ServiceMS(class)
+}
+
 // Capacity is the sum of EngineRate over the engines of a pool, in requests a
 // second; targets marked as leaving count for nothing.
 func Capacity(doc *document.Document, pool string, mix Mix) float64 {
 	total := 0.0
 	for i := range doc.Targets {
 		target := &doc.Targets[i]
-		class := classOf(doc, target.Class)
+		class := ClassOf(doc, target.Class)
 		if target.Pool != pool || target.Leaving || class == nil || class.Kind != document.KindEngine {
 			continue
 		}
@@ -49,7 +65,8 @@
 		pool, rate, mix.PromptTokens, mix.CachedTokens, mix.AnswerTokens)
 }
 
-func classOf(doc *document.Document, name string) *document.Class {
+// ClassOf finds a class by its name; nil: there is none.
+func ClassOf(doc *document.Document, name string) *document.Class {
 	for i := range doc.Classes {
 		if doc.Classes[i].Name == name {
 			return &doc.Classes[i]
--- a/internal/replay/trace/generate.go
+++ b/internal/replay/trace/generate.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/request"
 )
 
 // Errors of Generate.
@@ -89,8 +90,8 @@
 	return g, nil
 }
 
-// mix is the mean engine request of the workload. A shared prefix counts as
-// cached, which holds once each engine has seen it.
+// mix is the mean engine request of the workload. The whole blocks of a shared
+// prefix count as cached, which holds once each engine has seen them.
 func (g *generator) mix() Mix {
 	var mix Mix
 	for i := range g.work.streams {
@@ -99,7 +100,7 @@
 			continue
 		}
 		mix.PromptTokens += s.weight * s.prompt.mean()
-		mix.CachedTokens += s.weight * float64(s.shared)
+		mix.CachedTokens += s.weight * float64(s.shared/request.PrefixBlockTokens*request.PrefixBlockTokens)
 		mix.AnswerTokens += s.weight * s.answer.mean()
 	}
 	return mix
--- a/internal/replay/trace/workload.go
+++ b/internal/replay/trace/workload.go
@@ -97,7 +97,7 @@
 	return workload{
 		burstEvery: 15, burstSeconds: 4, burstFactor: 2, resendShare: 0.05,
 		streams: []stream{
-			{name: "copy", kind: Engine, rank: 0, weight: 0.88, prompt: span{100, 300}, shared: 64,
+			{name: "copy", kind: Engine, rank: 0, weight: 0.88, prompt: span{100, 300},
 				answer: span{40, 120}, deadlineMS: 6000, firstTokenMS: 1500, bursty: true},
 			{name: "brief", kind: Engine, rank: 1, weight: 0.12, prompt: span{8000, 30000}, shared: 2048,
 				answer: span{300, 800}, deadlineMS: 60000},
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -77,7 +77,7 @@
 		c.source = line.Resend.Of
 	}
 	c.seen = report.Call{
-		Line: index, Organisation: line.Organisation, Idempotent: line.Idempotent, Pool: w.poolOf(line),
+		Line: index, Organisation: line.Organisation, Idempotent: line.Idempotent, Pool: trace.PoolOf(w.options.Document, line),
 		Deadline: line.Deadline(), FirstTokenBy: line.FirstToken(), Key: line.Key,
 	}
 	if line.Kind == trace.Service {
--- a/internal/replay/virtual/options.go
+++ b/internal/replay/virtual/options.go
@@ -54,8 +54,6 @@
 	streamHeld = 30 * time.Second
 	// cutNoticed is when a link on which nothing comes counts as broken.
 	cutNoticed = time.Second
-	// serviceTime is a plain call's time where its class gives no step_ms.
-	serviceTime = 40 * time.Millisecond
 	// logRate is how many appends a second the log takes.
 	logRate = 400
 )
--- a/internal/replay/virtual/target.go
+++ b/internal/replay/virtual/target.go
@@ -10,6 +10,7 @@
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/replay/report"
+	"sycamoretrail/internal/replay/trace"
 	"sycamoretrail/internal/standin/enginemodel"
 )
 
@@ -61,7 +62,7 @@
 		world: w, name: declared.Name, pool: declared.Pool, address: declared.Address, zone: declared.Zone,
 		up: true, straggle: 1, held: map[string]*held{},
 	}
-	class := classOf(w.options.Document, declared.Class)
+	class := trace.ClassOf(w.options.Document, declared.Class)
 	if class == nil {
 		return nil, fmt.Errorf("target %q: no class %q", declared.Name, declared.Class)
 	}
@@ -72,10 +73,7 @@
 		return t, nil
 	}
 	t.slots = max(class.MaxInFlight, 1)
-	t.callFor = time.Duration(class.StepMS * float64(time.Millisecond))
-	if t.callFor <= 0 {
-		t.callFor = serviceTime
-	}
+	t.callFor = time.Duration(trace.ServiceMS(class) * float64(time.Millisecond))
 	return t, nil
 }
 
@@ -97,14 +95,6 @@
 	return p
 }
 
-func classOf(doc *document.Document, name string) *document.Class {
-	i := slices.IndexFunc(doc.Classes, func(c document.Class) bool { return c.Name == name })
-	if i < 0 {
-		return nil
-	}
-	return &doc.Classes[i]
-}
-
 func (t *target) holdDeclaredModel() {
 	for _, m := range t.world.options.Document.Models {
 		if m.Pool == t.pool {
--- a/internal/replay/virtual/world.go
+++ b/internal/replay/virtual/world.go
@@ -12,7 +12,6 @@
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/record"
 	"sycamoretrail/internal/replay/report"
-	"sycamoretrail/internal/replay/trace"
 )
 
 // world is a virtual replay under way.
@@ -220,6 +219,3 @@
 	}
 	return nil
 }
-
-// poolOf and tierOf read the document for a line.
-func (w *world) poolOf(line *trace.Line) string { return trace.PoolOf(w.options.Document, line) }
