--- /dev/null
+++ b/internal/replay/sweep/sweep_test.go
@@ -0,0 +1,98 @@
+package sweep
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/replay/trace"
+	"sycamoretrail/internal/replay/virtual"
+)
+
+func TestSweep(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sweep")
+}
+
+func testDocument() *document.Document {
+	data, err := os.ReadFile("../testdata/document.json")
+	Expect(err).NotTo(HaveOccurred())
+	doc := &document.Document{}
+	Expect(json.Unmarshal(data, doc)).To(Succeed())
+	return doc
+}
+
+// refuser is a core that is ready and refuses everything.
+type refuser struct {
+	self      message.Member
+	doc       *document.Document
+	published bool
+}
+
+func (r *refuser) Step(_ time.Time, in entry.Input) []entry.Output {
+	if submit, is := in.(entry.Submit); is {
+		return []entry.Output{entry.Settle{ID: submit.Request.ID, Status: outcome.Refused(outcome.ReasonOverload, time.Second, "")}}
+	}
+	if r.published {
+		return nil
+	}
+	r.published = true
+	return []entry.Output{entry.Publish{View: &entry.View{State: message.Ready, Version: 1, Document: r.doc,
+		Entries: []message.Member{r.self}, Prefix: ident.PrefixFor(r.self.Incarnation, 0), GoodFor: time.Minute}}}
+}
+
+var _ = Describe("a sweep", func() {
+	It("runs every load, policy and seed, and says what an oracle would reach", func() {
+		doc := testDocument()
+		options := Options{
+			Document: doc, Deployment: trace.Tanglaw, Scenario: trace.Usual, Loads: []float64{0.5, 8}, Seeds: []uint64{1, 2},
+			Policies: []entry.Policy{entry.PolicyAlone, entry.PolicyShares}, Seconds: 3, Entries: 2, Workers: 2,
+			NewCore: func(cfg entry.Config, _ time.Time) virtual.Core { return &refuser{self: cfg.Self, doc: doc} },
+		}
+		result, err := Run(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Rows).To(HaveLen(8))
+		first, again := &bytes.Buffer{}, &bytes.Buffer{}
+		Expect(result.WriteCSV(first)).To(Succeed())
+		result, err = Run(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.WriteCSV(again)).To(Succeed())
+		Expect(again.String()).To(Equal(first.String()))
+		Expect(strings.Split(strings.TrimSpace(first.String()), "\n")).To(HaveLen(1 + 2*2*4))
+		for _, s := range result.Summaries() {
+			Expect(s.Goodput.Max).To(BeZero())
+		}
+		Expect(result.Rows[0].Bound["rider"]).To(Equal(1.0))
+		Expect(result.Rows[7].Bound["rider"]).To(BeNumerically("<", 1))
+	})
+})
+
+var _ = Describe("the bound", func() {
+	// One class: an engine does 1/(80/8000 + 16×0.016/16) requests like this a
+	// second, so 10 of them cost the two engines of that class 130 ms.
+	It("is capacity over demand, tier by tier, the cheapest first", func() {
+		doc := testDocument()
+		doc.Targets = []document.Target{{Name: "a", Pool: "engines", Class: "new"}, {Name: "b", Pool: "engines", Class: "new"}}
+		line := trace.Line{Organisation: "north", Tier: "rider", Kind: trace.Engine, Model: "assistant", PromptTokens: 80, MaxTokens: 16, DeadlineMS: 65}
+		Expect(Cost(doc, "engines", &line)).To(BeNumerically("~", 13*time.Millisecond, time.Microsecond))
+		t := &trace.Trace{}
+		for range 10 {
+			t.Lines = append(t.Lines, line)
+		}
+		low := line
+		low.Tier, low.DeadlineMS = "office", 91
+		t.Lines = append(t.Lines, low, low, low, low)
+		Expect(Bound(doc, t)).To(Equal(map[string]float64{"rider": 0.5, "office": 0.5}))
+	})
+})
