Test the scheduler by scripts and random schedules

Found by the random schedules and mended: a refreshed grant let low work pass a floor and waiting higher work; lower work left running was judged by one request's deadline and then allowed refusals of others of its tier. Found by scripts: a displaced offer was let in again; late counted prompts that are computed by the time the offer starts; a newcomer that could be granted at once displaced another first.

--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -170,14 +170,20 @@
 	return items
 }
 
-// Ahead estimates how many waiting items would be served before a newcomer:
-// all of higher tiers, those of its own organisation with less slack, and as
-// many of each other organisation of its tier as fairness lets go first.
-func (q *Queue) Ahead(t request.Tier, organisation string, due time.Time) int {
+// Above is the number of waiting items of tiers higher than t.
+func (q *Queue) Above(t request.Tier) int {
 	n := 0
 	for i := 0; i < len(q.tiers) && i < int(t); i++ {
 		n += q.tiers[i].count
 	}
+	return n
+}
+
+// Ahead estimates how many waiting items would be served before a newcomer:
+// all of higher tiers, those of its own organisation with less slack, and as
+// many of each other organisation of its tier as fairness lets go first.
+func (q *Queue) Ahead(t request.Tier, organisation string, due time.Time) int {
+	n := q.Above(t)
 	if int(t) < len(q.tiers) {
 		n += q.tiers[t].ahead(organisation, due)
 	}
--- a/internal/core/scheduler/estimate.go
+++ b/internal/core/scheduler/estimate.go
@@ -32,22 +32,59 @@
 // occupancyGain is the weight of a new observation of the occupancy ratio.
 const occupancyGain = 0.05
 
-// late reports whether an offer that starts after wait misses a deadline at
-// the target's present load.
+// load is what a request starts beside: prompt tokens not yet computed, and
+// requests in flight.
+type load struct {
+	prefill  int
+	inFlight int
+}
+
+// loadAfter is the present load after a while: the prompts that are being
+// computed now will be done by then.
+func (t *target) loadAfter(wait time.Duration) load {
+	l := load{prefill: t.prefill, inFlight: len(t.runs)}
+	if wait <= 0 || l.prefill == 0 {
+		return l
+	}
+	drain := t.est.FirstToken(l.prefill, 0, 0, l.inFlight)
+	if wait >= drain {
+		l.prefill = 0
+		return l
+	}
+	l.prefill = int(float64(l.prefill) * (1 - float64(wait)/float64(drain)))
+	return l
+}
+
+// loadWithout is the present load without a run that is to be cancelled.
+func (t *target) loadWithout(r *run) load {
+	l := load{prefill: t.prefill, inFlight: len(t.runs) - 1}
+	if r.prefilling {
+		l.prefill -= r.offer.PromptTokens
+	}
+	return l
+}
+
+// late reports whether an offer that starts after wait misses a deadline.
 func (t *target) late(o *offer, wait time.Duration) bool {
+	if !t.set.Early {
+		return false
+	}
+	return t.lateBeside(o, wait, t.loadAfter(wait))
+}
+
+func (t *target) lateBeside(o *offer, wait time.Duration, l load) bool {
 	if !t.set.Early {
 		return false
 	}
 	start := t.clock.Add(wait)
-	inFlight := len(t.runs)
-	total := t.est.Total(o.Prompt, 0, o.msg.MaxTokens, t.prefill, inFlight)
+	total := t.est.Total(o.Prompt, 0, o.msg.MaxTokens, l.prefill, l.inFlight)
 	if start.Add(total).After(o.deadline) {
 		return true
 	}
 	if o.firstBy.IsZero() {
 		return false
 	}
-	first := t.est.FirstToken(o.Prompt, 0, t.prefill, inFlight)
+	first := t.est.FirstToken(o.Prompt, 0, l.prefill, l.inFlight)
 	return start.Add(first).After(o.firstBy)
 }
 
--- /dev/null
+++ b/internal/core/scheduler/floors_test.go
@@ -0,0 +1,227 @@
+package scheduler
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/ident"
+)
+
+// busy fills the targets t (scheduled by a) and u (by b), one place each.
+const busy = `
+a offer r1 t tier=0 once => grant r1
+a running r1 t tier=0 once prompt=100 started =>
+`
+
+var _ = Describe("two schedulers of one pool", func() {
+	DescribeTable("scripts", func(script string) {
+		newCluster(testSettings(), "a: t/1", "b: u/1").run(busy + script)
+	},
+		// A free place at the neighbour's target: nothing is refused for good.
+		Entry("names a target that has room", `
+a offer r2 t tier=0 for=15s from=a => queued r2
+a offer r3 t tier=0 for=15s from=a => queued r3
+a offer r4 t tier=0 final          => queued r4; refuse r4 overload try u
+b offer r4 u tier=0                => grant r4`),
+		// Two last words in a row: the one place at u is not named twice, since
+		// the first is still on its way there.
+		Entry("does not name the same place twice", `
+a offer r2 t from=a           => queued r2
+a offer r3 t from=a           => queued r3
+b offer q0 u tier=0 once      => grant q0
+b running q0 u tier=0 once    =>
+b offer q1 u tier=0 from=b    => queued q1
+a offer r4 t tier=0 final     => queued r4; refuse r4 overload try u
+a offer r5 t tier=0 final     => queued r5; refuse r5 overload settled`),
+		// Lower work waits at the neighbour: it is refused there before the higher
+		// request is here, and nothing lower is let in while the floor stands.
+		Entry("displaces the neighbour's lower work, then stands", `
+a offer r2 t tier=1 from=a       => queued r2
+a offer r3 t tier=1 from=a       => queued r3
+b offer q0 u tier=0 once prompt=9000 => grant q0
+b offer q1 u tier=2 from=b       => queued q1
+b offer q2 u tier=2 from=b       => queued q2
+a offer r4 t tier=1 for=1s final => queued r4; refuse q2 overload; refuse q1 overload; refuse r4 overload settled
+a offer r5 t tier=2 for=1s final => refuse r5 overload settled
+b offer q3 u tier=2 from=b       => refuse q3 overload
+b done q0 u                      =>
+b offer q4 u tier=2 from=b       => refuse q4 overload
+b offer q5 u tier=1              => grant q5`),
+		// The neighbour runs a lower call that may not be repeated. The higher
+		// request waits for its end as long as its own deadline allows, and gets
+		// the place.
+		Entry("waits for lower work that can't be cancelled", `
+a offer r2 t tier=0 from=a       => queued r2
+a offer r3 t tier=0 from=a       => queued r3
+b offer q0 u tier=2 once from=b prompt=9000 => grant q0
+b running q0 u tier=2 once from=b prompt=9000 =>
+a offer r4 t tier=0 for=2s final from=a => queued r4
+wait 600ms                       =>
+b done q0 u from=b               =>
+wait 220ms                       => refuse r4 overload try u
+b offer r4 u tier=0              => grant r4`),
+		Entry("gives up waiting for such work when the deadline allows no more", `
+a offer r2 t tier=0 from=a       => queued r2
+a offer r3 t tier=0 from=a       => queued r3
+b offer q0 u tier=2 once from=b prompt=9000 => grant q0
+b running q0 u tier=2 once from=b prompt=9000 =>
+a offer r4 t tier=0 for=1s final from=a => queued r4
+wait 780ms                       =>
+wait 40ms                        => refuse r4 overload settled`),
+		Entry("cancels the neighbour's lower run that may be repeated", `
+a offer r2 t tier=0 from=a       => queued r2
+a offer r3 t tier=0 from=a       => queued r3
+b offer q0 u tier=2 from=b prompt=9000 => grant q0
+b running q0 u tier=2 from=b prompt=9000 =>
+a offer r4 t tier=0 for=2s final => queued r4; refuse r4 overload try u
+b offer r4 u tier=0 for=2s       => preempt q0; queued r4
+b done q0 u from=b               => grant r4`),
+		// The neighbour is silent. It counts as having stopped below the top tier
+		// once the limit has passed, by its own rule, so the refusal waits for
+		// that and no longer.
+		Entry("waits for a silent scheduler's limit", `
+cut a b
+a offer r2 t tier=0 from=a   => queued r2
+a offer r3 t tier=0 from=a   => queued r3
+a offer r4 t tier=0 final from=a => queued r4
+wait 320ms                   =>
+wait 40ms                    => refuse r4 overload settled
+a offer r5 t tier=1 final from=a => refuse r5 overload settled`),
+		// The other half of that rule: cut off from half of the members, only the
+		// top tier is served, and refusals say that this entry is the cause.
+		Entry("serves only the top tier when cut off", `
+b offer q0 u tier=2 from=b prompt=5000 => grant q0
+b offer q1 u tier=1 from=b   => queued q1
+b quorum no
+wait 20ms                    => refuse q1 not_ready
+b done q0 u from=b           =>
+b offer q2 u tier=1 final    => refuse q2 not_ready settled
+b offer q3 u tier=0          => grant q3
+b quorum yes
+b offer q4 u tier=1 from=b   => queued q4`),
+		// Entry b dies for certain: the exchange ends without the silence limit.
+		Entry("does not wait for a scheduler whose process has ended", `
+cut a b
+a offer r2 t tier=0 from=a   => queued r2
+a offer r3 t tier=0 from=a   => queued r3
+a offer r4 t tier=0 final    => queued r4
+a gone b                     => refuse r4 overload settled`),
+	)
+
+	// A floor ends: the tiers come back one at a time, the lower ones only into
+	// places that nobody waits for, and only later into the queue.
+	It("lets the tiers back in stepwise", func() {
+		newCluster(testSettings(), "a: t/1", "b: u/1").run(busy + `
+a offer r2 t tier=0 from=a       => queued r2
+a offer r3 t tier=0 from=a       => queued r3
+b offer q0 u tier=0 from=b once prompt=9000 => grant q0
+b running q0 u tier=0 from=b once prompt=9000 =>
+b offer q1 u tier=0 from=b       => queued q1
+b offer q2 u tier=0 from=b       => queued q2
+a offer r4 t tier=0 final        => queued r4; refuse r4 overload settled
+b withdraw q1 u from=b           =>
+b withdraw q2 u from=b           =>
+b offer q3 u tier=1 from=b       => refuse q3 overload
+wait 420ms                       =>
+b offer q4 u tier=2 from=b       => refuse q4 overload
+b offer q5 u tier=1 from=b       => queued q5
+wait 400ms                       =>
+b offer q6 u tier=2 from=b       => queued q6`)
+	})
+
+	It("pays one exchange for many refusals", func() {
+		c := newCluster(testSettings(), "a: t/1", "b: u/1")
+		c.run(busy + `
+a offer r2 t tier=0 from=a => queued r2
+a offer r3 t tier=0 from=a => queued r3
+b offer q0 u tier=0 once prompt=9000 => grant q0
+b running q0 u tier=0 once prompt=9000 =>
+b offer q1 u tier=0 from=b => queued q1
+b offer q2 u tier=0 from=b => queued q2`)
+		c.told = nil
+		for i := range 50 {
+			o := c.offer([]string{"x" + string(rune('A'+i)), "t", "tier=1", "final"})
+			c.deliver("a", c.schedulers["a"].Offer(c.now, "o1", o))
+		}
+		Expect(c.told).To(HaveLen(50 + 1))
+		Expect(c.floorAsks).To(Equal(1))
+	})
+
+	// A third scheduler takes a target of the pool over. It has promised nothing,
+	// so the floor that stands without it no longer allows a refusal.
+	It("asks again when a scheduler joins the pool", func() {
+		c := newCluster(testSettings(), "a: t/1", "b: u/1", "c: v/1")
+		c.schedulers["a"].SetPool("p", []ident.Incarnation{"b"})
+		c.wait(400 * time.Millisecond)
+		c.run(busy + `
+a offer r2 t tier=0 from=a => queued r2
+a offer r3 t tier=0 from=a => queued r3
+b offer q0 u tier=0 once prompt=9000 => grant q0
+b offer q1 u tier=0 from=b => queued q1
+b offer q2 u tier=0 from=b => queued q2
+a offer r4 t tier=1 final => queued r4; refuse r4 overload settled`)
+		c.schedulers["a"].SetPool("p", []ident.Incarnation{"b", "c"})
+		c.run(`a offer r5 t tier=1 final => queued r5; refuse r5 overload try v`)
+	})
+})
+
+var _ = Describe("a target that changes its scheduler", func() {
+	// The new scheduler does not know what runs. It grants nothing until the
+	// owners have reported or the wait passed; what they reported is counted.
+	It("waits for the owners' reports and counts what they list", func() {
+		c := newCluster(testSettings(), "a: t/2")
+		c.schedulers["a"].SetMembers(c.now, []ident.Incarnation{"o1", "o2"})
+		c.run(`
+a running r9 u tier=1 from=o3   =>
+a targets t/2 u/2               =>
+a offer r1 u from=o1            => queued r1
+a offer r2 u from=o1            => queued r2
+a running r8 u from=o1 full     =>
+wait 120ms                      =>
+a offer r1 u from=o1            => queued r1
+a idle from=o2                  =>
+wait 200ms                      =>
+a done r8 u from=o1             => grant r1`)
+		Expect(c.schedulers["a"].Inspect(c.now)[1].InFlight).To(Equal(2))
+	})
+
+	It("opens after the wait when an owner stays silent, for lower tiers after a floor's time", func() {
+		newCluster(testSettings(), "a: t/1").run(`
+a targets t/1 u/2           =>
+a offer r1 u from=a         => queued r1
+a offer r2 u from=a tier=1  => queued r2
+wait 280ms                  =>
+wait 20ms                   => grant r1
+wait 80ms                   =>
+wait 20ms                   => grant r2`)
+	})
+
+	// The former scheduler still had offers waiting and one running. The owners
+	// offer again to the new one; a late offer to the old one is sent on too.
+	It("hands waiting offers over", func() {
+		newCluster(testSettings(), "a: t/1 u/1").run(`
+a offer r1 t    => grant r1
+a offer r2 t    => queued r2
+a targets u/1   => refuse r2  try t
+a offer r3 t    => refuse r3  try t
+a done r1 t     =>`)
+	})
+
+	// Views differ for a while, and two entries schedule one target: it may be
+	// overfilled by as much again for that time, and no run is lost: after the
+	// reports the one that stays counts both runs and grants nothing more.
+	It("settles after two schedulers overlapped", func() {
+		c := newCluster(testSettings(), "a: t/1", "b: t/1")
+		c.run(`
+a offer r1 t from=o1 => grant r1
+b offer r2 t from=o2 => grant r2
+b targets u/1        =>
+a running r1 t from=o1 full =>
+a running r2 t from=o2 full =>
+a offer r3 t from=a  => queued r3
+a done r1 t from=o1  =>
+a done r2 t from=o2  => grant r3`)
+	})
+})
--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -135,11 +135,17 @@
 }
 
 // regrant answers a refresh that crossed its grant or whose grant was lost. A
-// run that was reported needs none.
+// run that was reported needs none. Below a floor, or while higher work waits,
+// the answer is put off until the former grant has lapsed and the refresh counts
+// as a new offer: the first grant may have been lost, and a new one would let
+// this request pass the higher one.
 func (s *Scheduler) regrant(r *run, from ident.Incarnation, m message.Offer) {
 	if from != r.from || m.Ask <= r.offer.Ask || r.reported || r.preempting {
 		return
 	}
+	if s.lowestGranted(r.target).Above(r.offer.Tier) || r.target.queue.Above(r.offer.Tier) > 0 {
+		return
+	}
 	r.offer.Ask = m.Ask
 	s.sendGrant(r, s.now)
 }
@@ -193,35 +199,37 @@
 	return o.target.queue.Len() == 0 && len(o.target.runs) < o.target.limit()
 }
 
-// enqueue finds the offer a place in the queue, by displacement or preemption
-// if need be, and grants what can be granted.
+// enqueue puts the offer into the queue, grants what can be granted, and then
+// brings the queue back to its bound.
 func (s *Scheduler) enqueue(o *offer) {
 	t := o.target
-	late := t.late(o, t.wait(o))
-	if late && !s.preemptFor(o) {
-		s.refuseForLoad(o, outcome.ReasonOverload)
-		return
-	}
-	if !s.makeRoom(o) {
+	if t.late(o, t.wait(o)) && !s.preemptFor(o) {
 		s.refuseForLoad(o, outcome.ReasonOverload)
 		return
 	}
 	t.queue.Push(&o.Item)
 	s.fill(t)
+	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
+		s.shedOne(o)
+	}
 }
 
-// makeRoom frees a place in a full queue. Displaced is the lowest tier's last;
-// were it the queue's oldest, work nearest to being served would be lost.
-func (s *Scheduler) makeRoom(o *offer) bool {
-	t := o.target
-	if t.queue.Len() < max(1, s.set.QueuePerTarget) {
-		return true
-	}
-	if last := t.queue.Last(); o.Tier.Above(last.Tier) {
-		s.refuseForLoad(t.offers[last.ID], outcome.ReasonDisplaced)
-		return true
+// shedOne refuses one offer of a queue that a newcomer has made too long: the
+// lowest tier's last, which would have been served last; were it the oldest,
+// work nearest to being served would be lost. Within the newcomer's own tier
+// only another organisation's goes, or else one that floods the tier would
+// keep the others out of the queue, where fairness could not reach them.
+func (s *Scheduler) shedOne(newcomer *offer) {
+	last := newcomer.target.offers[newcomer.target.queue.Last().ID]
+	switch {
+	case newcomer.Tier.Above(last.Tier):
+		s.refuseForLoad(last, outcome.ReasonDisplaced)
+	case newcomer.preempting || s.preemptFor(newcomer):
+	case last.Tier == newcomer.Tier && last.Organisation != newcomer.Organisation:
+		s.refuseForLoad(last, outcome.ReasonOverload)
+	default:
+		s.refuseForLoad(newcomer, outcome.ReasonOverload)
 	}
-	return o.preempting || s.preemptFor(o)
 }
 
 // giveUp is when the offer cannot be met any more.
--- /dev/null
+++ b/internal/core/scheduler/property_test.go
@@ -0,0 +1,385 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+)
+
+const (
+	step     = 5 * time.Millisecond
+	maxDelay = 30 * time.Millisecond
+	pool     = "p"
+)
+
+// world is two schedulers with three targets, and one owner of all requests.
+// Messages take a random time, in order on each link. The owner does what a
+// good one does: refresh, use grants while they are good, report, try others.
+type world struct {
+	t          *rapid.T
+	now        time.Time
+	set        Settings
+	schedulers map[ident.Incarnation]*Scheduler
+	places     map[string]int
+	homes      map[string]ident.Incarnation // as the owner sees them
+	wire       []letter
+	last       map[string]time.Time
+	requests   map[ident.RequestID]*call
+	order      []*call
+	asks       uint64
+	floors     []floorSeen
+	unsettled  map[string]bool // targets whose takeover has not settled
+	stats      map[string]int
+}
+
+type letter struct {
+	at       time.Time
+	from, to ident.Incarnation
+	m        message.Message
+}
+
+// call is a request as its owner sees it.
+type call struct {
+	offer    message.Offer
+	length   time.Duration
+	deadline time.Time
+	due      time.Time
+	sent     map[uint64]time.Time // by ask
+	lastSent time.Time
+	tried    int
+	offered  bool
+	running  bool
+	started  time.Time
+	answered string
+}
+
+// floorSeen is a settled refusal: until then nothing below tier is granted.
+type floorSeen struct {
+	tier  request.Tier
+	until time.Time
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1e6, 0), set: testSettings(),
+		schedulers: map[ident.Incarnation]*Scheduler{}, last: map[string]time.Time{},
+		places:   map[string]int{"t": 1, "u": 2, "v": 1},
+		homes:    map[string]ident.Incarnation{"t": "a", "u": "b", "v": "a"},
+		requests: map[ident.RequestID]*call{}, unsettled: map[string]bool{}, stats: map[string]int{},
+	}
+	w.set.Preempt = rapid.Bool().Draw(t, "preempt")
+	for i, name := range []ident.Incarnation{"a", "b"} {
+		s := New(name, uint64(i), nil)
+		s.Configure(w.now, w.set)
+		s.SetPool(pool, []ident.Incarnation{"a", "b"})
+		w.schedulers[name] = s
+	}
+	w.schedulers["a"].SetTargets(w.now, w.targets("t", "v"))
+	w.schedulers["b"].SetTargets(w.now, w.targets("u"))
+	w.pass(w.set.Silence + w.set.Floor)
+	return w
+}
+
+func (w *world) targets(names ...string) []Target {
+	var list []Target
+	for _, name := range names {
+		list = append(list, Target{Name: name, Pool: pool, MaxInFlight: w.places[name], PrefillRate: 5000, StepTime: 5 * time.Millisecond})
+	}
+	return list
+}
+
+func (w *world) post(from, to ident.Incarnation, m message.Message) {
+	link := string(from + ">" + to)
+	at := w.now
+	if from != to {
+		at = at.Add(time.Duration(rapid.IntRange(0, int(maxDelay/step)).Draw(w.t, "delay")) * step)
+	}
+	if at.Before(w.last[link]) {
+		at = w.last[link]
+	}
+	w.last[link] = at
+	w.wire = append(w.wire, letter{at, from, to, m})
+}
+
+// pass lets time pass and checks the promises after every step.
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		w.deliver()
+		if w.now.UnixMilli()%20 == 0 {
+			for _, name := range []ident.Incarnation{"a", "b"} {
+				w.take(name, w.schedulers[name].Tick(w.now))
+			}
+			w.tend()
+		}
+		w.checkPlaces()
+	}
+}
+
+func (w *world) deliver() {
+	var later, due []letter
+	for _, l := range w.wire {
+		if l.at.After(w.now) {
+			later = append(later, l)
+		} else {
+			due = append(due, l)
+		}
+	}
+	w.wire = later
+	for _, l := range due {
+		s := w.schedulers[l.to]
+		switch m := l.m.(type) {
+		case message.Offer:
+			w.take(l.to, s.Offer(w.now, l.from, m))
+		case message.Done:
+			w.take(l.to, s.Done(w.now, l.from, m))
+		case message.Running:
+			w.take(l.to, s.Running(w.now, l.from, m))
+		case message.FloorAsk:
+			w.take(l.to, s.FloorAsk(w.now, l.from, m))
+		case message.FloorReply:
+			w.take(l.to, s.FloorReply(w.now, l.from, m))
+		case message.Grant:
+			w.granted(m)
+		case message.Refuse:
+			w.refused(m)
+		case message.Preempt:
+			w.preempted(m)
+		}
+	}
+}
+
+// take checks what a scheduler says, at the instant at which it says it.
+func (w *world) take(from ident.Incarnation, effects []Effect) {
+	for _, e := range effects {
+		switch m := e.Message.(type) {
+		case message.Grant:
+			w.checkGrant(from, m)
+		case message.Refuse:
+			w.checkRefusal(from, m)
+		}
+		w.post(from, e.To, e.Message)
+	}
+}
+
+func (w *world) checkGrant(from ident.Incarnation, m message.Grant) {
+	tier := w.requests[m.ID].offer.Tier
+	for _, v := range w.schedulers[from].Inspect(w.now) {
+		for higher := 0; v.Name == m.Target && higher < int(tier) && higher < len(v.Queued); higher++ {
+			if v.Queued[higher] > 0 {
+				w.t.Fatalf("%s of tier %d granted while tier %d waits at %s", m.ID, tier, higher, v.Name)
+			}
+		}
+	}
+	for _, f := range w.floors {
+		if f.tier < tier && w.now.Before(f.until) {
+			w.t.Fatalf("%s of tier %d granted after a settled refusal of tier %d", m.ID, tier, f.tier)
+		}
+	}
+}
+
+func (w *world) checkRefusal(from ident.Incarnation, m message.Refuse) {
+	if !m.Settled || !m.Reason.Load() || m.Reason == outcome.ReasonDeadlinePassed || m.Reason == outcome.ReasonDeadline {
+		return
+	}
+	c := w.requests[m.ID]
+	for name, s := range w.schedulers {
+		for _, t := range s.targets {
+			if last := t.queue.Last(); last != nil && last.Tier > c.offer.Tier {
+				w.t.Fatalf("%s of tier %d refused by %s while %s waits at %s of %s", m.ID, c.offer.Tier, from, last.ID, t.desc.Name, name)
+			}
+			for _, r := range t.runs {
+				if r.offer.Tier > c.offer.Tier && w.now.Before(c.due) {
+					w.t.Fatalf("%s of tier %d refused by %s before its time while %s runs at %s", m.ID, c.offer.Tier, from, r.offer.ID, t.desc.Name)
+				}
+			}
+		}
+	}
+	until, standing := w.schedulers[from].floors.Covered(w.now, pool, c.offer.Tier)
+	if !standing {
+		w.t.Fatalf("%s refused for good without a floor", m.ID)
+	}
+	w.floors = append(w.floors, floorSeen{c.offer.Tier, until})
+	w.stats["settled"]++
+}
+
+func (w *world) checkPlaces() {
+	inUse := map[string]int{}
+	for _, c := range w.order {
+		if c.running {
+			inUse[c.offer.Target]++
+		}
+	}
+	for name, places := range w.places {
+		if inUse[name] > places && !w.unsettled[name] {
+			w.t.Fatalf("%d in flight at %s with %d places", inUse[name], name, places)
+		}
+		if inUse[name] <= places && w.schedulers[w.homes[name]].targets[name] != nil && w.schedulers[w.homes[name]].targets[name].open() {
+			delete(w.unsettled, name)
+		}
+	}
+}
+
+func (w *world) submit() {
+	id := ident.RequestID(fmt.Sprintf("r%d", len(w.order)))
+	prompt := rapid.SampledFrom([]int{50, 400, 1500}).Draw(w.t, "prompt")
+	total := time.Duration(prompt)*time.Second/5000 + 21*5*time.Millisecond
+	remaining := total + time.Duration(rapid.IntRange(1, 200).Draw(w.t, "slack"))*10*time.Millisecond
+	c := &call{
+		sent: map[uint64]time.Time{},
+		offer: message.Offer{
+			ID: id, Organisation: rapid.SampledFrom([]string{"x", "y"}).Draw(w.t, "org"),
+			Tier:         request.Tier(rapid.IntRange(0, 3).Draw(w.t, "tier")),
+			PromptTokens: prompt, MaxTokens: 20, Idempotent: rapid.IntRange(0, 2).Draw(w.t, "once") > 0,
+		},
+		deadline: w.now.Add(remaining),
+		due:      w.now.Add(remaining - total),
+		length:   total * time.Duration(rapid.IntRange(2, 10).Draw(w.t, "length")) / 10,
+		tried:    rapid.IntRange(0, 2).Draw(w.t, "first"),
+	}
+	w.requests[id] = c
+	w.order = append(w.order, c)
+	w.offer(c, []string{"t", "u", "v"}[c.tried], false)
+}
+
+func (w *world) offer(c *call, target string, final bool) {
+	c.offer.Target = target
+	c.offer.Final = final
+	c.offered = true
+	w.refresh(c)
+}
+
+func (w *world) refresh(c *call) {
+	w.asks++
+	c.sent[w.asks] = w.now
+	c.lastSent = w.now
+	o := c.offer
+	o.Ask = w.asks
+	o.Remaining = c.deadline.Sub(w.now)
+	w.post("o", w.homes[o.Target], o)
+}
+
+func (w *world) granted(m message.Grant) {
+	c := w.requests[m.ID]
+	good := c.offered && !c.running && c.answered == "" && m.Target == c.offer.Target
+	if !good || !w.now.Before(c.sent[m.Ask].Add(m.Valid)) {
+		return
+	}
+	c.running = true
+	c.started = w.now
+	w.stats["ran"]++
+}
+
+func (w *world) refused(m message.Refuse) {
+	c := w.requests[m.ID]
+	if c.running || c.answered != "" || m.Target != c.offer.Target {
+		return
+	}
+	switch {
+	case m.Settled:
+		c.answered = string(m.Reason)
+	case Moved(m):
+		c.offered = false // offered again by tend
+	case m.Elsewhere != "":
+		w.offer(c, m.Elsewhere, false)
+		w.stats["elsewhere"]++
+	case c.offer.Final:
+		c.offered = false
+	default:
+		c.tried++
+		w.offer(c, []string{"t", "u", "v"}[c.tried%3], c.tried >= 3)
+	}
+}
+
+func (w *world) preempted(m message.Preempt) {
+	c := w.requests[m.ID]
+	if !c.offer.Idempotent {
+		w.t.Fatalf("%s may not be repeated and was preempted", m.ID)
+	}
+	w.stats["preempted"]++
+	c.answered = "preempted"
+	w.end(c, message.ResultCancelled)
+}
+
+func (w *world) end(c *call, result message.Result) {
+	c.running = false
+	w.post("o", w.homes[c.offer.Target], message.Done{ID: c.offer.ID, Target: c.offer.Target, Result: result})
+}
+
+// tend does what the owner does every 20 ms.
+func (w *world) tend() {
+	runs := map[ident.Incarnation][]message.RunningOne{}
+	for _, c := range w.order {
+		switch {
+		case c.running && w.now.Sub(c.started) >= c.length:
+			c.answered = "answered"
+			w.end(c, message.ResultComplete)
+		case c.running:
+			o := c.offer
+			o.Remaining = c.deadline.Sub(w.now)
+			home := w.homes[o.Target]
+			runs[home] = append(runs[home], message.RunningOne{Offer: o, Age: w.now.Sub(c.started), Started: w.now.Sub(c.started) > c.length/2})
+		case c.answered == "" && !c.offered:
+			w.offer(c, c.offer.Target, c.offer.Final)
+		case c.answered == "" && w.now.Sub(c.lastSent) >= w.set.Grant/2:
+			w.refresh(c)
+		}
+	}
+	for _, home := range []ident.Incarnation{"a", "b"} {
+		if len(runs[home]) > 0 {
+			w.post("o", home, message.Running{Runs: runs[home]})
+		}
+	}
+}
+
+// move gives target v to the other scheduler; the views change one by one.
+func (w *world) move() {
+	w.unsettled["v"] = true
+	w.take("b", w.schedulers["b"].SetTargets(w.now, w.targets("u", "v")))
+	w.pass(time.Duration(rapid.IntRange(0, 10).Draw(w.t, "overlap")) * step)
+	w.homes["v"] = "b"
+	w.pass(time.Duration(rapid.IntRange(0, 10).Draw(w.t, "overlap")) * step)
+	w.take("a", w.schedulers["a"].SetTargets(w.now, w.targets("t")))
+}
+
+// TestPromises drives random schedules and checks at every instant: no lower
+// work is granted past waiting higher work or after a settled refusal while its
+// floor stands; nothing lower waits anywhere when a refusal is settled, and what
+// still runs has been waited for; places are kept to; calls that may not be
+// repeated are never preempted; every request is answered.
+func TestPromises(t *testing.T) {
+	total := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		n := rapid.IntRange(1, 60).Draw(t, "requests")
+		moveAt := rapid.IntRange(0, 2*n).Draw(t, "move")
+		for i := range n {
+			w.submit()
+			w.pass(time.Duration(rapid.IntRange(0, 8).Draw(t, "gap")) * step)
+			if i == moveAt {
+				w.move()
+			}
+		}
+		w.pass(6 * time.Second)
+		for _, c := range w.order {
+			if c.answered == "" {
+				t.Fatalf("%s has no answer", c.offer.ID)
+			}
+			w.stats[c.answered]++
+		}
+		for k, v := range w.stats {
+			total[k] += v
+		}
+	})
+	t.Log(total)
+	if total["settled"] == 0 || total["preempted"] == 0 || total["elsewhere"] == 0 {
+		t.Fatal("the schedules do not reach what they are to check")
+	}
+}
--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -59,12 +59,17 @@
 		return roomInQueue
 	case inTime && s.displaceable(t, o, expected):
 		return roomByDisplacement
-	case s.set.Preempt && !t.late(o, 0) && s.preemptibleRuns(t, o) > expected:
+	case s.preemptibleRuns(t, o) > expected && s.inTimeByPreemption(t, o):
 		return roomByPreemption
 	}
 	return roomNone
 }
 
+func (s *Scheduler) inTimeByPreemption(t *target, o *offer) bool {
+	r := s.victim(t, o.Tier)
+	return r != nil && !t.lateBeside(o, 0, t.loadWithout(r))
+}
+
 func (s *Scheduler) displaceable(t *target, o *offer, expected int) bool {
 	lower := 0
 	for tier := int(o.Tier) + 1; tier < t.queue.Tiers(); tier++ {
@@ -100,20 +105,14 @@
 	return len(t.rooms)
 }
 
-// lowerLeft reports whether work below the need's tier runs at a target of ours
-// that could serve the need in time if it were idle. Such work could not be
-// preempted, or else there would have been room.
-func (s *Scheduler) lowerLeft(pool string, need message.Offer) bool {
+// lowerLeft reports whether work below a tier runs at our targets of a pool. If
+// such work could make room by preemption for the request that is asked for,
+// there would have been room. It is not judged by that request's deadline: the
+// floor serves others of the tier too, which may have time to wait for its end.
+func (s *Scheduler) lowerLeft(pool string, tier request.Tier) bool {
 	for _, t := range s.pools[pool] {
-		if !t.available {
-			continue
-		}
-		o := s.newOffer(t, s.self, need)
-		if s.set.Early && o.Due.Before(s.now) {
-			continue
-		}
 		for _, r := range t.runs {
-			if need.Tier.Above(r.offer.Tier) {
+			if t.available && tier.Above(r.offer.Tier) {
 				return true
 			}
 		}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -329,11 +329,11 @@
 // preempt cancels one lower run for an offer, once.
 func (s *Scheduler) preempt(o *offer) bool {
 	t := o.target
-	if o.preempting || !t.open() || t.late(o, 0) {
+	if o.preempting || !t.open() {
 		return false
 	}
 	r := s.victim(t, o.Tier)
-	if r == nil {
+	if r == nil || t.lateBeside(o, 0, t.loadWithout(r)) {
 		return false
 	}
 	o.preempting = true
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -200,7 +200,7 @@
 		return s.take()
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
-	reply.Lower = s.lowerLeft(a.Pool, a.Need)
+	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
 	s.flush(a.Pool)
 	return s.take()
@@ -242,7 +242,7 @@
 		s.fillPool(h.key.pool)
 		return
 	}
-	if len(h.offers) > 0 && s.lowerLeft(h.key.pool, h.offers[0].current(s.now)) {
+	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
 	}
 	s.flush(h.key.pool)
