--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -71,7 +71,7 @@
 	root.AddCommand(
 		a.checkCommand(), a.publishCommand(), a.diffCommand(), a.documentCommand(),
 		a.statusCommand(), a.targetsCommand(), a.floorsCommand(), a.explainCommand(),
-		a.drainCommand(), a.logLevelCommand(),
+		a.drainCommand(), a.logLevelCommand(), a.resolveCommand(), a.submitCommand(),
 	)
 	return root
 }
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -175,7 +175,7 @@
 		req.SetBody(body)
 	}
 	if err := c.http.DoTimeout(req, resp, c.timeout); err != nil {
-		return 0, nil, callError(address, err)
+		return 0, nil, CallError(address, err)
 	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
--- a/internal/operatorclient/errors.go
+++ b/internal/operatorclient/errors.go
@@ -88,8 +88,9 @@
 // Unwrap returns the decoder's error.
 func (e *AnswerError) Unwrap() error { return e.Err }
 
-// callError tells a call that had no effect from one that may have had.
-func callError(address string, err error) error {
+// CallError wraps the error of an HTTP call: it tells a call that had no effect
+// (ErrNotSent) from one that may have had.
+func CallError(address string, err error) error {
 	var op *net.OpError
 	if errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial") {
 		return fmt.Errorf("%s: %w, %w: %w", address, ErrNoAnswer, ErrNotSent, err)
