--- a/internal/core/claims/claims.go
+++ b/internal/core/claims/claims.go
@@ -344,8 +344,8 @@
 			return false
 		}
 		h.refuseAll(p)
-		if len(p.releases) > 0 {
-			h.append(now, p.number, nil, claimsOf(p.releases))
+		for some := range slices.Chunk(p.releases, h.cfg.MaxBatch) {
+			h.append(now, p.number, nil, claimsOf(some))
 		}
 		if p.stage != stageFull {
 			h.out = append(h.out, Unfollow{Partition: p.number})
--- a/internal/core/document/document_test.go
+++ b/internal/core/document/document_test.go
@@ -254,12 +254,12 @@
 		}
 	})
 	b.Run("parse", func(b *testing.B) {
-		b.ReportMetric(float64(len(data)), "bytes")
 		for b.Loop() {
 			if _, err := document.Parse(data); err != nil {
 				b.Fatal(err)
 			}
 		}
+		b.ReportMetric(float64(len(data)), "bytes")
 	})
 	b.Run("index", func(b *testing.B) {
 		b.ReportAllocs()
