--- a/internal/core/estimate/estimate_test.go
+++ b/internal/core/estimate/estimate_test.go
@@ -153,7 +153,7 @@
 		g.feed(e, slowCount, 500, 8)
 		Expect(e.Straggler()).To(BeFalse())
 		Expect(e.Limit()).To(Equal(16 / slowShare))
-		g.feed(e, stragglerCount, 500, 8)
+		g.feed(e, 100, 500, 8)
 		Expect(e.Straggler()).To(BeTrue())
 		Expect(e.Limit()).To(Equal(1))
 		Expect(e.StepTime(8).Seconds()).To(BeNumerically("~", 0.120, 0.02))
@@ -203,6 +203,18 @@
 		Expect(e.Limit()).To(Equal(32))
 	})
 
+	// Entries that fell back to their own shares keep the engine overfull, so its
+	// queue never ends. The rate must stay what the engine computes, or the queue
+	// would count as prefill and the limit would rise under it.
+	It("does not learn a lasting queue as slow prefill", func() {
+		g := newEngine(5000, 0.020, 0)
+		g.slots = 10
+		e := New(Prior{PrefillRate: 5000, StepTime: 20 * time.Millisecond, MaxInFlight: 32})
+		g.feed(e, 200, 500, 32)
+		Expect(e.PrefillRate()).To(BeNumerically("~", 5000, 500))
+		Expect(e.Limit()).To(Equal(1))
+	})
+
 	// The class claims a prefill rate ten times too high. Every first token looks
 	// queued, the limit falls until no queue is possible, and only there the
 	// engine's own slowness is learned; then the places come back.
--- a/internal/core/routing/affinity_test.go
+++ b/internal/core/routing/affinity_test.go
@@ -45,6 +45,20 @@
 		}
 	})
 
+	It("does not prefer a cache above the load bound, whatever it saves", func() {
+		r.Dispatched(start, "t41", prefixed(ask(12800, 20), 1, 90))
+		r.Digest(start, digest("t41", 4, 16))
+		Expect(first(r.Choose(start, prefixed(ask(12800, 20), 1, 90), nil))).To(Equal("t41"))
+		r.Digest(start, digest("t41", 12, 16))
+		again := 0
+		for range 100 {
+			if first(r.Choose(start, prefixed(ask(12800, 20), 1, 90), nil)) == "t41" {
+				again++
+			}
+		}
+		Expect(again).To(BeNumerically("<", 10), "its share by room, among eight or so candidates")
+	})
+
 	// The engine evicted the prefix long ago and its event was lost. Each run
 	// tells that nothing was cached; the target is no longer preferred for its
 	// cache, and is again when runs find it warm.
