--- /dev/null
+++ b/internal/operators/operators_test.go
@@ -0,0 +1,226 @@
+package operators
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"sycamoretrail/internal/core/record"
+	"sycamoretrail/internal/platform"
+)
+
+const token = "operators-token"
+
+func hashOf(text string) string {
+	hash := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(hash[:])
+}
+
+var errSilent = errors.New("no answer")
+
+// fake stands for the entry, its log and its controls.
+type fake struct {
+	verdicts  []Published
+	appended  []record.Record
+	appendErr error
+	drains    int
+	level     string
+}
+
+func (f *fake) Status(context.Context) (Status, error) {
+	return Status{State: "ready", Version: 9}, nil
+}
+func (f *fake) Targets(context.Context) (Targets, error) { return Targets{}, errSilent }
+func (f *fake) Floors(context.Context) (Floors, error) {
+	return Floors{Floors: []Floor{{Pool: "p"}}}, nil
+}
+func (f *fake) Explain(_ context.Context, id string) (Explanation, error) {
+	return Explanation{ID: id, Known: true}, nil
+}
+func (f *fake) Document(context.Context) (Document, error) {
+	return Document{Version: 9, ID: "d", Data: json.RawMessage(`{"id":"d"}`)}, nil
+}
+
+// Verdict gives the verdicts in turn, the last one again and again.
+func (f *fake) Verdict(_ context.Context, id string) (Published, error) {
+	if len(f.verdicts) == 0 {
+		return Published{}, nil
+	}
+	verdict := f.verdicts[0]
+	if len(f.verdicts) > 1 {
+		f.verdicts = f.verdicts[1:]
+	}
+	if verdict.Result != "" {
+		verdict.ID = id
+	}
+	return verdict, nil
+}
+
+func (f *fake) AppendNow(stream record.Stream, data []byte) (int64, error) {
+	Expect(stream).To(Equal(record.StreamDocuments))
+	decoded, err := record.Decode(data)
+	Expect(err).NotTo(HaveOccurred())
+	f.appended = append(f.appended, decoded)
+	return 12, f.appendErr
+}
+
+func (f *fake) Drain() { f.drains++ }
+func (f *fake) SetLogLevel(level string) error {
+	if level == "loud" {
+		return errors.New("no such level")
+	}
+	f.level = level
+	return nil
+}
+
+func (f *fake) check(data []byte) (string, []Fault) {
+	var doc struct{ ID string }
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return "", []Fault{{Path: "(document)", Problem: "not JSON", Remedy: "write JSON"}}
+	}
+	return doc.ID, nil
+}
+
+var _ = Describe("the operators' interface", func() {
+	var (
+		f         *fake
+		call      func(method, path, auth, body string) (int, string)
+		published func(body string) (int, Published)
+	)
+
+	BeforeEach(func() {
+		f = &fake{}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		server, err := New(Options{
+			TokenSHA256: hashOf(token), Inspector: f, Controls: f, Check: f.check, Log: f, Logger: log,
+			VerdictTimeout: 200 * time.Millisecond,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		listener := fasthttputil.NewInmemoryListener()
+		go server.Serve(listener)
+		DeferCleanup(listener.Close)
+		client := &fasthttp.Client{Dial: func(string) (net.Conn, error) { return listener.Dial() }}
+		call = func(method, path, auth, body string) (int, string) {
+			request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			request.Header.SetMethod(method)
+			request.SetRequestURI("http://entry" + path)
+			request.Header.Set("Authorization", auth)
+			request.SetBodyString(body)
+			Expect(client.Do(request, response)).To(Succeed())
+			return response.StatusCode(), string(response.Body())
+		}
+		published = func(body string) (int, Published) {
+			status, text := call("POST", PathDocument, "Bearer "+token, body)
+			var answer Published
+			Expect(json.Unmarshal([]byte(text), &answer)).To(Succeed())
+			return status, answer
+		}
+	})
+
+	It("answers nobody without the token", func() {
+		for _, auth := range []string{"", "Bearer ", "Bearer wrong", token, "Bearer " + hashOf(token), "Basic " + token} {
+			for _, path := range []string{PathStatus, PathTargets, PathFloors, PathDocument, PathExplain} {
+				status, body := call("GET", path, auth, "")
+				Expect(status).To(Equal(401), auth)
+				Expect(body).NotTo(ContainSubstring("ready"))
+			}
+			for _, path := range []string{PathDrain, PathDocument, PathLogLevel} {
+				status, _ := call("POST", path, auth, `{"level":"debug"}`)
+				Expect(status).To(Equal(401), auth)
+			}
+		}
+		Expect(f.drains).To(BeZero())
+		Expect(f.appended).To(BeEmpty())
+		Expect(f.level).To(BeEmpty())
+	})
+
+	It("reads the entry's state", func() {
+		status, body := call("GET", PathStatus, "Bearer "+token, "")
+		Expect(status).To(Equal(200))
+		Expect(body).To(And(ContainSubstring(`"state":"ready"`), ContainSubstring(`"version":9`)))
+		status, body = call("GET", PathExplain+"?id=a.1.b", "Bearer "+token, "")
+		Expect(status).To(Equal(200))
+		Expect(body).To(ContainSubstring(`"id":"a.1.b"`))
+		status, _ = call("GET", PathExplain, "Bearer "+token, "")
+		Expect(status).To(Equal(400))
+		status, body = call("GET", PathTargets, "Bearer "+token, "")
+		Expect(status).To(Equal(503))
+		Expect(body).To(ContainSubstring("no answer"))
+	})
+
+	It("drains and changes the level of logging", func() {
+		status, _ := call("POST", PathDrain, "Bearer "+token, "")
+		Expect(status).To(Equal(202))
+		Expect(f.drains).To(Equal(1))
+		status, _ = call("POST", PathLogLevel, "Bearer "+token, `{"level":"debug"}`)
+		Expect(status).To(Equal(200))
+		Expect(f.level).To(Equal("debug"))
+		status, _ = call("POST", PathLogLevel, "Bearer "+token, `{"level":"loud"}`)
+		Expect(status).To(Equal(400))
+	})
+
+	It("publishes and waits for the verdict", func() {
+		f.verdicts = []Published{{}, {Result: ResultAccepted, Version: 12}}
+		status, answer := published(`{"id":"d"}`)
+		Expect(status).To(Equal(200))
+		Expect(answer).To(Equal(Published{ID: "d", Result: ResultAccepted, Version: 12}))
+		Expect(f.appended).To(Equal([]record.Record{{Document: &record.Document{Data: []byte(`{"id":"d"}`)}}}))
+	})
+
+	// Two operators publish on the same base. The second is told by whom it was
+	// beaten, so that it can look at the difference and publish anew.
+	It("tells which document beat this one", func() {
+		f.verdicts = []Published{{Result: ResultBeaten, Winner: "other", WinnerVersion: 11}}
+		status, answer := published(`{"id":"d"}`)
+		Expect(status).To(Equal(409))
+		Expect(answer).To(Equal(Published{ID: "d", Result: ResultBeaten, Winner: "other", WinnerVersion: 11}))
+	})
+
+	// The log took the record and its answer was lost. The record comes back all
+	// the same, and the operator hears "accepted", not an error after which the
+	// same document would be published twice.
+	It("settles a lost answer by reading back", func() {
+		f.appendErr = fmt.Errorf("%w: cut", platform.ErrUnknown)
+		f.verdicts = []Published{{}, {Result: ResultAccepted, Version: 12}}
+		_, answer := published(`{"id":"d"}`)
+		Expect(answer.Result).To(Equal(ResultAccepted))
+	})
+
+	It("says unknown when nothing comes back in time", func() {
+		f.appendErr = fmt.Errorf("%w: cut", platform.ErrUnknown)
+		status, answer := published(`{"id":"d"}`)
+		Expect(status).To(Equal(202))
+		Expect(answer.Result).To(Equal(ResultUnknown))
+	})
+
+	It("says that nothing was published after a definite no or a fault", func() {
+		f.appendErr = fmt.Errorf("%w: 503", platform.ErrRefused)
+		f.verdicts = []Published{{Result: ResultAccepted}}
+		status, answer := published(`{"id":"d"}`)
+		Expect(status).To(Equal(503))
+		Expect(answer.Result).To(Equal(ResultNotPublished))
+		f.appended = nil
+		status, answer = published(`not JSON`)
+		Expect(status).To(Equal(422))
+		Expect(answer.Faults).To(HaveLen(1))
+		Expect(f.appended).To(BeEmpty())
+	})
+
+	It("does not start without a token hash", func() {
+		_, err := New(Options{TokenSHA256: "abc"})
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -42,7 +42,10 @@
 		ReadTimeout:        helloTimeout,
 		MaxRequestBodySize: maxHello,
 		CloseOnShutdown:    true,
-		Logger:             l.options.Log,
+		// Without it Close on an upgraded connection does nothing until the handler
+		// returns, and the handler is a read that only Close would end.
+		KeepHijackedConns: true,
+		Logger:            l.options.Log,
 	}
 }
 
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -70,7 +70,11 @@
 
 func (f *follower) run() {
 	for f.ctx.Err() == nil {
-		if err := f.round(); err != nil {
+		err := f.round()
+		if f.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			f.fail()
 			continue
 		}
@@ -97,7 +101,11 @@
 	if err != nil {
 		return err
 	}
-	return f.take(page, since)
+	if err := f.take(page, since); err != nil || len(page.Records) > 0 {
+		return err
+	}
+	// A log that answers at once instead of waiting would be asked without rest.
+	return f.pause(wait - f.log.clock().Sub(since))
 }
 
 // take delivers a page. A gap means that records aged out before they were read:
@@ -185,13 +193,16 @@
 	var status *statusError
 	if errors.As(err, &status) && status.Status == fasthttp.StatusNotFound {
 		// A stream exists from its first append; until then it is empty.
-		return page{Next: from, First: firstOffset, End: from}, f.pause(wait)
+		return page{Next: from, First: firstOffset, End: from}, nil
 	}
 	return p, err
 }
 
-// pause stands in for the wait of a read that the log answered at once.
+// pause waits; the context's end is its error.
 func (f *follower) pause(wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/settings/suite_test.go
@@ -0,0 +1,13 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "settings")
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/outcome"
+)
+
+var _ = Describe("lines on decisions", func() {
+	It("are JSON, bounded for each second, and say how many were left out", func() {
+		var out bytes.Buffer
+		logger, err := NewLogger(&out, "info")
+		Expect(err).NotTo(HaveOccurred())
+		now := time.Unix(1000, 0)
+		d := NewDecisions(logger, func() time.Time { return now }, 2)
+		for range 5 {
+			d.Decision(entry.Decision{ID: "a.1.b", Event: entry.EventSettled, Reason: outcome.ReasonOverload, Tier: 2})
+		}
+		now = now.Add(time.Second)
+		d.Decision(entry.Decision{Event: entry.EventMember, Detail: "peer up"})
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		Expect(lines).To(HaveLen(3))
+		var first, last map[string]any
+		Expect(json.Unmarshal([]byte(lines[0]), &first)).To(Succeed())
+		Expect(first).To(And(HaveKeyWithValue("id", "a.1.b"), HaveKeyWithValue("reason", "overload"), HaveKeyWithValue("tier", 2.0)))
+		Expect(json.Unmarshal([]byte(lines[2]), &last)).To(Succeed())
+		Expect(last).To(And(HaveKeyWithValue("left_out", 3.0), Not(HaveKey("id"))))
+	})
+
+	It("follow the level while the process runs", func() {
+		var out bytes.Buffer
+		logger, err := NewLogger(&out, "info")
+		Expect(err).NotTo(HaveOccurred())
+		logger.Debug("unseen")
+		Expect(SetLevel(logger, "debug")).To(Succeed())
+		logger.Debug("seen")
+		Expect(SetLevel(logger, "loud")).NotTo(Succeed())
+		Expect(out.String()).To(And(ContainSubstring(`"seen"`), Not(ContainSubstring("unseen"))))
+	})
+})
+
+var _ = Describe("metrics", func() {
+	text := func(m *Metrics) string {
+		Expect(m.Close()).To(Succeed())
+		var out bytes.Buffer
+		m.reporter.write(&out)
+		return out.String()
+	}
+
+	It("count outcomes by reason, and times by tier and organisation", func() {
+		m := NewMetrics("entry-1", "ncr-a")
+		m.Settled(Settled{Organisation: "o", Tier: "gate", Status: outcome.Complete(), FirstToken: 20 * time.Millisecond, Total: 2 * time.Second, Tokens: 7})
+		m.Settled(Settled{Organisation: "o", Tier: "gate", Status: outcome.Refused(outcome.ReasonOverload, 0, "")})
+		m.Gauge("ready", 1)
+		page := text(m)
+		for _, line := range []string{
+			"# TYPE sycamoretrail_requests_total counter",
+			`sycamoretrail_requests_total{entry="entry-1",outcome="answered",reason="",tier="gate",zone="ncr-a"} 1`,
+			`sycamoretrail_requests_total{entry="entry-1",outcome="not_run",reason="overload",tier="gate",zone="ncr-a"} 1`,
+			`sycamoretrail_by_tier_answer_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="1.5"} 0`,
+			`sycamoretrail_by_tier_answer_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="3"} 1`,
+			`sycamoretrail_by_tier_answer_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="+Inf"} 1`,
+			`sycamoretrail_by_tier_answer_seconds_count{entry="entry-1",tier="gate",zone="ncr-a"} 1`,
+			`sycamoretrail_by_tier_first_token_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="0.025"} 1`,
+			`sycamoretrail_by_organisation_tokens_total{entry="entry-1",organisation="other",zone="ncr-a"} 7`,
+			`sycamoretrail_ready{entry="entry-1",zone="ncr-a"} 1`,
+		} {
+			Expect(page).To(ContainSubstring(line + "\n"))
+		}
+	})
+
+	// 38,000 organisations send requests, three of them most of the traffic. The
+	// page must not grow by a series for each, and must show the three.
+	It("give series to the largest organisations only", func() {
+		m := NewMetrics("e", "z")
+		for i := range 40_000 {
+			name := fmt.Sprintf("small-%d", i%38_000)
+			if i%2 == 0 {
+				name = fmt.Sprintf("large-%d", i/2%3)
+			}
+			m.Settled(Settled{Organisation: name, Tier: "t", Status: outcome.Complete()})
+		}
+		page := text(m)
+		series := strings.Count(page, "sycamoretrail_by_organisation_tokens_total{")
+		Expect(series).To(BeNumerically("<=", MaxOrganisationSeries+1))
+		for i := range 3 {
+			Expect(page).To(ContainSubstring(fmt.Sprintf(`organisation="large-%d"`, i)))
+		}
+		Expect(page).NotTo(ContainSubstring("small-"))
+	})
+})
