--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"errors"
+	"context"
 	"net"
 
 	"sycamoretrail/internal/duty"
@@ -11,15 +11,9 @@
 type dataPlane interface {
 	duty.Targets
 	duty.Flights
-	duty.Publisher
 	// Serve answers callers until Close.
 	Serve(net.Listener) error
+	// Watch probes targets until the context ends.
+	Watch(context.Context)
 	Close()
 }
-
-// errNoDataPlane: this build has no callers' and targets' side.
-var errNoDataPlane = errors.New("the data plane is not wired into this build")
-
-// newDataPlane is to be replaced by the wiring of internal/callers, flight and
-// targets, which take p.loop as their core.
-func newDataPlane(*process) (dataPlane, error) { return nil, errNoDataPlane }
--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -27,11 +27,10 @@
 func (p *process) reportOnce() {
 	m := p.metrics
 	m.Gauge("core_inputs_waiting", float64(p.loop.Waiting()))
-	if view := p.views.Latest(); view != nil {
-		m.Gauge("document_version", float64(view.Version))
-		m.Gauge("ready", readiness(view.State))
-		m.Gauge("entries_known", float64(len(view.Entries)))
-	}
+	view := p.views.Latest()
+	m.Gauge("document_version", float64(view.Version))
+	m.Gauge("ready", readiness(view.State))
+	m.Gauge("entries_known", float64(len(view.Entries)))
 	stats := p.links.Stats()
 	m.Gauge("peer_links", float64(stats.Links))
 	m.Gauge("peer_sent_bytes", float64(stats.SentBytes))
--- a/cmd/sycamore-entry/inspector.go
+++ b/cmd/sycamore-entry/inspector.go
@@ -27,9 +27,6 @@
 	}
 	status := operators.Status{WaitingInputs: i.loop.Waiting()}
 	view := i.views.Latest()
-	if view == nil {
-		return status, nil
-	}
 	status.State = view.State.String()
 	status.Version = view.Version
 	if view.Document != nil {
@@ -41,7 +38,7 @@
 // Document returns the document in force.
 func (i *inspector) Document(context.Context) (operators.Document, error) {
 	view := i.views.Latest()
-	if view == nil || view.Document == nil {
+	if view.Document == nil {
 		return operators.Document{}, nil
 	}
 	data, err := json.Marshal(view.Document)
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -53,7 +53,7 @@
 		logger:   logger,
 		metrics:  telemetry.NewMetrics(s.Name, s.Zone),
 		loop:     duty.NewLoop(entry.New(cfg, time.Now()), time.Now),
-		views:    &views{},
+		views:    newViews(),
 	}
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
 	p.links = peers.New(peers.Options{
@@ -75,7 +75,7 @@
 		Flights:   p.data,
 		Peers:     p.links,
 		Platform:  p.log,
-		Publisher: publishers{p.views, p.data},
+		Publisher: p.views,
 		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
 	})
 	return p, nil
@@ -105,6 +105,7 @@
 	p.links.Start(listeners.peers)
 	go p.serve("operators", func() error { return p.operators.Serve(listeners.operators) })
 	go p.serve("callers", func() error { return p.data.Serve(listeners.callers) })
+	go p.data.Watch(ctx)
 	go platform.PollInstances(ctx, p.settings.Platform.Instances, p.listed, p.listFailed)
 	go p.reportGauges(ctx)
 	p.logger.WithField("version", version).Info("entry started")
