--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+<<<<<<< HEAD
+=======
+	"context"
+>>>>>>> links
 	"net"
 	"time"
 
@@ -25,6 +29,7 @@
 )
 
 // dataPlane is the way of requests through the process: callers, flights, targets.
+<<<<<<< HEAD
 type dataPlane struct {
 	*targets.Targets
 	*flight.Registry
@@ -106,3 +111,14 @@
 	}
 	return false
 }
+=======
+type dataPlane interface {
+	duty.Targets
+	duty.Flights
+	// Serve answers callers until Close.
+	Serve(net.Listener) error
+	// Watch probes targets until the context ends.
+	Watch(context.Context)
+	Close()
+}
+>>>>>>> links
--- a/internal/standin/layout/layout.go
+++ b/internal/standin/layout/layout.go
@@ -129,21 +129,18 @@
 	return file, nil
 }
 
-// engineParams gives an engine the generation of its class, and the version
-// that the document wants, so that a run begins with nothing to order.
+// engineParams gives an engine the generation of its class. In a pool of one
+// model it holds that model already; in others it serves whatever is asked for.
 func engineParams(index *document.Index, t *document.Target, class *document.Class) engine.Params {
 	params := engine.Params{Generation: engine.GenerationOlder, WeightsAddress: at(weightsPort)}
 	if class.PrefillRate >= fastPrefill {
 		params.Generation = engine.GenerationNewer
 	}
 	params.Faults.CheckFencing = class.ChecksFencing
-	for _, model := range index.Models(t.Pool) {
-		if model.Version != "" {
-			params.Model = model.Name
-			params.Version = model.Version
-			params.Adapters = model.Adapters
-			break
-		}
+	if models := index.Models(t.Pool); len(models) == 1 {
+		params.Model = models[0].Name
+		params.Version = models[0].Version
+		params.Adapters = models[0].Adapters
 	}
 	return params
 }
