--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-<<<<<<< HEAD
-=======
-	"context"
->>>>>>> links
 	"net"
 	"time"
 
@@ -29,7 +25,6 @@
 )
 
 // dataPlane is the way of requests through the process: callers, flights, targets.
-<<<<<<< HEAD
 type dataPlane struct {
 	*targets.Targets
 	*flight.Registry
@@ -111,14 +106,3 @@
 	}
 	return false
 }
-=======
-type dataPlane interface {
-	duty.Targets
-	duty.Flights
-	// Serve answers callers until Close.
-	Serve(net.Listener) error
-	// Watch probes targets until the context ends.
-	Watch(context.Context)
-	Close()
-}
->>>>>>> links
--- a/cmd/sycamore-entry/inspector.go
+++ b/cmd/sycamore-entry/inspector.go
@@ -27,7 +27,6 @@
 	if err := i.loop.Do(ctx, func(e *entry.Entry) { s = e.Status() }); err != nil {
 		return operators.Status{}, err
 	}
-<<<<<<< HEAD
 	status := operators.Status{
 		Entry: memberOf(s.Self), State: s.State.String(), Version: s.Version, DocumentID: s.Document,
 		InFlight: s.InFlight, LogAvailable: s.LogUp, WaitingInputs: i.loop.Waiting(),
@@ -37,14 +36,6 @@
 			Member: memberOf(p.Member), State: p.State.String(), Version: p.ConfigVersion,
 			InFlight: p.InFlight, Linked: p.Linked, SilentMS: p.Silent.Milliseconds(),
 		})
-=======
-	status := operators.Status{WaitingInputs: i.loop.Waiting()}
-	view := i.views.Latest()
-	status.State = view.State.String()
-	status.Version = view.Version
-	if view.Document != nil {
-		status.DocumentID = view.Document.ID
->>>>>>> links
 	}
 	return status, nil
 }
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -103,7 +103,6 @@
 	p.links.Start(listeners.peers)
 	go p.serve("operators", func() error { return p.operators.Serve(listeners.operators) })
 	go p.serve("callers", func() error { return p.data.Serve(listeners.callers) })
-	go p.data.Watch(ctx)
 	go platform.PollInstances(ctx, p.settings.Platform.Instances, p.listed, p.listFailed)
 	go p.reportGauges(ctx)
 	p.logger.WithField("version", version).Info("entry started")
--- a/cmd/sycamore-entry/views.go
+++ b/cmd/sycamore-entry/views.go
@@ -11,11 +11,7 @@
 	current atomic.Pointer[entry.View]
 }
 
-<<<<<<< HEAD
 // newViews begins with a view that says that nothing is in force yet.
-=======
-// newViews holds an empty view, so that nobody meets a nil one before the first.
->>>>>>> links
 func newViews() *views {
 	v := &views{}
 	v.current.Store(&entry.View{})
