Follow redirects and joins by key in the virtual replay

Cause: the fake edges of the virtual replay knew nothing of SeeOther, and took Join and Attach to name the caller's own id. Ruled out: the core; it put the redirect out at every attempt (traced by id). Conclusion: the fault was in the fakes. The live edges do not carry out SeeOther and a Join of another id either; reported.

--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
@@ -139,12 +140,17 @@
 
 // send asks the entry whose turn it is.
 func (c *call) send() {
-	w := c.world
 	if c.closed() {
 		return
 	}
+	c.sendTo(c.world.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress), ident.RequestID(c.seen.ID))
+}
+
+// sendTo sends the request to an entry, or attaches there to the stream of an
+// id if a token for one is held.
+func (c *call) sendTo(h *host, id ident.RequestID) {
+	w := c.world
 	c.seen.Attempts++
-	h := w.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress)
 	a := &attempt{call: c, host: h}
 	c.open = a
 	left := c.seen.Sent + c.seen.Deadline - w.sinceStart()
@@ -154,7 +160,7 @@
 		return
 	}
 	h.attempts = append(h.attempts, a)
-	target, id := c.target, ident.RequestID(c.seen.ID)
+	target := c.target
 	w.after(callerDelay, func() {
 		h.deliver(func() {
 			if c.open != a {
@@ -286,6 +292,18 @@
 	c.again()
 }
 
+// sentOn follows a redirect to the answer of the request, or of the first of
+// its key, at another entry.
+func (a *attempt) sentOn(o entry.SeeOther) {
+	c := a.call
+	if c.open != a || c.closed() {
+		return
+	}
+	a.leave()
+	c.target = o.Target
+	c.sendTo(c.world.hostAt(o.Address), o.Of)
+}
+
 // broke: the connection is gone, since the entry is.
 func (a *attempt) broke() {
 	if c := a.call; c.open == a && !c.closed() {
--- a/internal/replay/virtual/flight.go
+++ b/internal/replay/virtual/flight.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// join lets callers that came with an id read the answer of another: the first
+// request of their idempotency key.
+func (h *host) join(o entry.Join) {
+	f := h.flight(o.Of)
+	if o.Of != o.ID {
+		from := h.flight(o.ID)
+		f.waiters = append(f.waiters, from.waiters...)
+		from.waiters = nil
+	}
+	f.joinWaiting()
+}
+
+// sendOn redirects the callers to the entry that holds the answer.
+func (f *flight) sendOn(o entry.SeeOther) {
+	waiting := f.waiters
+	f.waiters = nil
+	for _, a := range waiting {
+		f.host.world.after(callerDelay, func() { a.sentOn(o) })
+	}
+}
+
 // joinWaiting gives callers that came later what is held already.
 func (f *flight) joinWaiting() {
 	for _, a := range f.waiters {
@@ -153,11 +174,15 @@
 	t := w.byName[o.Target]
 	s := &stream{host: h, flight: f, target: t, attached: true, began: w.now, tokens: f.tokens}
 	f.stream = s
+	of := o.Of
+	if of == "" {
+		of = o.ID
+	}
 	if t == nil {
 		s.lost()
 		return
 	}
-	w.after(targetDelay, func() { t.attach(s, string(o.ID)) })
+	w.after(targetDelay, func() { t.attach(s, string(of)) })
 }
 
 // started: the target took the request.
--- a/internal/replay/virtual/host.go
+++ b/internal/replay/virtual/host.go
@@ -95,7 +95,9 @@
 	case entry.Settle:
 		h.flight(o.ID).settle(o.Status)
 	case entry.Join:
-		h.flight(o.ID).joinWaiting()
+		h.join(o)
+	case entry.SeeOther:
+		h.flight(o.ID).sendOn(o)
 	case entry.Send:
 		h.send(o)
 	case entry.Append:
