Say why a request is late: load, a pause, or its arrival

Cause: the owner threw away the router's finding that no target can be in time and tried again until the deadline, which it then called a refusal for load. The virtual replay also counted callers' bounds from the first sending, while a live entry counts what the headers leave from when it reads them. Traced: each of the inversions was a request that had waited in a paused entry, or arrived with 1 ms left for its first token. Ruled out: schedulers; none had refused anything. Change: NoneInTime is refused at once; after a pause of the process the reason is process_was_paused, at an arrival with less time left than one step of the fastest declared target it is arrived_too_late (a new reason).

--- a/internal/core/entry/documents.go
+++ b/internal/core/entry/documents.go
@@ -95,6 +95,7 @@
 	e.version = version
 	e.index = document.NewIndex(doc)
 	e.timing = timingOf(doc)
+	e.fastest = e.fastestSteps()
 	longest := document.Milliseconds(doc.Limits.DeadlineMS)
 	e.ids.Configure(e.now, document.Milliseconds(doc.Shutdown.EntriesTTLMS), longest, doc.Limits.RememberedIDs)
 	e.members.Configure(e.membershipConfig())
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -61,6 +61,10 @@
 	index   *document.Index
 	version int64
 	timing  timing
+	// fastest is the least declared step time of each pool's targets.
+	fastest map[string]time.Duration
+	// wokeAt is when this process last found that it had stood still.
+	wokeAt time.Time
 
 	accepted *acceptance.Acceptance
 	ids      *owner.Table
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -96,6 +96,7 @@
 // limit: others may have taken its targets, so it grants nothing until it has
 // heard its peers again and the owners have told it what they run there.
 func (e *Entry) woke() {
+	e.wokeAt = e.now
 	e.plan.SetMembers(nil)
 	e.perform(e.places.SetTargets(e.now, nil), fromPlaces)
 }
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -6,6 +6,7 @@
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/routing"
 	"sycamoretrail/internal/core/scheduler"
 	"sycamoretrail/internal/core/suspects"
 )
@@ -24,12 +25,12 @@
 // place chooses a target for a flight and offers it there.
 func (e *Entry) place(f *flight) {
 	if !e.now.Before(f.req.Deadline) {
-		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		e.refuseLate(f, outcome.ReasonDeadlinePassed)
 		return
 	}
-	target, found := e.choose(f)
-	if !found {
-		e.noTarget(f)
+	target, status := e.choose(f)
+	if !status.OK() {
+		e.noTarget(f, status)
 		return
 	}
 	f.final = f.final || len(f.tried) >= triesBeforeFinal || e.lastCandidate(f)
@@ -38,21 +39,27 @@
 
 // noTarget handles a pool of which no target can be chosen: once all were
 // tried, the best of them is asked for the last word.
-func (e *Entry) noTarget(f *flight) {
+func (e *Entry) noTarget(f *flight, status routing.Status) {
 	if len(f.tried) > 0 {
 		f.tried = f.tried[:0]
 		f.final = true
-		if target, found := e.choose(f); found {
+		var target string
+		if target, status = e.choose(f); status.OK() {
 			e.offerAt(f, target)
 			return
 		}
 	}
-	if e.poolMayRecover(f) {
+	switch {
+	case status == routing.NoneInTime:
+		// Waiting makes it only later, and no other tier's place makes a target
+		// faster, so the caller is told at once.
+		e.refuseLate(f, outcome.ReasonDeadline)
+	case e.poolMayRecover(f):
 		f.stage = stageWaiting
 		e.wakeAt(f, e.now.Add(replaceWait))
-		return
+	default:
+		e.abandon(f, outcome.Refused(outcome.ReasonNoTarget, e.jitter(retrySoon), "no target of the pool is available"))
 	}
-	e.abandon(f, outcome.Refused(outcome.ReasonNoTarget, e.jitter(retrySoon), "no target of the pool is available"))
 }
 
 // poolMayRecover gives a pool without a target a moment, since a change of
@@ -61,14 +68,12 @@
 	return e.now.Sub(f.req.Arrived) < e.timing.silence
 }
 
-func (e *Entry) choose(f *flight) (string, bool) {
+func (e *Entry) choose(f *flight) (string, routing.Status) {
 	exclude := func(target string) bool { return f.hasTried(target) }
 	if e.cfg.Policy == PolicyAlone {
-		target, _ := e.router.TwoChoices(e.now, &f.req, exclude)
-		return target, target != ""
+		return e.router.TwoChoices(e.now, &f.req, exclude)
 	}
-	target, _ := e.router.Choose(e.now, &f.req, exclude)
-	return target, target != ""
+	return e.router.Choose(e.now, &f.req, exclude)
 }
 
 func (e *Entry) lastCandidate(f *flight) bool {
@@ -126,7 +131,7 @@
 // the scheduler stays silent.
 func (e *Entry) attendOffered(f *flight) {
 	if !e.now.Before(f.req.Deadline) {
-		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		e.refuseLate(f, outcome.ReasonDeadlinePassed)
 		return
 	}
 	if !f.own && e.schedulerOf(f.target) != f.scheduler {
@@ -209,6 +214,8 @@
 	}
 	f.stage = stageWaiting
 	switch {
+	case r.Settled && (r.Reason == outcome.ReasonDeadline || r.Reason == outcome.ReasonDeadlinePassed):
+		e.refuseLate(f, r.Reason)
 	case r.Settled:
 		e.abandon(f, outcome.Refused(r.Reason, r.RetryAfter, detailOf(r.Reason)))
 	case scheduler.Moved(r):
@@ -228,12 +235,39 @@
 	return b
 }
 
+// refuseLate refuses a request that cannot be in time, and tells the cause: only
+// a want of places is a refusal for load. After a pause of this process, and
+// when the bounds were past at the arrival, an idle target would not help.
+func (e *Entry) refuseLate(f *flight, reason outcome.Reason) {
+	switch {
+	case e.wokeAt.After(f.req.Arrived):
+		reason = outcome.ReasonProcessPaused
+	case e.arrivedLate(f):
+		reason = outcome.ReasonArrivedLate
+	}
+	e.abandon(f, outcome.Refused(reason, e.jitter(retrySoon), detailOf(reason)))
+}
+
+// arrivedLate: less time was left at the arrival than the pool's fastest target
+// takes for a single token. No estimate counts here, since those rise with load.
+func (e *Entry) arrivedLate(f *flight) bool {
+	step := e.fastest[f.req.Pool]
+	first := f.req.FirstTokenBy
+	return !f.req.Deadline.After(f.req.Arrived.Add(step)) || !first.IsZero() && !first.After(f.req.Arrived.Add(step))
+}
+
 func detailOf(reason outcome.Reason) string {
 	switch reason {
 	case outcome.ReasonDisplaced:
 		return "a higher tier needed the place"
 	case outcome.ReasonDeadline:
 		return "the answer could not be complete by the deadline"
+	case outcome.ReasonDeadlinePassed:
+		return "the deadline passed before a place was free"
+	case outcome.ReasonArrivedLate:
+		return "too little time was left when the request arrived"
+	case outcome.ReasonProcessPaused:
+		return "the entry was paused while the request waited; send again"
 	}
 	return "every target that could serve the request is full"
 }
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -144,6 +144,18 @@
 	}
 }
 
+// fastestSteps finds each pool's least declared step time.
+func (e *Entry) fastestSteps() map[string]time.Duration {
+	fastest := make(map[string]time.Duration, len(e.doc.Pools))
+	for i := range e.doc.Targets {
+		t := e.schedulerTarget(&e.doc.Targets[i])
+		if least, known := fastest[t.Pool]; !known || t.StepTime < least {
+			fastest[t.Pool] = t.StepTime
+		}
+	}
+	return fastest
+}
+
 // schedulerSettings turns the document's rules into the schedulers' settings.
 func (e *Entry) schedulerSettings() scheduler.Settings {
 	doc := e.doc
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -153,14 +153,15 @@
 	c.seen.Attempts++
 	a := &attempt{call: c, host: h}
 	c.open = a
-	left := c.seen.Sent + c.seen.Deadline - w.sinceStart()
-	w.after(max(left, 0)+patience, a.impatient)
+	w.after(c.timeLeft().whole+patience, a.impatient)
 	if h == nil || !h.up {
 		w.after(2*callerDelay, a.broke)
 		return
 	}
 	h.attempts = append(h.attempts, a)
-	target := c.target
+	// The headers tell what is left at the sending; the entry counts from when
+	// it reads them, as the live one does.
+	target, left := c.target, c.timeLeft()
 	w.after(callerDelay, func() {
 		h.deliver(func() {
 			if c.open != a {
@@ -170,7 +171,7 @@
 				h.resume(a, id, target)
 				return
 			}
-			h.submit(a, c.request())
+			h.submit(a, c.request(left))
 		})
 	})
 }
@@ -205,22 +206,33 @@
 	c.world.open--
 }
 
+// timeLeft is what is left of a call's bounds; firstToken 0: no bound.
+type timeLeft struct{ whole, firstToken time.Duration }
+
+func (c *call) timeLeft() timeLeft {
+	spent := c.world.sinceStart() - c.seen.Sent
+	left := timeLeft{whole: max(c.seen.Deadline-spent, time.Millisecond)}
+	if c.seen.FirstTokenBy > 0 {
+		left.firstToken = max(c.seen.FirstTokenBy-spent, time.Millisecond)
+	}
+	return left
+}
+
 // request is what the callers' edge makes of the call.
-func (c *call) request() request.Request {
+func (c *call) request(left timeLeft) request.Request {
 	now := c.world.now
 	line := c.line
-	left := max(c.seen.Sent+c.seen.Deadline-c.world.sinceStart(), time.Millisecond)
 	r := request.Request{
 		ID: ident.RequestID(c.seen.ID), Organisation: line.Organisation, Tier: c.seen.Tier, Kind: c.seen.Kind,
 		Pool: c.seen.Pool, Model: line.Model, PromptTokens: line.PromptTokens, MaxTokens: line.MaxTokens,
-		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left),
+		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left.whole),
 		Fingerprint: request.Fingerprint(xxhash.Sum64String(fmt.Sprint(line.Organisation, line.Model, c.source))),
 	}
 	if line.Kind == trace.Service {
 		r.Model = line.Service
 	}
-	if c.seen.FirstTokenBy > 0 {
-		r.FirstTokenBy = now.Add(c.seen.Sent + c.seen.FirstTokenBy - c.world.sinceStart())
+	if left.firstToken > 0 {
+		r.FirstTokenBy = now.Add(left.firstToken)
 	}
 	if c.seen.Key != "" {
 		sum := sha256.Sum256([]byte(line.Organisation + "\x00" + c.seen.Key))
