Hold lower work back while an entry has just lost touch

Cause: a process that woke saw itself as the only member, offered its requests to itself and refused all below the top tier as not_ready within a millisecond, although its peers' heartbeats were 150 ms away. Change: for at most the silence limit such work waits at its owner.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -65,6 +65,9 @@
 	fastest map[string]time.Duration
 	// wokeAt is when this process last found that it had stood still.
 	wokeAt time.Time
+	// quorum: this entry is in touch with most members; quorumLost: since when not.
+	quorum     bool
+	quorumLost time.Time
 
 	accepted *acceptance.Acceptance
 	ids      *owner.Table
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -112,11 +112,20 @@
 	moves = append(moves, e.plan.SetMembers(live)...)
 	e.placeTargets(len(live))
 	e.placePartitions(live)
+	e.setQuorum()
+	e.setPools(live)
+	e.reportMoved(moves)
+}
+
+// setQuorum tells the schedulers whether this entry is in touch with most members.
+func (e *Entry) setQuorum() {
 	quorum := e.members.Quorum(e.now)
+	if e.quorum && !quorum {
+		e.quorumLost = e.now
+	}
+	e.quorum = quorum
 	e.places.SetQuorum(e.now, quorum)
 	e.share.SetQuorum(e.now, quorum)
-	e.setPools(live)
-	e.reportMoved(moves)
 }
 
 // placeTargets gives the schedulers their targets: those placed here, and a
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -28,6 +28,11 @@
 		e.refuseLate(f, outcome.ReasonDeadlinePassed)
 		return
 	}
+	if e.waitsForTouch(f) {
+		f.stage = stageWaiting
+		e.wakeAt(f, e.now.Add(replaceWait))
+		return
+	}
 	target, status := e.choose(f)
 	if !status.OK() {
 		e.noTarget(f, status)
@@ -37,6 +42,16 @@
 	e.offerAt(f, target)
 }
 
+// waitsForTouch holds work below the top tier back for a moment while this entry
+// is out of touch with most members. Every scheduler that it can see would refuse
+// it, and after a pause or a short cut the next heartbeats end that.
+func (e *Entry) waitsForTouch(f *flight) bool {
+	if f.req.Tier == 0 || e.quorum || e.cfg.Policy != PolicyScheduler {
+		return false
+	}
+	return e.now.Sub(e.quorumLost) < e.timing.silence && e.poolMayRecover(f)
+}
+
 // noTarget handles a pool of which no target can be chosen: once all were
 // tried, the best of them is asked for the last word.
 func (e *Entry) noTarget(f *flight, status routing.Status) {
