Hold the top tier back too while an entry sees only itself

Cause: a process that woke offered top tier work to itself, where the takeover's wait exceeds the tier's first token bound, and refused it as not_ready.

--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -42,11 +42,13 @@
 	e.offerAt(f, target)
 }
 
-// waitsForTouch holds work below the top tier back for a moment while this entry
-// is out of touch with most members. Every scheduler that it can see would refuse
-// it, and after a pause or a short cut the next heartbeats end that.
+// waitsForTouch holds a request back for a moment while this entry is out of
+// touch with most members: after a pause or a short cut the next heartbeats end
+// that. Until then every scheduler that it can see would refuse work below the
+// top tier, and an entry that sees only itself would offer to itself, where a
+// takeover must first wait for reports.
 func (e *Entry) waitsForTouch(f *flight) bool {
-	if f.req.Tier == 0 || e.quorum || e.cfg.Policy != PolicyScheduler {
+	if e.quorum || e.cfg.Policy != PolicyScheduler || f.req.Tier == 0 && len(e.members.Live()) > 1 {
 		return false
 	}
 	return e.now.Sub(e.quorumLost) < e.timing.silence && e.poolMayRecover(f)
