Random schedules over several entries' cores, promises as invariants

A small world joins the cores by queues that delay, drop and reorder; targets, log, list and callers are fakes. Not green yet: the first schedule that fails tells a keyed retry 'not run' in a log outage although the key's first request ran.

--- /dev/null
+++ b/internal/core/entry/schedules_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/record"
+)
+
+// kind is what a step of a schedule does.
+type kind int
+
+const (
+	engineCall kind = iota
+	serviceCall
+	keyedCall
+	poisonCall
+	resend
+	threeAtOnce
+	killEntry
+	pauseEntry
+	drainEntry
+	crashTarget
+	leaveTarget
+	leaveInList
+	cutBoth
+	cutOneWay
+	dropSome
+	delayAll
+	logDown
+	logLose
+	logSlow
+	listLag
+	publishTwo
+	kinds
+)
+
+var kindNames = [...]string{
+	"engineCall", "serviceCall", "keyedCall", "poisonCall", "resend", "threeAtOnce", "killEntry", "pauseEntry",
+	"drainEntry", "crashTarget", "leaveTarget", "leaveInList", "cutBoth", "cutOneWay", "dropSome", "delayAll",
+	"logDown", "logLose", "logSlow", "listLag", "publishTwo",
+}
+
+// step is one act of a schedule, at a time in milliseconds. What a to d mean
+// depends on the kind: places of entries, targets or calls; length; duration.
+type step struct {
+	at         int
+	kind       kind
+	a, b, c, d int
+}
+
+// schedule is a whole test: the seed of the delays and the steps.
+type schedule struct {
+	seed  uint64
+	steps []step
+}
+
+// String is the schedule as Go source, to be kept as a test.
+func (s schedule) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "schedule{%d, []step{\n", s.seed)
+	for _, t := range s.steps {
+		fmt.Fprintf(&b, "\t{%d, %s, %d, %d, %d, %d},\n", t.at, kindNames[t.kind], t.a, t.b, t.c, t.d)
+	}
+	return b.String() + "}}"
+}
+
+var steps = rapid.Custom(func(t *rapid.T) step {
+	s := step{at: rapid.IntRange(0, 2000).Draw(t, "at")}
+	s.kind = kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "kind"))
+	if rapid.IntRange(0, 9).Draw(t, "call") < 6 {
+		s.kind %= threeAtOnce + 1
+	}
+	s.a = rapid.IntRange(0, 5).Draw(t, "a")
+	s.b = rapid.IntRange(0, 5).Draw(t, "b")
+	s.c = rapid.IntRange(0, 5).Draw(t, "c")
+	s.d = rapid.IntRange(0, 9).Draw(t, "d")
+	return s
+})
+
+var schedules = rapid.Custom(func(t *rapid.T) schedule {
+	return schedule{
+		seed:  uint64(rapid.IntRange(0, 1<<16).Draw(t, "seed")),
+		steps: rapid.SliceOfN(steps, 4, 40).Draw(t, "steps"),
+	}
+})
+
+// run carries a schedule out and returns the promises that it broke.
+func (s schedule) run(hook func(*Entry)) []string {
+	w := newWorld(s.seed, hook)
+	last := 0
+	for _, t := range s.steps {
+		last = max(last, t.at)
+		w.after(time.Duration(t.at)*time.Millisecond, func() { w.take(t) })
+	}
+	w.until(time.Duration(last) * time.Millisecond)
+	for w.faulty > 0 {
+		w.until(w.since() + 100*time.Millisecond)
+	}
+	end := w.since()
+	for w.until(end + time.Second); w.since() < end+converges && !w.settled(); {
+		w.until(w.since() + 200*time.Millisecond)
+	}
+	w.check()
+	return w.broken
+}
+
+// lasting begins a fault and ends it after d quarter seconds or so.
+func (w *world) lasting(s step, begin, end func()) {
+	w.faulty++
+	begin()
+	w.after(time.Duration(100+s.d*150)*time.Millisecond, func() {
+		w.faulty--
+		end()
+	})
+}
+
+func (w *world) counted(s step, n *int, by int) {
+	w.lasting(s, func() { *n += by }, func() { *n -= by })
+}
+
+func (w *world) take(s step) {
+	n, other := w.nodes[s.a%entries], w.nodes[s.b%entries]
+	t := w.targets[s.a%len(w.targets)]
+	switch s.kind {
+	case engineCall, serviceCall, keyedCall, poisonCall:
+		if c := w.newCall(s); c.id != "" {
+			c.send()
+		} else {
+			c.seen.Settled = true
+		}
+	case resend, threeAtOnce:
+		w.sendAgain(s)
+	case killEntry:
+		if n.up {
+			w.lasting(s, n.kill, func() { w.startNode(n.place); w.noteList() })
+		}
+	case pauseEntry:
+		if n.up && !n.paused {
+			w.lasting(s, func() { n.paused = true }, n.wake)
+		}
+	case drainEntry:
+		n.input(DrainStart{})
+	case crashTarget:
+		t.crash(time.Duration(s.d*50) * time.Millisecond)
+	case leaveTarget, leaveInList:
+		w.leave(t, s)
+	case cutBoth, cutOneWay:
+		if n != other {
+			w.cut(s, n.place, other.place)
+		}
+	case dropSome:
+		w.counted(s, &w.faults.drop, 30)
+	case delayAll:
+		w.counted(s, &w.faults.delay, 150)
+	case logDown:
+		w.counted(s, &w.faults.logDown, 1)
+	case logLose:
+		w.counted(s, &w.faults.logLose, 1)
+	case logSlow:
+		w.counted(s, &w.faults.logSlow, 1)
+	case listLag:
+		w.counted(s, &w.faults.listLag, 30)
+	case publishTwo:
+		w.publishTwo(s)
+	}
+}
+
+// sendAgain sends an earlier call's id again, to one or to three entries at once.
+func (w *world) sendAgain(s step) {
+	if len(w.calls) == 0 {
+		return
+	}
+	of := w.calls[s.c%len(w.calls)]
+	if of.id == "" {
+		return
+	}
+	w.again(of, s.a)
+	if s.kind == threeAtOnce {
+		w.again(of, s.a+1)
+		w.again(of, s.a+2)
+	}
+}
+
+// leave lets a target leave for good: by its own word, or by the list's alone.
+func (w *world) leave(t *target, s step) {
+	if t.leaving {
+		return
+	}
+	t.leaving, t.says, t.leftAt = true, s.kind == leaveTarget, w.since()
+	if !t.says {
+		// The list's word is worth what its lag allows.
+		t.leftAt += time.Duration(w.faults.listLag) * time.Second
+	}
+	w.noteList()
+}
+
+func (w *world) cut(s step, a, b int) {
+	ways := [][2]int{{a, b}, {b, a}}
+	if s.kind == cutOneWay {
+		ways = ways[:1]
+	}
+	set := func(cut bool) func() {
+		return func() {
+			for _, way := range ways {
+				w.cuts[way] = cut
+				if !cut {
+					w.connect(w.nodes[way[1]], w.nodes[way[0]])
+				}
+			}
+		}
+	}
+	w.lasting(s, set(true), set(false))
+}
+
+// publishTwo lets two operators publish close together from the same base.
+func (w *world) publishTwo(s step) {
+	base := w.nodes[s.a%entries].core.version
+	for i := range 2 {
+		d := testDocument(fmt.Sprint("doc-", w.seq, "-", i), base)
+		d.Limits.QueuePerTarget = 10 + i
+		w.after(w.few(20*time.Millisecond), func() { w.write(record.StreamDocuments, encodedDocument(d)) })
+	}
+}
+
+var _ ident.RequestID
+
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := schedules.Draw(t, "schedule")
+		if broken := s.run(nil); len(broken) > 0 {
+			t.Fatalf("%s\n%s", strings.Join(broken, "\n"), s)
+		}
+	})
+}
