Tell of a key only what the log told; follow a winner to its delegate

Found by the schedules, each shrunk: - A keyed request refused 'not run' (log out, id expired, entry paused) while an earlier request of its key had run. A home answers from what it has read even while the log is out; where nobody could look, the word is unknown. - A winner of a key whose id its owner had voided: the loser joined nothing and waited for ever. It asks the delegate now. - A list that shows an older state again made a leaving target willing: 'not leaving' counts once it has stood for 40 s, longer than the list lags.

--- a/internal/core/claims/batch.go
+++ b/internal/core/claims/batch.go
@@ -120,6 +120,19 @@
 	h.out = append(h.out, Verdict{To: a.to, Key: a.claim.Key, ID: a.claim.ID, Winner: winner})
 }
 
+// noVerdict turns an ask away. What was read still counts against it: that
+// another request came first stays true while the log is out, and "not run"
+// would be false if that one ran.
+func (h *Home) noVerdict(p *partition, a *ask) {
+	v := Verdict{To: a.to, Key: a.claim.Key, ID: a.claim.ID, Unread: p == nil || !p.read}
+	if p != nil {
+		if holder := p.fold.holder(a.claim.Key); holder != a.claim.ID {
+			v.Winner = holder
+		}
+	}
+	h.out = append(h.out, v)
+}
+
 // settled answers an ask if what was read decides it.
 func (h *Home) settled(p *partition, a *ask) bool {
 	if p.fold.isReleased(a.claim) {
@@ -150,7 +163,7 @@
 
 func (h *Home) refuseAll(p *partition) {
 	for _, a := range p.asks {
-		h.answer(a, "")
+		h.noVerdict(p, a)
 	}
 	p.asks = nil
 	clear(p.line)
--- a/internal/core/claims/claims.go
+++ b/internal/core/claims/claims.go
@@ -80,6 +80,9 @@
 	// because the log is down, memory is full, time ran out or this is not the
 	// home; the owner refuses, voids the id and asks for its release.
 	Winner ident.RequestID
+	// Unread: no verdict, and this home has not read the partition, so a
+	// request with the key may have run earlier.
+	Unread bool
 }
 
 func (Append) effect()   {}
@@ -133,7 +136,7 @@
 }
 
 func (h *Home) follow(p *partition) {
-	p.stage, p.last = stageReading, 0
+	p.stage, p.last, p.read = stageReading, 0, false
 	h.out = append(h.out, Follow{Partition: p.number, Back: h.cfg.Horizon})
 }
 
@@ -154,7 +157,7 @@
 	p := h.find(PartitionOf(key, h.cfg.Partitions))
 	a := &ask{claim: record.Claim{Key: key, ID: id}, to: from, asked: now}
 	if p == nil || p.leaving || p.stage == stageDown || p.stage == stageFull {
-		h.answer(a, "")
+		h.noVerdict(p, a)
 		return h.out
 	}
 	if waiting := p.waiting(a.claim); waiting != nil {
@@ -166,7 +169,7 @@
 	}
 	if h.Size() >= h.cfg.MaxKeys {
 		// Forgetting an older claim to make room would let its key run twice.
-		h.answer(a, "")
+		h.noVerdict(p, a)
 		return h.out
 	}
 	p.enqueue(a)
@@ -247,7 +250,7 @@
 	if p == nil || p.stage == stageFull {
 		return h.out
 	}
-	p.stage = stageReady
+	p.stage, p.read = stageReady, true
 	for _, a := range slices.Clone(p.asks) {
 		if !h.settled(p, a) {
 			a.again(since)
@@ -331,7 +334,7 @@
 	for len(p.asks) > 0 && now.Sub(p.asks[0].asked) >= h.cfg.AppendTimeout {
 		a := p.asks[0]
 		p.remove(a)
-		h.answer(a, "")
+		h.noVerdict(p, a)
 	}
 }
 
--- a/internal/core/claims/partition.go
+++ b/internal/core/claims/partition.go
@@ -27,6 +27,8 @@
 type partition struct {
 	number int
 	stage  stage
+	// read: it was read to its end at least once since this home follows it.
+	read bool
 	// last offset read.
 	last int64
 	fold *fold
--- a/internal/core/entry/flight.go
+++ b/internal/core/entry/flight.go
@@ -45,6 +45,8 @@
 	subject ident.RequestID
 	// asked is the entry that was asked last, in stageAsking and stageClaiming.
 	asked ident.Incarnation
+	// keyRead: the log told whether another request of the key came first.
+	keyRead bool
 	// giveUp ends stageAsking and stageClaiming.
 	giveUp time.Time
 
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -117,7 +117,7 @@
 func (e *Entry) adopt(f *flight) {
 	e.leave(f)
 	if !e.ids.Adopt(e.now, f.req.ID) {
-		e.refuseUnseen(f.req.ID, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
+		e.refuseUnseen(&f.req, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
 		return
 	}
 	e.accept(f.req)
@@ -154,7 +154,12 @@
 // Nothing is recorded: only the owner's word is.
 func (e *Entry) settleForeign(f *flight, status outcome.Status) {
 	e.leaveForeign(f)
-	e.refuseUnseen(f.req.ID, status)
+	if f.subject != f.req.ID {
+		// The word on the key's first request is the word on the key.
+		e.tell(f.req.ID, status)
+		return
+	}
+	e.refuseUnseen(&f.req, status)
 }
 
 func (e *Entry) leaveForeign(f *flight) {
--- a/internal/core/entry/keys.go
+++ b/internal/core/entry/keys.go
@@ -53,7 +53,7 @@
 
 func (e *Entry) attendClaiming(f *flight) {
 	if !e.now.Before(f.giveUp) {
-		e.noVerdict(f)
+		e.noVerdict(f, true)
 		return
 	}
 	e.askHome(f)
@@ -61,8 +61,11 @@
 
 // noVerdict refuses a keyed request of which the log did not decide. Its claim
 // may still land on the log later: the id is finished here for good, and the
-// release lets the key's next claim win.
-func (e *Entry) noVerdict(f *flight) {
+// release lets the key's next claim win. Unread: nobody could look whether an
+// earlier request of the key ran, and a caller that sends its key again would
+// take "not run" for the word on both.
+func (e *Entry) noVerdict(f *flight, unread bool) {
+	f.keyRead = !unread
 	e.abandon(f, outcome.Refused(outcome.ReasonLogUnavailable, e.jitter(e.timing.silence), "the idempotency key could not be claimed"))
 }
 
@@ -74,7 +77,7 @@
 }
 
 func (e *Entry) releaseKey(req *request.Request) {
-	if req.Key == "" || req.Idempotent {
+	if !claimed(req) {
 		return
 	}
 	if home := e.homeOf(req.Key); home != "" {
@@ -90,8 +93,9 @@
 	}
 	switch r.Winner {
 	case "":
-		e.noVerdict(f)
+		e.noVerdict(f, r.Unread)
 	case f.req.ID:
+		f.keyRead = true
 		f.stage = stageWaiting
 		e.place(f)
 	default:
@@ -106,19 +110,24 @@
 		e.finish(f, outcome.Undetermined(outcome.ReasonDuplicateKey, "the idempotency key belongs to a request that cannot be asked for"))
 		return
 	}
-	if parts.Owner == e.cfg.Self.Incarnation || e.flights[winner] != nil {
-		e.joinWinner(f, winner)
+	f.keyRead = true
+	holder := parts.Owner
+	told := e.told(winner)
+	switch {
+	case told.Standing == message.StandingElsewhere:
+		holder = told.Delegate
+	case holder == e.cfg.Self.Incarnation || e.flights[winner] != nil:
+		e.joinWinner(f, winner, told)
 		return
 	}
 	f.stage = stageAsking
 	f.subject = winner
 	f.giveUp = e.now.Add(e.timing.silence)
 	e.asking[winner] = append(e.asking[winner], f.req.ID)
-	e.ask(f, parts.Owner)
+	e.ask(f, holder)
 }
 
-func (e *Entry) joinWinner(f *flight, winner ident.RequestID) {
-	told := e.told(winner)
+func (e *Entry) joinWinner(f *flight, winner ident.RequestID, told message.OwnerReply) {
 	if told.Standing == message.StandingFinished && told.Status.Outcome != outcome.Answered {
 		e.finish(f, told.Status)
 		return
@@ -148,7 +157,7 @@
 		case claims.Unfollow:
 			e.emit(Unfollow{Stream: record.ClaimsStream(c.Partition)})
 		case claims.Verdict:
-			e.send(c.To, message.ClaimReply{Key: c.Key, ID: c.ID, Winner: c.Winner})
+			e.send(c.To, message.ClaimReply{Key: c.Key, ID: c.ID, Winner: c.Winner, Unread: c.Unread})
 		}
 	}
 }
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -25,38 +25,43 @@
 	case owner.KindNew:
 		e.accept(req)
 	case owner.KindKnown:
-		e.joinKnown(req.ID, admission)
+		e.joinKnown(&req, admission)
 	case owner.KindForeign:
 		e.askOwner(req, req.ID, admission.Owner)
 	case owner.KindVoided:
 		e.askOwner(req, req.ID, admission.Delegate)
 	case owner.KindExpired:
-		e.refuseUnseen(req.ID, outcome.Undetermined(outcome.ReasonIDExpired, "the id is older than this entry remembers"))
+		e.refuseUnseen(&req, outcome.Undetermined(outcome.ReasonIDExpired, "the id is older than this entry remembers"))
 	case owner.KindLate:
-		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonIDExpired, 0, "the id's prefix is no longer good; ask for another"))
+		e.refuseUnseen(&req, outcome.Refused(outcome.ReasonIDExpired, 0, "the id's prefix is no longer good; ask for another"))
 	case owner.KindFull:
-		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
+		e.refuseUnseen(&req, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
 	default:
-		e.refuseUnseen(req.ID, outcome.Refused(outcome.ReasonMalformed, 0, "the request id is malformed"))
+		e.refuseUnseen(&req, outcome.Refused(outcome.ReasonMalformed, 0, "the request id is malformed"))
 	}
 }
 
 // refuseUnseen answers a request that never became a flight.
-func (e *Entry) refuseUnseen(id ident.RequestID, status outcome.Status) {
+func (e *Entry) refuseUnseen(req *request.Request, status outcome.Status) {
+	e.tell(req.ID, keyUnread(req, status))
+}
+
+// tell gives a caller the final word on an id that is not settled here.
+func (e *Entry) tell(id ident.RequestID, status outcome.Status) {
 	e.emit(Settle{ID: id, Status: status})
 	e.note(Decision{ID: id, Event: EventSettled, Reason: status.Reason, Detail: string(status.Outcome)})
 }
 
 // joinKnown answers a re-send of an id that this entry owns.
-func (e *Entry) joinKnown(id ident.RequestID, admission owner.Admission) {
-	if f := e.flights[id]; f != nil {
+func (e *Entry) joinKnown(req *request.Request, admission owner.Admission) {
+	if f := e.flights[req.ID]; f != nil {
 		f.gone = time.Time{}
 	}
 	if admission.Standing == message.StandingFinished && admission.Status.Outcome != outcome.Answered {
-		e.emit(Settle{ID: id, Status: admission.Status})
+		e.emit(Settle{ID: req.ID, Status: keyUnread(req, admission.Status)})
 		return
 	}
-	e.emit(Join{ID: id, Of: id})
+	e.emit(Join{ID: req.ID, Of: req.ID})
 }
 
 // accept begins the life of a request that this entry owns.
@@ -68,13 +73,26 @@
 		return
 	}
 	e.enter(f)
-	if req.Key != "" && !req.Idempotent {
+	if claimed(&req) {
 		e.claim(f)
 		return
 	}
 	e.place(f)
 }
 
+// claimed reports whether a request runs under an idempotency key.
+func claimed(r *request.Request) bool { return r.Key != "" && !r.Idempotent }
+
+// keyUnread makes "not run" unknown where the log was not asked about the
+// request's key. A caller that sends its key again under another id takes the
+// word for both, and the earlier one may have run.
+func keyUnread(r *request.Request, status outcome.Status) outcome.Status {
+	if claimed(r) && status.Outcome == outcome.NotRun && status.Reason != outcome.ReasonDuplicateKey {
+		status.Outcome = outcome.Unknown
+	}
+	return status
+}
+
 // enter counts a flight in.
 func (e *Entry) enter(f *flight) {
 	e.flights[f.req.ID] = f
@@ -179,6 +197,9 @@
 
 // finish settles a flight that is not running, for good.
 func (e *Entry) finish(f *flight, status outcome.Status) {
+	if !f.keyRead {
+		status = keyUnread(&f.req, status)
+	}
 	e.close(f, status)
 	e.emit(Settle{ID: f.req.ID, Status: status})
 }
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -27,6 +27,8 @@
 	// leaving by its own readiness answer, by the platform's list, or because
 	// it turned a request away as leaving.
 	leavingProbe, leavingList, leavingAnswer bool
+	// listedAt is when the list last called it leaving.
+	listedAt time.Time
 }
 
 func (w targetWatch) available() bool {
@@ -57,11 +59,19 @@
 	}
 }
 
+// listDoubt exceeds the lag of the platform's list.
+const listDoubt = 40 * time.Second
+
 // listLeaving takes the platform's word on a target; the list lags, so it can
-// only add to what the probe says.
+// only add to what the probe says. An older state of the list may be shown after
+// a newer one: were it believed, a target would get work again while it leaves,
+// so "not leaving" counts once it has stood for longer than the list can lag.
 func (e *Entry) listLeaving(target string, leaving bool) {
 	w := e.watch(target)
-	if w.leavingList == leaving {
+	if leaving {
+		w.listedAt = e.now
+	}
+	if w.leavingList == leaving || !leaving && e.now.Sub(w.listedAt) < listDoubt {
 		return
 	}
 	w.leavingList = leaving
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -295,6 +295,9 @@
 	// Winner holds the key: ID itself, or the request that came first.
 	// Empty: the log gave no verdict.
 	Winner ident.RequestID `cbor:"3,keyasint,omitempty"`
+	// Unread: no verdict, and the home could not read the partition, so another
+	// request of the key may have run earlier.
+	Unread bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ClaimRelease asks the home to give up a claim whose request did not run.
