Give a repeated key or id the answer of the first run

Cause: the core decides that a request belongs to the run of another id (same idempotency key), or that its answer is with another entry, and the edges could not carry either out; and a dispatch whose process slept after the decision would have left late. Join now follows another flight of the same organisation, SeeOther sends the caller to the owner by HTTP 303 with a stream token, Attach names the stream by the id that the engine knows, and a dispatch past NotAfter ends as not admitted. An engine's own 5xx is ResultFailed now: it is no death of the target, so it no longer makes its request a suspect.

--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
@@ -74,6 +75,8 @@
 	}
 	w.ctx.Response.Header.Set(headerRequestID, string(w.f.ID))
 	switch {
+	case p.End != nil && p.End.See != nil:
+		w.refer(p.End.See)
 	case p.Trimmed:
 		w.refuse(outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the answer's beginning is no longer held"))
 	case p.End != nil && p.Head == nil:
@@ -182,9 +185,32 @@
 	if !known || w.f.Kind != request.Engine {
 		return
 	}
-	t := streamToken{Target: target.Name, ID: w.f.ID, Organisation: w.f.Organisation,
-		Expires: w.s.cfg.Now().Add(w.s.cfg.TokenLife).Unix()}
-	w.ctx.Response.Header.Set(headerStreamToken, t.sign(w.s.cfg.TokenKey))
+	w.ctx.Response.Header.Set(headerStreamToken, w.token(target.Name, target.Stream))
+}
+
+func (w *waiting) token(target string, id ident.RequestID) string {
+	t := streamToken{
+		Target: target, ID: id, Organisation: w.f.Organisation,
+		Expires: w.s.cfg.Now().Add(w.s.cfg.TokenLife).Unix(),
+	}
+	return t.sign(w.s.cfg.TokenKey)
+}
+
+// refer gives the caller the answer of another request: from here, or by
+// sending it to the entry that holds the answer.
+func (w *waiting) refer(to *flight.Referral) {
+	w.leave()
+	if to.Flight != nil {
+		other := *w
+		other.f = to.Flight
+		other.left, other.from = false, 0
+		other.f.Enter()
+		other.answer()
+		return
+	}
+	w.ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+to.Address+streamsPath+w.token(to.Target, to.ID))
+	w.s.refuse(w.ctx, fasthttp.StatusSeeOther, string(to.ID),
+		outcome.Undetermined(outcome.ReasonDuplicateKey, "another entry holds the answer; read it there"))
 }
 
 // answerWhole collects the answer and gives it in one piece.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -28,7 +28,7 @@
 
 // Follower reads streams that stand at a target; see targets.Targets.Follow.
 type Follower interface {
-	Follow(f *flight.Flight, target, address string, ended func(message.Result)) bool
+	Follow(f *flight.Flight, at flight.Target, ended func(message.Result)) bool
 }
 
 // Observation is what one answered request gave to measure.
@@ -107,6 +107,9 @@
 	index atomic.Pointer[index]
 }
 
+// streamsPath is where answers are read again, by token.
+const streamsPath = "/v1/streams/"
+
 // New readies a server; Serve runs it.
 func New(cfg Config) *Server {
 	cfg.setDefaults()
@@ -153,7 +156,7 @@
 	r.GET("/v1/entries", s.entries)
 	r.POST("/v1/chat/completions", s.completion)
 	r.POST("/v1/completions", s.completion)
-	r.GET("/v1/streams/{token}", s.reread)
+	r.GET(streamsPath+"{token}", s.reread)
 	r.ANY("/v1/services/{service}", s.service)
 	r.ANY("/v1/services/{service}/{path:*}", s.service)
 	if s.cfg.Metrics != nil {
--- a/internal/callers/pass_test.go
+++ b/internal/callers/pass_test.go
@@ -180,7 +180,7 @@
 				dispatch(s)
 				return
 			}
-			n.flights.Join(entry.Join{ID: s.Request.ID})
+			n.flights.Join(entry.Join{ID: s.Request.ID, Of: s.Request.ID})
 			close(second)
 		}
 		id := map[string]string{"X-Request-Id": string(prefix) + "again"}
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -97,7 +97,8 @@
 		return nil
 	}
 	if added {
-		s.cfg.Follower.Follow(f, token.Target, target.Address, func(message.Result) {})
+		at := flight.Target{Name: token.Target, Address: target.Address, Stream: token.ID}
+		s.cfg.Follower.Follow(f, at, func(message.Result) {})
 	}
 	return f
 }
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -170,6 +170,8 @@
 	ResultBroken
 	// ResultCancelled: we cancelled it.
 	ResultCancelled
+	// ResultFailed: the target lives and answered with an error of its own.
+	ResultFailed
 )
 
 // Sample is what one run showed of its target's speed.
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -39,6 +39,7 @@
 func (e *edges) Order(o entry.Order)                          { e.note(o) }
 func (e *edges) Settle(o entry.Settle)                        { e.note(o) }
 func (e *edges) Join(o entry.Join)                            { e.note(o) }
+func (e *edges) SeeOther(o entry.SeeOther)                    { e.note(o) }
 func (e *edges) Follow(o entry.Follow)                        { e.note(o) }
 func (e *edges) Unfollow(o entry.Unfollow)                    { e.note(o) }
 func (e *edges) Decision(o entry.Decision)                    { e.note(o) }
@@ -64,7 +65,7 @@
 			entry.Dispatch{ID: "1"}, entry.CancelRun{ID: "2"}, entry.Settle{ID: "3"}, entry.Join{ID: "4"},
 			entry.Attach{ID: "5"}, entry.Send{To: "6", Message: message.DocumentAsk{}}, entry.Append{Tag: 7},
 			entry.Follow{Stream: "8"}, entry.Unfollow{Stream: "9"}, entry.Order{Target: "10"},
-			entry.Publish{View: &entry.View{}}, entry.Decision{ID: "12"},
+			entry.Publish{View: &entry.View{}}, entry.Decision{ID: "12"}, entry.SeeOther{ID: "13"},
 		}
 		e := &edges{}
 		loop, _ := start(&scripted{react: func(entry.Input) []entry.Output { return outputs }}, e)
--- a/internal/duty/loop.go
+++ b/internal/duty/loop.go
@@ -25,6 +25,7 @@
 	Flights interface {
 		Settle(entry.Settle)
 		Join(entry.Join)
+		SeeOther(entry.SeeOther)
 	}
 	// Peers sends messages to other entries.
 	Peers interface {
@@ -191,6 +192,8 @@
 		l.edges.Flights.Settle(o)
 	case entry.Join:
 		l.edges.Flights.Join(o)
+	case entry.SeeOther:
+		l.edges.Flights.SeeOther(o)
 	case entry.Send:
 		l.edges.Peers.Send(o.To, o.Message)
 	case entry.Append:
--- a/internal/flight/buffer.go
+++ b/internal/flight/buffer.go
@@ -36,6 +36,8 @@
 	// data in order.
 	Chunks   int
 	Checksum uint64
+	// See: the caller is to read another answer instead; nil: this one.
+	See *Referral
 }
 
 // Appended says what became of a chunk.
@@ -210,13 +212,18 @@
 
 // Close ends the answer with its final status and reports whether it did; an
 // answer has one end, so only the first call counts.
-func (b *Buffer) Close(status outcome.Status) bool {
+func (b *Buffer) Close(status outcome.Status) bool { return b.close(End{Status: status}) }
+
+// close ends the answer; the count and the checksum are its own.
+func (b *Buffer) close(end End) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.end != nil {
 		return false
 	}
-	b.end = &End{Status: status, Chunks: b.base + len(b.chunks), Checksum: b.digest.Sum64()}
+	end.Chunks = b.base + len(b.chunks)
+	end.Checksum = b.digest.Sum64()
+	b.end = &end
 	b.bytes -= b.heldBytes()
 	b.held = nil
 	b.wakeAll()
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -51,7 +51,11 @@
 // for re-reading for a while. An answer has one end: only the first call
 // counts, and it reports whether this was the first.
 func (f *Flight) Finish(status outcome.Status) bool {
-	if !f.Answer.Close(status) {
+	return f.close(End{Status: status})
+}
+
+func (f *Flight) close(end End) bool {
+	if !f.Answer.close(end) {
 		return false
 	}
 	f.body.Store(nil)
@@ -65,7 +69,11 @@
 }
 
 // Target is where a request was dispatched.
-type Target struct{ Name, Address string }
+type Target struct {
+	Name, Address string
+	// Stream is the request id under which the target knows the stream.
+	Stream ident.RequestID
+}
 
 // New readies a flight whose answer may hold up to answerBytes for re-reading.
 func New(f *Flight, body []byte, answerBytes int) *Flight {
@@ -82,10 +90,8 @@
 	return nil
 }
 
-// SetTarget notes where the request was dispatched.
-func (f *Flight) SetTarget(name, address string) {
-	f.target.Store(&Target{Name: name, Address: address})
-}
+// SetTarget notes where the request was dispatched, and under which id.
+func (f *Flight) SetTarget(t Target) { f.target.Store(&t) }
 
 // Target is where it was dispatched last; false before that.
 func (f *Flight) Target() (Target, bool) {
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -163,7 +163,7 @@
 	It("ends a join whose run's answer is gone", func() {
 		f := add("a")
 		f.Submitting()
-		r.Join(entry.Join{ID: "a"})
+		r.Join(entry.Join{ID: "a", Of: "a"})
 		Expect(f.Answer.Ended().Status.Reason).To(Equal(outcome.ReasonAnswerNotHeld))
 	})
 
@@ -171,7 +171,7 @@
 		f := add("a")
 		f.Submitting()
 		f.Submitting()
-		r.Join(entry.Join{ID: "a"})
+		r.Join(entry.Join{ID: "a", Of: "a"})
 		Expect(f.Answer.Ended()).To(BeNil())
 	})
 
--- a/internal/flight/registry.go
+++ b/internal/flight/registry.go
@@ -155,6 +155,10 @@
 	if f == nil {
 		return
 	}
+	if j.Of != j.ID {
+		r.joinOther(f, j.Of)
+		return
+	}
 	if f.joined() {
 		f.Finish(noAnswer())
 	}
--- a/internal/targets/run.go
+++ b/internal/targets/run.go
@@ -43,6 +43,8 @@
 	address  string
 	kind     request.Kind
 	deadline time.Time
+	// notAfter voids a dispatch whose first byte has not left by then.
+	notAfter time.Time
 	began    time.Time
 	// attached: another entry dispatched it; here its stream is only read.
 	attached bool
@@ -111,7 +113,7 @@
 	}
 	if r.kind == request.Engine && resp.StatusCode() >= fasthttp.StatusInternalServerError {
 		_ = resp.CloseBodyStream()
-		return message.ResultBroken, true
+		return message.ResultFailed, true
 	}
 	r.t.outbox.put(entry.RunStarted{ID: r.f.ID})
 	return r.finish(r.receive(resp)), true
@@ -122,6 +124,11 @@
 func (r *run) send(req *fasthttp.Request, resp *fasthttp.Response) error {
 	client := r.t.client(r.address, r.kind)
 	for attempt := 0; ; attempt++ {
+		if !r.notAfter.IsZero() && r.t.cfg.Now().After(r.notAfter) {
+			// This process stood still after the core's decision. The target may
+			// be leaving by now, or its place given to another.
+			return fmt.Errorf("%w: the grant has lapsed", errNothingSent)
+		}
 		if !r.deadline.IsZero() {
 			remaining := r.deadline.Sub(r.t.cfg.Now())
 			if remaining <= 0 {
--- a/internal/targets/stream.go
+++ b/internal/targets/stream.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/flight"
@@ -23,6 +24,8 @@
 
 // streamState is how far a run's stream has come.
 type streamState struct {
+	// id is the request id under which the engine knows the stream.
+	id ident.RequestID
 	// nextID is the engine's number of the next token; unnumbered counts events
 	// without a number. Their sum is the number of the next chunk.
 	nextID     int64
@@ -213,7 +216,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + r.address + resumePath(string(r.f.ID), r.stream.nextID))
+	req.SetRequestURI("http://" + r.address + resumePath(string(r.stream.id), r.stream.nextID))
 	resp.StreamBody = true
 	if err := r.send(req, resp); err != nil {
 		return err
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -160,8 +160,11 @@
 		t.notSent(d.ID)
 		return
 	}
-	f.SetTarget(d.Target, d.Address)
-	r := &run{t: t, f: f, target: d.Target, address: d.Address, deadline: d.Deadline, kind: d.Kind}
+	f.SetTarget(flight.Target{Name: d.Target, Address: d.Address, Stream: d.ID})
+	r := &run{
+		t: t, f: f, stream: streamState{id: d.ID}, target: d.Target, address: d.Address,
+		deadline: d.Deadline, notAfter: d.NotAfter, kind: d.Kind,
+	}
 	if !t.start(r, r.dispatch) {
 		t.notSent(d.ID)
 	}
@@ -171,7 +174,8 @@
 // answer here, and a RunEnded tells the core that nothing is left to follow.
 func (t *Targets) Attach(a entry.Attach) {
 	if f := t.cfg.Flights.Get(a.ID); f != nil {
-		t.Follow(f, a.Target, a.Address, func(result message.Result) {
+		at := flight.Target{Name: a.Target, Address: a.Address, Stream: a.Of}
+		t.Follow(f, at, func(result message.Result) {
 			t.outbox.put(entry.RunEnded{ID: a.ID, Result: result, Wrote: true})
 		})
 	}
@@ -179,13 +183,15 @@
 
 // Follow reads the stream of a flight at its target from the first token on.
 // It reports whether it began; a stream that is followed already counts.
-func (t *Targets) Follow(f *flight.Flight, target, address string, ended func(message.Result)) bool {
+func (t *Targets) Follow(f *flight.Flight, at flight.Target, ended func(message.Result)) bool {
 	if !f.Follow() {
 		return true
 	}
-	f.SetTarget(target, address)
-	r := &run{t: t, f: f, target: target, address: address, kind: f.Kind, attached: true, onEnd: ended,
-		deadline: t.cfg.Now().Add(t.cfg.AttachTimeout)}
+	f.SetTarget(at)
+	r := &run{
+		t: t, f: f, stream: streamState{id: at.Stream}, target: at.Name, address: at.Address, kind: f.Kind,
+		attached: true, onEnd: ended, deadline: t.cfg.Now().Add(t.cfg.AttachTimeout),
+	}
 	if t.start(r, r.attach) {
 		return true
 	}
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -251,7 +251,7 @@
 			ctx.SetBodyString(event("0") + "data: [DONE]\n\n")
 		})
 		f := add("a", request.Engine)
-		t.Attach(entry.Attach{ID: "a", Target: "e1", Address: address})
+		t.Attach(entry.Attach{ID: "a", Of: "a", Target: "e1", Address: address})
 		Eventually(f.Answer.Ended).ShouldNot(BeNil())
 		Expect(f.Answer.Ended().Status).To(Equal(outcome.Complete()))
 	})
