Script what the random schedules missed under mutation

Scripts were missing for a takeover's unknown runs, the last word in time and the cut-off entry's grants before the next tick; they are here now.

--- a/internal/core/scheduler/floors_test.go
+++ b/internal/core/scheduler/floors_test.go
@@ -95,12 +95,30 @@
 b offer q0 u tier=2 from=b prompt=5000 => grant q0
 b offer q1 u tier=1 from=b   => queued q1
 b quorum no
-wait 20ms                    => refuse q1 not_ready
 b done q0 u from=b           =>
+wait 20ms                    => refuse q1 not_ready
 b offer q2 u tier=1 final    => refuse q2 not_ready settled
 b offer q3 u tier=0          => grant q3
 b quorum yes
 b offer q4 u tier=1 from=b   => queued q4`),
+		// There is time for one trip only. Sent round as usual, the request would
+		// run out of time before anyone had asked for it.
+		Entry("asks itself where the owner has no time to try others", `
+a offer r2 t tier=0 for=400ms    => refuse r2 overload
+a offer r3 t tier=0 for=300ms    => queued r3; refuse r3 overload try u`),
+		// The neighbour has just taken a target over and does not know what runs
+		// there; it may be lower work, so nothing is refused for good yet.
+		Entry("does not take a takeover's silence for absence of lower work", `
+b offer q0 u tier=0 once prompt=9000 => grant q0
+b running q0 u tier=0 once prompt=9000 =>
+b targets u/1 w/1                =>
+a offer r2 t tier=0 from=a       => queued r2
+a offer r3 t tier=0 from=a       => queued r3
+b offer q1 u tier=0 from=b       => queued q1
+b offer q2 u tier=0 from=b       => queued q2
+a offer r4 t tier=0 final from=a => queued r4
+wait 220ms                       =>
+wait 220ms                       => refuse r4 overload try w`),
 		// Entry b dies for certain: the exchange ends without the silence limit.
 		Entry("does not wait for a scheduler whose process has ended", `
 cut a b
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -247,7 +247,8 @@
 	}
 	s.flush(h.key.pool)
 	settled := s.floors.Standing(s.now, h.key.pool, h.key.tier)
-	h.again, _ = s.floors.Covered(s.now, h.key.pool, h.key.tier)
+	until, _ := s.floors.Covered(s.now, h.key.pool, h.key.tier)
+	h.again = s.now.Add(until.Sub(s.now) / 4 * 3) // renewed before its end
 	if !settled {
 		h.again = s.now.Add(s.set.Floor / 2)
 	}
