--- a/internal/replay/live/exchange.go
+++ b/internal/replay/live/exchange.go
@@ -1,11 +1,16 @@
 package live
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/url"
+	"os"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +34,15 @@
 	headerChecksum    = "X-Checksum"
 )
 
+// streamsPath is followed by a stream's token.
+const streamsPath = "/v1/streams/"
+
+// redirects bounds how often an entry may name another one.
+const redirects = 4
+
+// errRedirects: an entry named another one in a way that leads nowhere.
+var errRedirects = errors.New("redirected to no answer")
+
 // errNoOutcome: an answer that does not say what became of the request.
 var errNoOutcome = errors.New("answer says no outcome")
 
@@ -58,23 +72,53 @@
 // ask sends the request to an entry, or attaches to its stream there, and
 // returns the final status. An error means that another entry is to be asked.
 func (x *exchange) ask(address string, until time.Time) (outcome.Status, error) {
+	for range redirects {
+		status, next, err := x.once(address, until)
+		if err != nil || next == "" {
+			return status, err
+		}
+		address = next
+	}
+	return outcome.Status{}, errRedirects
+}
+
+// once asks one entry; next is the entry that it names instead of answering.
+func (x *exchange) once(address string, until time.Time) (status outcome.Status, next string, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	x.form(req, address)
 	resp.StreamBody = true
 	if err := x.http.DoDeadline(req, resp, until); err != nil {
-		return outcome.Status{}, fmt.Errorf("ask %s: %w", address, err)
+		return outcome.Status{}, "", fmt.Errorf("ask %s: %w", address, err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	status, err := x.read(resp)
+	if resp.StatusCode() == fasthttp.StatusSeeOther {
+		next, err = x.redirect(string(resp.Header.Peek(fasthttp.HeaderLocation)))
+		return outcome.Status{}, next, err
+	}
+	status, err = x.read(resp)
 	if err != nil {
 		// What is left of a broken answer must not reach the next request.
 		resp.SetConnectionClose()
-		return outcome.Status{}, fmt.Errorf("answer of %s: %w", address, err)
+		return outcome.Status{}, "", fmt.Errorf("answer of %s: %w", address, err)
 	}
 	x.ended = time.Now()
-	return status, nil
+	return status, "", nil
+}
+
+// redirect takes the entry and the stream's token from a Location.
+func (x *exchange) redirect(location string) (string, error) {
+	target, err := url.Parse(location)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errRedirects, err)
+	}
+	token, found := strings.CutPrefix(target.Path, streamsPath)
+	if !found || target.Host == "" {
+		return "", fmt.Errorf("%w: to %q", errRedirects, location)
+	}
+	x.stream = token
+	return target.Host, nil
 }
 
 // form writes the request: the first time whole, later an attach by token.
@@ -83,7 +127,7 @@
 	req.Header.Set(headerRequestID, x.id)
 	if x.stream != "" {
 		query := "?from=" + strconv.Itoa(x.answer.next)
-		req.SetRequestURI("http://" + address + "/v1/streams/" + url.PathEscape(x.stream) + query)
+		req.SetRequestURI("http://" + address + streamsPath + url.PathEscape(x.stream) + query)
 		return
 	}
 	path := "/v1/chat/completions"
@@ -152,7 +196,10 @@
 func (x *exchange) checkWhole(resp *fasthttp.Response, body []byte) {
 	now := time.Now()
 	x.answer.first, x.answer.last = now, now
-	if got := string(resp.Header.Peek(headerRequestID)); got != x.id {
+	// Stand-ins echo the request's id, so an empty or foreign body shows even if
+	// its checksum is right.
+	id := string(resp.Header.Peek(headerRequestID))
+	if !x.answer.own(id) || !bytes.Contains(body, []byte(id)) {
 		x.answer.setFault(faultForeign)
 	}
 	digest := xxhash.New()
@@ -162,6 +209,25 @@
 	}
 }
 
+// entryFault names why an entry gave no final word, without addresses.
+func entryFault(err error) string {
+	switch {
+	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrDialTimeout):
+		return "timeout"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "connection refused"
+	case errors.Is(err, fasthttp.ErrConnectionClosed), errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.ErrUnexpectedEOF):
+		return "connection closed"
+	case errors.Is(err, errCut):
+		return errCut.Error()
+	case errors.Is(err, errNoOutcome):
+		return errNoOutcome.Error()
+	case errors.Is(err, errRedirects):
+		return errRedirects.Error()
+	}
+	return "other: " + err.Error()
+}
+
 func readAll(resp *fasthttp.Response) ([]byte, error) {
 	body, err := resp.BodyUncompressed()
 	if err != nil {
--- a/internal/replay/live/live_test.go
+++ b/internal/replay/live/live_test.go
@@ -84,8 +84,8 @@
 	case strings.HasPrefix(path, "/v1/services/"):
 		ctx.Response.Header.Set(headerRequestID, id)
 		ctx.Response.Header.Set(headerOutcome, string(outcome.Answered))
-		ctx.Response.Header.Set(headerChecksum, fmt.Sprintf("%016x", xxhash.Sum64String("done")))
-		ctx.SetBodyString("done")
+		ctx.Response.Header.Set(headerChecksum, fmt.Sprintf("%016x", xxhash.Sum64String(id)))
+		ctx.SetBodyString(id)
 	default:
 		e.note(&e.posts, id)
 		e.stream(ctx, id, 0)
--- a/internal/replay/live/replay.go
+++ b/internal/replay/live/replay.go
@@ -38,6 +38,7 @@
 		return report.Input{}, err
 	}
 	r := newReplay(options)
+	defer r.http.CloseIdleConnections()
 	if _, err := r.callers[0].current(time.Now()); err != nil {
 		return report.Input{}, err
 	}
@@ -124,7 +125,7 @@
 	}
 	x := &exchange{
 		http: r.http, line: line, id: call.ID, key: call.Key, token: r.options.Tokens[line.Organisation],
-		body: content, answer: newAnswer(call.ID), sent: r.start.Add(call.Sent),
+		body: content, answer: newAnswer(r.ownIDs(index)...), sent: r.start.Add(call.Sent),
 	}
 	r.askEntries(x, call, caller, entries, turn, giveUp)
 }
@@ -143,6 +144,7 @@
 			r.settle(x, call, status)
 			return
 		}
+		call.EntryFaults = append(call.EntryFaults, entryFault(err))
 		caller.forget(entries.IDPrefix)
 		turn++
 		if turn%len(entries.Entries) != 0 {
@@ -216,6 +218,18 @@
 	return id, 0
 }
 
+// ownIDs are the ids whose answer a line may get: its own, and where it repeats
+// an earlier line's key, that line's.
+func (r *replay) ownIDs(index int) []string {
+	ids := []string{r.calls[index].ID}
+	if again := r.options.Trace.Lines[index].Resend; again != nil {
+		if id := r.ids[again.Of].Load(); id != nil {
+			ids = append(ids, string(*id))
+		}
+	}
+	return ids
+}
+
 func rotate(addresses []string, by int) []string {
 	by %= len(addresses)
 	return append(append([]string(nil), addresses[by:]...), addresses[:by]...)
--- a/internal/replay/live/stream.go
+++ b/internal/replay/live/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,7 +39,9 @@
 
 // answer gathers a streamed answer over one or more connections.
 type answer struct {
-	id string
+	// ids are the request's, and that of the earlier request whose key it
+	// repeats: its answer is this one's too.
+	ids []string
 	// next is the number of the chunk that is due.
 	next   int
 	digest *xxhash.Digest
@@ -48,7 +51,10 @@
 	gaps   []time.Duration
 }
 
-func newAnswer(id string) *answer { return &answer{id: id, digest: xxhash.New()} }
+func newAnswer(ids ...string) *answer { return &answer{ids: ids, digest: xxhash.New()} }
+
+// own reports whether an answer of a request id is this request's.
+func (a *answer) own(id string) bool { return slices.Contains(a.ids, id) }
 
 // event is one server-sent event.
 type event struct {
@@ -88,7 +94,7 @@
 	}
 	if number == 0 {
 		a.first = now
-		if !strings.Contains(e.data, a.id) {
+		if !slices.ContainsFunc(a.ids, func(id string) bool { return strings.Contains(e.data, id) }) {
 			a.setFault(faultForeign)
 		}
 	} else {
--- a/internal/replay/report/observe.go
+++ b/internal/replay/report/observe.go
@@ -39,6 +39,8 @@
 	Gaps []time.Duration
 	// Attempts counts the entries asked; more than one after an entry's death.
 	Attempts int
+	// EntryFaults say why an entry that was asked gave no final word.
+	EntryFaults []string
 }
 
 // answered reports whether the caller holds the whole answer to its request.
--- a/internal/replay/report/report.go
+++ b/internal/replay/report/report.go
@@ -78,6 +78,8 @@
 	RetryAfter Percentiles                       `json:"retry_after_ms"`
 	// Faults of answers, by what was wrong.
 	AnswerFaults map[string]int `json:"answer_faults,omitempty"`
+	// EntryFaults counts entries that were asked and gave no final word, by why.
+	EntryFaults map[string]int `json:"entry_faults,omitempty"`
 	// Resent counts requests that were asked of more than one entry.
 	Resent int `json:"resent"`
 	// RunsByTarget counts the runs in each ledger.
@@ -99,7 +101,7 @@
 		Trace: in.Trace, Mode: in.Mode, Policy: in.Policy, Seed: in.Seed, Load: in.Load,
 		Requests: len(in.Calls), Goodput: map[string]float64{}, Sent: map[string]int{},
 		FirstToken: map[string]Percentiles{}, InterToken: map[string]Percentiles{},
-		Refusals: map[string]map[outcome.Reason]int{}, AnswerFaults: map[string]int{},
+		Refusals: map[string]map[outcome.Reason]int{}, AnswerFaults: map[string]int{}, EntryFaults: map[string]int{},
 		RunsByTarget: map[string]int{}, LostLedgers: in.LostLedgers,
 		ToleranceMS: milliseconds(in.Tolerance), Violations: map[string][]string{},
 	}
@@ -117,6 +119,10 @@
 		c := &in.Calls[i]
 		if c.Attempts > 1 {
 			r.Resent++
+			r.violation("resent", c.ID)
+		}
+		for _, fault := range c.EntryFaults {
+			r.EntryFaults[fault]++
 		}
 		if !c.Settled {
 			r.Unanswered++
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
@@ -65,8 +66,9 @@
 	turn    int
 	giveUp  time.Time
 	open    *attempt
-	// target is named by the stream's token, once an entry gave it.
+	// target and stream are what the stream's token holds, once an entry gave it.
 	target string
+	stream ident.RequestID
 	next   int
 	last   time.Duration
 }
@@ -144,7 +146,12 @@
 		return
 	}
 	c.seen.Attempts++
-	h := w.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress)
+	c.ask(w.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress))
+}
+
+// ask sends the request to an entry, or attaches there with the stream's token.
+func (c *call) ask(h *host) {
+	w := c.world
 	a := &attempt{call: c, host: h}
 	c.open = a
 	left := c.seen.Sent + c.seen.Deadline - w.sinceStart()
@@ -154,7 +161,7 @@
 		return
 	}
 	h.attempts = append(h.attempts, a)
-	target, id := c.target, ident.RequestID(c.seen.ID)
+	target, id := c.target, c.stream
 	w.after(callerDelay, func() {
 		h.deliver(func() {
 			if c.open != a {
@@ -238,19 +245,33 @@
 
 // attempt is a caller's connection to one entry.
 type attempt struct {
-	call   *call
-	host   *host
-	flight *flight
+	call *call
+	host *host
 }
 
 // started: the entry's first header came, with the stream's token.
 func (a *attempt) started(f *flight) {
-	a.flight = f
-	if f.stream != nil && f.request.Kind == request.Engine {
-		a.call.target = f.stream.target.name
+	if f.stream != nil && a.call.seen.Kind == request.Engine {
+		a.call.target, a.call.stream = f.stream.target.name, f.id
 	}
 }
 
+// redirect: the entry names another one, which holds the answer.
+func (a *attempt) redirect(o entry.SeeOther) {
+	c := a.call
+	if c.open != a || c.closed() {
+		return
+	}
+	c.open = nil
+	a.leave()
+	c.target, c.stream = o.Target, o.Of
+	c.world.after(callerDelay, func() {
+		if !c.closed() {
+			c.ask(c.world.hostAt(o.Address))
+		}
+	})
+}
+
 // token takes one chunk, which reaches the caller a little later.
 func (a *attempt) token(index int) {
 	c := a.call
@@ -309,11 +330,13 @@
 		return
 	}
 	a.leave()
-	id := ident.RequestID(a.call.seen.ID)
+	ids := []ident.RequestID{ident.RequestID(a.call.seen.ID), a.call.stream}
 	a.host.world.after(callerDelay, func() {
 		a.host.deliver(func() {
-			if f := a.host.flights[id]; f != nil {
-				f.left(a)
+			for _, id := range ids {
+				if f := a.host.flights[id]; f != nil {
+					f.left(a)
+				}
 			}
 		})
 	})
--- a/internal/replay/virtual/flight.go
+++ b/internal/replay/virtual/flight.go
@@ -55,13 +55,31 @@
 	f := h.flight(id)
 	f.waiters = append(f.waiters, a)
 	switch {
-	case f.status != nil:
-		f.joinWaiting()
-		a.settle(*f.status, f.tokens)
-	case f.stream != nil:
+	case f.status != nil || f.stream != nil:
 		f.joinWaiting()
 	default:
-		h.attach(entry.Attach{ID: id, Target: target})
+		h.attach(entry.Attach{ID: id, Of: id, Target: target})
+	}
+}
+
+// join moves the callers of one id to the flight of another, or of the same.
+func (h *host) join(id, of ident.RequestID) *flight {
+	from, to := h.flight(id), h.flight(of)
+	if from != to {
+		to.waiters = append(to.waiters, from.waiters...)
+		from.waiters = nil
+	}
+	to.joinWaiting()
+	return to
+}
+
+// seeOther sends the callers to the entry that holds the answer.
+func (h *host) seeOther(o entry.SeeOther) {
+	f := h.flight(o.ID)
+	waiting := f.waiters
+	f.waiters = nil
+	for _, a := range waiting {
+		a.redirect(o)
 	}
 }
 
@@ -90,8 +108,9 @@
 
 // left takes a caller out; the core learns when nobody waits any more.
 func (f *flight) left(a *attempt) {
+	before := len(f.waiters)
 	f.waiters = slices.DeleteFunc(f.waiters, func(other *attempt) bool { return other == a })
-	if len(f.waiters) == 0 && f.status == nil {
+	if before > 0 && len(f.waiters) == 0 && f.status == nil {
 		f.host.input(entry.CallerGone{ID: f.id})
 	}
 }
@@ -149,7 +168,10 @@
 
 func (h *host) attach(o entry.Attach) {
 	w := h.world
-	f := h.flight(o.ID)
+	f := h.join(o.ID, o.Of)
+	if f.status != nil || f.stream != nil {
+		return
+	}
 	t := w.byName[o.Target]
 	s := &stream{host: h, flight: f, target: t, attached: true, began: w.now, tokens: f.tokens}
 	f.stream = s
@@ -157,7 +179,7 @@
 		s.lost()
 		return
 	}
-	w.after(targetDelay, func() { t.attach(s, string(o.ID)) })
+	w.after(targetDelay, func() { t.attach(s, string(o.Of)) })
 }
 
 // started: the target took the request.
--- a/internal/replay/virtual/host.go
+++ b/internal/replay/virtual/host.go
@@ -56,9 +56,14 @@
 }
 
 func (h *host) probeTargets() {
-	for _, t := range h.world.targets {
-		state := t.state()
-		h.world.after(2*targetDelay, func() { h.input(state) })
+	if h.view == nil {
+		return
+	}
+	for i := range h.view.Probes {
+		if t := h.world.byName[h.view.Probes[i].Name]; t != nil {
+			state := t.state()
+			h.world.after(2*targetDelay, func() { h.input(state) })
+		}
 	}
 }
 
@@ -95,7 +100,9 @@
 	case entry.Settle:
 		h.flight(o.ID).settle(o.Status)
 	case entry.Join:
-		h.flight(o.ID).joinWaiting()
+		h.join(o.ID, o.Of)
+	case entry.SeeOther:
+		h.seeOther(o)
 	case entry.Send:
 		h.send(o)
 	case entry.Append:
--- a/internal/replay/virtual/virtual_test.go
+++ b/internal/replay/virtual/virtual_test.go
@@ -69,7 +69,7 @@
 		return
 	}
 	d.view = &entry.View{
-		State: message.Ready, Version: 1, Document: testDocument(), Prefix: ident.PrefixFor(d.self.Incarnation, 0),
+		State: message.Ready, Version: 1, Document: testDocument(), Probes: testDocument().Targets, Prefix: ident.PrefixFor(d.self.Incarnation, 0),
 		Entries: append([]message.Member{d.self}, d.peers...), GoodFor: time.Second,
 	}
 	d.out = append(d.out, entry.Publish{View: d.view})
@@ -77,7 +77,7 @@
 
 func (d *double) submit(r request.Request) {
 	if _, again := d.known[r.ID]; again {
-		d.out = append(d.out, entry.Join{ID: r.ID})
+		d.out = append(d.out, entry.Join{ID: r.ID, Of: r.ID})
 		return
 	}
 	if d.fault == neverSettles && strings.HasSuffix(string(r.ID), "7") {
