--- /dev/null
+++ b/internal/console/edit.go
@@ -0,0 +1,216 @@
+package console
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+)
+
+const (
+	fieldDraft   = "draft"
+	fieldPage    = "page"
+	fieldGo      = "go"
+	fieldQuery   = "q"
+	fieldShownQ  = "shown_q"
+	fieldShownAt = "shown_at"
+	fieldComment = "comment"
+	goReview     = "review"
+	goRebase     = "rebase"
+	goSeparator  = "@"
+)
+
+// change is a draft with the document that it changes.
+type change struct {
+	draft draft
+	base  current
+	// doc is the base with the draft's changes, faults what its check finds.
+	doc    *document.Document
+	faults document.Faults
+}
+
+// open reads the draft of a form; a form without one begins a draft.
+func (c *Console) open(v *visit) (change, error) {
+	base, err := load(v.client)
+	if err != nil {
+		return change{}, err
+	}
+	x := change{draft: newDraft(base.version), base: base}
+	if text := v.get(fieldDraft); text != "" {
+		if x.draft, err = openDraft(c.keys, text); err != nil {
+			return change{}, err
+		}
+	}
+	return x, x.settle()
+}
+
+// settle forms the document anew from the base and the draft.
+func (x *change) settle() error {
+	doc, _, err := x.draft.document(x.base.doc)
+	if err != nil {
+		return err
+	}
+	x.doc = doc
+	x.faults = doc.Check()
+	return nil
+}
+
+// overtaken: another document came in force since the draft began.
+func (x *change) overtaken() bool { return x.draft.Base != x.base.version }
+
+// edit takes in a page of the draft and shows the page asked for.
+func (c *Console) edit(v *visit) {
+	x, err := c.open(v)
+	if err != nil {
+		c.fail(v, err)
+		return
+	}
+	if x.overtaken() && v.get(fieldGo) == goRebase {
+		c.rebase(v, x)
+		return
+	}
+	if x.overtaken() {
+		c.beaten(v, x, false, "")
+		return
+	}
+	added, faults, err := x.take(v)
+	if err != nil {
+		c.fail(v, err)
+		return
+	}
+	if len(faults) > 0 {
+		c.showFaulty(v, x, faults)
+		return
+	}
+	c.goOn(v, x, added)
+}
+
+// take puts a posted page into the draft. With faults the draft stays as it was.
+func (x *change) take(v *visit) (added string, faults []formFault, err error) {
+	if v.get(fieldPage) == goReview {
+		x.draft.Comment = strings.TrimSpace(v.get(fieldComment))
+		return "", nil, x.settle()
+	}
+	from, found := sectionByID(v.get(fieldPage))
+	if !found {
+		return "", nil, nil
+	}
+	edited := clone(x.doc)
+	added, faults = readForm(edited, from, v)
+	if len(faults) > 0 {
+		return "", faults, nil
+	}
+	x.draft.take(x.base.doc, edited)
+	return added, nil, x.settle()
+}
+
+// goOn shows the page that the pressed button names: "<page>" or "<page>@<n>".
+func (c *Console) goOn(v *visit, x change, added string) {
+	target, number, _ := strings.Cut(v.get(fieldGo), goSeparator)
+	if target == goReview {
+		c.review(v, x, fasthttp.StatusOK, "")
+		return
+	}
+	s, found := sectionByID(target)
+	if !found {
+		s = sections[0]
+	}
+	shown := view{section: s}
+	shown.page, _ = strconv.Atoi(number)
+	if target == v.get(fieldPage) {
+		shown.query = strings.TrimSpace(v.get(fieldQuery))
+	}
+	if added != "" {
+		shown.query = added
+	}
+	c.showSection(v, x, shown, notice(v))
+}
+
+func notice(v *visit) string {
+	if v.get(fieldPage) == "" {
+		return ""
+	}
+	return "Kept in the draft. Nothing is published yet."
+}
+
+// showSection shows a page with the check's faults beside the fields.
+func (c *Console) showSection(v *visit, x change, shown view, notice string) {
+	f := buildForm(x.doc, shown)
+	f.placeFaults(x.doc, x.faults)
+	c.showForm(v, x, f, fasthttp.StatusOK, page{Notice: notice})
+}
+
+// showFaulty shows a page again as it was filled in.
+func (c *Console) showFaulty(v *visit, x change, faults []formFault) {
+	s, _ := sectionByID(v.get(fieldPage))
+	number, _ := strconv.Atoi(v.get(fieldShownAt))
+	f := buildForm(x.doc, view{section: s, query: v.get(fieldShownQ), page: number})
+	f.showTyped(v, faults)
+	c.showForm(v, x, f, fasthttp.StatusUnprocessableEntity, page{
+		Problem: "Some fields could not be read, so nothing of this page is kept yet. Mend them below.",
+	})
+}
+
+func (c *Console) showForm(v *visit, x change, f form, status int, p page) {
+	p.Title = f.Section.Title
+	p.Body = f
+	c.showDraft(v, x, f.Section.ID, status, pageEdit, p)
+}
+
+// showDraft shows a page of the draft, with the draft in its form.
+func (c *Console) showDraft(v *visit, x change, here string, status int, name string, p page) {
+	sealed, err := x.draft.seal(c.keys)
+	if err != nil {
+		c.fail(v, err)
+		return
+	}
+	p.Draft = sealed
+	p.Changing = x.summary(here)
+	c.answer(v, status, name, p)
+}
+
+func (x *change) summary(here string) *changing {
+	out := &changing{Base: x.draft.Base, Changes: len(shown(x.base.doc, x.doc)), Faults: len(x.faults), Here: here}
+	counts := make(map[string]int)
+	for _, fault := range x.faults {
+		counts[placeOf(fault.Path).section]++
+	}
+	for _, s := range sections {
+		out.Parts = append(out.Parts, part{ID: s.ID, Title: s.Title, Faults: counts[s.ID], Current: s.ID == here})
+	}
+	return out
+}
+
+// reviewData is what the last page before publishing shows.
+type reviewData struct {
+	Changes []document.Change
+	Faults  []said
+	Comment string
+	// Ready: there is something to publish and nothing wrong with it.
+	Ready bool
+}
+
+// changesTable is a table of changes with its headings.
+type changesTable struct {
+	Before, After string
+	Changes       []document.Change
+}
+
+// Table heads the changes as they are before publishing.
+func (d reviewData) Table() changesTable {
+	return changesTable{Before: "In force", After: "Draft", Changes: d.Changes}
+}
+
+func (c *Console) review(v *visit, x change, status int, problem string) {
+	data := reviewData{
+		Changes: shown(x.base.doc, x.doc),
+		Comment: x.draft.Comment,
+		Ready:   len(x.faults) == 0 && !x.draft.empty(),
+	}
+	for _, fault := range x.faults {
+		data.Faults = append(data.Faults, say(x.doc, fault))
+	}
+	c.showDraft(v, x, goReview, status, pageReview, page{Title: "Review and publish", Problem: problem, Body: data})
+}
