--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -98,16 +98,17 @@
 	if err != nil {
 		return err
 	}
-	if len(answer.Entries) == 0 {
+	if len(answer.Entries) == 0 || answer.IDPrefix == "" {
 		return exit(exitRefused, "entry at %s names no entry to use; see: sycamorectl status", asked)
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	address := answer.Entries[0].Address
-	if err := a.fill(req, address, answer.IDPrefix+rand.Text(), s); err != nil {
+	id := answer.IDPrefix + rand.Text()
+	if err := a.fill(req, address, id, s); err != nil {
 		return err
 	}
-	return a.send(req, address, s)
+	return a.send(req, address, id, s.deadlineMS)
 }
 
 // readToken takes the organisation's token from a flag, a file or the
@@ -186,14 +187,13 @@
 
 // send makes the one attempt. An answer that was lost is unknown: the request
 // may have run.
-func (a *app) send(req *fasthttp.Request, address string, s submission) error {
+func (a *app) send(req *fasthttp.Request, address, id string, deadlineMS int) error {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	timeout := answerTimeout
-	if s.deadlineMS > 0 {
-		timeout = time.Duration(s.deadlineMS)*time.Millisecond + answerMargin
+	if deadlineMS > 0 {
+		timeout = time.Duration(deadlineMS)*time.Millisecond + answerMargin
 	}
-	id := string(req.Header.Peek(headerRequestID))
 	if err := callerHTTP().DoTimeout(req, resp, timeout); err != nil {
 		err = operatorclient.CallError(address, err)
 		if errors.Is(err, operatorclient.ErrNotSent) {
