--- a/internal/console/edit.go
+++ b/internal/console/edit.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -120,10 +121,7 @@
 	shown := view{section: s}
 	shown.page, _ = strconv.Atoi(number)
 	if target == v.get(fieldPage) {
-		shown.query = strings.TrimSpace(v.get(fieldQuery))
-	}
-	if added != "" {
-		shown.query = added
+		shown.query = cmp.Or(added, strings.TrimSpace(v.get(fieldQuery)))
 	}
 	c.showSection(v, x, shown, notice(v))
 }
--- a/internal/operators/operatorstest/fake.go
+++ b/internal/operators/operatorstest/fake.go
@@ -99,9 +99,11 @@
 
 // Close stops the entries.
 func (f *Fake) Close() {
+	var stopping sync.WaitGroup
 	for _, e := range f.entries {
-		e.Stop()
+		stopping.Go(e.Stop)
 	}
+	stopping.Wait()
 }
 
 // Entry returns the entry by its number from 0.
