Note which entries a live call asked; repeat an id at the next entry

Cause: to say what a failure did to callers, the checker must know which calls asked the entry that failed, and which got the rest of a stream by its token. A line that repeats an id now takes the list of the caller whose id it is and goes one entry further with each sending, so that three sendings of one id at the same moment reach three entries. Observed: the existing tests of the live replay and the report pass.

--- a/internal/replay/live/ledger.go
+++ b/internal/replay/live/ledger.go
@@ -37,6 +37,15 @@
 // ledgerTimeout bounds the reading of one ledger.
 const ledgerTimeout = 10 * time.Second
 
+// ReadLedgers collects the runs begun at all targets since start; lost names
+// those whose ledger could not be read.
+func ReadLedgers(doc *document.Document, offset int, start time.Time) (runs []report.Run, lost []string) {
+	return readLedgers(newHTTP(ledgerConnections), doc, offset, start)
+}
+
+// ledgerConnections: ledgers are read one after another.
+const ledgerConnections = 1
+
 // readLedgers collects the runs begun at all targets since start; lost names
 // those whose ledger could not be read.
 func readLedgers(http *fasthttp.Client, doc *document.Document, offset int, start time.Time) (runs []report.Run, lost []string) {
--- a/internal/replay/live/replay.go
+++ b/internal/replay/live/replay.go
@@ -29,6 +29,8 @@
 	calls   []report.Call
 	// ids holds the id of each line once it is sent, for lines that repeat it.
 	ids []atomic.Pointer[ident.RequestID]
+	// sends counts how often the id of a line was sent.
+	sends []atomic.Int32
 }
 
 // Run sends the whole trace and returns what the report is made of. It ends
@@ -46,7 +48,7 @@
 	}
 	in := report.Input{
 		Trace: options.Trace.Header.Name, Mode: "live", Seed: options.Trace.Header.Seed,
-		Load: options.Trace.Header.Load, Calls: r.calls, Tolerance: options.Tolerance,
+		Load: options.Trace.Header.Load, Calls: r.calls, Tolerance: options.Tolerance, Start: r.start,
 	}
 	for i := range options.Document.Tiers {
 		in.Tiers = append(in.Tiers, options.Document.Tiers[i].Name)
@@ -63,15 +65,9 @@
 		options: options, start: start, tag: strconv.FormatInt(start.UnixMilli(), 36),
 		calls: make([]report.Call, len(options.Trace.Lines)),
 		ids:   make([]atomic.Pointer[ident.RequestID], len(options.Trace.Lines)),
+		sends: make([]atomic.Int32, len(options.Trace.Lines)),
 	}
-	r.http = &fasthttp.Client{
-		Name:                "sycamore-replay",
-		Dial:                func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
-		MaxConnsPerHost:     options.Concurrency,
-		MaxIdleConnDuration: 10 * time.Second,
-		// A retry by the library would hide an entry's death from the caller.
-		MaxIdemponentCallAttempts: 1,
-	}
+	r.http = newHTTP(options.Concurrency)
 	zones := options.zones()
 	for i := range options.Callers {
 		r.callers = append(r.callers, &directory{
@@ -81,6 +77,17 @@
 	return r
 }
 
+func newHTTP(connections int) *fasthttp.Client {
+	return &fasthttp.Client{
+		Name:                "sycamore-replay",
+		Dial:                func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
+		MaxConnsPerHost:     connections,
+		MaxIdleConnDuration: 10 * time.Second,
+		// A retry by the library would hide an entry's death from the caller.
+		MaxIdemponentCallAttempts: 1,
+	}
+}
+
 // sendAll sends each line at its time and waits for the last answer.
 func (r *replay) sendAll(ctx context.Context) error {
 	pool := pond.NewPool(r.options.Concurrency)
@@ -111,7 +118,7 @@
 		}
 	}()
 
-	caller := r.callers[index%len(r.callers)]
+	caller := r.callers[r.source(index)%len(r.callers)]
 	entries, err := caller.current(time.Now())
 	if err != nil {
 		return
@@ -134,6 +141,10 @@
 	for time.Now().Before(giveUp) {
 		call.Attempts++
 		address := entries.Entries[turn%len(entries.Entries)].Address
+		call.Asked = append(call.Asked, address)
+		if x.stream != "" {
+			call.Attached++
+		}
 		until := time.Now().Add(r.patience(call))
 		if until.After(giveUp) {
 			until = giveUp
@@ -203,17 +214,39 @@
 	}
 }
 
+// source is the line whose id a line sends: its own, unless its caller sends an
+// earlier one's id again.
+func (r *replay) source(index int) int {
+	if again := r.options.Trace.Lines[index].Resend; again != nil && again.SameID {
+		return again.Of
+	}
+	return index
+}
+
+// idWait bounds the wait of a line for the id of the line that it repeats, which
+// may be sent at the same moment.
+const (
+	idWait = time.Second
+	idLook = time.Millisecond
+)
+
 // formID forms the line's id and says with which entry of the list to begin. A
-// caller that sends an id again asks another entry than the first time.
+// caller that sends an id again asks the next entry of its list each time.
 func (r *replay) formID(index int, prefix ident.Prefix) (ident.RequestID, int) {
-	if again := r.options.Trace.Lines[index].Resend; again != nil && again.SameID {
-		if id := r.ids[again.Of].Load(); id != nil {
-			return *id, 1
+	source := r.source(index)
+	if source == index {
+		id := prefix.ID(fmt.Sprintf("%s-%d", r.tag, index))
+		r.ids[index].Store(&id)
+		return id, 0
+	}
+	for waited := time.Duration(0); waited < idWait; waited += idLook {
+		if id := r.ids[source].Load(); id != nil {
+			return *id, int(r.sends[source].Add(1))
 		}
+		time.Sleep(idLook)
 	}
-	id := prefix.ID(fmt.Sprintf("%s-%d", r.tag, index))
-	r.ids[index].Store(&id)
-	return id, 0
+	// The earlier line never got an id, so this one is the first to ask.
+	return prefix.ID(fmt.Sprintf("%s-%d", r.tag, source)), 0
 }
 
 func rotate(addresses []string, by int) []string {
--- a/internal/replay/report/books.go
+++ b/internal/replay/report/books.go
@@ -98,7 +98,7 @@
 	switch {
 	case !run.Complete || call == nil:
 		r.WastedPrefillTokens += run.ComputedPromptTokens
-	case !call.good():
+	case !call.Good():
 		r.LatePrefillTokens += run.ComputedPromptTokens
 	}
 }
@@ -107,11 +107,11 @@
 // request sent again under its id has several.
 func (b *books) answeredCall(id string) *Call {
 	first := b.callOf[id]
-	if first == nil || first.answered() {
+	if first == nil || first.Answered() {
 		return first
 	}
 	for i := range b.calls {
-		if c := &b.calls[i]; c.ID == id && c.answered() {
+		if c := &b.calls[i]; c.ID == id && c.Answered() {
 			return c
 		}
 	}
--- a/internal/replay/report/observe.go
+++ b/internal/replay/report/observe.go
@@ -39,16 +39,20 @@
 	Gaps []time.Duration
 	// Attempts counts the entries asked; more than one after an entry's death.
 	Attempts int
+	// Asked are their addresses in order; Attached counts those asked for the
+	// rest of a stream by its token.
+	Asked    []string
+	Attached int
 }
 
-// answered reports whether the caller holds the whole answer to its request.
-func (c *Call) answered() bool {
+// Answered reports whether the caller holds the whole answer to its request.
+func (c *Call) Answered() bool {
 	return c.Settled && c.Status.Outcome == outcome.Answered && c.Fault == ""
 }
 
-// good reports whether the answer is whole and in time.
-func (c *Call) good() bool {
-	if !c.answered() {
+// Good reports whether the answer is whole and in time.
+func (c *Call) Good() bool {
+	if !c.Answered() {
 		return false
 	}
 	if c.Deadline > 0 && c.Ended-c.Sent > c.Deadline {
--- a/internal/replay/report/report.go
+++ b/internal/replay/report/report.go
@@ -17,6 +17,8 @@
 	Policy string
 	Seed   uint64
 	Load   float64
+	// Start is the instant from which a live replay's times count.
+	Start time.Time
 	// Tiers are the names by rank.
 	Tiers []string
 	Calls []Call
@@ -165,10 +167,10 @@
 				continue
 			}
 			sent++
-			if c.good() {
+			if c.Good() {
 				good++
 			}
-			if c.answered() && c.Kind == request.Engine {
+			if c.Answered() && c.Kind == request.Engine {
 				first = append(first, c.First-c.Sent)
 				gaps = append(gaps, c.Gaps...)
 			}
