--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -61,6 +61,13 @@
 	index   *document.Index
 	version int64
 	timing  timing
+	// fastest is the least declared step time of each pool's targets.
+	fastest map[string]time.Duration
+	// wokeAt is when this process last found that it had stood still.
+	wokeAt time.Time
+	// quorum: this entry is in touch with most members; quorumLost: since when not.
+	quorum     bool
+	quorumLost time.Time
 
 	accepted *acceptance.Acceptance
 	ids      *owner.Table
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -66,9 +66,8 @@
 	turn    int
 	giveUp  time.Time
 	open    *attempt
-	// target and stream are what the stream's token holds, once an entry gave it.
+	// target is named by the stream's token, once an entry gave it.
 	target string
-	stream ident.RequestID
 	next   int
 	last   time.Duration
 }
@@ -141,27 +140,28 @@
 
 // send asks the entry whose turn it is.
 func (c *call) send() {
-	w := c.world
 	if c.closed() {
 		return
 	}
-	c.seen.Attempts++
-	c.ask(w.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress))
+	c.sendTo(c.world.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress), ident.RequestID(c.seen.ID))
 }
 
-// ask sends the request to an entry, or attaches there with the stream's token.
-func (c *call) ask(h *host) {
+// sendTo sends the request to an entry, or attaches there to the stream of an
+// id if a token for one is held.
+func (c *call) sendTo(h *host, id ident.RequestID) {
 	w := c.world
+	c.seen.Attempts++
 	a := &attempt{call: c, host: h}
 	c.open = a
-	left := c.seen.Sent + c.seen.Deadline - w.sinceStart()
-	w.after(max(left, 0)+patience, a.impatient)
+	w.after(c.timeLeft().whole+patience, a.impatient)
 	if h == nil || !h.up {
 		w.after(2*callerDelay, a.broke)
 		return
 	}
 	h.attempts = append(h.attempts, a)
-	target, id := c.target, c.stream
+	// The headers tell what is left at the sending; the entry counts from when
+	// it reads them, as the live one does.
+	target, left := c.target, c.timeLeft()
 	w.after(callerDelay, func() {
 		h.deliver(func() {
 			if c.open != a {
@@ -171,7 +171,7 @@
 				h.resume(a, id, target)
 				return
 			}
-			h.submit(a, c.request())
+			h.submit(a, c.request(left))
 		})
 	})
 }
@@ -206,22 +206,33 @@
 	c.world.open--
 }
 
+// timeLeft is what is left of a call's bounds; firstToken 0: no bound.
+type timeLeft struct{ whole, firstToken time.Duration }
+
+func (c *call) timeLeft() timeLeft {
+	spent := c.world.sinceStart() - c.seen.Sent
+	left := timeLeft{whole: max(c.seen.Deadline-spent, time.Millisecond)}
+	if c.seen.FirstTokenBy > 0 {
+		left.firstToken = max(c.seen.FirstTokenBy-spent, time.Millisecond)
+	}
+	return left
+}
+
 // request is what the callers' edge makes of the call.
-func (c *call) request() request.Request {
+func (c *call) request(left timeLeft) request.Request {
 	now := c.world.now
 	line := c.line
-	left := max(c.seen.Sent+c.seen.Deadline-c.world.sinceStart(), time.Millisecond)
 	r := request.Request{
 		ID: ident.RequestID(c.seen.ID), Organisation: line.Organisation, Tier: c.seen.Tier, Kind: c.seen.Kind,
 		Pool: c.seen.Pool, Model: line.Model, PromptTokens: line.PromptTokens, MaxTokens: line.MaxTokens,
-		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left),
+		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left.whole),
 		Fingerprint: request.Fingerprint(xxhash.Sum64String(fmt.Sprint(line.Organisation, line.Model, c.source))),
 	}
 	if line.Kind == trace.Service {
 		r.Model = line.Service
 	}
-	if c.seen.FirstTokenBy > 0 {
-		r.FirstTokenBy = now.Add(c.seen.Sent + c.seen.FirstTokenBy - c.world.sinceStart())
+	if left.firstToken > 0 {
+		r.FirstTokenBy = now.Add(left.firstToken)
 	}
 	if c.seen.Key != "" {
 		sum := sha256.Sum256([]byte(line.Organisation + "\x00" + c.seen.Key))
@@ -245,31 +256,17 @@
 
 // attempt is a caller's connection to one entry.
 type attempt struct {
-	call *call
-	host *host
+	call   *call
+	host   *host
+	flight *flight
 }
 
 // started: the entry's first header came, with the stream's token.
 func (a *attempt) started(f *flight) {
-	if f.stream != nil && a.call.seen.Kind == request.Engine {
-		a.call.target, a.call.stream = f.stream.target.name, f.id
-	}
-}
-
-// redirect: the entry names another one, which holds the answer.
-func (a *attempt) redirect(o entry.SeeOther) {
-	c := a.call
-	if c.open != a || c.closed() {
-		return
+	a.flight = f
+	if f.stream != nil && f.request.Kind == request.Engine {
+		a.call.target = f.stream.target.name
 	}
-	c.open = nil
-	a.leave()
-	c.target, c.stream = o.Target, o.Of
-	c.world.after(callerDelay, func() {
-		if !c.closed() {
-			c.ask(c.world.hostAt(o.Address))
-		}
-	})
 }
 
 // token takes one chunk, which reaches the caller a little later.
@@ -307,6 +304,18 @@
 	c.again()
 }
 
+// sentOn follows a redirect to the answer of the request, or of the first of
+// its key, at another entry.
+func (a *attempt) sentOn(o entry.SeeOther) {
+	c := a.call
+	if c.open != a || c.closed() {
+		return
+	}
+	a.leave()
+	c.target = o.Target
+	c.sendTo(c.world.hostAt(o.Address), o.Of)
+}
+
 // broke: the connection is gone, since the entry is.
 func (a *attempt) broke() {
 	if c := a.call; c.open == a && !c.closed() {
@@ -330,13 +339,11 @@
 		return
 	}
 	a.leave()
-	ids := []ident.RequestID{ident.RequestID(a.call.seen.ID), a.call.stream}
+	id := ident.RequestID(a.call.seen.ID)
 	a.host.world.after(callerDelay, func() {
 		a.host.deliver(func() {
-			for _, id := range ids {
-				if f := a.host.flights[id]; f != nil {
-					f.left(a)
-				}
+			if f := a.host.flights[id]; f != nil {
+				f.left(a)
 			}
 		})
 	})
--- a/internal/replay/virtual/flight.go
+++ b/internal/replay/virtual/flight.go
@@ -55,31 +55,34 @@
 	f := h.flight(id)
 	f.waiters = append(f.waiters, a)
 	switch {
-	case f.status != nil || f.stream != nil:
+	case f.status != nil:
+		f.joinWaiting()
+		a.settle(*f.status, f.tokens)
+	case f.stream != nil:
 		f.joinWaiting()
 	default:
-		h.attach(entry.Attach{ID: id, Of: id, Target: target})
+		h.attach(entry.Attach{ID: id, Target: target})
 	}
 }
 
-// join moves the callers of one id to the flight of another, or of the same.
-func (h *host) join(id, of ident.RequestID) *flight {
-	from, to := h.flight(id), h.flight(of)
-	if from != to {
-		to.waiters = append(to.waiters, from.waiters...)
+// join lets callers that came with an id read the answer of another: the first
+// request of their idempotency key.
+func (h *host) join(o entry.Join) {
+	f := h.flight(o.Of)
+	if o.Of != o.ID {
+		from := h.flight(o.ID)
+		f.waiters = append(f.waiters, from.waiters...)
 		from.waiters = nil
 	}
-	to.joinWaiting()
-	return to
+	f.joinWaiting()
 }
 
-// seeOther sends the callers to the entry that holds the answer.
-func (h *host) seeOther(o entry.SeeOther) {
-	f := h.flight(o.ID)
+// sendOn redirects the callers to the entry that holds the answer.
+func (f *flight) sendOn(o entry.SeeOther) {
 	waiting := f.waiters
 	f.waiters = nil
 	for _, a := range waiting {
-		a.redirect(o)
+		f.host.world.after(callerDelay, func() { a.sentOn(o) })
 	}
 }
 
@@ -108,9 +111,8 @@
 
 // left takes a caller out; the core learns when nobody waits any more.
 func (f *flight) left(a *attempt) {
-	before := len(f.waiters)
 	f.waiters = slices.DeleteFunc(f.waiters, func(other *attempt) bool { return other == a })
-	if before > 0 && len(f.waiters) == 0 && f.status == nil {
+	if len(f.waiters) == 0 && f.status == nil {
 		f.host.input(entry.CallerGone{ID: f.id})
 	}
 }
@@ -168,18 +170,19 @@
 
 func (h *host) attach(o entry.Attach) {
 	w := h.world
-	f := h.join(o.ID, o.Of)
-	if f.status != nil || f.stream != nil {
-		return
-	}
+	f := h.flight(o.ID)
 	t := w.byName[o.Target]
 	s := &stream{host: h, flight: f, target: t, attached: true, began: w.now, tokens: f.tokens}
 	f.stream = s
+	of := o.Of
+	if of == "" {
+		of = o.ID
+	}
 	if t == nil {
 		s.lost()
 		return
 	}
-	w.after(targetDelay, func() { t.attach(s, string(o.Of)) })
+	w.after(targetDelay, func() { t.attach(s, string(of)) })
 }
 
 // started: the target took the request.
--- a/internal/replay/virtual/host.go
+++ b/internal/replay/virtual/host.go
@@ -56,14 +56,9 @@
 }
 
 func (h *host) probeTargets() {
-	if h.view == nil {
-		return
-	}
-	for i := range h.view.Probes {
-		if t := h.world.byName[h.view.Probes[i].Name]; t != nil {
-			state := t.state()
-			h.world.after(2*targetDelay, func() { h.input(state) })
-		}
+	for _, t := range h.world.targets {
+		state := t.state()
+		h.world.after(2*targetDelay, func() { h.input(state) })
 	}
 }
 
@@ -100,9 +95,9 @@
 	case entry.Settle:
 		h.flight(o.ID).settle(o.Status)
 	case entry.Join:
-		h.join(o.ID, o.Of)
+		h.join(o)
 	case entry.SeeOther:
-		h.seeOther(o)
+		h.flight(o.ID).sendOn(o)
 	case entry.Send:
 		h.send(o)
 	case entry.Append:
