Count only requests of a tier and above as on their way to room

Cause: a scheduler that had told a tier 2 request of room at its target took that place for given when a tier 1 request asked, promised a floor instead, and tier 1 was refused while tier 2 ran (found by a schedule).

--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -48,7 +48,7 @@
 	if s.set.Early && o.Due.Before(s.now) || !s.admissible(o) {
 		return roomNone
 	}
-	expected := t.expected()
+	expected := t.expected(o.Tier)
 	ahead := t.queue.Ahead(o.Tier, o.Organisation, o.Due) + expected
 	inTime := !t.late(o, t.waitBehind(ahead, o.service))
 	full := t.queue.Len()+expected >= max(1, s.set.QueuePerTarget)
@@ -90,19 +90,26 @@
 
 // expect notes that a request was told of room here. Two asks in a row must
 // not be sent to the same last place.
-func (t *target) expect(id ident.RequestID) {
-	t.rooms[id] = t.clock.Add(t.set.Grant)
+func (t *target) expect(id ident.RequestID, tier request.Tier) {
+	t.rooms[id] = expectation{tier: tier, until: t.clock.Add(t.set.Grant)}
 }
 
-// expected counts the requests on their way here, and forgets the overdue.
+// expected counts the requests of a tier and above on their way here, and
+// forgets the overdue. Lower ones make way when they come: counted, one of them
+// would let a higher request be refused whose place it then takes.
 // Their number is bounded, since room ends when it reaches what there is.
-func (t *target) expected() int {
-	for id, until := range t.rooms {
-		if !t.clock.Before(until) {
+func (t *target) expected(tier request.Tier) int {
+	n := 0
+	for id, e := range t.rooms {
+		if !t.clock.Before(e.until) {
 			delete(t.rooms, id)
+			continue
+		}
+		if !tier.Above(e.tier) {
+			n++
 		}
 	}
-	return len(t.rooms)
+	return n
 }
 
 // lowerLeft reports whether work below a tier runs, or may run, at our targets
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -48,10 +48,16 @@
 	// shortSeen is when a short request of each tier was last offered.
 	shortSeen []time.Time
 	// rooms are requests that were told of room here and have not come yet.
-	rooms  map[ident.RequestID]time.Time
+	rooms  map[ident.RequestID]expectation
 	timers *timers
 }
 
+// expectation is a request that was told of room, until when it must come.
+type expectation struct {
+	tier  request.Tier
+	until time.Time
+}
+
 func newTarget(s *Scheduler, desc Target) *target {
 	t := &target{
 		desc:      desc,
@@ -65,7 +71,7 @@
 		takeover:  true,
 		awaited:   make(map[ident.Incarnation]struct{}, len(s.members)),
 		occupancy: 1,
-		rooms:     make(map[ident.RequestID]time.Time),
+		rooms:     make(map[ident.RequestID]expectation),
 		timers:    &s.timers,
 	}
 	for _, m := range s.members {
