Let the fallback to an entry's own share work

Cause: withdrawing the offer from a silent scheduler put the flight back to waiting, so every grant of the own share was given back as unwanted, and the flight went to the same silent scheduler again. A run that was cancelled and then broke was settled twice (found by a schedule). Change: other targets first, then the share, whose grants count now.

--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -157,10 +157,28 @@
 		return
 	}
 	if !f.own && !f.heard && e.now.Sub(f.offeredAt) >= e.timing.grant {
-		e.withdraw(f)
-		f.own = true
-		f.offeredAt = e.now
+		e.schedulerSilent(f)
+		return
+	}
+	e.sendOffer(f)
+}
+
+// schedulerSilent moves a flight on whose scheduler does not answer: to another
+// target, whose scheduler may, or else to this entry's own share of the target.
+// The share is small, and a request that it refuses has lost the time in which
+// the others could have served it.
+func (e *Entry) schedulerSilent(f *flight) {
+	e.withdraw(f)
+	if !f.hasTried(f.target) {
+		f.tried = append(f.tried, f.target)
+		if target, status := e.choose(f); status.OK() {
+			e.offerAt(f, target)
+			return
+		}
 	}
+	f.stage = stageOffered
+	f.own = true
+	f.offeredAt = e.now
 	e.sendOffer(f)
 }
 
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -74,7 +74,9 @@
 		e.close(f, outcome.Complete())
 	case !end.Wrote && (end.Result == message.ResultNotAdmitted || end.Result == message.ResultLeaving):
 		e.notTaken(f, end.Result)
-	case end.Result == message.ResultCancelled && f.verdict.Outcome != "":
+	case f.verdict.Outcome != "":
+		// Its caller was told when the run was cancelled, however it ended: the
+		// target may have died meanwhile.
 		e.close(f, f.verdict)
 	case end.Result == message.ResultCancelled:
 		e.finish(f, outcome.Partial(outcome.ReasonDeadlinePassed, "the deadline passed while the request ran"))
