--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -110,6 +110,9 @@
 	live := e.members.Live()
 	moves := e.plan.SetTargets(placementTargets(e.doc))
 	moves = append(moves, e.plan.SetMembers(live)...)
+	// Before the targets: a takeover waits for the reports of these members, and
+	// would wait its whole time for one that is gone.
+	e.places.SetMembers(e.now, incarnations(live))
 	e.placeTargets(len(live))
 	e.placePartitions(live)
 	e.setQuorum()
@@ -163,7 +166,6 @@
 			others = append(others, m.Incarnation)
 		}
 	}
-	e.places.SetMembers(e.now, incarnations(live))
 	for i := range e.doc.Pools {
 		e.places.SetPool(e.doc.Pools[i].Name, others)
 	}
