--- a/internal/console/draft.go
+++ b/internal/console/draft.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"compress/flate"
 	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,6 +21,8 @@
 	// content, so that a small text cannot unfold without bound.
 	maxDraft     = 512 << 10
 	maxDraftData = 4 << 20
+	// idBytes of a hash are enough that two publications never share an id.
+	idBytes = 16
 )
 
 var (
@@ -35,9 +39,8 @@
 // stays small at any number of organisations, and can be put onto another
 // operator's document that came first.
 type draft struct {
-	// ID is that of the publication, drawn when the draft begins, so that
-	// publishing twice is harmless.
-	ID string `json:"id"`
+	// Seed is drawn when the draft begins and keeps ids of drafts apart.
+	Seed string `json:"seed"`
 	// Base is the version that the changes apply to.
 	Base    int64             `json:"base"`
 	Comment string            `json:"comment,omitempty"`
@@ -50,7 +53,20 @@
 }
 
 func newDraft(base int64) draft {
-	return draft{ID: rand.Text(), Base: base}
+	return draft{Seed: rand.Text(), Base: base}
+}
+
+// id is that of the publication. It follows from the content: the same draft
+// published twice, after a lost answer or a reload, is one publication, and a
+// draft that was edited in between is another. With one id for both, the entries
+// would ignore the edited one and report the acceptance of the first.
+func (d draft) id() string {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return d.Seed // strings and numbers always have a JSON
+	}
+	sum := sha256.Sum256(data)
+	return "console-" + hex.EncodeToString(sum[:idBytes])
 }
 
 // document is the base with the draft's changes.
@@ -63,7 +79,7 @@
 		conflicts = append(conflicts, conflict{Path: orderOfTiers, Theirs: strings.Join(tierNames(base), ", "), Yours: strings.Join(d.TierOrder, ", ")})
 	}
 	orderTiers(out, d.TierOrder)
-	out.ID = d.ID
+	out.ID = d.id()
 	out.Base = d.Base
 	out.Comment = d.Comment
 	return out, conflicts, nil
--- a/internal/console/draft_test.go
+++ b/internal/console/draft_test.go
@@ -28,7 +28,7 @@
 		if err != nil || len(conflicts) > 0 {
 			t.Fatalf("conflicts %v, error %v", conflicts, err)
 		}
-		edited.ID, edited.Base = d.ID, d.Base
+		edited.ID, edited.Base = d.id(), d.Base
 		if left := document.Diff(edited, again); len(left) > 0 {
 			t.Fatalf("differs: %v", left)
 		}
--- a/internal/console/edit.go
+++ b/internal/console/edit.go
@@ -123,12 +123,15 @@
 	if target == v.get(fieldPage) {
 		shown.query = cmp.Or(added, strings.TrimSpace(v.get(fieldQuery)))
 	}
-	c.showSection(v, x, shown, notice(v))
+	c.showSection(v, x, shown, x.notice(v))
 }
 
-func notice(v *visit) string {
-	if v.get(fieldPage) == "" {
+func (x *change) notice(v *visit) string {
+	switch {
+	case v.get(fieldPage) == "":
 		return ""
+	case len(x.faults) > 0:
+		return "Kept in the draft, with faults to mend before it can be published."
 	}
 	return "Kept in the draft. Nothing is published yet."
 }
--- a/internal/console/publish.go
+++ b/internal/console/publish.go
@@ -27,8 +27,8 @@
 		return
 	}
 	switch {
-	case x.base.id == x.draft.ID:
-		c.accepted(v, x.draft.ID, x.base.version)
+	case x.base.id == x.draft.id():
+		c.accepted(v, x.draft.id(), x.base.version)
 	case len(x.faults) > 0 && x.overtaken():
 		c.beaten(v, x, false, "")
 	case len(x.faults) > 0:
@@ -39,7 +39,7 @@
 }
 
 // send publishes and shows the result. Sending again what was sent is harmless:
-// the id is the draft's, and the second record of an id has no effect.
+// the same draft has the same id, and the second record of an id has no effect.
 func (c *Console) send(v *visit, x change) {
 	data, err := document.Encode(x.doc)
 	if err != nil {
@@ -51,7 +51,7 @@
 			fmt.Sprintf("The document has %d bytes, and the log takes %d. Nothing was published; make it smaller.", len(data), maxDocument))
 		return
 	}
-	published, err := v.client.Publish(x.draft.ID, data)
+	published, err := v.client.Publish(x.draft.id(), data)
 	if err != nil {
 		c.fail(v, err)
 		return
@@ -68,7 +68,7 @@
 func (c *Console) tell(v *visit, x change, published api.Published) {
 	switch published.Result {
 	case api.ResultAccepted:
-		c.accepted(v, x.draft.ID, published.Version)
+		c.accepted(v, x.draft.id(), published.Version)
 	case api.ResultBeaten:
 		c.lost(v, x, published)
 	case api.ResultInvalid:
@@ -215,7 +215,7 @@
 // unknown shows that nobody can say yet; the draft stays in the page.
 func (c *Console) unknown(v *visit, x change, detail string) {
 	data := unknownData{
-		ID:         x.draft.ID,
+		ID:         x.draft.id(),
 		Base:       x.draft.Base,
 		Detail:     detail,
 		Looked:     c.options.Now().UTC().Format("15:04:05 MST"),
@@ -240,8 +240,8 @@
 		return
 	}
 	switch {
-	case x.base.id == x.draft.ID:
-		c.accepted(v, x.draft.ID, x.base.version)
+	case x.base.id == x.draft.id():
+		c.accepted(v, x.draft.id(), x.base.version)
 	case !x.overtaken():
 		c.unknown(v, x, "The version that you started from is still in force, and your document is not.")
 	case len(x.faults) > 0:
--- a/internal/console/publish_test.go
+++ b/internal/console/publish_test.go
@@ -165,6 +165,25 @@
 		Expect(b.text()).To(ContainSubstring("It was followed by version 3, next"))
 	})
 
+	// A publication is undecided; the operator goes back, edits and publishes again
+	// before the log is back. The first record lands and wins. Under one id for both
+	// the entry would say "accepted", and the edit would be lost without a word.
+	It("does not take an edited draft for the one that was sent", func() {
+		s := newSite(operatorstest.Document(1))
+		b := s.loggedIn()
+		b.review("5000")
+		s.fake.SetLogOut(true)
+		b.post("/publish")
+		b.post("/edit", "go", "limits")
+		b.post("/edit", "v.in_flight", "7000", "go", "review")
+		b.post("/publish")
+		s.fake.SetLogOut(false)
+		Expect(s.inForce().Limits.InFlight).To(Equal(5000))
+		b.post("/outcome")
+		Expect(b.text()).To(ContainSubstring("Your document was beaten"))
+		Expect(b.text()).To(ContainSubstring("limits.in_flight 5000 7000"))
+	})
+
 	It("says when nothing was published, and when nobody answers", func() {
 		s := newSite(operatorstest.Document(1))
 		b := s.loggedIn()
--- a/internal/console/sections.go
+++ b/internal/console/sections.go
@@ -59,7 +59,7 @@
 	"organisations.models":        {Text: "Models", Help: "Separated by commas."},
 	"organisations.services":      {Text: "Services", Help: "Separated by commas."},
 	"organisations.weight":        {Text: "Weight", Help: "Share within a tier; 1 is usual."},
-	"organisations.max_in_flight": {Text: "Most in flight", Help: "Requests at one entry; 0: no bound."},
+	"organisations.max_in_flight": {Text: "Most in flight", Help: "Requests at one entry; empty: no bound."},
 
 	"pools.name": {Text: "Name"},
 
--- a/internal/ctl/caller.go
+++ b/internal/ctl/caller.go
@@ -84,5 +84,6 @@
 		Name:                      "sycamorectl",
 		MaxResponseBodySize:       maxCallersAnswer,
 		MaxIdemponentCallAttempts: 1,
+		DialDualStack:             true,
 	}
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -42,13 +42,6 @@
 	_ = table.Flush() // the writer is the process's output; there is nobody to tell
 }
 
-func yesNo(value bool) string {
-	if value {
-		return "yes"
-	}
-	return "no"
-}
-
 // orDash stands for what is not known.
 func orDash(text string) string {
 	if text == "" {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -156,6 +156,9 @@
 	if err := a.print(said, func(w io.Writer) { writeVerdict(w, said) }); err != nil {
 		return err
 	}
+	if published.Result == api.ResultAccepted {
+		return sameContent(client, doc)
+	}
 	code, known := exitOf[published.Result]
 	if !known {
 		return exit(exitUnknown, "the entry answers %q, which this version does not know; use the sycamorectl of the entry's version", published.Result)
@@ -163,6 +166,16 @@
 	return silent(code)
 }
 
+// sameContent tells a second publication of an id with other content: the entries
+// keep the first record of an id, and report that one's acceptance.
+func sameContent(client *operatorclient.Client, doc *document.Document) error {
+	current, err := inForce(client)
+	if err != nil || current.doc.ID != doc.ID || len(document.Diff(current.doc, doc)) == 0 {
+		return nil // followed by another, or nobody to ask: the verdict stands
+	}
+	return exit(exitRefused, "id %q was accepted with other content than this file's; publish the file with --base current --id new", doc.ID)
+}
+
 // differenceToForce is empty where the winner cannot be read; the verdict counts
 // all the same.
 func differenceToForce(client *operatorclient.Client, doc *document.Document) []document.Change {
--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -136,6 +136,21 @@
 		Expect(got.err).To(ContainSubstring("--id new"))
 	})
 
+	// The first publication is undecided when the operator edits the file and sends
+	// it under the same id. The first lands; "accepted" alone would hide that the
+	// edit is not in force.
+	It("tells an id that came in force with other content", func() {
+		fake := fakeWith(1)
+		settings := settingsFor(fake.Addresses()...)
+		first, second := edited(fake, "mine", lower), edited(fake, "mine", raise)
+		fake.SetLogOut(true)
+		Expect(run("publish", first, "--settings", settings).code).To(Equal(3))
+		fake.BeforeNextPublish(func() { fake.SetLogOut(false) })
+		got := run("publish", second, "--settings", settings)
+		Expect(got.code).To(Equal(2), got.out)
+		Expect(got.err).To(ContainSubstring("other content"))
+	})
+
 	It("says when the log took nothing", func() {
 		fake := fakeWith(1)
 		fake.SetLogRefuses(true)
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -63,7 +63,7 @@
 	return &fasthttp.Client{
 		Name: "sycamoretrail",
 		Dial: func(address string) (net.Conn, error) {
-			return fasthttp.DialTimeout(address, dialTimeout)
+			return fasthttp.DialDualStackTimeout(address, dialTimeout)
 		},
 		ReadTimeout:         timeout,
 		WriteTimeout:        timeout,
