--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -140,7 +140,7 @@
 	for _, edit := range edits {
 		edit(n.doc)
 	}
-	n.flights = flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20})
+	n.flights = flight.NewRegistry(flight.Config{MaxOpen: 2000, Retain: time.Minute, RetainBytes: 1 << 20})
 	n.targets = targets.New(targets.Config{Core: n.core, Flights: n.flights, Log: quiet()})
 	n.core.decide = func(s entry.Submit) {
 		address := engine
--- /dev/null
+++ b/internal/callers/streams_test.go
@@ -0,0 +1,78 @@
+package callers_test
+
+import (
+	"bufio"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+)
+
+const (
+	manyStreams    = 1000
+	tokensOfMany   = 20
+	bytesPerStream = 256 << 10
+)
+
+var _ = Describe("many streams", func() {
+	// Every caller gets each chunk of its answer. A thousand answers stand open
+	// at once, since the engine sends the rest only after all have begun.
+	It("lose no chunk, and keep to their memory", func() {
+		release := make(chan struct{})
+		var open atomic.Int32
+		engine := serve(func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/event-stream")
+			ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+				_, _ = w.WriteString(token(0))
+				_ = w.Flush()
+				<-release
+				for i := 1; i < tokensOfMany; i++ {
+					_, _ = w.WriteString(token(i))
+					_ = w.Flush()
+				}
+				_, _ = w.WriteString(doneEvent)
+			})
+		})
+		n := newNode(engine, "", func(d *document.Document) { d.Limits.Connections = 2 * manyStreams })
+		before := heap()
+		var all sync.WaitGroup
+		var whole atomic.Int32
+		for range manyStreams {
+			all.Go(func() {
+				defer GinkgoRecover()
+				resp := n.open("POST", "/v1/chat/completions", chatBody, nil)
+				defer func() { _ = resp.Body.Close() }()
+				open.Add(1)
+				var body strings.Builder
+				_, err := bufio.NewReader(resp.Body).WriteTo(&body)
+				Expect(err).NotTo(HaveOccurred())
+				_, chunks, mark := readStream([]byte(body.String()))
+				if mark.Outcome == "answered" && mark.Chunks == tokensOfMany && len(chunks) == tokensOfMany {
+					whole.Add(1)
+				}
+			})
+		}
+		Eventually(open.Load, "20s").Should(Equal(int32(manyStreams)))
+		used := (heap() - before) / manyStreams
+		AddReportEntry("bytes a stream, with engine and caller in the same process", used)
+		Expect(used).To(BeNumerically("<", bytesPerStream))
+		close(release)
+		all.Wait()
+		Expect(whole.Load()).To(Equal(int32(manyStreams)))
+		Expect(n.flights.Stats().Open).To(BeZero())
+	})
+})
+
+// heap is the memory in use by heap and stacks after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
