--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -98,6 +98,13 @@
 	return true
 }
 
+// answerWith changes how submissions are decided while the core is in use.
+func (c *fakeCore) answerWith(decide func(entry.Submit)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decide = decide
+}
+
 func all[T entry.Input](c *fakeCore) []T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/callers/pass_test.go
+++ b/internal/callers/pass_test.go
@@ -175,14 +175,14 @@
 		dispatch := n.core.decide
 		var submits atomic.Int32
 		second := make(chan struct{})
-		n.core.decide = func(s entry.Submit) {
+		n.core.answerWith(func(s entry.Submit) {
 			if submits.Add(1) == 1 {
 				dispatch(s)
 				return
 			}
 			n.flights.Join(entry.Join{ID: s.Request.ID})
 			close(second)
-		}
+		})
 		id := map[string]string{"X-Request-Id": string(prefix) + "again"}
 		answers := make(chan []byte, 2)
 		ask := func() {
--- a/internal/callers/refusal_test.go
+++ b/internal/callers/refusal_test.go
@@ -71,7 +71,7 @@
 	// byte of an answer has been sent.
 	DescribeTable("what the core refuses", func(status outcome.Status, code int, said string) {
 		n := newNode("", "")
-		n.core.decide = func(s entry.Submit) { n.flights.Settle(entry.Settle{ID: s.Request.ID, Status: status}) }
+		n.core.answerWith(func(s entry.Submit) { n.flights.Settle(entry.Settle{ID: s.Request.ID, Status: status}) })
 		resp, data := n.call("POST", "/v1/chat/completions", chatBody, nil)
 		Expect(resp.StatusCode).To(Equal(code))
 		Expect(refusal(data).Ran).To(BeEquivalentTo(said))
