--- a/internal/core/scheduler/bench_test.go
+++ b/internal/core/scheduler/bench_test.go
@@ -12,7 +12,7 @@
 
 func benchSettings() Settings {
 	return Settings{QueuePerTarget: 20000, Grant: 300 * time.Millisecond, Floor: 500 * time.Millisecond,
-		Silence: time.Second, Early: false, Preempt: true, ShortPromptTokens: 512, ShortShare: 0.25,
+		Silence: time.Second, Early: true, Preempt: true, ShortPromptTokens: 512, ShortShare: 0.25,
 		PrefillBudget: 1 << 20, RetryMin: 100 * time.Millisecond, RetryMax: 10 * time.Second, Tiers: 4}
 }
 
@@ -70,3 +70,50 @@
 		}
 	}
 }
+
+// BenchmarkRefusal measures a refusal for load while a floor stands.
+func BenchmarkRefusal(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := New("self", 1, nil)
+	set := benchSettings()
+	set.QueuePerTarget = 64
+	s.Configure(now, set)
+	s.SetTargets(now, []Target{{Name: "t", Pool: "p", MaxInFlight: 32, PrefillRate: 8000, StepTime: 20 * time.Millisecond}})
+	now = now.Add(2 * time.Second)
+	offer := func(i int) message.Offer {
+		return message.Offer{Ask: 1, ID: ident.RequestID(fmt.Sprintf("r.%d", i)), Target: "t", Organisation: "x",
+			PromptTokens: 100, MaxTokens: 200, Remaining: time.Hour, Final: true}
+	}
+	for i := range 32 + 64 {
+		s.Offer(now, "self", offer(i))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		effects := s.Offer(now, "self", offer(100+i))
+		if r, ok := effects[0].Message.(message.Refuse); !ok || !r.Settled {
+			b.Fatal(effects)
+		}
+	}
+}
+
+// BenchmarkTick measures what passing time costs where nothing happens.
+func BenchmarkTick(b *testing.B) {
+	for _, targets := range []int{1, 10, 50, 200} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			s := New("self", 1, nil)
+			s.Configure(now, benchSettings())
+			var list []Target
+			for i := range targets {
+				list = append(list, Target{Name: fmt.Sprintf("t%03d", i), Pool: "p", MaxInFlight: 32, PrefillRate: 8000, StepTime: 20 * time.Millisecond})
+			}
+			s.SetTargets(now, list)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(20 * time.Millisecond)
+				s.Tick(now)
+			}
+		})
+	}
+}
--- a/internal/core/scheduler/report.go
+++ b/internal/core/scheduler/report.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/ident"
@@ -15,7 +14,7 @@
 // reportBuffer keeps reports on targets that this entry does not schedule yet:
 // an owner may see a change of membership before we do, and reports only once.
 type reportBuffer struct {
-	reports []earlyReport
+	reports map[ident.RequestID]earlyReport
 }
 
 type earlyReport struct {
@@ -25,31 +24,43 @@
 }
 
 func (b *reportBuffer) add(s *Scheduler, from ident.Incarnation, one message.RunningOne) {
-	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool {
-		same := r.from == from && r.run.Offer.ID == one.Offer.ID
-		return same || s.now.Sub(r.at) > s.set.Silence
-	})
+	if b.reports == nil {
+		b.reports = make(map[ident.RequestID]earlyReport)
+	}
+	if len(b.reports) >= maxBuffered {
+		b.drop(func(r earlyReport) bool { return s.now.Sub(r.at) > s.set.Silence })
+	}
 	if len(b.reports) < maxBuffered {
-		b.reports = append(b.reports, earlyReport{from: from, at: s.now, run: one})
+		b.reports[one.Offer.ID] = earlyReport{from: from, at: s.now, run: one}
 	}
 }
 
 func (b *reportBuffer) forget(from ident.Incarnation) {
-	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool { return r.from == from })
+	b.drop(func(r earlyReport) bool { return r.from == from })
+}
+
+func (b *reportBuffer) drop(gone func(earlyReport) bool) {
+	for id, r := range b.reports {
+		if gone(r) {
+			delete(b.reports, id)
+		}
+	}
 }
 
 // apply counts the buffered runs of a target that has just been placed here.
 func (b *reportBuffer) apply(s *Scheduler, t *target) {
-	b.reports = slices.DeleteFunc(b.reports, func(r earlyReport) bool {
+	for _, id := range sortedNames(b.reports) {
+		r := b.reports[id]
 		if r.run.Offer.Target != t.desc.Name {
-			return false
+			continue
 		}
-		if s.now.Sub(r.at) <= s.set.Silence {
-			r.run.Age += s.now.Sub(r.at)
+		delete(b.reports, id)
+		if age := s.now.Sub(r.at); age <= s.set.Silence {
+			r.run.Age += age
+			r.run.Offer.Remaining -= age
 			s.reportOne(t, r.from, r.run)
 		}
-		return true
-	})
+	}
 }
 
 // Running takes an owner's report of its runs. A full report also tells which
@@ -63,13 +74,11 @@
 			continue
 		}
 		s.reportOne(t, from, one)
+		s.fill(t)
 	}
 	if m.Full {
 		s.reconcile(from, m)
 	}
-	for _, name := range sortedNames(s.targets) {
-		s.fill(s.targets[name])
-	}
 	return s.take()
 }
 
@@ -132,5 +141,6 @@
 				t.endRun(r)
 			}
 		}
+		s.fill(t)
 	}
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -27,9 +27,10 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"sycamoretrail/internal/core/floors"
@@ -311,13 +312,8 @@
 	return out
 }
 
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
+func sortedNames[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
 }
 
 // topTier is the highest tier.
