--- a/internal/callers/referral_test.go
+++ b/internal/callers/referral_test.go
@@ -37,7 +37,7 @@
 		first, again := prefix.ID("first"), prefix.ID("again")
 		resp, body := n.call("POST", path, "", with(first))
 		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
-		n.core.decide = func(s entry.Submit) { n.flights.Join(entry.Join{ID: s.Request.ID, Of: first}) }
+		n.core.answerWith(func(s entry.Submit) { n.flights.Join(entry.Join{ID: s.Request.ID, Of: first}) })
 		resp, same := n.call("POST", path, "", with(again))
 		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
 		Expect(same).To(Equal(body))
@@ -53,9 +53,9 @@
 		owner, other := newNode("", service), newNode("", service)
 		first, again := prefix.ID("first"), prefix.ID("again")
 		_, body := owner.call("POST", path, "", with(first))
-		other.core.decide = func(s entry.Submit) {
+		other.core.answerWith(func(s entry.Submit) {
 			other.flights.SeeOther(entry.SeeOther{ID: s.Request.ID, Of: first, Target: "s1", Address: owner.address})
-		}
+		})
 		resp := noRedirect(other, path, with(again))
 		Expect(resp.StatusCode).To(Equal(http.StatusSeeOther))
 		location := resp.Header.Get("Location")
@@ -75,7 +75,7 @@
 		})
 		first := prefix.ID("first")
 		n.call("POST", path, "", with(first))
-		n.core.decide = func(s entry.Submit) { n.flights.Join(entry.Join{ID: s.Request.ID, Of: first}) }
+		n.core.answerWith(func(s entry.Submit) { n.flights.Join(entry.Join{ID: s.Request.ID, Of: first}) })
 		header := with(prefix.ID("foreign"))
 		header["Authorization"] = "Bearer " + otherKey
 		resp, body := n.call("POST", path, "", header)
