--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -58,8 +58,17 @@
 // tried, the best of them is asked for the last word.
 func (e *Entry) noTarget(f *flight, status routing.Status) {
 	if len(f.tried) > 0 {
+		askedAll := f.final
 		f.tried = f.tried[:0]
 		f.final = true
+		if askedAll {
+			// Every target has turned the last word down as well. Where this entry
+			// schedules them all itself, asking again at once would go round for
+			// ever within one step.
+			f.stage = stageWaiting
+			e.wakeAt(f, e.now.Add(replaceWait))
+			return
+		}
 		var target string
 		if target, status = e.choose(f); status.OK() {
 			e.offerAt(f, target)
