End a takeover when every member has reported, also those that reported early

Cause: members see a change at different instants and report their runs to the new scheduler once; a full report that came before the target was placed there was forgotten, so the takeover waited the whole silence limit (1.5 s) while new requests queued at it. Change: a full report names the targets it is for; early ones are remembered.

--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -175,12 +175,22 @@
 // that are scheduled there now. It reports even if it runs nothing, so that the
 // new scheduler knows when it has heard all.
 func (e *Entry) reportMoved(moves []placement.Move) {
-	told := make(map[ident.Incarnation]bool)
+	if e.cfg.Policy != PolicyScheduler {
+		return
+	}
+	moved := make(map[ident.Incarnation][]string)
+	var order []ident.Incarnation
 	for _, m := range moves {
-		if m.To != "" && !told[m.To] && e.cfg.Policy == PolicyScheduler {
-			told[m.To] = true
-			e.send(m.To, message.Running{Full: true, Runs: e.runsScheduledBy(m.To)})
+		if m.To == "" {
+			continue
 		}
+		if moved[m.To] == nil {
+			order = append(order, m.To)
+		}
+		moved[m.To] = append(moved[m.To], m.Target)
+	}
+	for _, to := range order {
+		e.send(to, message.Running{Full: true, Runs: e.runsScheduledBy(to), Moved: moved[to]})
 	}
 }
 
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -194,6 +194,8 @@
 type Running struct {
 	Full bool         `cbor:"1,keyasint,omitempty"`
 	Runs []RunningOne `cbor:"2,keyasint"`
+	// Moved names the targets for whose takeover a full report is sent.
+	Moved []string `cbor:"3,keyasint,omitempty"`
 }
 
 // RunningOne is one run at a target.
--- a/internal/core/scheduler/report.go
+++ b/internal/core/scheduler/report.go
@@ -77,6 +77,7 @@
 		s.fill(t)
 	}
 	if m.Full {
+		s.early.add(s, from, m.Moved)
 		s.reconcile(from, m)
 	}
 	return s.take()
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -115,6 +115,7 @@
 	timers     timers
 	members    []ident.Incarnation
 	reports    reportBuffer
+	early      earlyFull
 	// parted is until when a pool counts as having lower work left, since a
 	// target of it was handed over.
 	parted map[string]time.Time
@@ -134,6 +135,7 @@
 		floors:     floors.New(),
 		holdings:   make(map[holdKey]*holding),
 		timers:     newTimers(),
+		early:      make(earlyFull),
 		parted:     make(map[string]time.Time),
 	}
 }
@@ -190,6 +192,7 @@
 	t := newTarget(s, desc)
 	s.targets[desc.Name] = t
 	s.reports.apply(s, t)
+	s.early.apply(s, t)
 }
 
 func (s *Scheduler) handOver(t *target) {
