--- a/internal/core/entry/outside_test.go
+++ b/internal/core/entry/outside_test.go
@@ -229,6 +229,9 @@
 			arrived = w.now // it waited in the kernel, not in the process
 		}
 		e := n.edge(c.id)
+		if e.open == 0 && e.status != nil && e.status.Outcome != outcome.Answered {
+			e.status = nil // the core says anew what is known
+		}
 		e.open++
 		e.waiters = append(e.waiters, c)
 		n.input(Submit{Request: c.request(arrived)})
