Ignore a report on a run that is known to have ended

Cause: a report on a run was overtaken by the word on its end and counted the run again, so its place stood empty until the deadline, and tier 1 was refused at one target while the other served tier 2 (found by a schedule).

--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -108,6 +108,7 @@
 		delete(t.rooms, m.ID)
 	}
 	t.offers[m.ID] = o
+	t.past.begin(m.ID)
 	if o.Lane == queue.Short {
 		t.sawShort(o.Tier)
 	}
--- a/internal/core/scheduler/report.go
+++ b/internal/core/scheduler/report.go
@@ -89,6 +89,9 @@
 		s.remove(o)
 	}
 	r := t.runs[one.Offer.ID]
+	if r == nil && t.past.over(s.now, one.Offer.ID, s.set.Silence) {
+		return
+	}
 	if r == nil {
 		r = s.reportedRun(t, from, one)
 		t.addRun(r)
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -213,6 +213,7 @@
 	if t == nil {
 		return s.take()
 	}
+	t.past.end(s.now, d.ID, s.set.Silence)
 	if r := t.runs[d.ID]; r != nil && r.from == from {
 		s.learn(t, r, d)
 		t.endRun(r)
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -50,6 +50,7 @@
 	// rooms are requests that were told of room here and have not come yet.
 	rooms  map[ident.RequestID]expectation
 	timers *timers
+	past   lateReports
 }
 
 // expectation is a request that was told of room, until when it must come.
