--- a/internal/operators/operatorstest/document.go
+++ b/internal/operators/operatorstest/document.go
@@ -35,6 +35,8 @@
 		Shutdown: document.DefaultShutdown(),
 		Timing:   document.DefaultTiming(),
 	}
+	// Off, so that a form that turns it on changes something.
+	d.Refusal.Early = false
 	for i := range organisations {
 		d.Organisations = append(d.Organisations, document.Organisation{
 			Name:      fmt.Sprintf("org-%05d", i),
