Bootstrap, asking for what is pending, ids by organisation, what a drain holds

- Nobody holds a document and the log lost its beginning: after 45 s in which the log could be read and no linked peer named a version, the first document that is kept is taken.
- A publication that cannot be judged asks the peers at once.
- An id remembers by a four byte tag which organisation brought it; another one that sends it is refused and told nothing, here and through a peer.
- A drain settles for the scaled silence limit and reports targets and answers still held (input Answering, optional for edges).
The last entry of a deployment serves from its own share while it drains.

--- a/internal/core/entry/documents.go
+++ b/internal/core/entry/documents.go
@@ -15,6 +15,10 @@
 	// documentAskEvery is the pause between questions for the document while
 	// the log is out and this entry holds none.
 	documentAskEvery = time.Second
+	// bootstrapAfter is how long an entry that can read the log looks for peers
+	// before it takes the log's first document without knowing what went before.
+	// Within it an instance list, even one that lags, has shown the peers.
+	bootstrapAfter = 45 * time.Second
 	// verdictsRemembered bounds what is kept to tell publishers what became of
 	// their documents.
 	verdictsRemembered = 256
@@ -60,6 +64,10 @@
 	verdict := e.accepted.Record(offset, rec)
 	e.accepted.Seen(verdict, e.now.Add(-age))
 	e.rememberVerdict(verdict)
+	if verdict.Kind == acceptance.Pending {
+		// Only a peer or a renewal can settle it: ask now, not when it is due.
+		e.seekAt = e.now
+	}
 	e.note(Decision{Event: EventDocument, Detail: fmt.Sprintf("%s %s at offset %d", verdict.DocumentID, verdict.Kind, offset)})
 	e.applyCurrent()
 }
@@ -126,11 +134,17 @@
 		return
 	}
 	e.seekAt = e.now.Add(documentAskEvery)
+	held := false
 	for _, m := range e.members.Members(e.now) {
 		if m.Linked {
 			e.send(m.Member.Incarnation, message.DocumentAsk{})
+			held = held || m.ConfigVersion > 0
 		}
 	}
+	if !held && e.logUp && e.now.Sub(e.began) >= bootstrapAfter {
+		e.accepted.Bootstrap()
+		e.applyCurrent()
+	}
 }
 
 func (e *Entry) documentAsked(from ident.Incarnation) {
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -108,6 +108,7 @@
 	membersAt time.Time
 	digestsAt time.Time
 
+	answering int
 	following bool
 	logUp     bool
 	changed   bool
@@ -211,6 +212,8 @@
 		e.instances(in)
 	case OrderDone:
 		e.performOrders(e.orders.OrderDone(e.now, in.Target, in.Refused, in.Failed))
+	case Answering:
+		e.answering = in.Open
 	case DrainStart:
 		e.drain.Start(e.now)
 	case Tick:
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -30,7 +30,7 @@
 	}
 	f.asked = holder
 	e.asks++
-	e.send(holder, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID})
+	e.send(holder, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID, Tag: owner.Tag(f.req.Organisation)})
 	e.wakeAt(f, e.now.Add(e.timing.grant))
 }
 
@@ -54,7 +54,14 @@
 		// The asker wants the outcome of another's request, not its id.
 		return e.told(q.ID)
 	}
-	return e.ids.Ask(e.now, from, q.ID)
+	if !e.ids.Belongs(e.now, q.ID, q.Tag) {
+		return message.OwnerReply{ID: q.ID, Standing: message.StandingFinished, Status: anothersID()}
+	}
+	reply := e.ids.Ask(e.now, from, q.ID)
+	if reply.Standing == message.StandingVoided {
+		e.ids.Mark(e.now, q.ID, q.Tag)
+	}
+	return reply
 }
 
 // told says what is remembered of an id, without recording anything.
@@ -120,6 +127,7 @@
 		e.refuseUnseen(&f.req, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
 		return
 	}
+	e.ids.Mark(e.now, f.req.ID, owner.Tag(f.req.Organisation))
 	e.accept(f.req)
 }
 
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -129,6 +129,10 @@
 	Failed bool
 }
 
+// Answering says how many answers have not left to their callers yet, as of
+// now. A drain waits for them; edges that finish them after Drained need not tell.
+type Answering struct{ Open int }
+
 // DrainStart is an operator's or SIGTERM's wish to stop.
 type DrainStart struct{}
 
@@ -150,6 +154,7 @@
 func (LogDown) input()      {}
 func (InstanceList) input() {}
 func (OrderDone) input()    {}
+func (Answering) input()    {}
 func (DrainStart) input()   {}
 func (Tick) input()         {}
 
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -265,6 +265,10 @@
 
 func (e *Entry) drainConfig() drain.Config {
 	cfg := drain.Config{Settle: e.timing.silence, AnswerTTL: startingPeriod, Bound: startingDrain}
+	if e.members != nil {
+		// Grows with the number of members.
+		cfg.Settle = e.members.Silence()
+	}
 	if e.doc != nil {
 		cfg.AnswerTTL = document.Milliseconds(e.doc.Shutdown.EntriesTTLMS)
 		cfg.Bound = document.Milliseconds(e.doc.Shutdown.DrainMS)
@@ -301,7 +305,11 @@
 }
 
 func (e *Entry) stillHeld() drain.Held {
-	return drain.Held{InFlight: len(e.flights), Appends: len(e.pending)}
+	held := drain.Held{InFlight: len(e.flights), Appends: len(e.pending), Answers: e.answering}
+	if e.state == message.Draining {
+		held.Targets = len(e.plan.Scheduled(e.cfg.Self.Incarnation))
+	}
+	return held
 }
 
 // settleTime is how long a starting entry listens for peers before it is ready,
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -111,6 +111,14 @@
 	f.target = target
 	f.scheduler = e.schedulerOf(target)
 	f.own = false
+	if f.scheduler == "" && e.state == message.Draining {
+		// Nobody is left to hand targets to; what callers may still bring is
+		// served by this entry's own share.
+		f.stage, f.own = stageOffered, true
+		f.offeredAt = e.now
+		e.sendOffer(f)
+		return
+	}
 	if f.scheduler == "" {
 		f.stage = stageWaiting
 		e.wakeAt(f, e.now.Add(replaceWait))
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -21,8 +21,14 @@
 
 // submit takes a request from a caller.
 func (e *Entry) submit(req request.Request) {
+	tag := owner.Tag(req.Organisation)
+	if f := e.flights[req.ID]; f != nil && f.req.Organisation != req.Organisation || !e.ids.Belongs(e.now, req.ID, tag) {
+		e.refuseUnseen(&req, anothersID())
+		return
+	}
 	switch admission := e.ids.Admit(e.now, req.ID); admission.Kind {
 	case owner.KindNew:
+		e.ids.Mark(e.now, req.ID, tag)
 		e.accept(req)
 	case owner.KindKnown:
 		e.joinKnown(&req, admission)
@@ -41,6 +47,12 @@
 	}
 }
 
+// anothersID refuses an id that another organisation's request has. It says
+// nothing of that request, and is true of this one.
+func anothersID() outcome.Status {
+	return outcome.Refused(outcome.ReasonMalformed, 0, "the request id names another request")
+}
+
 // refuseUnseen answers a request that never became a flight.
 func (e *Entry) refuseUnseen(req *request.Request, status outcome.Status) {
 	e.tell(req.ID, keyUnread(req, status))
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -238,6 +238,8 @@
 	ID  ident.RequestID `cbor:"2,keyasint"`
 	// Known: the asker only wants to know what became of it, and never to run it.
 	Known bool `cbor:"3,keyasint,omitempty"`
+	// Tag tells which organisation brought the id to the asker; see owner.Tag.
+	Tag uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Standing is what an owner says of an id.
--- a/internal/core/owner/epoch.go
+++ b/internal/core/owner/epoch.go
@@ -19,6 +19,8 @@
 	standing message.Standing
 	// voidedIn is the epoch in which the id was given up.
 	voidedIn uint32
+	// tag tells the organisation that brought the id; 0: not known.
+	tag uint32
 	// where is the target; for StandingVoided the delegate.
 	where string
 	// status is set once finished.
