--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -90,6 +90,8 @@
 	plan    *placement.Plan
 	homes   [partitions]ident.Incarnation
 	watches map[string]*targetWatch
+	// watchedOrders are targets held elsewhere that are probed for their orders.
+	watchedOrders []string
 
 	deaths     map[string]*death
 	deathOrder []string
@@ -229,6 +231,7 @@
 	e.perform(e.share.Tick(e.now), fromShare)
 	e.performClaims(e.claims.Tick(e.now))
 	e.performOrders(e.orders.Tick(e.now))
+	e.watchOrders()
 	e.closeDeaths()
 	e.ids.Expire(e.now)
 	e.renew()
--- a/internal/core/entry/flight.go
+++ b/internal/core/entry/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"sort"
 	"time"
 
 	"sycamoretrail/internal/core/ident"
@@ -150,3 +151,18 @@
 		e.attend(f)
 	}
 }
+
+// flightsInOrder lists the flights by id, so that outputs do not depend on the
+// order of a map.
+func (e *Entry) flightsInOrder() []*flight {
+	ids := make([]string, 0, len(e.flights))
+	for id := range e.flights {
+		ids = append(ids, string(id))
+	}
+	sort.Strings(ids)
+	flights := make([]*flight, len(ids))
+	for i, id := range ids {
+		flights[i] = e.flights[ident.RequestID(id)]
+	}
+	return flights
+}
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
@@ -242,53 +241,6 @@
 	Adapters []string
 }
 
-// Publish gives the edges a new immutable view of what they need to know.
-// It is put out whenever the view changed.
-type Publish struct{ View *View }
-
-// View is what the edges read without asking the core.
-type View struct {
-	State message.State
-	// Version of the document in force; 0 and a nil Document: none yet.
-	Version  int64
-	Document *document.Document
-	// Entries are the members that callers may use, in this entry's order.
-	Entries []message.Member
-	// Probes are the targets whose readiness and load this entry watches.
-	Probes []document.Target
-	// Prefix for new ids, and until when it may be handed out and for how long
-	// an answer to "which entry" is good.
-	Prefix  ident.Prefix
-	GoodFor time.Duration
-}
-
-// Decision is a line for the operators' log and for explain.
-type Decision struct {
-	ID     ident.RequestID
-	Event  Event
-	Target string
-	Tier   request.Tier
-	Reason outcome.Reason
-	Detail string
-}
-
-// Event names a decision.
-type Event string
-
-const (
-	EventAccepted   Event = "accepted"
-	EventOffered    Event = "offered"
-	EventGranted    Event = "granted"
-	EventDispatched Event = "dispatched"
-	EventSettled    Event = "settled"
-	EventPreempted  Event = "preempted"
-	EventFloor      Event = "floor"
-	EventConvicted  Event = "convicted"
-	EventDocument   Event = "document"
-	EventMember     Event = "member"
-	EventOrder      Event = "order"
-)
-
 // Drained says that nothing is in flight any more and the process may exit.
 type Drained struct{}
 
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -3,11 +3,9 @@
 import (
 	"time"
 
-	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/routing"
-	"sycamoretrail/internal/core/scheduler"
 	"sycamoretrail/internal/core/suspects"
 )
 
@@ -199,127 +197,9 @@
 	e.sendOffer(f)
 }
 
-// withdraw takes the present offer back.
-func (e *Entry) withdraw(f *flight) {
-	if f.stage != stageOffered {
-		return
-	}
-	withdrawal := message.Withdraw{ID: f.req.ID, Target: f.target}
-	if f.own {
-		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, withdrawal), fromShare)
-	} else {
-		e.send(f.scheduler, withdrawal)
-	}
-	f.stage = stageWaiting
-}
-
-// queued notes that the scheduler has the offer in its queue.
-func (e *Entry) queued(from ident.Incarnation, q message.Queued) {
-	f := e.flights[q.ID]
-	if f == nil || f.stage != stageOffered || f.target != q.Target || f.scheduler != from {
-		return
-	}
-	f.heard = true
-}
-
-// granted dispatches a flight, if the grant is still good.
-func (e *Entry) granted(from ident.Incarnation, g message.Grant, own bool) {
-	f := e.flights[g.ID]
-	if f == nil || f.stage != stageOffered || f.target != g.Target || f.own != own {
-		// A grant of a former scheduler or for an offer taken back. The place
-		// must be given back at once, or it stands empty until it lapses.
-		e.giveBack(from, message.Withdraw{ID: g.ID, Target: g.Target}, own, f, g.Target)
-		return
-	}
-	sent, known := f.sentAt(g.Ask)
-	until := sent.Add(g.Valid - grantMargin)
-	if !known || !e.now.Before(until) {
-		// The grant spent its validity on the way, or this process slept. The
-		// target may be leaving or full by now: only a fresh grant counts.
-		e.withdraw(f)
-		e.offerAt(f, f.target)
-		return
-	}
-	e.dispatch(f, until)
-}
-
-// giveBack returns an unwanted place, unless the flight runs at that target.
-func (e *Entry) giveBack(to ident.Incarnation, w message.Withdraw, own bool, f *flight, target string) {
-	if f != nil && f.stage == stageRunning && f.target == target {
-		return
-	}
-	if own {
-		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, w), fromShare)
-		return
-	}
-	e.send(to, w)
-}
-
-// refused moves a flight on after a scheduler turned it down.
-func (e *Entry) refused(from ident.Incarnation, r message.Refuse, own bool) {
-	f := e.flights[r.ID]
-	if f == nil || f.stage != stageOffered || f.target != r.Target || f.own != own {
-		return
-	}
-	if !own && f.scheduler != from {
-		return
-	}
-	f.stage = stageWaiting
-	switch {
-	case r.Settled && (r.Reason == outcome.ReasonDeadline || r.Reason == outcome.ReasonDeadlinePassed):
-		e.refuseLate(f, r.Reason)
-	case r.Settled:
-		e.abandon(f, outcome.Refused(r.Reason, r.RetryAfter, detailOf(r.Reason)))
-	case scheduler.Moved(r):
-		e.wakeAt(f, e.now.Add(replaceWait))
-	case r.Elsewhere != "":
-		e.offerAt(f, r.Elsewhere)
-	default:
-		f.tried = append(f.tried, f.target)
-		e.place(f)
-	}
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
 	}
 	return b
 }
-
-// refuseLate refuses a request that cannot be in time, and tells the cause: only
-// a want of places is a refusal for load. After a pause of this process, and
-// when the bounds were past at the arrival, an idle target would not help.
-func (e *Entry) refuseLate(f *flight, reason outcome.Reason) {
-	switch {
-	case e.wokeAt.After(f.req.Arrived):
-		reason = outcome.ReasonProcessPaused
-	case e.arrivedLate(f):
-		reason = outcome.ReasonArrivedLate
-	}
-	e.abandon(f, outcome.Refused(reason, e.jitter(retrySoon), detailOf(reason)))
-}
-
-// arrivedLate: less time was left at the arrival than the pool's fastest target
-// takes for a single token. No estimate counts here, since those rise with load.
-func (e *Entry) arrivedLate(f *flight) bool {
-	step := e.fastest[f.req.Pool]
-	first := f.req.FirstTokenBy
-	return !f.req.Deadline.After(f.req.Arrived.Add(step)) || !first.IsZero() && !first.After(f.req.Arrived.Add(step))
-}
-
-func detailOf(reason outcome.Reason) string {
-	switch reason {
-	case outcome.ReasonDisplaced:
-		return "a higher tier needed the place"
-	case outcome.ReasonDeadline:
-		return "the answer could not be complete by the deadline"
-	case outcome.ReasonDeadlinePassed:
-		return "the deadline passed before a place was free"
-	case outcome.ReasonArrivedLate:
-		return "too little time was left when the request arrived"
-	case outcome.ReasonProcessPaused:
-		return "the entry was paused while the request waited; send again"
-	}
-	return "every target that could serve the request is full"
-}
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/document"
@@ -128,20 +129,30 @@
 	}
 }
 
-// probes lists the targets that this entry watches: those that it schedules.
+// probes lists the targets that this entry watches: those that it schedules,
+// and those held elsewhere for whose orders its own wait.
 func (e *Entry) probes() []document.Target {
 	if e.doc == nil {
 		return nil
 	}
 	var watched []document.Target
 	for i := range e.doc.Targets {
-		if e.schedulerOf(e.doc.Targets[i].Name) == e.cfg.Self.Incarnation {
-			watched = append(watched, e.doc.Targets[i])
+		t := &e.doc.Targets[i]
+		if e.schedulerOf(t.Name) == e.cfg.Self.Incarnation || slices.Contains(e.watchedOrders, t.Name) {
+			watched = append(watched, *t)
 		}
 	}
 	return watched
 }
 
+// watchOrders renews the list of targets that are watched for their orders.
+func (e *Entry) watchOrders() {
+	if watched := e.orders.Watched(e.now); !slices.Equal(watched, e.watchedOrders) {
+		e.watchedOrders = watched
+		e.changed = true
+	}
+}
+
 // schedulerTarget describes a target to the schedulers.
 func (e *Entry) schedulerTarget(t *document.Target) scheduler.Target {
 	class, _ := e.index.Class(t.Class)
--- a/internal/core/orders/orders.go
+++ b/internal/core/orders/orders.go
@@ -161,6 +161,23 @@
 	return o.out
 }
 
+// Watched lists targets held elsewhere whose reports decide here: those with an
+// unfinished order in a pool where a target held here waits for a place.
+func (o *Orders) Watched(now time.Time) []string {
+	var names []string
+	for _, t := range o.held {
+		if t.wanted == nil || t.observed == nil || t.agrees(*t.wanted) {
+			continue
+		}
+		for _, other := range o.pools[t.pool] {
+			if other.unfinished(now, &o.cfg) && !slices.Contains(o.held, other) && !slices.Contains(names, other.name) {
+				names = append(names, other.name)
+			}
+		}
+	}
+	return names
+}
+
 // Record takes the next record of the stream, in log order. Age is how long
 // ago the log took it.
 func (o *Orders) Record(now time.Time, offset int64, age time.Duration, rec record.Order) []Effect {
