Report metrics by tally's Prometheus reporter; record an entry's traffic as a trace

Samples beyond the last bucket count as it: tally would add 292 years to the sum. Gauges of the scheduler, floors, claims and configuration are read from the core every 5 s and summed over pools. Callers that left are counted.

Found: X-Tier as sent became a label's value even where no such tier exists, a series for each made-up text. The tier is noted only once it is known to be allowed.

Recording: internal/recording writes what trace_file promised; keyed hashes for paths, keys and prefixes, a bounded ring and file, drops counted.

--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -7,8 +7,10 @@
 	"sycamoretrail/internal/callers"
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/duty"
 	"sycamoretrail/internal/flight"
+	"sycamoretrail/internal/recording"
 	"sycamoretrail/internal/targets"
 	"sycamoretrail/internal/telemetry"
 )
@@ -58,7 +60,7 @@
 	d.Targets = targets.New(targets.Config{Core: core, Flights: d.Registry, Log: p.logger})
 	d.callers = callers.New(callers.Config{
 		Core: core, View: p.views.current.Load, Flights: d.Registry, Rereads: d.rereads, Follower: d.Targets,
-		TokenKey: []byte(p.settings.SharedKey), Metrics: p.metrics.Handler, Observe: p.observe, Log: p.logger,
+		TokenKey: []byte(p.settings.SharedKey), Metrics: p.metrics.Handler, Observe: p.observe, Arrived: p.record, Log: p.logger,
 	})
 	go d.Targets.Watch(d.stop, p.views.current.Load, p.views.probed)
 	go d.sweep()
@@ -97,6 +99,13 @@
 	})
 }
 
+// record notes a request for the trace, where one is written.
+func (p *process) record(req *request.Request, tier, method, path string) {
+	if p.recording != nil {
+		p.recording.Arrived(recording.Arrival{Request: *req, Tier: tier, Method: method, Path: path})
+	}
+}
+
 // probed reports whether this entry watches a target: those that it schedules.
 func (v *views) probed(t *document.Target) bool {
 	for i := range v.Latest().Probes {
--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -4,51 +4,162 @@
 	"context"
 	"time"
 
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/telemetry"
 )
 
-const gaugeInterval = time.Second
+const (
+	gaugeInterval = time.Second
+	// coreEvery is how many of these pass between two reads of the core, which
+	// hold up its loop for the time of a list of all targets.
+	coreEvery = 5
+	noFloor   = -1
+)
 
-// reportGauges sets the gauges of the links and the core's ring until the
-// context ends. Those of the links count from the start of the process.
+// reportGauges sets the gauges until the context ends.
 func (p *process) reportGauges(ctx context.Context) {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.reportOnce()
+			p.reportEdges()
+			if turn%coreEvery == 0 {
+				p.reportCore(ctx)
+			}
 		}
 	}
 }
 
-func (p *process) reportOnce() {
+// reportEdges reads what needs no turn of the core.
+func (p *process) reportEdges() {
 	m := p.metrics
-	m.Gauge("core_inputs_waiting", float64(p.loop.Waiting()))
+	m.Set(telemetry.InputsWaiting, float64(p.loop.Waiting()))
 	view := p.views.Latest()
-	m.Gauge("document_version", float64(view.Version))
-	m.Gauge("ready", readiness(view.State))
-	m.Gauge("entries_known", float64(len(view.Entries)))
-	stats := p.links.Stats()
-	m.Gauge("peer_links", float64(stats.Links))
-	m.Gauge("peer_sent_bytes", float64(stats.SentBytes))
-	m.Gauge("peer_received_bytes", float64(stats.ReceivedBytes))
-	m.Gauge("peer_sent_frames", float64(stats.FramesSent))
-	m.Gauge("peer_no_link_messages", float64(stats.NoLink))
+	m.Set(telemetry.DocumentVersion, float64(view.Version))
+	m.Set(telemetry.Ready, oneIf(view.State == message.Ready))
+	m.Set(telemetry.EntriesKnown, float64(len(view.Entries)))
+	if p.recording != nil {
+		m.Total(telemetry.TraceLines, p.recording.Written())
+		m.Total(telemetry.TraceDropped, p.recording.Dropped())
+	}
+	p.reportLinks()
+}
+
+func (p *process) reportLinks() {
+	m, stats := p.metrics, p.links.Stats()
+	m.Set(telemetry.PeerLinks, float64(stats.Links))
+	m.Total(telemetry.PeerSentBytes, stats.SentBytes)
+	m.Total(telemetry.PeerReceivedBytes, stats.ReceivedBytes)
+	m.Total(telemetry.PeerSentFrames, stats.FramesSent)
+	m.Total(telemetry.PeerReceivedFrames, stats.FramesReceived)
+	m.Total(telemetry.PeerNoLink, stats.NoLink)
 	for _, kind := range stats.Kinds {
 		name := kind.Kind.String()
-		m.GaugeOf("peer_sent_messages", "type", name, float64(kind.Sent))
-		m.GaugeOf("peer_sent_message_bytes", "type", name, float64(kind.SentBytes))
-		m.GaugeOf("peer_received_messages", "type", name, float64(kind.Received))
-		m.GaugeOf("peer_received_message_bytes", "type", name, float64(kind.RBytes))
-		m.GaugeOf("peer_dropped_messages", "type", name, float64(kind.Dropped))
+		m.Total(telemetry.PeerSent, kind.Sent, name)
+		m.Total(telemetry.PeerSentMessageBytes, kind.SentBytes, name)
+		m.Total(telemetry.PeerReceived, kind.Received, name)
+		m.Total(telemetry.PeerReceivedMsgBytes, kind.RBytes, name)
+		m.Total(telemetry.PeerDropped, kind.Dropped, name)
+	}
+}
+
+// reportCore reads the core on its own loop.
+func (p *process) reportCore(ctx context.Context) {
+	var status entry.Status
+	var targets []entry.TargetStatus
+	var floors []entry.FloorStatus
+	read := func(e *entry.Entry) { status, targets, floors = e.Status(), e.Targets(), e.Floors() }
+	if err := p.loop.Do(ctx, read); err != nil {
+		return // the loop has stopped
+	}
+	m := p.metrics
+	m.Set(telemetry.LogAvailable, oneIf(status.LogUp))
+	m.Set(telemetry.InFlight, float64(status.InFlight))
+	m.Set(telemetry.IDsRemembered, float64(status.RememberedIDs))
+	m.Set(telemetry.KeysClaimed, float64(status.ClaimedKeys))
+	unlinked := 0
+	for i := range status.Peers {
+		if !status.Peers[i].Linked {
+			unlinked++
+		}
+	}
+	m.Set(telemetry.PeersSilent, float64(unlinked))
+	p.reportPools(targets, floors)
+}
+
+// poolSums adds up the targets of a pool that this entry schedules.
+type poolSums struct {
+	targets, available, straggling, limit, inFlight, suspects int
+
+	queued []int
+}
+
+// reportPools sums over pools, since a series for each target would stay behind
+// at its last reading whenever the target's scheduler changes.
+func (p *process) reportPools(targets []entry.TargetStatus, floors []entry.FloorStatus) {
+	doc := p.views.Latest().Document
+	if doc == nil {
+		return
+	}
+	sums := make(map[string]*poolSums, len(doc.Pools))
+	for i := range doc.Pools {
+		sums[doc.Pools[i].Name] = &poolSums{queued: make([]int, len(doc.Tiers))}
+	}
+	for i := range targets {
+		if sum := sums[targets[i].Pool]; sum != nil && targets[i].Here {
+			sum.add(&targets[i])
+		}
+	}
+	tiers := make([]string, len(doc.Tiers))
+	for i := range doc.Tiers {
+		tiers[i] = doc.Tiers[i].Name
+	}
+	for pool, sum := range sums {
+		p.reportPool(pool, sum, tiers)
+		p.metrics.Set(telemetry.PoolFloor, noFloor, pool)
+	}
+	for _, floor := range floors {
+		p.metrics.Set(telemetry.PoolFloor, float64(floor.Tier), floor.Pool)
+	}
+}
+
+func (s *poolSums) add(t *entry.TargetStatus) {
+	s.targets++
+	s.limit += t.View.Limit
+	s.inFlight += t.View.InFlight
+	s.suspects += t.View.Suspects
+	if t.View.Available {
+		s.available++
+	}
+	if t.View.Straggler {
+		s.straggling++
+	}
+	for tier, waiting := range t.View.Queued {
+		if tier < len(s.queued) {
+			s.queued[tier] += waiting
+		}
+	}
+}
+
+func (p *process) reportPool(pool string, sum *poolSums, tiers []string) {
+	m := p.metrics
+	m.Set(telemetry.PoolTargets, float64(sum.targets), pool)
+	m.Set(telemetry.PoolAvailable, float64(sum.available), pool)
+	m.Set(telemetry.PoolStragglers, float64(sum.straggling), pool)
+	m.Set(telemetry.PoolLimit, float64(sum.limit), pool)
+	m.Set(telemetry.PoolInFlight, float64(sum.inFlight), pool)
+	m.Set(telemetry.PoolSuspects, float64(sum.suspects), pool)
+	for i, waiting := range sum.queued {
+		m.Set(telemetry.PoolQueued, float64(waiting), pool, tiers[i])
 	}
 }
 
-func readiness(state message.State) float64 {
-	if state == message.Ready {
+func oneIf(holds bool) float64 {
+	if holds {
 		return 1
 	}
 	return 0
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -15,6 +15,7 @@
 	"sycamoretrail/internal/operators"
 	"sycamoretrail/internal/peers"
 	"sycamoretrail/internal/platform"
+	"sycamoretrail/internal/recording"
 	"sycamoretrail/internal/settings"
 	"sycamoretrail/internal/telemetry"
 )
@@ -36,6 +37,8 @@
 	data      *dataPlane
 	operators *operators.Server
 	views     *views
+	// recording is nil where the settings name no trace_file.
+	recording *recording.Recorder
 }
 
 // newProcess makes all parts; none of them listens or connects yet.
@@ -64,6 +67,11 @@
 		Deliver: p.loop.Deliver,
 		Log:     p.logger.WithField("duty", "peers"),
 	})
+	if s.TraceFile != "" {
+		if p.recording, err = recording.Open(s.TraceFile, s.Name, []byte(s.SharedKey), time.Now()); err != nil {
+			return nil, err
+		}
+	}
 	p.data = newDataPlane(p)
 	if p.operators, err = p.newOperators(); err != nil {
 		return nil, err
@@ -150,6 +158,11 @@
 	if err := p.operators.Close(); err != nil {
 		p.logger.WithError(err).Warn("operators' listener did not close")
 	}
+	if p.recording != nil {
+		if err := p.recording.Close(); err != nil {
+			p.logger.WithError(err).Warn("trace file did not close")
+		}
+	}
 	if err := p.metrics.Close(); err != nil {
 		p.logger.WithError(err).Warn("metrics did not close")
 	}
--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -105,14 +105,17 @@
 }
 
 func (c *call) chooseTier() (request.Tier, error) {
-	c.tier = c.org.first
+	name := c.org.first
 	if asked := c.ctx.Request.Header.Peek(headerTier); len(asked) > 0 {
-		c.tier = string(asked)
+		name = string(asked)
 	}
-	rank, allowed := c.org.tiers[c.tier]
+	rank, allowed := c.org.tiers[name]
 	if !allowed {
-		return 0, refused(outcome.ReasonTierNotAllowed, "the organisation may not use the tier %q", c.tier)
+		return 0, refused(outcome.ReasonTierNotAllowed, "the organisation may not use the tier %q", name)
 	}
+	// Set only now: the name goes into the metrics, which would otherwise grow by
+	// a series for each text that a caller makes up.
+	c.tier = name
 	return rank, nil
 }
 
--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -21,15 +21,15 @@
 func (s *Server) run(c *call, req request.Request, f *flight.Flight) {
 	standing, added := s.cfg.Flights.Put(f)
 	if standing == nil {
-		s.refuse(c.ctx, fasthttp.StatusServiceUnavailable, string(req.ID),
-			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can"))
+		s.refuseError(c.ctx, c, &refusalError{
+			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can")})
 		return
 	}
 	if !added && (standing.Organisation != f.Organisation || standing.Fingerprint != f.Fingerprint) {
-		s.refuse(c.ctx, fasthttp.StatusBadRequest, string(req.ID),
-			outcome.Refused(outcome.ReasonMalformed, 0, "X-Request-Id names another request"))
+		s.refuseError(c.ctx, c, refused(outcome.ReasonMalformed, "X-Request-Id names another request"))
 		return
 	}
+	s.cfg.Arrived(&req, c.tier, f.Method, f.Path)
 	f = standing
 	f.Enter()
 	f.Submitting()
@@ -69,7 +69,7 @@
 func (w *waiting) answer() {
 	chunks, p, gone := w.wait(nil)
 	if gone {
-		w.leave()
+		w.abandon()
 		w.ctx.SetConnectionClose()
 		return
 	}
@@ -88,6 +88,13 @@
 	}
 }
 
+// abandon ends the wait of a caller that closed its connection. What became of
+// the request it will not hear, so it counts as unknown.
+func (w *waiting) abandon() {
+	w.leave()
+	w.observe(outcome.Undetermined(outcome.ReasonCallerGone, ""))
+}
+
 // refuse ends the wait with a refusal.
 func (w *waiting) refuse(status outcome.Status) {
 	w.leave()
@@ -218,7 +225,7 @@
 	for p.End == nil {
 		var gone bool
 		if chunks, p, gone = w.wait(chunks); gone {
-			w.leave()
+			w.abandon()
 			w.ctx.SetConnectionClose()
 			return
 		}
@@ -351,6 +358,10 @@
 
 // Close is called by fasthttp after the last byte, and when a write failed.
 func (e *eventWriter) Close() error {
+	if !e.ended {
+		e.w.abandon()
+		return nil
+	}
 	e.w.leave()
 	return nil
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -17,6 +17,7 @@
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
 )
 
@@ -70,6 +71,9 @@
 	// Observe is told of each request that was answered or refused, with what was
 	// known of it; may be nil.
 	Observe func(Observation)
+	// Arrived is told of each request that is handed to the core, with its path
+	// and the name of its tier, and must not wait; may be nil.
+	Arrived func(req *request.Request, tier, method, path string)
 	Log     *logrus.Logger
 	// Now is the clock; time.Now when nil.
 	Now func() time.Time
@@ -89,6 +93,9 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
+	if c.Arrived == nil {
+		c.Arrived = func(*request.Request, string, string, string) {}
+	}
 	if c.Observe == nil {
 		c.Observe = func(Observation) {}
 	}
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -27,6 +27,7 @@
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
+	"sycamoretrail/internal/recording"
 	"sycamoretrail/internal/targets"
 )
 
@@ -124,6 +125,34 @@
 	targets *targets.Targets
 	address string
 	doc     *document.Document
+	// recorder writes a trace where a spec sets it before its first call.
+	recorder *recording.Recorder
+	// seen is what the edge observed.
+	seen observations
+}
+
+// observations are noted on the server's goroutines.
+type observations struct {
+	mu  sync.Mutex
+	all []callers.Observation
+}
+
+func (o *observations) add(one callers.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, one)
+}
+
+func (o *observations) list() []callers.Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]callers.Observation(nil), o.all...)
+}
+
+func (n *node) arrived(req *request.Request, tier, method, path string) {
+	if n.recorder != nil {
+		n.recorder.Arrived(recording.Arrival{Request: *req, Tier: tier, Method: method, Path: path})
+	}
 }
 
 func testDocument(engine, service string) *document.Document {
@@ -163,6 +192,7 @@
 		Core: n.core, View: func() *entry.View { return view }, Flights: n.flights,
 		Rereads:  flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20}),
 		Follower: n.targets, TokenKey: tokenKey, Log: quiet(), LookEvery: 10 * time.Millisecond,
+		Arrived: n.arrived, Observe: n.seen.add,
 	})
 	ln := listen()
 	n.address = ln.Addr().String()
--- /dev/null
+++ b/internal/recording/suite_test.go
@@ -0,0 +1,13 @@
+package recording
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "recording")
+}
--- a/internal/telemetry/organisations.go
+++ b/internal/telemetry/organisations.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"sync"
+
+	"sycamoretrail/internal/core/heap"
 )
 
 const (
@@ -26,12 +28,24 @@
 
 	mutex  sync.Mutex
 	own    map[string]bool
-	counts map[string]int64
+	counts map[string]*tallied
+	least  heap.Heap[*tallied]
 	seen   int
 }
 
+// tallied is the count of one organisation in the sketch.
+type tallied struct {
+	name  string
+	count int64
+	place int
+}
+
 func newOrganisations(bound int) *organisations {
-	return &organisations{bound: bound, own: make(map[string]bool), counts: make(map[string]int64)}
+	less := func(a, b *tallied) bool { return a.count < b.count || a.count == b.count && a.name < b.name }
+	place := func(t *tallied, index int) { t.place = index }
+	return &organisations{
+		bound: bound, own: make(map[string]bool), counts: make(map[string]*tallied), least: heap.New(less, place),
+	}
 }
 
 // label counts a request and names its series.
@@ -51,24 +65,24 @@
 	return Other
 }
 
+// count adds to an organisation; one that is not in the full sketch takes over
+// the place and the count of the smallest.
 func (o *organisations) count(name string) {
-	if _, known := o.counts[name]; known || len(o.counts) < sketchSize {
-		o.counts[name]++
-		return
-	}
-	smallest := o.smallest()
-	o.counts[name] = o.counts[smallest] + 1
-	delete(o.counts, smallest)
-}
-
-func (o *organisations) smallest() string {
-	found, least := "", int64(-1)
-	for name, count := range o.counts {
-		if least < 0 || count < least || count == least && name < found {
-			found, least = name, count
-		}
+	known := o.counts[name]
+	switch {
+	case known != nil:
+	case len(o.counts) < sketchSize:
+		known = &tallied{name: name}
+		o.counts[name] = known
+		o.least.Push(known)
+	default:
+		known = o.least.Top()
+		delete(o.counts, known.name)
+		known.name = name
+		o.counts[name] = known
 	}
-	return found
+	known.count++
+	o.least.Fix(known.place)
 }
 
 // admit gives series to organisations above a fair part of the traffic so far,
@@ -76,13 +90,13 @@
 func (o *organisations) admit() {
 	threshold := int64(o.seen / (2 * o.bound))
 	names := make([]string, 0, len(o.counts))
-	for name, count := range o.counts {
-		if count > threshold && !o.own[name] {
+	for name, known := range o.counts {
+		if known.count > threshold && !o.own[name] {
 			names = append(names, name)
 		}
 	}
 	sort.Slice(names, func(i, j int) bool {
-		a, b := o.counts[names[i]], o.counts[names[j]]
+		a, b := o.counts[names[i]].count, o.counts[names[j]].count
 		return a > b || a == b && names[i] < names[j]
 	})
 	for _, name := range names {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/outcome"
@@ -47,21 +48,31 @@
 	})
 })
 
+// page is what /metrics answers.
+func page(m *Metrics) string {
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&fasthttp.Request{}, nil, nil)
+	m.Handler(&ctx)
+	Expect(ctx.Response.StatusCode()).To(Equal(fasthttp.StatusOK))
+	return string(ctx.Response.Body())
+}
+
 var _ = Describe("metrics", func() {
 	text := func(m *Metrics) string {
 		Expect(m.Close()).To(Succeed())
-		var out bytes.Buffer
-		m.reporter.write(&out)
-		return out.String()
+		return page(m)
 	}
 
 	It("count outcomes by reason, and times by tier and organisation", func() {
 		m := NewMetrics("entry-1", "ncr-a")
-		m.Settled(Settled{Organisation: "o", Tier: "gate", Status: outcome.Complete(), FirstToken: 20 * time.Millisecond, Total: 2 * time.Second, Tokens: 7})
+		m.Settled(Settled{Organisation: "o", Tier: "gate", Status: outcome.Complete(), FirstToken: 20 * time.Millisecond, Total: 2 * time.Second})
 		m.Settled(Settled{Organisation: "o", Tier: "gate", Status: outcome.Refused(outcome.ReasonOverload, 0, "")})
-		m.Gauge("ready", 1)
+		m.Set(Ready, 1)
+		m.Total(PeerSent, 5, "offer")
+		m.Total(PeerSent, 7, "offer")
 		page := text(m)
 		for _, line := range []string{
+			"# HELP sycamoretrail_requests_total " + Requests.Help,
 			"# TYPE sycamoretrail_requests_total counter",
 			`sycamoretrail_requests_total{entry="entry-1",outcome="answered",reason="",tier="gate",zone="ncr-a"} 1`,
 			`sycamoretrail_requests_total{entry="entry-1",outcome="not_run",reason="overload",tier="gate",zone="ncr-a"} 1`,
@@ -69,14 +80,25 @@
 			`sycamoretrail_by_tier_answer_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="3"} 1`,
 			`sycamoretrail_by_tier_answer_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="+Inf"} 1`,
 			`sycamoretrail_by_tier_answer_seconds_count{entry="entry-1",tier="gate",zone="ncr-a"} 1`,
+			`sycamoretrail_by_tier_not_answered_total{entry="entry-1",tier="gate",zone="ncr-a"} 1`,
 			`sycamoretrail_by_tier_first_token_seconds_bucket{entry="entry-1",tier="gate",zone="ncr-a",le="0.025"} 1`,
-			`sycamoretrail_by_organisation_tokens_total{entry="entry-1",organisation="other",zone="ncr-a"} 7`,
+			`sycamoretrail_by_organisation_not_answered_total{entry="entry-1",organisation="other",zone="ncr-a"} 1`,
 			`sycamoretrail_ready{entry="entry-1",zone="ncr-a"} 1`,
+			`sycamoretrail_peer_sent_messages{entry="entry-1",type="offer",zone="ncr-a"} 7`,
 		} {
 			Expect(page).To(ContainSubstring(line + "\n"))
 		}
 	})
 
+	// An answer took longer than the last bucket. tally hands such a sample to the
+	// reporter as the largest duration there is, some 292 years; one of them would
+	// make every mean that an operator forms from the histogram worthless.
+	It("keep the sum sound when an answer outlasts the buckets", func() {
+		m := NewMetrics("e", "z")
+		m.Settled(Settled{Organisation: "o", Tier: "t", Status: outcome.Complete(), Total: 5 * time.Hour})
+		Expect(text(m)).To(ContainSubstring(`sycamoretrail_by_tier_answer_seconds_sum{entry="e",tier="t",zone="z"} 3600` + "\n"))
+	})
+
 	// 38,000 organisations send requests, three of them most of the traffic. The
 	// page must not grow by a series for each, and must show the three.
 	It("give series to the largest organisations only", func() {
@@ -89,7 +111,7 @@
 			m.Settled(Settled{Organisation: name, Tier: "t", Status: outcome.Complete()})
 		}
 		page := text(m)
-		series := strings.Count(page, "sycamoretrail_by_organisation_tokens_total{")
+		series := strings.Count(page, "sycamoretrail_by_organisation_answer_seconds_count{")
 		Expect(series).To(BeNumerically("<=", MaxOrganisationSeries+1))
 		for i := range 3 {
 			Expect(page).To(ContainSubstring(fmt.Sprintf(`organisation="large-%d"`, i)))
