Tell the estimate of prompts ahead of a run at its grant

Cause: the scheduler left Sample.QueuedPrefill at 0, so a burst of prompts looked like a queue in the engine and lowered the adaptive limit.

--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -26,6 +26,8 @@
 	lapse    time.Time // of the grant, until reported
 	deadline time.Time
 	batch    int
+	// ahead is prompt tokens granted before it and not computed at its grant.
+	ahead    int
 	tokens   int
 	reported bool
 	started  bool
@@ -106,6 +108,7 @@
 		end:      s.now.Add(o.service),
 		deadline: o.deadline,
 		batch:    len(t.runs) + 1,
+		ahead:    t.prefill,
 	}
 	t.addRun(r)
 	s.sendGrant(r, o.asked)
@@ -233,6 +236,9 @@
 	if sample.Batch == 0 {
 		sample.Batch = r.batch
 	}
+	if sample.QueuedPrefill == 0 {
+		sample.QueuedPrefill = r.ahead
+	}
 	whole := d.Result == message.ResultComplete
 	if whole {
 		t.learnOccupancy(r, s.now.Sub(r.began))
