Take prompts computed beside a run off its step time

The backlog of prompt tokens now also drains with time instead of counting whole until the first token is reported.

--- /dev/null
+++ b/internal/core/scheduler/prefill.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/message"
+)
+
+// prefillShare is the part of an engine's time that goes to prompts while some
+// are computed; the rest goes to the streams that decode beside them.
+const prefillShare = 0.75
+
+// leastStepPart: a step time of which less than this part is left once the
+// prompts computed beside it are taken off says nothing of the engine's steps.
+const leastStepPart = 0.25
+
+// prefillBacklog follows the prompt tokens of a target that are granted and not
+// computed, between the reports of first tokens.
+type prefillBacklog struct {
+	tokens float64
+	// spent is what was computed so far, in tokens.
+	spent float64
+	at    time.Time
+}
+
+// backlog is the prompt tokens that are granted and, by estimate, not computed.
+func (t *target) backlog() int {
+	t.drain()
+	return int(t.pending.tokens)
+}
+
+// drain takes off what was computed since the last look.
+func (t *target) drain() {
+	p := &t.pending
+	elapsed := t.clock.Sub(p.at).Seconds()
+	p.at = *t.clock
+	if p.tokens <= 0 || elapsed <= 0 {
+		return
+	}
+	rate, _ := t.speed()
+	done := min(p.tokens, elapsed*rate*prefillShare)
+	p.tokens -= done
+	p.spent += done
+}
+
+func (t *target) addBacklog(tokens int) {
+	t.drain()
+	t.pending.tokens += float64(tokens)
+}
+
+// clampBacklog holds the estimate to what can be left at most.
+func (t *target) clampBacklog() {
+	t.drain()
+	p := &t.pending
+	if most := float64(t.prefill); p.tokens > most {
+		p.spent += p.tokens - most
+		p.tokens = most
+	}
+}
+
+// ownSteps takes the time for others' prompts off a run's step time.
+//
+// Failure: an engine computes a brief in chunks, a step each, so the streams
+// beside it get their tokens late. Symptom: learned as the engine's step time
+// that makes it a straggler, and its limit falls to one place.
+func (t *target) ownSteps(r *run, s *message.Sample) {
+	rate, _ := t.speed()
+	if rate <= 0 || s.Tokens <= 0 || s.StepTime <= 0 {
+		return
+	}
+	t.drain()
+	beside := seconds((t.pending.spent - r.spentBefore) / rate)
+	step := s.StepTime - beside/time.Duration(s.Tokens)
+	if float64(step) < leastStepPart*float64(s.StepTime) {
+		step = 0
+	}
+	s.StepTime = step
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -27,10 +27,12 @@
 	deadline time.Time
 	batch    int
 	// ahead is prompt tokens granted before it and not computed at its grant.
-	ahead    int
-	tokens   int
-	reported bool
-	started  bool
+	ahead int
+	// spentBefore is the target's computed prompt tokens at the first token.
+	spentBefore float64
+	tokens      int
+	reported    bool
+	started     bool
 	// prefilling: its prompt counts in the target's budget until prefillBy.
 	prefilling bool
 	prefillBy  time.Time
@@ -108,7 +110,7 @@
 		end:      s.now.Add(o.service),
 		deadline: o.deadline,
 		batch:    len(t.runs) + 1,
-		ahead:    t.prefill,
+		ahead:    t.backlog(),
 	}
 	t.addRun(r)
 	s.sendGrant(r, o.asked)
@@ -139,6 +141,7 @@
 		first := t.est.FirstToken(r.offer.PromptTokens, 0, t.prefill, len(t.runs))
 		r.prefillBy = t.clock.Add(prefillSlack * first)
 		t.prefill += r.offer.PromptTokens
+		t.addBacklog(r.offer.PromptTokens)
 		if r.lane == queue.Long {
 			t.prefillLong += r.offer.PromptTokens
 		}
@@ -154,6 +157,8 @@
 	if r.lane == queue.Long {
 		t.prefillLong -= r.offer.PromptTokens
 	}
+	t.clampBacklog()
+	r.spentBefore = t.pending.spent
 }
 
 func (t *target) endRun(r *run) {
@@ -239,6 +244,7 @@
 	if sample.QueuedPrefill == 0 {
 		sample.QueuedPrefill = r.ahead
 	}
+	t.ownSteps(r, &sample)
 	whole := d.Result == message.ResultComplete
 	if whole {
 		t.learnOccupancy(r, s.now.Sub(r.began))
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -39,6 +39,7 @@
 	prefillLong int
 	longRuns    int
 	suspects    int
+	pending     prefillBacklog
 	service     time.Duration
 
 	// occupancy is the learned ratio of real to estimated time in place.
