Hold a brief back while its prefill would make running answers late

Cause: calls with copy suggestions were cut at their deadline with the prompt computed: a brief's chunks made steps of 85 to 190 ms beside them. A run's probable end now also counts the prompts ahead of it at its grant.

--- a/internal/core/scheduler/prefill.go
+++ b/internal/core/scheduler/prefill.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/core/queue"
 )
 
 // prefillShare is the part of an engine's time that goes to prompts while some
@@ -77,4 +78,30 @@
 	s.StepTime = step
 }
 
+// prefillTime is how long the engine computes prompts of so many tokens.
+func (t *target) prefillTime(tokens int) time.Duration {
+	rate, _ := t.speed()
+	if rate <= 0 {
+		return 0
+	}
+	return seconds(float64(tokens) / rate)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// delays reports whether the computation of a long prompt, begun now, would make
+// a run of its tier or a higher one miss its deadline.
+//
+// Failure: a brief's chunks take an engine's time from the streams beside it.
+// Symptom: short answers whose prompt is computed already are cut at their
+// deadline. Holding the brief back suffices: it waits for their end, or goes to
+// another target, and nothing has been computed for it.
+func (t *target) delays(it *queue.Item) bool {
+	extra := t.prefillTime(t.backlog() + it.Prompt)
+	for _, r := range t.runs {
+		if !it.Tier.Above(r.offer.Tier) && r.end.Add(extra).After(r.deadline) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -107,7 +107,7 @@
 		lane:     o.Lane,
 		began:    s.now,
 		service:  o.service,
-		end:      s.now.Add(o.service),
+		end:      s.now.Add(o.service + t.prefillTime(t.backlog())),
 		deadline: o.deadline,
 		batch:    len(t.runs) + 1,
 		ahead:    t.backlog(),
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -152,7 +152,7 @@
 	case queue.Suspect:
 		return t.suspects == 0 && t.fitsPrefill(it)
 	case queue.Long:
-		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier)
+		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
 	}
 	return t.fitsPrefill(it)
 }
