Digest: keep prompts that wait apart from prompts that are granted

Cause: a queued brief counted as prefill ahead of a copy suggestion, which passes it; so owners saw every target as late. message.Digest gains WaitingPrefill.

--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -71,7 +71,7 @@
 	Limit    int `cbor:"2,keyasint"`
 	InFlight int `cbor:"3,keyasint"`
 	Queued   int `cbor:"4,keyasint"`
-	// QueuedPrefill is prompt tokens granted or queued and not yet computed.
+	// QueuedPrefill is prompt tokens granted and not yet computed.
 	QueuedPrefill int `cbor:"5,keyasint"`
 	// PrefillRate in tokens per second and StepTime are the learned estimates.
 	PrefillRate float64       `cbor:"6,keyasint"`
@@ -82,6 +82,9 @@
 	LowestTier request.Tier `cbor:"9,keyasint"`
 	// Wait is the estimated wait for a place of a request of the lowest tier.
 	Wait time.Duration `cbor:"10,keyasint"`
+	// WaitingPrefill is prompt tokens of the offers that wait for a place; short
+	// prompts pass long ones, so only a long one counts them as ahead.
+	WaitingPrefill int `cbor:"11,keyasint,omitempty"`
 }
 
 // Offer asks a target's scheduler for a place. Sent again to refresh it.
--- a/internal/core/routing/finish.go
+++ b/internal/core/routing/finish.go
@@ -26,6 +26,9 @@
 func queueTime(q *query, c *candidate) float64 {
 	v := &c.view
 	ahead := v.prefill / v.rate
+	if q.long {
+		ahead += v.waiting / v.rate
+	}
 	if q.req.Kind == request.Service {
 		ahead = 0
 	}
--- a/internal/core/routing/pool.go
+++ b/internal/core/routing/pool.go
@@ -104,7 +104,7 @@
 // references are the costs of a short and a long prompt there, in seconds.
 func references(v *view) [lists]float64 {
 	base := v.wait + v.step*shortReference + v.prefill/v.rate
-	return [lists]float64{base + shortReference/v.rate, base + longReference/v.rate}
+	return [lists]float64{base + shortReference/v.rate, base + (longReference+v.waiting)/v.rate}
 }
 
 func (p *pool) rank(list int) {
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -97,6 +97,8 @@
 	queued    int
 	// prefill is prompt tokens not computed yet.
 	prefill float64
+	// waiting is prompt tokens that wait for a place.
+	waiting float64
 	rate    float64
 	step    float64
 	// wait for a place, of a request of the lowest tier.
@@ -132,6 +134,7 @@
 	v.inFlight += d.InFlight
 	v.queued = d.Queued
 	v.prefill += float64(d.QueuedPrefill)
+	v.waiting = float64(d.WaitingPrefill)
 	v.wait = d.Wait.Seconds()
 	v.age = now.Sub(t.digestAt).Seconds()
 	if d.PrefillRate > 0 {
--- a/internal/core/scheduler/view.go
+++ b/internal/core/scheduler/view.go
@@ -20,16 +20,17 @@
 func (t *target) digest() message.Digest {
 	rate, step := t.speed()
 	return message.Digest{
-		Target:        t.desc.Name,
-		Limit:         t.limit(),
-		InFlight:      len(t.runs),
-		Queued:        t.queue.Len(),
-		QueuedPrefill: t.prefill + t.queue.Prompt(),
-		PrefillRate:   rate,
-		StepTime:      step,
-		Available:     t.available && !t.est.Straggler(),
-		LowestTier:    t.lowestHeld(),
-		Wait:          t.lowestWait(),
+		Target:         t.desc.Name,
+		Limit:          t.limit(),
+		InFlight:       len(t.runs),
+		Queued:         t.queue.Len(),
+		QueuedPrefill:  t.backlog(),
+		WaitingPrefill: t.queue.Prompt(),
+		PrefillRate:    rate,
+		StepTime:       step,
+		Available:      t.available && !t.est.Straggler(),
+		LowestTier:     t.lowestHeld(),
+		Wait:           t.lowestWait(),
 	}
 }
 
