--- a/internal/core/scheduler/estimate.go
+++ b/internal/core/scheduler/estimate.go
@@ -119,7 +119,7 @@
 	if len(t.runs) > 0 {
 		mean = t.service / time.Duration(len(t.runs))
 	}
-	mean = time.Duration(float64(mean) * t.occupancy)
+	mean = t.scaled(mean)
 	return t.opensIn() + mean*time.Duration(ahead-max(free, 0)+1)/time.Duration(limit)
 }
 
@@ -128,6 +128,11 @@
 	return t.waitBehind(t.queue.Len(), 0)
 }
 
+// scaled is the time in place that runs of an estimated time really take there.
+func (t *target) scaled(service time.Duration) time.Duration {
+	return time.Duration(float64(service) * t.occupancy)
+}
+
 func (t *target) learnOccupancy(r *run, held time.Duration) {
 	if r.service <= 0 {
 		return
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -107,7 +107,7 @@
 		lane:     o.Lane,
 		began:    s.now,
 		service:  o.service,
-		end:      s.now.Add(o.service + t.prefillTime(t.backlog())),
+		end:      s.now.Add(t.scaled(o.service) + t.prefillTime(t.backlog())),
 		deadline: o.deadline,
 		batch:    len(t.runs) + 1,
 		ahead:    t.backlog(),
@@ -299,11 +299,13 @@
 }
 
 // lastMoments: a run so near to its end that waiting is cheaper than cancelling.
+// One that has outlived its probable end by as much may take any time: were it
+// spared for good, higher work would be refused while it runs.
 func (t *target) lastMoments(r *run) bool {
-	return r.reported && r.end.Sub(*t.clock) < r.service/lastMomentsPart
+	return r.reported && r.end.Sub(*t.clock).Abs() < r.service/lastMomentsPart
 }
 
-const lastMomentsPart = 10
+const lastMomentsPart = 20
 
 // victim is the run that is cancelled for a request of a tier: of lower work
 // that may be repeated, the one that has cost least.
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -91,20 +91,34 @@
 	return list
 }
 
-// pick is the offer that the next room goes to.
-func (h *holding) pick() *offer {
+// pick is the offer that the next room goes to: the most urgent of those that
+// have time for the trip and for a run to be cancelled there.
+//
+// Failure: the exchange asks for an offer whose time is all but over, finds no
+// room for it, and a floor is promised with lower work left. Symptom: offers
+// that had the time to take that work's place are refused under the floor.
+func (h *holding) pick(now time.Time, trip time.Duration) *offer {
 	if slices.Contains(h.offers, h.need) {
 		return h.need
 	}
 	var first *offer
 	for _, o := range h.offers {
-		if first == nil || o.Due.Before(first.Due) {
+		if first == nil || o.moreUrgent(first, now.Add(trip)) {
 			first = o
 		}
 	}
 	return first
 }
 
+// moreUrgent: of two that can still be helped the one due first, else the one
+// that has more time.
+func (o *offer) moreUrgent(than *offer, after time.Time) bool {
+	if than.Due.Before(after) {
+		return o.Due.After(than.Due)
+	}
+	return o.Due.Before(than.Due) && !o.Due.Before(after)
+}
+
 func (s *Scheduler) holdingFor(key holdKey) *holding {
 	h := s.holdings[key]
 	if h == nil {
@@ -138,6 +152,13 @@
 	s.ask(h)
 }
 
+// tripTime is allowed for an offer's way to another target and for the end of a
+// run that is cancelled there for it.
+func (s *Scheduler) tripTime() time.Duration { return s.set.Grant / tripPart }
+
+// tripPart of the grant time, which is several trips.
+const tripPart = 4
+
 // release takes an offer out of its holding.
 func (s *Scheduler) release(o *offer) {
 	h := o.holding
@@ -156,7 +177,7 @@
 	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
 		return
 	}
-	h.need = h.pick()
+	h.need = h.pick(s.now, s.tripTime())
 	m, others, verdicts := s.floors.Begin(s.now, h.key.pool, h.key.tier, h.need.current(s.now))
 	for _, who := range others {
 		s.send(who, m)
@@ -229,7 +250,7 @@
 }
 
 func (s *Scheduler) sendElsewhere(h *holding, room string) {
-	if o := h.pick(); o != nil {
+	if o := h.pick(s.now, s.tripTime()); o != nil {
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
 	}
 }
@@ -250,7 +271,7 @@
 	until, _ := s.floors.Covered(s.now, h.key.pool, h.key.tier)
 	h.again = s.now.Add(until.Sub(s.now) / 4 * 3) // renewed before its end
 	if !settled {
-		h.again = s.now.Add(s.set.Floor / 2)
+		h.again = s.now.Add(s.tripTime())
 	}
 	for _, o := range slices.Clone(h.offers) {
 		switch {
