--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -119,6 +119,7 @@
 	f.stage = stageOffered
 	f.heard = false
 	f.offeredAt = e.now
+	e.router.Offered(e.now, target)
 	e.note(Decision{ID: f.req.ID, Event: EventOffered, Target: target, Tier: f.req.Tier, Detail: string(f.scheduler)})
 	e.sendOffer(f)
 }
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -85,6 +85,9 @@
 	// WaitingPrefill is prompt tokens of the offers that wait for a place; short
 	// prompts pass long ones, so only a long one counts them as ahead.
 	WaitingPrefill int `cbor:"11,keyasint,omitempty"`
+	// Waits is the estimated wait for a place by tier, the top tier first; Wait
+	// holds for tiers beyond.
+	Waits []time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Offer asks a target's scheduler for a place. Sent again to refresh it.
--- a/internal/core/routing/finish.go
+++ b/internal/core/routing/finish.go
@@ -43,6 +43,9 @@
 		return 0
 	}
 	service := v.step * float64(max(q.tokens, 1))
+	if tier := int(q.req.Tier); tier < len(v.waits) {
+		return v.waits[tier].Seconds() + service*float64(v.placed)/float64(v.limit)
+	}
 	wait := v.wait
 	if wait <= 0 {
 		wait = service * float64(over+v.queued) / float64(v.limit)
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -154,6 +154,17 @@
 	}
 }
 
+// Offered notes that a place was asked for at a target: until its next digest the
+// offer counts as ahead of those that are placed after it.
+//
+// Failure: a digest is up to a heartbeat old, and offers that wait are in none
+// yet. Symptom: all that comes meanwhile joins the queue that was shortest.
+func (r *Router) Offered(now time.Time, name string) {
+	if t := r.targets[name]; t != nil {
+		t.addOffer(now)
+	}
+}
+
 // Observed takes what a run showed, to correct what was assumed of the
 // target's cache, and of the length of answers where the run is complete.
 func (r *Router) Observed(name string, req *request.Request, s message.Sample, complete bool) {
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -45,7 +45,8 @@
 	digestAt  time.Time
 	hasDigest bool
 
-	// own dispatches since the last digest
+	// own offers that wait and own dispatches since the last digest
+	ownOffers  int
 	ownRuns    int
 	ownPrefill int
 	ownSince   time.Time
@@ -101,8 +102,11 @@
 	waiting float64
 	rate    float64
 	step    float64
-	// wait for a place, of a request of the lowest tier.
-	wait float64
+	// wait for a place, of a request of the lowest tier, and by tier if known.
+	wait  float64
+	waits []time.Duration
+	// placed is own offers and dispatches since the digest.
+	placed int
 	// age of what the view rests on; 0 without a digest.
 	age float64
 }
@@ -136,6 +140,9 @@
 	v.prefill += float64(d.QueuedPrefill)
 	v.waiting = float64(d.WaitingPrefill)
 	v.wait = d.Wait.Seconds()
+	v.waits = d.Waits
+	v.placed = t.ownOffers + t.ownRuns
+	v.inFlight += t.ownOffers
 	v.age = now.Sub(t.digestAt).Seconds()
 	if d.PrefillRate > 0 {
 		v.rate = d.PrefillRate
@@ -156,16 +163,25 @@
 func (t *target) addOwn(now time.Time, prefill int) {
 	if t.ownRuns == 0 || now.Sub(t.ownSince) >= optimisticFor {
 		t.ownRuns, t.ownPrefill, t.ownSince = 0, 0, now
+		t.ownOffers = min(t.ownOffers, 1)
 	}
 	t.ownRuns++
+	t.ownOffers = max(t.ownOffers-1, 0)
 	t.ownPrefill += prefill
 }
 
+func (t *target) addOffer(now time.Time) {
+	if now.Sub(t.ownSince) >= optimisticFor {
+		t.ownOffers, t.ownRuns, t.ownPrefill, t.ownSince = 0, 0, 0, now
+	}
+	t.ownOffers++
+}
+
 func (t *target) takeDigest(now time.Time, d message.Digest) {
 	t.digest = d
 	t.digestAt = now
 	t.hasDigest = true
-	t.ownRuns, t.ownPrefill = 0, 0
+	t.ownOffers, t.ownRuns, t.ownPrefill = 0, 0, 0
 }
 
 func (t *target) takeReport(now time.Time, running, waiting int) {
--- a/internal/core/scheduler/estimate.go
+++ b/internal/core/scheduler/estimate.go
@@ -133,6 +133,19 @@
 	return time.Duration(float64(service) * t.occupancy)
 }
 
+// waits estimates the wait of a newcomer of each tier, behind all that waits of
+// its own tier and above; nil if nobody waits for a place.
+func (t *target) waits() []time.Duration {
+	if t.queue.Len() == 0 && len(t.runs) < t.limit() {
+		return nil
+	}
+	waits := make([]time.Duration, t.set.Tiers)
+	for tier := range waits {
+		waits[tier] = t.waitBehind(t.queue.Above(request.Tier(tier+1)), 0)
+	}
+	return waits
+}
+
 func (t *target) learnOccupancy(r *run, held time.Duration) {
 	if r.service <= 0 {
 		return
--- a/internal/core/scheduler/view.go
+++ b/internal/core/scheduler/view.go
@@ -26,6 +26,7 @@
 		Queued:         t.queue.Len(),
 		QueuedPrefill:  t.backlog(),
 		WaitingPrefill: t.queue.Prompt(),
+		Waits:          t.waits(),
 		PrefillRate:    rate,
 		StepTime:       step,
 		Available:      t.available && !t.est.Straggler(),
