--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -16,9 +16,11 @@
 
 // run is a place in use: granted, or reported by its owner.
 type run struct {
-	offer    message.Offer
-	from     ident.Incarnation
-	target   *target
+	offer  message.Offer
+	from   ident.Incarnation
+	target *target
+	// work is the part of its prompt that is not expected in the cache.
+	work     int
 	lane     queue.Lane
 	began    time.Time // the grant, or the start that the owner reported
 	service  time.Duration
@@ -26,9 +28,13 @@
 	lapse    time.Time // of the grant, until reported
 	deadline time.Time
 	batch    int
-	tokens   int
-	reported bool
-	started  bool
+	// ahead is prompt tokens granted before it and not computed at its grant.
+	ahead int
+	// spentBefore is the target's computed prompt tokens at the first token.
+	spentBefore float64
+	tokens      int
+	reported    bool
+	started     bool
 	// prefilling: its prompt counts in the target's budget until prefillBy.
 	prefilling bool
 	prefillBy  time.Time
@@ -98,14 +104,16 @@
 	s.remove(o)
 	r := &run{
 		offer:    o.msg,
+		work:     o.Prompt,
 		from:     o.from,
 		target:   t,
 		lane:     o.Lane,
 		began:    s.now,
 		service:  o.service,
-		end:      s.now.Add(o.service),
+		end:      s.now.Add(t.scaled(o.service) + t.prefillTime(t.backlog())),
 		deadline: o.deadline,
 		batch:    len(t.runs) + 1,
+		ahead:    t.backlog(),
 	}
 	t.addRun(r)
 	s.sendGrant(r, o.asked)
@@ -133,11 +141,12 @@
 	}
 	if r.offer.PromptTokens > 0 && !r.started {
 		r.prefilling = true
-		first := t.est.FirstToken(r.offer.PromptTokens, 0, t.prefill, len(t.runs))
+		first := t.est.FirstToken(r.work, 0, t.prefill, len(t.runs))
 		r.prefillBy = t.clock.Add(prefillSlack * first)
-		t.prefill += r.offer.PromptTokens
+		t.prefill += r.work
+		t.addBacklog(r)
 		if r.lane == queue.Long {
-			t.prefillLong += r.offer.PromptTokens
+			t.prefillLong += r.work
 		}
 	}
 }
@@ -147,10 +156,12 @@
 		return
 	}
 	r.prefilling = false
-	t.prefill -= r.offer.PromptTokens
+	t.prefill -= r.work
 	if r.lane == queue.Long {
-		t.prefillLong -= r.offer.PromptTokens
+		t.prefillLong -= r.work
 	}
+	t.clampBacklog()
+	r.spentBefore = t.pending.spent
 }
 
 func (t *target) endRun(r *run) {
@@ -234,6 +245,11 @@
 	if sample.Batch == 0 {
 		sample.Batch = r.batch
 	}
+	if sample.QueuedPrefill == 0 {
+		sample.QueuedPrefill = r.ahead
+	}
+	t.ownSteps(r, &sample)
+	t.learnCached(r, sample)
 	whole := d.Result == message.ResultComplete
 	if whole {
 		t.learnOccupancy(r, s.now.Sub(r.began))
@@ -274,25 +290,27 @@
 // computed is the work that a run has cost so far, in tokens.
 func (t *target) computed(r *run) int {
 	if r.started {
-		return r.offer.PromptTokens + r.tokens
+		return r.work + r.tokens
 	}
 	if !r.reported {
 		return 0
 	}
-	first := t.est.FirstToken(r.offer.PromptTokens, 0, 0, len(t.runs))
+	first := t.est.FirstToken(r.work, 0, 0, len(t.runs))
 	if first <= 0 {
-		return r.offer.PromptTokens
+		return r.work
 	}
 	part := float64(t.clock.Sub(r.began)) / float64(first)
-	return int(min(1, part) * float64(r.offer.PromptTokens))
+	return int(min(1, part) * float64(r.work))
 }
 
 // lastMoments: a run so near to its end that waiting is cheaper than cancelling.
+// One that has outlived its probable end by as much may take any time: were it
+// spared for good, higher work would be refused while it runs.
 func (t *target) lastMoments(r *run) bool {
-	return r.reported && r.end.Sub(*t.clock) < r.service/lastMomentsPart
+	return r.reported && r.end.Sub(*t.clock).Abs() < r.service/lastMomentsPart
 }
 
-const lastMomentsPart = 10
+const lastMomentsPart = 20
 
 // victim is the run that is cancelled for a request of a tier: of lower work
 // that may be repeated, the one that has cost least.
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -39,7 +39,10 @@
 	prefillLong int
 	longRuns    int
 	suspects    int
-	service     time.Duration
+	pending     prefillBacklog
+	// hits is the part of prompts found cached, by tier and lane.
+	hits    map[hitKey]float64
+	service time.Duration
 
 	// occupancy is the learned ratio of real to estimated time in place.
 	occupancy float64
@@ -72,6 +75,7 @@
 		takeover:  true,
 		awaited:   make(map[ident.Incarnation]struct{}, len(s.members)),
 		occupancy: 1,
+		hits:      make(map[hitKey]float64),
 		rooms:     make(map[ident.RequestID]expectation),
 		timers:    &s.timers,
 	}
@@ -152,7 +156,7 @@
 	case queue.Suspect:
 		return t.suspects == 0 && t.fitsPrefill(it)
 	case queue.Long:
-		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier)
+		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
 	}
 	return t.fitsPrefill(it)
 }
