Bring the failures about between processes and judge what callers got

Cause: the promises were tried on the pure core and by single runs of a trace, never with processes killed, stopped and replaced under load. make faults starts a deployment for each failure; the checker sends the load, signals to entries by the ids that the script notes, orders to the stand-ins, and judges calls and ledgers. The stand-ins' ledger counts requests turned away.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # make run    builds all, starts stand-ins and 6 entries on loopback, replays a trace
+# make faults brings failures about between processes, live; see docs/operators/failures.md
 # make test   runs what CI runs
 
 SHELL := /bin/bash
@@ -13,6 +14,9 @@
 run: build
 	scripts/run.sh
 
+faults: build
+	scripts/faults.sh
+
 test: lint
 	go test ./...
 
--- a/internal/standin/base/answer.go
+++ b/internal/standin/base/answer.go
@@ -72,19 +72,6 @@
 	JSON(ctx, fasthttp.StatusOK, Ready{State: "ready"})
 }
 
-// Admits answers the refusal that the faults order, if any.
-func Admits(ctx *fasthttp.RequestCtx, f Faults) bool {
-	switch {
-	case f.Leaving:
-		NotAdmitted(ctx, NotAdmittedLeaving)
-	case f.Refuse:
-		NotAdmitted(ctx, NotAdmittedFull)
-	default:
-		return true
-	}
-	return false
-}
-
 // DropConnection closes the caller's connection in place of an answer.
 func DropConnection(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Reset()
--- a/internal/standin/base/host.go
+++ b/internal/standin/base/host.go
@@ -261,6 +261,22 @@
 	}
 }
 
+// Admits answers the refusal that the faults order, if any, and enters it in the
+// ledger.
+func (h *Host) Admits(ctx *fasthttp.RequestCtx) bool {
+	f := h.Faults()
+	switch {
+	case f.Leaving:
+		NotAdmitted(ctx, NotAdmittedLeaving)
+	case f.Refuse:
+		NotAdmitted(ctx, NotAdmittedFull)
+	default:
+		return true
+	}
+	h.ledger.turnAway()
+	return false
+}
+
 // Pause waits; false when the host was closed meanwhile.
 func (h *Host) Pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/standin/base/ledger.go
+++ b/internal/standin/base/ledger.go
@@ -28,6 +28,10 @@
 type LedgerReport struct {
 	Incarnation int   `json:"incarnation"`
 	Runs        []Run `json:"runs"`
+	// TurnedAway counts requests refused by the orders "leaving" and "refuse",
+	// LastTurnedAwayMS is when the last of them came.
+	TurnedAway       int   `json:"turned_away"`
+	LastTurnedAwayMS int64 `json:"last_turned_away_ms"`
 }
 
 // Ledger records what ran. It is the tester's and survives crashes.
@@ -36,6 +40,8 @@
 	incarnation int
 	down        bool
 	runs        []Run
+	turnedAway  int
+	lastAwayMS  int64
 }
 
 // Ticket names a run of the ledger.
@@ -81,7 +87,17 @@
 func (l *Ledger) Report() LedgerReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return LedgerReport{Incarnation: l.incarnation, Runs: append([]Run{}, l.runs...)}
+	return LedgerReport{
+		Incarnation: l.incarnation, Runs: append([]Run{}, l.runs...),
+		TurnedAway: l.turnedAway, LastTurnedAwayMS: l.lastAwayMS,
+	}
+}
+
+func (l *Ledger) turnAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turnedAway++
+	l.lastAwayMS = time.Now().UnixMilli()
 }
 
 func (l *Ledger) current() int {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -100,7 +100,7 @@
 }
 
 func (s *Server) handleCompletion(ctx *fasthttp.RequestCtx) {
-	if !base.Admits(ctx, s.Faults()) {
+	if !s.Admits(ctx) {
 		return
 	}
 	body, err := prompt.Parse(ctx.PostBody())
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -78,7 +78,7 @@
 		base.AnswerReady(ctx, f)
 		return
 	}
-	if !base.Admits(ctx, f) {
+	if !s.Admits(ctx) {
 		return
 	}
 	if !s.take() {
