--- a/internal/core/entry/documents.go
+++ b/internal/core/entry/documents.go
@@ -96,7 +96,7 @@
 // in force. Every duty is configured here and nowhere else.
 func (e *Entry) applyCurrent() {
 	doc, version, _ := e.accepted.Current()
-	if doc == nil || version <= e.version {
+	if doc == nil || version <= e.version || !e.on(guardApply) && e.doc != nil {
 		return
 	}
 	e.doc = doc
@@ -156,6 +156,9 @@
 // documentTold takes the accepted document from a peer. Versions only rise, so
 // a peer that lags behind cannot bring an older document back.
 func (e *Entry) documentTold(r message.DocumentReply) {
+	if !e.on(guardVersion) {
+		e.accepted, e.version = acceptance.New(), 0
+	}
 	if err := e.accepted.Adopt(r.Version, r.Data); err != nil {
 		e.note(Decision{Event: EventDocument, Detail: err.Error()})
 		return
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -50,7 +50,9 @@
 
 // Entry is the state machine. It is not safe for concurrent use.
 type Entry struct {
-	cfg   Config
+	cfg Config
+	// off is the safeguard that a test has switched off.
+	off   guard
 	now   time.Time
 	began time.Time
 	rng   *rand.Rand
@@ -217,6 +219,7 @@
 	case Answering:
 		e.answering = in.Open
 	case DrainStart:
+		e.drain.Configure(e.drainConfig())
 		e.drain.Start(e.now)
 	case Tick:
 		e.tick()
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -25,7 +25,11 @@
 // saying "not run" could turn one release into two charges.
 func (e *Entry) ask(f *flight, holder ident.Incarnation) {
 	if holder == e.cfg.Self.Incarnation || !e.members.Reachable(holder) {
-		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone"))
+		status := outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone")
+		if !e.on(guardOwnerGone) {
+			status.Outcome = outcome.NotRun
+		}
+		e.settleForeign(f, status)
 		return
 	}
 	f.asked = holder
@@ -35,7 +39,7 @@
 }
 
 func (e *Entry) attendAsking(f *flight) {
-	if !e.now.Before(f.giveUp) {
+	if !e.now.Before(f.giveUp) && e.on(guardGiveUp) {
 		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
 		return
 	}
@@ -57,6 +61,9 @@
 	if !e.ids.Belongs(e.now, q.ID, q.Tag) {
 		return message.OwnerReply{ID: q.ID, Standing: message.StandingFinished, Status: anothersID()}
 	}
+	if !e.on(guardVoid) {
+		return message.OwnerReply{ID: q.ID, Standing: message.StandingVoided}
+	}
 	reply := e.ids.Ask(e.now, from, q.ID)
 	if reply.Standing == message.StandingVoided {
 		e.ids.Mark(e.now, q.ID, q.Tag)
--- a/internal/core/entry/lifecycle.go
+++ b/internal/core/entry/lifecycle.go
@@ -52,6 +52,9 @@
 
 func (e *Entry) stillHeld() drain.Held {
 	held := drain.Held{InFlight: len(e.flights), Appends: len(e.pending), Answers: e.answering}
+	if !e.on(guardDrain) {
+		held.InFlight = 0
+	}
 	if e.state == message.Draining {
 		held.Targets = len(e.plan.Scheduled(e.cfg.Self.Incarnation))
 	}
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -38,7 +38,7 @@
 func (e *Entry) heartbeat(from ident.Incarnation, h message.Heartbeat) {
 	e.members.Beat(e.now, from, h)
 	e.learnDigests(from, h.Digests)
-	if h.ConfigVersion > e.version {
+	if h.ConfigVersion > e.version || !e.on(guardVersion) && h.ConfigVersion != e.version {
 		// The log is slow here or out: the peer holds a newer document.
 		e.send(from, message.DocumentAsk{})
 	}
--- a/internal/core/entry/node_test.go
+++ b/internal/core/entry/node_test.go
@@ -20,6 +20,9 @@
 	view    *View
 	up      bool
 	paused  bool
+	wokeAt  time.Time
+	// closing: drained, and only finishing the answers that it gives.
+	closing bool
 	backlog []func()
 	flights map[ident.RequestID]*edge
 	follows map[record.Stream]*reader
@@ -341,18 +344,29 @@
 
 func (n *node) wake() {
 	backlog := n.backlog
-	n.paused, n.backlog = false, nil
+	n.paused, n.backlog, n.wokeAt = false, nil, n.world.now
 	for _, do := range backlog {
 		n.deliver(do)
 	}
 }
 
-// drained: the process says that it may exit, so nobody may wait on it.
+// drained: the process says that it may exit once its answers have left. The
+// core must not owe anyone a decision.
 func (n *node) drained() {
 	for id, e := range n.flights {
-		if len(e.waiters) > 0 || e.run != nil && !e.run.ended {
+		if e.open > 0 || e.run != nil && e.run.owner == n && !e.run.ended {
 			n.world.breaks("drain", "%s exits while %s is under way", n.self.Name, id)
 		}
 	}
+	n.closing = true
+	n.every(tickEvery, n.exit)
+}
+
+func (n *node) exit() {
+	for _, e := range n.flights {
+		if len(e.waiters) > 0 {
+			return
+		}
+	}
 	n.kill()
 }
--- a/internal/core/entry/outside_test.go
+++ b/internal/core/entry/outside_test.go
@@ -162,7 +162,7 @@
 	tier := s.c % 3
 	c.seen = report.Call{
 		Line: len(w.calls), Organisation: []string{"a", "b"}[s.a%2], Tier: request.Tier(tier), Pool: "engines",
-		Idempotent: true, Sent: w.since(), Deadline: []time.Duration{900, 1200, 1500}[tier] * time.Millisecond,
+		Idempotent: s.d%4 != 3, Sent: w.since(), Deadline: []time.Duration{900, 1200, 1500}[tier] * time.Millisecond,
 	}
 	if s.kind == serviceCall || s.kind == keyedCall {
 		c.seen.Kind, c.seen.Pool, c.seen.Idempotent = request.Service, "desk", false
@@ -171,7 +171,7 @@
 		c.seen.Key, c.seen.Organisation = fmt.Sprint("key-", s.d%3), "a"
 	}
 	for i := range w.nodes {
-		if v := w.nodes[(s.a+i)%entries].view; v != nil && v.Prefix != "" {
+		if v := w.nodes[(s.a+i)%entries].view; v != nil {
 			c.id = v.Prefix.ID(fmt.Sprint("c", len(w.calls)))
 			break
 		}
@@ -205,14 +205,17 @@
 	w := c.world
 	n := w.nodes[c.turn%entries]
 	c.at = n
-	turn := c.turn
+	turn, sent := c.turn, w.now
 	w.after(c.seen.Deadline+patience, func() {
-		if c.turn == turn {
+		if c.turn == turn && !c.seen.Settled {
+			if n.up && !n.paused && n.wokeAt.Before(sent) {
+				w.breaks("final word", "%s said nothing of %s", n.self.Name, c.id)
+			}
 			c.leave()
 			c.elsewhere()
 		}
 	})
-	if !n.up || n.view == nil || n.view.State == message.Starting {
+	if !n.up || n.closing || n.view == nil || n.view.State == message.Starting {
 		w.after(20*time.Millisecond, func() {
 			if c.turn == turn {
 				c.elsewhere()
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -147,7 +147,7 @@
 		Ask: e.asks, ID: f.req.ID, Target: f.target,
 		Organisation: f.req.Organisation, Tier: f.req.Tier, Kind: f.req.Kind,
 		PromptTokens: f.req.PromptTokens, MaxTokens: f.req.MaxTokens,
-		Idempotent: f.req.Idempotent, Fingerprint: f.req.Fingerprint,
+		Idempotent: f.req.Idempotent || !e.on(guardRepeat), Fingerprint: f.req.Fingerprint,
 		Remaining: f.req.Deadline.Sub(e.now),
 		Alone:     e.suspects.Judge(e.now, f.req.Fingerprint) == suspects.Suspect,
 		Final:     f.final && !f.own,
--- a/internal/core/entry/rebalance.go
+++ b/internal/core/entry/rebalance.go
@@ -69,7 +69,7 @@
 func (e *Entry) setPools(live []message.Member) {
 	var others []ident.Incarnation
 	for _, m := range live {
-		if m.Incarnation != e.cfg.Self.Incarnation && e.cfg.Policy == PolicyScheduler {
+		if m.Incarnation != e.cfg.Self.Incarnation && e.cfg.Policy == PolicyScheduler && e.on(guardFloors) {
 			others = append(others, m.Incarnation)
 		}
 	}
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -85,7 +85,7 @@
 		return
 	}
 	e.enter(f)
-	if claimed(&req) {
+	if claimed(&req) && e.on(guardClaim) {
 		e.claim(f)
 		return
 	}
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -81,7 +81,11 @@
 	case end.Result == message.ResultCancelled:
 		e.finish(f, outcome.Partial(outcome.ReasonDeadlinePassed, "the deadline passed while the request ran"))
 	default:
-		e.finish(f, outcome.Partial(outcome.ReasonTargetFailed, "the target failed while it ran the request"))
+		status := outcome.Partial(outcome.ReasonTargetFailed, "the target failed while it ran the request")
+		if !e.on(guardPartial) {
+			status.Outcome = outcome.NotRun
+		}
+		e.finish(f, status)
 	}
 }
 
@@ -122,7 +126,7 @@
 
 func (e *Entry) preemptAsked(p message.Preempt) {
 	f := e.flights[p.ID]
-	if f == nil || f.stage != stageRunning || f.target != p.Target || !preemptible(&f.req) {
+	if f == nil || f.stage != stageRunning || f.target != p.Target || !preemptible(&f.req) && e.on(guardRepeat) {
 		return
 	}
 	e.preempt(f)
--- a/internal/core/entry/schedules_test.go
+++ b/internal/core/entry/schedules_test.go
@@ -17,6 +17,7 @@
 
 const (
 	engineCall kind = iota
+	burst
 	serviceCall
 	keyedCall
 	poisonCall
@@ -41,7 +42,7 @@
 )
 
 var kindNames = [...]string{
-	"engineCall", "serviceCall", "keyedCall", "poisonCall", "resend", "threeAtOnce", "killEntry", "pauseEntry",
+	"engineCall", "burst", "serviceCall", "keyedCall", "poisonCall", "resend", "threeAtOnce", "killEntry", "pauseEntry",
 	"drainEntry", "crashTarget", "leaveTarget", "leaveInList", "cutBoth", "cutOneWay", "dropSome", "delayAll",
 	"logDown", "logLose", "logSlow", "listLag", "publishTwo",
 }
@@ -138,10 +139,10 @@
 	t := w.targets[s.a%len(w.targets)]
 	switch s.kind {
 	case engineCall, serviceCall, keyedCall, poisonCall:
-		if c := w.newCall(s); c.id != "" {
-			c.send()
-		} else {
-			c.seen.Settled = true
+		w.newCall(s).send()
+	case burst:
+		for i := range 5 {
+			w.newCall(step{kind: engineCall, a: s.a, b: s.b + i, c: s.c, d: s.d}).send()
 		}
 	case resend, threeAtOnce:
 		w.sendAgain(s)
@@ -246,3 +247,40 @@
 		}
 	})
 }
+
+// TestSchedulesNoticeAMissingSafeguard shows that the check can fail: with each
+// safeguard switched off, some schedule of the first few hundred breaks the
+// promise that it carries.
+func TestSchedulesNoticeAMissingSafeguard(t *testing.T) {
+	for _, m := range []struct {
+		off     guard
+		promise string
+	}{
+		{guardVoid, "dispatched once"},
+		{guardClaim, "key once"},
+		{guardPartial, "not run"},
+		{guardOwnerGone, "not run"},
+		{guardGiveUp, "final word"},
+		{guardFloors, "tiers"},
+		{guardLeaving, "leaving"},
+		{guardRepeat, "never preempt"},
+		{guardVersion, "version falls"},
+		{guardApply, "convergence"},
+		{guardDrain, "drain"},
+	} {
+		t.Run(m.promise, func(t *testing.T) {
+			for i := range mutantSchedules {
+				for _, broken := range schedules.Example(i).run(func(e *Entry) { e.off = m.off }) {
+					if strings.HasPrefix(broken, m.promise) {
+						t.Logf("schedule %d: %s", i, broken)
+						return
+					}
+				}
+			}
+			t.Errorf("no schedule notices that safeguard %d is missing", m.off)
+		})
+	}
+}
+
+// mutantSchedules bounds the search for a schedule that notices.
+const mutantSchedules = 800
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -82,7 +82,7 @@
 // willing tells the duties whether a target may get new work. The operators'
 // word in the document stands above all others.
 func (e *Entry) willing(target string) {
-	available := e.watch(target).available() && !e.declaredLeaving(target)
+	available := e.watch(target).available() && !e.declaredLeaving(target) || !e.on(guardLeaving)
 	e.router.Reachable(target, available)
 	e.perform(e.places.SetAvailable(e.now, target, available), fromPlaces)
 	e.perform(e.share.SetAvailable(e.now, target, available), fromShare)
--- a/internal/core/entry/world_test.go
+++ b/internal/core/entry/world_test.go
@@ -25,7 +25,7 @@
 	readEvery  = 250 * time.Millisecond
 	warmUp     = 900 * time.Millisecond
 	// leavingFor is "a few seconds" at this document's intervals.
-	leavingFor = 2 * time.Second
+	leavingFor = time.Second
 	// converges is within what time an accepted document is in force everywhere.
 	converges = 11 * time.Second
 	patience  = 700 * time.Millisecond
@@ -135,6 +135,7 @@
 	}
 	d.Limits.DeadlineMS = 2000
 	d.Limits.InFlight = 40
+	d.Limits.QueuePerTarget = 3
 	d.Refusal.FloorMS = 300
 	for _, name := range []string{"a", "b"} {
 		org := document.Organisation{Name: name, Tiers: []string{"low", "mid", "top"}, Models: []string{"m"}, Services: []string{"s"}, Weight: 1}
