--- a/internal/core/entry/node_test.go
+++ b/internal/core/entry/node_test.go
@@ -207,6 +207,7 @@
 			c.settle(statusLost)
 			continue
 		}
+		c.at = holder
 		holder.deliver(func() { holder.reread(o.Of, c) })
 	}
 }
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -68,6 +68,11 @@
 func (e *Entry) joinKnown(req *request.Request, admission owner.Admission) {
 	if f := e.flights[req.ID]; f != nil {
 		f.gone = time.Time{}
+		if f.verdict.Outcome != "" {
+			// Its run was cancelled and has not ended yet; the word is given.
+			e.emit(Settle{ID: req.ID, Status: f.verdict})
+			return
+		}
 	}
 	if admission.Standing == message.StandingFinished && admission.Status.Outcome != outcome.Answered {
 		e.emit(Settle{ID: req.ID, Status: keyUnread(req, admission.Status)})
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -96,8 +96,10 @@
 	f.stage = stageWaiting
 	f.started = false
 	if f.verdict.Outcome != "" {
+		// The caller was told "ran in part" at the cancelling, which stands: it
+		// gets one word.
 		e.releaseClaim(f)
-		e.finish(f, outcome.Refused(f.verdict.Reason, e.jitter(retrySoon), "cancelled before a target took it"))
+		e.close(f, f.verdict)
 		return
 	}
 	if result == message.ResultLeaving {
