Send an offer on under a standing floor too, unless it is the last word

Cause: while a floor stood, a top tier request that was late at one target was refused for good though others had free places by then.

--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -47,10 +47,12 @@
 		// Cut off, we can't know what others serve; their silence proves
 		// nothing, since it may be ours. So the cause is not load.
 		s.refuse(o, refusal{reason: outcome.ReasonNotReady, settled: o.lastWord})
-	case s.floors.Standing(s.now, o.target.desc.Pool, o.Tier):
-		s.refuse(o, refusal{reason: reason, settled: true})
 	case !s.isLast(o):
+		// Also under a floor: it says that nothing lower is served, not that no
+		// target has room for this one.
 		s.refuse(o, refusal{reason: reason})
+	case s.floors.Standing(s.now, o.target.desc.Pool, o.Tier):
+		s.refuse(o, refusal{reason: reason, settled: true})
 	default:
 		s.hold(o)
 	}
