Let lower tiers wait at their owner for half their time

Cause: what a floor flushed asked at once for the last word and was refused for good, though 7 to 13 s were left to it (trial print).

--- a/internal/core/entry/flight.go
+++ b/internal/core/entry/flight.go
@@ -61,6 +61,8 @@
 	// final: the scheduler was told that its refusal is the last word.
 	final bool
 	tried []string
+	// pause is the latest one between two rounds of offers.
+	pause time.Duration
 
 	started    bool
 	tokens     int
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -33,6 +33,10 @@
 		e.wakeAt(f, e.now.Add(replaceWait))
 		return
 	}
+	if len(f.tried) >= triesBeforeFinal && e.patient(f) {
+		e.rest(f)
+		return
+	}
 	target, status := e.choose(f)
 	if !status.OK() {
 		e.noTarget(f, status)
