Preempt at once for an offer that was told of room by preemption

Cause: it joined the queue and preempted only a moment before its last start, so the same run was named to the next that asked.

--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -101,7 +101,8 @@
 		return s.take()
 	}
 	o := s.newOffer(t, from, m)
-	if _, expected := t.rooms[m.ID]; expected {
+	room, expected := t.rooms[m.ID]
+	if expected {
 		// It was sent here because we said that we have room, which may mean
 		// displacing or preempting; a plain refusal would send it round again.
 		o.lastWord = true
@@ -112,6 +113,11 @@
 		t.sawShort(o.Tier)
 	}
 	s.admit(o)
+	if room.preempts && !o.gone && o.Waiting() {
+		// The run that was to make room makes it now: it was counted on for this
+		// offer alone, and the next that asks would be told of it again.
+		s.preempt(o)
+	}
 	if !o.gone {
 		s.timers.set(o, o.nextTime(s))
 		s.queued(o)
--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -24,7 +24,7 @@
 )
 
 // room finds the target of a pool that can best take a request now, other than
-// except; nil if none can.
+// except, and tells it to expect that one; nil if none can.
 func (s *Scheduler) room(pool string, need message.Offer, except *target) *target {
 	var best *target
 	kind := roomNone
@@ -37,6 +37,9 @@
 			kind = k
 		}
 	}
+	if best != nil {
+		best.expect(need.ID, need.Tier, kind == roomByPreemption)
+	}
 	return best
 }
 
@@ -90,8 +93,8 @@
 
 // expect notes that a request was told of room here. Two asks in a row must
 // not be sent to the same last place.
-func (t *target) expect(id ident.RequestID, tier request.Tier) {
-	t.rooms[id] = expectation{tier: tier, until: t.clock.Add(t.set.Grant)}
+func (t *target) expect(id ident.RequestID, tier request.Tier, preempts bool) {
+	t.rooms[id] = expectation{tier: tier, until: t.clock.Add(t.set.Grant), preempts: preempts}
 }
 
 // expected counts the requests of a tier and above on their way here, and
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -140,7 +140,6 @@
 	}
 	pool := o.target.desc.Pool
 	if room := s.room(pool, o.current(s.now), o.target); room != nil {
-		room.expect(o.ID, o.Tier)
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
 		return
 	}
@@ -217,7 +216,6 @@
 	s.tick(now)
 	reply := message.FloorReply{Seq: a.Seq, Pool: a.Pool, Tier: a.Tier}
 	if room := s.room(a.Pool, a.Need, nil); room != nil {
-		room.expect(a.Need.ID, a.Need.Tier)
 		reply.Room = room.desc.Name
 		s.send(from, reply)
 		return s.take()
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -59,6 +59,8 @@
 type expectation struct {
 	tier  request.Tier
 	until time.Time
+	// preempts: the room is to be made by preemption.
+	preempts bool
 }
 
 func newTarget(s *Scheduler, desc Target) *target {
