Cut lower runs under a new floor where work of its tier waits

Cause: the asker's offer could not be in time at a target where others wait before it, so no room was named there; those others had time, so nothing was cut, and a lower run went on for seconds beside refusals of its betters.

--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -221,6 +221,7 @@
 		return s.take()
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
+	s.yield(a.Pool, a.Tier)
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
 	s.flush(a.Pool)
@@ -263,6 +264,7 @@
 		s.fillPool(h.key.pool)
 		return
 	}
+	s.yield(h.key.pool, h.key.tier)
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
 	}
@@ -310,6 +312,36 @@
 	}
 }
 
+// yield cuts lower runs under a new floor where work of its tier or above waits,
+// one for each that waits.
+//
+// Failure: the asker's request could not be in time at this target, since others
+// wait here before it. Symptom: it is refused while the lower runs here go on,
+// and those that wait have the time to let them.
+func (s *Scheduler) yield(pool string, tier request.Tier) {
+	for _, t := range s.pools[pool] {
+		want := t.queue.Above(tier+1) - max(0, t.limit()-len(t.runs)) - t.preempting()
+		for ; want > 0; want-- {
+			r := s.victim(t, tier)
+			if r == nil {
+				break
+			}
+			s.sendPreempt(r)
+		}
+	}
+}
+
+// preempting counts the runs that are being cut.
+func (t *target) preempting() int {
+	n := 0
+	for _, r := range t.runs {
+		if r.preempting {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) fillPool(pool string) {
 	for _, t := range s.pools[pool] {
 		s.fill(t)
