--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -94,7 +94,7 @@
 // expect notes that a request was told of room here. Two asks in a row must
 // not be sent to the same last place.
 func (t *target) expect(id ident.RequestID, tier request.Tier, preempts bool) {
-	t.rooms[id] = expectation{tier: tier, until: t.clock.Add(t.set.Grant), preempts: preempts}
+	t.rooms[id] = expectation{tier: tier, until: t.clock.Add(t.set.tripTime()), preempts: preempts}
 }
 
 // expected counts the requests of a tier and above on their way here, and
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -155,7 +155,7 @@
 
 // tripTime is allowed for an offer's way to another target and for the end of a
 // run that is cancelled there for it.
-func (s *Scheduler) tripTime() time.Duration { return s.set.Grant / tripPart }
+func (s *Settings) tripTime() time.Duration { return s.Grant / tripPart }
 
 // tripPart of the grant time, which is several trips.
 const tripPart = 4
@@ -178,7 +178,7 @@
 	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
 		return
 	}
-	h.need = h.pick(s.now, s.tripTime())
+	h.need = h.pick(s.now, s.set.tripTime())
 	m, others, verdicts := s.floors.Begin(s.now, h.key.pool, h.key.tier, h.need.current(s.now))
 	for _, who := range others {
 		s.send(who, m)
@@ -251,7 +251,7 @@
 }
 
 func (s *Scheduler) sendElsewhere(h *holding, room string) {
-	if o := h.pick(s.now, s.tripTime()); o != nil {
+	if o := h.pick(s.now, s.set.tripTime()); o != nil {
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
 	}
 }
@@ -273,7 +273,7 @@
 	until, _ := s.floors.Covered(s.now, h.key.pool, h.key.tier)
 	h.again = s.now.Add(until.Sub(s.now) / 4 * 3) // renewed before its end
 	if !settled {
-		h.again = s.now.Add(s.tripTime())
+		h.again = s.now.Add(s.set.tripTime())
 	}
 	for _, o := range slices.Clone(h.offers) {
 		switch {
