Under a new floor cut every lower run that may be cut

Cause: a lower run beside which nobody waits went on while its betters were refused, since they had too little time for that target.

--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -320,12 +320,7 @@
 // and those that wait have the time to let them.
 func (s *Scheduler) yield(pool string, tier request.Tier) {
 	for _, t := range s.pools[pool] {
-		want := t.queue.Above(tier+1) - max(0, t.limit()-len(t.runs)) - t.preempting()
-		for ; want > 0; want-- {
-			r := s.victim(t, tier)
-			if r == nil {
-				break
-			}
+		for r := s.victim(t, tier); r != nil; r = s.victim(t, tier) {
 			s.sendPreempt(r)
 		}
 	}
