--- a/internal/core/floors/floors.go
+++ b/internal/core/floors/floors.go
@@ -100,10 +100,22 @@
 	Stands bool
 }
 
-// Begin starts an exchange, unless one runs for the same pool and tier. It
-// returns the ask and whom to send it to; with nobody to ask, the verdict is
-// there at once.
+// Candidate is a target that could take a request if a run there were cancelled,
+// and what that run has cost, in tokens and at least 1.
+type Candidate struct {
+	Room string
+	Cost int
+}
+
+// Begin is BeginWith for an asker that has no candidate of its own.
 func (f *Floors) Begin(now time.Time, name string, t request.Tier, need message.Offer) (message.FloorAsk, []ident.Incarnation, []Verdict) {
+	return f.BeginWith(now, name, t, need, Candidate{})
+}
+
+// BeginWith starts an exchange, unless one runs for the same pool and tier. It
+// returns the ask and whom to send it to; with nobody to ask, the verdict is
+// there at once. own is what the asker could do itself.
+func (f *Floors) BeginWith(now time.Time, name string, t request.Tier, need message.Offer, own Candidate) (message.FloorAsk, []ident.Incarnation, []Verdict) {
 	p := f.pool(name)
 	if p.exchange(t) != nil {
 		return message.FloorAsk{}, nil, nil
@@ -111,6 +123,7 @@
 	p.dropFormer(now)
 	f.seq++
 	e := &exchange{tier: t, seq: f.seq, sent: now, valid: f.hold, waiting: p.members()}
+	e.consider(own)
 	p.addExchange(e)
 	ask := message.FloorAsk{Seq: e.seq, Pool: name, Tier: t, For: f.hold, Need: need}
 	if len(e.waiting) == 0 {
@@ -130,8 +143,10 @@
 		return nil
 	}
 	var verdicts []Verdict
-	if r.Room != "" {
-		e.room = true
+	if r.Room != "" && r.Cost > 0 {
+		e.consider(Candidate{Room: r.Room, Cost: r.Cost})
+	} else if r.Room != "" {
+		e.room, e.free = true, true
 		verdicts = append(verdicts, Verdict{Pool: r.Pool, Tier: r.Tier, Room: r.Room})
 	} else {
 		e.valid = min(e.valid, r.Valid)
@@ -161,6 +176,9 @@
 		return verdicts
 	}
 	p.endExchange(e)
+	if e.least.Room != "" && !e.free {
+		verdicts = append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Room: e.least.Room})
+	}
 	until := e.sent.Add(e.valid)
 	stands := !e.room && p.stillAsked(e)
 	if stands {
--- a/internal/core/floors/pool.go
+++ b/internal/core/floors/pool.go
@@ -46,10 +46,21 @@
 	waiting []ident.Incarnation
 	room    bool
 	lower   bool
+	// least is the room that costs least of those that cost something; it is
+	// taken at the end, if there was none for nothing.
+	least Candidate
+	free  bool
 	// stale: a scheduler joined the pool after the asks were sent.
 	stale bool
 }
 
+func (e *exchange) consider(c Candidate) {
+	if c.Room != "" && (e.least.Room == "" || c.Cost < e.least.Cost) {
+		e.least = c
+		e.room = true
+	}
+}
+
 func (e *exchange) answered(who ident.Incarnation) bool {
 	at, found := slices.BinarySearch(e.waiting, who)
 	if found {
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -233,6 +233,9 @@
 	// Lower: work below Tier still runs there and cannot be cancelled; the
 	// asker waits for its end as long as its request's deadline allows.
 	Lower bool `cbor:"6,keyasint,omitempty"`
+	// Cost is what the run has cost that must be cancelled to make Room, in
+	// tokens and at least 1; 0: none must.
+	Cost int `cbor:"7,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -25,7 +25,9 @@
 	// reason is what a refusal would say.
 	reason outcome.Reason
 	// lastWord: a refusal here ends the request, so it needs a floor.
-	lastWord   bool
+	lastWord bool
+	// told: it was sent here since a run can be cancelled for it.
+	told       bool
 	preempting bool
 	stage      stage
 	holding    *holding
@@ -106,6 +108,7 @@
 		// It was sent here because we said that we have room, which may mean
 		// displacing or preempting; a plain refusal would send it round again.
 		o.lastWord = true
+		o.told = room.preempts
 		delete(t.rooms, m.ID)
 	}
 	t.offers[m.ID] = o
@@ -113,7 +116,7 @@
 		t.sawShort(o.Tier)
 	}
 	s.admit(o)
-	if room.preempts && !o.gone && o.Waiting() {
+	if o.told && !o.gone && o.Waiting() {
 		// The run that was to make room makes it now: it was counted on for this
 		// offer alone, and the next that asks would be told of it again.
 		s.preempt(o)
@@ -209,7 +212,7 @@
 // brings the queue back to its bound.
 func (s *Scheduler) enqueue(o *offer) {
 	t := o.target
-	if t.late(o, t.wait(o)) && !s.preemptFor(o) {
+	if t.late(o, t.wait(o)) && !(o.told && s.preempt(o)) {
 		s.refuseForLoad(o, outcome.ReasonOverload)
 		return
 	}
@@ -331,7 +334,7 @@
 // sent round instead, its time could end before anyone had asked whether lower
 // work is served elsewhere.
 func (s *Scheduler) preemptOrAsk(o *offer) {
-	if !o.Waiting() || o.preempting || s.preempt(o) {
+	if !o.Waiting() || o.preempting || o.holding != nil && s.preempt(o) {
 		return
 	}
 	o.lastWord = true
--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -25,22 +25,45 @@
 
 // room finds the target of a pool that can best take a request now, other than
 // except, and tells it to expect that one; nil if none can.
-func (s *Scheduler) room(pool string, need message.Offer, except *target) *target {
-	var best *target
-	kind := roomNone
+func (s *Scheduler) room(pool string, need message.Offer, except *target, least roomKind) (best *target, cost int) {
+	kind := least - 1
 	for _, t := range s.pools[pool] {
 		if t == except || t.desc.Name == need.Target {
 			continue
 		}
-		if k := s.roomAt(t, need); k > kind {
-			best = t
-			kind = k
+		k := s.roomAt(t, need)
+		c := s.costAt(t, k, need.Tier)
+		if k > kind || best != nil && k == kind && c < cost {
+			best, cost, kind = t, c, k
 		}
 	}
 	if best != nil {
 		best.expect(need.ID, need.Tier, kind == roomByPreemption)
 	}
-	return best
+	return best, cost
+}
+
+// costAt is what making room there throws away, in tokens; 0: nothing.
+func (s *Scheduler) costAt(t *target, kind roomKind, tier request.Tier) int {
+	if kind != roomByPreemption {
+		return 0
+	}
+	return 1 + t.computed(s.victim(t, tier))
+}
+
+// ownCandidate is the least costly run of ours that could be cancelled for an
+// offer, at the target where it waits or another.
+func (s *Scheduler) ownCandidate(o *offer) floors.Candidate {
+	var own floors.Candidate
+	if best, cost := s.room(o.target.desc.Pool, o.current(s.now), o.target, roomByPreemption); best != nil {
+		own = floors.Candidate{Room: best.desc.Name, Cost: cost}
+	}
+	if r := s.victimFor(o); r != nil {
+		if cost := 1 + o.target.computed(r); own.Room == "" || cost <= own.Cost {
+			own = floors.Candidate{Room: o.target.desc.Name, Cost: cost}
+		}
+	}
+	return own
 }
 
 func (s *Scheduler) roomAt(t *target, need message.Offer) roomKind {
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -346,17 +346,26 @@
 
 // preempt cancels one lower run for an offer, once.
 func (s *Scheduler) preempt(o *offer) bool {
+	r := s.victimFor(o)
+	if r == nil {
+		return false
+	}
+	o.preempting = true
+	s.sendPreempt(r)
+	return true
+}
+
+// victimFor is the run whose end would let an offer be in time where it is.
+func (s *Scheduler) victimFor(o *offer) *run {
 	t := o.target
 	if o.preempting || !t.open() {
-		return false
+		return nil
 	}
 	r := s.victim(t, o.Tier)
 	if r == nil || t.lateBeside(o, 0, t.loadWithout(r)) {
-		return false
+		return nil
 	}
-	o.preempting = true
-	s.sendPreempt(r)
-	return true
+	return r
 }
 
 func (s *Scheduler) sendPreempt(r *run) {
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -139,7 +139,7 @@
 		return
 	}
 	pool := o.target.desc.Pool
-	if room := s.room(pool, o.current(s.now), o.target); room != nil {
+	if room, _ := s.room(pool, o.current(s.now), o.target, roomByDisplacement); room != nil {
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
 		return
 	}
@@ -179,7 +179,8 @@
 		return
 	}
 	h.need = h.pick(s.now, s.set.tripTime())
-	m, others, verdicts := s.floors.Begin(s.now, h.key.pool, h.key.tier, h.need.current(s.now))
+	own := s.ownCandidate(h.need)
+	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -215,8 +216,9 @@
 func (s *Scheduler) FloorAsk(now time.Time, from identity, a message.FloorAsk) []Effect {
 	s.tick(now)
 	reply := message.FloorReply{Seq: a.Seq, Pool: a.Pool, Tier: a.Tier}
-	if room := s.room(a.Pool, a.Need, nil); room != nil {
+	if room, cost := s.room(a.Pool, a.Need, nil, roomByPreemption); room != nil {
 		reply.Room = room.desc.Name
+		reply.Cost = cost
 		s.send(from, reply)
 		return s.take()
 	}
@@ -251,11 +253,31 @@
 }
 
 func (s *Scheduler) sendElsewhere(h *holding, room string) {
-	if o := h.pick(s.now, s.set.tripTime()); o != nil {
+	o := h.pick(s.now, s.set.tripTime())
+	switch {
+	case o == nil:
+	case o.target.desc.Name == room:
+		s.preemptHere(o)
+	default:
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
 	}
 }
 
+// preemptHere cancels a run at the target where a held offer is, and lets the
+// offer wait for its place.
+func (s *Scheduler) preemptHere(o *offer) {
+	t := o.target
+	s.release(o)
+	if !o.Waiting() {
+		t.queue.Push(&o.Item)
+	}
+	s.preempt(o)
+	s.fill(t)
+	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
+		s.shedOne(o)
+	}
+}
+
 // exchangeOver refuses what was held if the floor stands and nothing lower is
 // left; else the offers go on waiting, or ask again.
 func (s *Scheduler) exchangeOver(h *holding, stands bool) {
