--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -157,6 +157,12 @@
 	case queue.Suspect:
 		return t.suspects == 0 && t.fitsPrefill(it)
 	case queue.Long:
+		// One at a time where short ones come: the engine computes prompts in their
+		// order of arrival, so a second brief wins nothing by being there, and a
+		// short request would wait for both.
+		if t.prefillLong > 0 && t.shortCome(it.Tier) {
+			return false
+		}
 		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
 	}
 	return t.fitsPrefill(it)
@@ -167,13 +173,21 @@
 // were offered lately: a higher tier is never made to wait for a lower one.
 func (t *target) longPlaces(tier request.Tier) int {
 	limit := t.limit()
+	if t.shortCome(tier) {
+		return max(1, limit-int(float64(limit)*t.set.ShortShare))
+	}
+	return limit
+}
+
+// shortCome reports whether short requests of a tier or above were offered lately.
+func (t *target) shortCome(tier request.Tier) bool {
 	for i := 0; i < len(t.shortSeen) && i <= int(tier); i++ {
 		seen := t.shortSeen[i]
 		if !seen.IsZero() && t.clock.Sub(seen) < shortMemory {
-			return max(1, limit-int(float64(limit)*t.set.ShortShare))
+			return true
 		}
 	}
-	return limit
+	return false
 }
 
 // fitsPrefill applies the prefill budget. Long prompts leave the short ones'
