--- a/internal/core/scheduler/prefill.go
+++ b/internal/core/scheduler/prefill.go
@@ -111,6 +111,14 @@
 	s.StepTime = step
 }
 
+// putOff moves the probable ends of what runs: the streams wait while a long
+// prompt is computed beside them.
+func (t *target) putOff(span time.Duration) {
+	for _, r := range t.runs {
+		r.end = r.end.Add(span)
+	}
+}
+
 // prefillTime is how long the engine computes prompts of so many tokens.
 func (t *target) prefillTime(tokens int) time.Duration {
 	rate, _ := t.speed()
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -115,6 +115,9 @@
 		batch:    len(t.runs) + 1,
 		ahead:    t.backlog(),
 	}
+	if r.lane == queue.Long {
+		t.putOff(t.prefillTime(r.work))
+	}
 	t.addRun(r)
 	s.sendGrant(r, o.asked)
 }
