Allow for the streams that decode beside a brief in its estimate

Cause: an engine gives a brief three quarters of its time at most, so first tokens behind one came 0.1 to 0.3 s after their bound, and calls beside one were cut.

--- a/internal/core/scheduler/estimate.go
+++ b/internal/core/scheduler/estimate.go
@@ -42,7 +42,7 @@
 // loadAfter is the present load after a while: the prompts that are being
 // computed now will be done by then.
 func (t *target) loadAfter(wait time.Duration) load {
-	l := load{prefill: t.backlog(), inFlight: len(t.runs)}
+	l := load{prefill: t.backlog() + int(t.pending.long*(1/prefillShare-1)), inFlight: len(t.runs)}
 	if wait <= 0 || l.prefill == 0 {
 		return l
 	}
--- a/internal/core/scheduler/prefill.go
+++ b/internal/core/scheduler/prefill.go
@@ -125,7 +125,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return seconds(float64(tokens) / rate)
+	return seconds(float64(tokens) / (rate * prefillShare))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
