--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -47,10 +47,12 @@
 		// Cut off, we can't know what others serve; their silence proves
 		// nothing, since it may be ours. So the cause is not load.
 		s.refuse(o, refusal{reason: outcome.ReasonNotReady, settled: o.lastWord})
-	case s.floors.Standing(s.now, o.target.desc.Pool, o.Tier):
-		s.refuse(o, refusal{reason: reason, settled: true})
 	case !s.isLast(o):
+		// Also under a floor: it says that nothing lower is served, not that no
+		// target has room for this one.
 		s.refuse(o, refusal{reason: reason})
+	case s.floors.Standing(s.now, o.target.desc.Pool, o.Tier):
+		s.refuse(o, refusal{reason: reason, settled: true})
 	default:
 		s.hold(o)
 	}
@@ -137,8 +139,7 @@
 		return
 	}
 	pool := o.target.desc.Pool
-	if room := s.room(pool, o.current(s.now), o.target); room != nil {
-		room.expect(o.ID, o.Tier)
+	if room, _ := s.room(pool, o.current(s.now), o.target, roomByDisplacement); room != nil {
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
 		return
 	}
@@ -154,7 +155,7 @@
 
 // tripTime is allowed for an offer's way to another target and for the end of a
 // run that is cancelled there for it.
-func (s *Scheduler) tripTime() time.Duration { return s.set.Grant / tripPart }
+func (s *Settings) tripTime() time.Duration { return s.Grant / tripPart }
 
 // tripPart of the grant time, which is several trips.
 const tripPart = 4
@@ -177,8 +178,9 @@
 	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
 		return
 	}
-	h.need = h.pick(s.now, s.tripTime())
-	m, others, verdicts := s.floors.Begin(s.now, h.key.pool, h.key.tier, h.need.current(s.now))
+	h.need = h.pick(s.now, s.set.tripTime())
+	own := s.ownCandidate(h.need)
+	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -214,13 +216,14 @@
 func (s *Scheduler) FloorAsk(now time.Time, from identity, a message.FloorAsk) []Effect {
 	s.tick(now)
 	reply := message.FloorReply{Seq: a.Seq, Pool: a.Pool, Tier: a.Tier}
-	if room := s.room(a.Pool, a.Need, nil); room != nil {
-		room.expect(a.Need.ID, a.Need.Tier)
+	if room, cost := s.room(a.Pool, a.Need, nil, roomByPreemption); room != nil {
 		reply.Room = room.desc.Name
+		reply.Cost = cost
 		s.send(from, reply)
 		return s.take()
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
+	s.yield(a.Pool, a.Tier)
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
 	s.flush(a.Pool)
@@ -250,11 +253,31 @@
 }
 
 func (s *Scheduler) sendElsewhere(h *holding, room string) {
-	if o := h.pick(s.now, s.tripTime()); o != nil {
+	o := h.pick(s.now, s.set.tripTime())
+	switch {
+	case o == nil:
+	case o.target.desc.Name == room:
+		s.preemptHere(o)
+	default:
 		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
 	}
 }
 
+// preemptHere cancels a run at the target where a held offer is, and lets the
+// offer wait for its place.
+func (s *Scheduler) preemptHere(o *offer) {
+	t := o.target
+	s.release(o)
+	if !o.Waiting() {
+		t.queue.Push(&o.Item)
+	}
+	s.preempt(o)
+	s.fill(t)
+	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
+		s.shedOne(o)
+	}
+}
+
 // exchangeOver refuses what was held if the floor stands and nothing lower is
 // left; else the offers go on waiting, or ask again.
 func (s *Scheduler) exchangeOver(h *holding, stands bool) {
@@ -263,6 +286,7 @@
 		s.fillPool(h.key.pool)
 		return
 	}
+	s.yield(h.key.pool, h.key.tier)
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
 	}
@@ -271,7 +295,7 @@
 	until, _ := s.floors.Covered(s.now, h.key.pool, h.key.tier)
 	h.again = s.now.Add(until.Sub(s.now) / 4 * 3) // renewed before its end
 	if !settled {
-		h.again = s.now.Add(s.tripTime())
+		h.again = s.now.Add(s.set.tripTime())
 	}
 	for _, o := range slices.Clone(h.offers) {
 		switch {
@@ -310,6 +334,31 @@
 	}
 }
 
+// yield cuts lower runs under a new floor where work of its tier or above waits,
+// one for each that waits.
+//
+// Failure: the asker's request could not be in time at this target, since others
+// wait here before it. Symptom: it is refused while the lower runs here go on,
+// and those that wait have the time to let them.
+func (s *Scheduler) yield(pool string, tier request.Tier) {
+	for _, t := range s.pools[pool] {
+		for r := s.victim(t, tier); r != nil; r = s.victim(t, tier) {
+			s.sendPreempt(r)
+		}
+	}
+}
+
+// preempting counts the runs that are being cut.
+func (t *target) preempting() int {
+	n := 0
+	for _, r := range t.runs {
+		if r.preempting {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) fillPool(pool string) {
 	for _, t := range s.pools[pool] {
 		s.fill(t)
