--- /dev/null
+++ b/internal/replay/faults/faults_test.go
@@ -0,0 +1,243 @@
+package faults
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/operators/api"
+	"sycamoretrail/internal/replay/report"
+	"sycamoretrail/internal/replay/trace"
+)
+
+func TestFaults(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "faults")
+}
+
+const (
+	victimAddress = "victim:1"
+	otherAddress  = "other:1"
+)
+
+// epoch is the load's start in these tests; the failure begins after 5 s and its
+// cause is gone after 10 s.
+var epoch = time.Unix(1000, 0)
+
+func at(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// answered is a call whose caller got the whole answer.
+func answered(id string, sent, ended float64, asked ...string) report.Call {
+	if len(asked) == 0 {
+		asked = []string{otherAddress}
+	}
+	return report.Call{ID: id, Sent: at(sent), Ended: at(ended), Settled: true, Status: outcome.Complete(), Asked: asked, Idempotent: true}
+}
+
+// told is a call whose caller was told something else.
+func told(id string, sent, ended float64, status outcome.Status, asked ...string) report.Call {
+	c := answered(id, sent, ended, asked...)
+	c.Status = status
+	return c
+}
+
+func attached(c report.Call) report.Call {
+	c.Attached = 1
+	return c
+}
+
+var lost = outcome.Undetermined(outcome.ReasonOwnerReplaced, "")
+
+func run(id, target string, began, ended float64, complete bool) report.Run {
+	return report.Run{ID: id, Target: target, Began: at(began), Ended: at(ended), Complete: complete}
+}
+
+// judged holds calls and runs against one failure's judgement.
+func judged(judge func(*play), calls []report.Call, runs ...report.Run) *Result {
+	victim := &instance{name: "victim", callers: victimAddress}
+	p := &play{
+		Stage: &Stage{entries: []instance{*victim}}, failure: &Failure{judge: judge}, result: &Result{},
+		trace: &trace.Trace{Lines: make([]trace.Line, len(calls))}, victim: victim, struck: "struck",
+		start: epoch, begun: epoch.Add(at(5)), healed: epoch.Add(at(10)), over: epoch.Add(at(11)),
+		versions: &versions{highest: map[string]int64{}}, runs: map[string]*report.Run{},
+		in: report.Input{Start: epoch, Tiers: []string{"high", "low"}, Calls: calls, Runs: runs},
+	}
+	for i := range runs {
+		p.runs[runs[i].ID] = &runs[i]
+	}
+	p.judge()
+	return p.result
+}
+
+func matching(text string) OmegaMatcher { return ContainElement(ContainSubstring(text)) }
+
+var _ = Describe("what holds in every failure", func() {
+	good := []report.Call{answered("a", 4, 4.5), answered("b", 12, 12.5)}
+
+	It("passes where all holds", func() {
+		r := judged(nil, good, run("a", "t", 4, 4.4, true), run("b", "t", 12, 12.4, true))
+		Expect(r.Problems).To(BeEmpty())
+		Expect(r.Pass).To(BeTrue())
+	})
+
+	DescribeTable("finds",
+		func(call report.Call, runs []report.Run, problem string) {
+			r := judged(nil, append([]report.Call{call}, good...), runs...)
+			Expect(r.Problems).To(matching(problem))
+			Expect(r.Pass).To(BeFalse())
+		},
+		Entry("a caller without an answer", report.Call{ID: "x"}, nil, "unanswered"),
+		Entry("an answer that is not whole", func() report.Call {
+			c := answered("x", 6, 7)
+			c.Fault = "checksum differs"
+			return c
+		}(), nil, "incomplete_answers"),
+		Entry("an id that ran twice", answered("x", 6, 7), []report.Run{run("x", "t", 6, 7, true), run("x", "u", 6, 7, true)}, "dispatched_twice"),
+		Entry("\"not run\" of what ran", told("x", 6, 7, outcome.Refused(outcome.ReasonNoTarget, 0, "")), []report.Run{run("x", "t", 6, 7, true)}, "false_not_run"),
+	)
+
+	It("finds a version that falls, but not one of another process", func() {
+		v := &versions{highest: map[string]int64{}}
+		for _, s := range []api.Status{
+			{Entry: api.Member{Incarnation: "one"}, Version: 3}, {Entry: api.Member{Incarnation: "two"}, Version: 1},
+			{Entry: api.Member{Incarnation: "one"}, Version: 4},
+		} {
+			v.note(&s)
+		}
+		Expect(v.reverted).To(BeEmpty())
+		v.note(&api.Status{Entry: api.Member{Incarnation: "one", Name: "entry-1"}, Version: 3})
+		Expect(v.reverted).To(ConsistOf("entry-1 went back from version 4 to 3"))
+	})
+})
+
+// An entry dies at 5 s. A stream through it is read on elsewhere; a request that
+// waited in it may or may not have run, as far as anybody can know.
+var _ = DescribeTable("an entry killed",
+	func(stream, waiting report.Call, problem string) {
+		r := judged(judgeKilled, []report.Call{answered("a", 1, 2), stream, waiting}, run("s", "t", 4, 9, true))
+		if problem == "" {
+			Expect(r.Problems).To(BeEmpty())
+			return
+		}
+		Expect(r.Problems).To(matching(problem))
+	},
+	Entry("stands", attached(answered("s", 4, 9, victimAddress, otherAddress)), told("w", 4, 6, lost, victimAddress, otherAddress), ""),
+	Entry("does not cut a stream", attached(told("s", 4, 9, outcome.Partial(outcome.ReasonTargetFailed, ""), victimAddress)),
+		told("w", 4, 6, lost, victimAddress), "stream s was not read to its end"),
+	Entry("does not say not run", attached(answered("s", 4, 9, victimAddress)),
+		told("w", 4, 6, outcome.Refused(outcome.ReasonNotReady, 0, ""), victimAddress), "w waited in the killed entry"),
+	Entry("needs a stream", answered("s", 4, 9), told("w", 4, 6, lost, victimAddress), "no stream ran through the killed entry"),
+	Entry("needs a request that waits", attached(answered("s", 4, 9, victimAddress)), answered("w", 4, 6), "no request waited in the killed entry"),
+)
+
+// An entry stands still from 5 s to 10 s with a request waiting in it. Its caller
+// has long been told "unknown" when it wakes; if it ran the request now, a caller
+// who sent a new one would have two.
+var _ = DescribeTable("an entry paused",
+	func(began float64, problem string) {
+		waiting := told("w", 4, 8, lost, victimAddress, otherAddress)
+		var runs []report.Run
+		if began > 0 {
+			runs = append(runs, run("w", "t", began, began+1, true))
+		}
+		r := judged(judgePaused, []report.Call{answered("a", 1, 2), waiting}, runs...)
+		if problem == "" {
+			Expect(r.Problems).To(BeEmpty())
+			return
+		}
+		Expect(r.Problems).To(matching(problem))
+	},
+	Entry("never runs what waited", 0.0, ""),
+	Entry("runs it after waking", 10.5, "ran after it woke"),
+	Entry("had run it before", 4.5, "no request waited"),
+)
+
+// An entry is asked to stop at 5 s. Nobody who holds an answer that names it may
+// notice, and the process ends with 0.
+var _ = DescribeTable("a planned stop",
+	func(code string, late report.Call, problem string) {
+		exit := filepath.Join(GinkgoT().TempDir(), "exit")
+		Expect(os.WriteFile(exit, []byte(code+"\n"), 0o600)).To(Succeed())
+		judge := func(p *play) {
+			p.victim.exitFile = exit
+			judgeStopped(p)
+		}
+		r := judged(judge, []report.Call{answered("a", 1, 2), answered("s", 4, 9, victimAddress), late})
+		if problem == "" {
+			Expect(r.Problems).To(BeEmpty())
+			return
+		}
+		Expect(r.Problems).To(matching(problem))
+	},
+	Entry("stands", "0", answered("l", 6, 7, victimAddress), ""),
+	Entry("exits with another code", "1", answered("l", 6, 7, victimAddress), "exit code 1"),
+	Entry("refuses a connection", "0", answered("l", 6, 7, victimAddress, otherAddress), "had to ask 1 others"),
+	Entry("cuts a request", "0", told("l", 6, 7, outcome.Partial(outcome.ReasonTargetFailed, ""), victimAddress), "l was sent to the stopping entry"),
+	Entry("turns a request away", "0", told("l", 6, 7, outcome.Refused(outcome.ReasonDraining, 0, ""), victimAddress), "l was sent to the stopping entry"),
+)
+
+// A target dies at 5 s while it runs s. Its caller is told that it ran in part.
+var _ = DescribeTable("a target that dies",
+	func(s report.Call, problem string) {
+		r := judged(judgeDied, []report.Call{answered("a", 1, 2), s, answered("b", 10.5, 11)},
+			run("s", "struck", 4, 5, false), run("b", "struck", 10.5, 10.9, true))
+		if problem == "" {
+			Expect(r.Problems).To(BeEmpty())
+			return
+		}
+		Expect(r.Problems).To(matching(problem))
+	},
+	Entry("told so", told("s", 4, 5.1, outcome.Partial(outcome.ReasonTargetFailed, "")), ""),
+	Entry("told it was answered", answered("s", 4, 5.1), "s ran on the target that died"),
+)
+
+var _ = Describe("when goodput is as before", func() {
+	// Twenty calls of the top tier in each half second; bad ones by half second.
+	calls := func(bad map[int]int) []*report.Call {
+		var all []*report.Call
+		for half := range 12 {
+			for n := range 20 {
+				c := answered("c", float64(half)*0.5+float64(n)*0.02, float64(half)*0.5+float64(n)*0.02+0.01)
+				if n < bad[half] {
+					c.Status = lost
+				}
+				all = append(all, &c)
+			}
+		}
+		return all
+	}
+	DescribeTable("is the end of the last interval that was worse",
+		func(bad map[int]int, took float64, recovered bool) {
+			d, ok := recovery(calls(bad), at(2))
+			Expect(ok).To(Equal(recovered))
+			Expect(d).To(Equal(at(took)))
+		},
+		Entry("never worse", nil, 0.0, true),
+		Entry("one call of twenty counts for nothing", map[int]int{5: 1}, 0.0, true),
+		Entry("worse for a second", map[int]int{4: 10, 5: 2}, 1.0, true),
+		Entry("worse again later", map[int]int{4: 10, 8: 5}, 2.5, true),
+		Entry("worse to the end", map[int]int{11: 20}, 4.0, false),
+		Entry("no worse than before", map[int]int{1: 10, 2: 10, 5: 5}, 0.0, true),
+	)
+})
+
+var _ = It("keeps the lines that repeat others right when lists are mixed", func() {
+	line := func(ms int64, of int) trace.Line {
+		l := trace.Line{AtMS: ms}
+		if of >= 0 {
+			l.Resend = &trace.Resend{Of: of}
+		}
+		return l
+	}
+	usual := []trace.Line{line(10, -1), line(30, 0)}
+	all := mixed(usual, []trace.Line{line(5, -1), line(20, 0)})
+	Expect([]int64{all[0].AtMS, all[1].AtMS, all[2].AtMS, all[3].AtMS}).To(Equal([]int64{5, 10, 20, 30}))
+	Expect(all[2].Resend.Of).To(Equal(0))
+	Expect(all[3].Resend.Of).To(Equal(1))
+	Expect(usual[1].Resend.Of).To(Equal(0))
+})
--- a/internal/standin/base/base_test.go
+++ b/internal/standin/base/base_test.go
@@ -72,6 +72,31 @@
 	})
 })
 
+var _ = Describe("orders to turn requests away", func() {
+	It("are entered in the ledger, and nothing runs", func() {
+		var h *base.Host
+		h = base.New(base.Common{}, base.Behaviour{Handle: func(ctx *fasthttp.RequestCtx) { h.Admits(ctx) }})
+		Expect(h.Start("127.0.0.1:0")).To(Succeed())
+		DeferCleanup(h.Close)
+		reason := func() string {
+			response, err := http.Get("http://" + h.Address() + "/")
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			return response.Header.Get(base.HeaderNotAdmitted)
+		}
+		Expect(reason()).To(BeEmpty())
+		Expect(h.Ledger().Report().TurnedAway).To(BeZero())
+		Expect(h.Apply(base.Faults{Leaving: true})).To(Succeed())
+		Expect(reason()).To(Equal(base.NotAdmittedLeaving))
+		Expect(h.Apply(base.Faults{Refuse: true})).To(Succeed())
+		Expect(reason()).To(Equal(base.NotAdmittedFull))
+		report := h.Ledger().Report()
+		Expect(report.TurnedAway).To(Equal(2))
+		Expect(report.LastTurnedAwayMS).To(BeNumerically(">", 0))
+		Expect(report.Runs).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Bucket", func() {
 	It("lets the rate through and tells when to come again", func() {
 		var b base.Bucket
