--- a/internal/replay/faults/stage.go
+++ b/internal/replay/faults/stage.go
@@ -197,13 +197,3 @@
 	}
 	return names
 }
-
-// entryAt finds the entry that callers reach at an address.
-func (s *Stage) entryAt(callers string) *instance {
-	for i := range s.entries {
-		if s.entries[i].callers == callers {
-			return &s.entries[i]
-		}
-	}
-	return nil
-}
