--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
@@ -20,15 +21,15 @@
 func (s *Server) run(c *call, req request.Request, f *flight.Flight) {
 	standing, added := s.cfg.Flights.Put(f)
 	if standing == nil {
-		s.refuse(c.ctx, fasthttp.StatusServiceUnavailable, string(req.ID),
-			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can"))
+		s.refuseError(c.ctx, c, &refusalError{
+			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can")})
 		return
 	}
 	if !added && (standing.Organisation != f.Organisation || standing.Fingerprint != f.Fingerprint) {
-		s.refuse(c.ctx, fasthttp.StatusBadRequest, string(req.ID),
-			outcome.Refused(outcome.ReasonMalformed, 0, "X-Request-Id names another request"))
+		s.refuseError(c.ctx, c, refused(outcome.ReasonMalformed, "X-Request-Id names another request"))
 		return
 	}
+	s.cfg.Arrived(&req, c.tier, f.Method, f.Path)
 	f = standing
 	f.Enter()
 	f.Submitting()
@@ -68,12 +69,14 @@
 func (w *waiting) answer() {
 	chunks, p, gone := w.wait(nil)
 	if gone {
-		w.leave()
+		w.abandon()
 		w.ctx.SetConnectionClose()
 		return
 	}
 	w.ctx.Response.Header.Set(headerRequestID, string(w.f.ID))
 	switch {
+	case p.End != nil && p.End.See != nil:
+		w.refer(p.End.See)
 	case p.Trimmed:
 		w.refuse(outcome.Undetermined(outcome.ReasonAnswerNotHeld, "the answer's beginning is no longer held"))
 	case p.End != nil && p.Head == nil:
@@ -85,6 +88,13 @@
 	}
 }
 
+// abandon ends the wait of a caller that closed its connection. What became of
+// the request it will not hear, so it counts as unknown.
+func (w *waiting) abandon() {
+	w.leave()
+	w.observe(outcome.Undetermined(outcome.ReasonCallerGone, ""))
+}
+
 // refuse ends the wait with a refusal.
 func (w *waiting) refuse(status outcome.Status) {
 	w.leave()
@@ -182,9 +192,32 @@
 	if !known || w.f.Kind != request.Engine {
 		return
 	}
-	t := streamToken{Target: target.Name, ID: w.f.ID, Organisation: w.f.Organisation,
-		Expires: w.s.cfg.Now().Add(w.s.cfg.TokenLife).Unix()}
-	w.ctx.Response.Header.Set(headerStreamToken, t.sign(w.s.cfg.TokenKey))
+	w.ctx.Response.Header.Set(headerStreamToken, w.token(target.Name, target.Stream))
+}
+
+func (w *waiting) token(target string, id ident.RequestID) string {
+	t := streamToken{
+		Target: target, ID: id, Organisation: w.f.Organisation,
+		Expires: w.s.cfg.Now().Add(w.s.cfg.TokenLife).Unix(),
+	}
+	return t.sign(w.s.cfg.TokenKey)
+}
+
+// refer gives the caller the answer of another request: from here, or by
+// sending it to the entry that holds the answer.
+func (w *waiting) refer(to *flight.Referral) {
+	w.leave()
+	if to.Flight != nil {
+		other := *w
+		other.f = to.Flight
+		other.left, other.from = false, 0
+		other.f.Enter()
+		other.answer()
+		return
+	}
+	w.ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+to.Address+streamsPath+w.token(to.Target, to.ID))
+	w.s.refuse(w.ctx, fasthttp.StatusSeeOther, string(to.ID),
+		outcome.Undetermined(outcome.ReasonDuplicateKey, "another entry holds the answer; read it there"))
 }
 
 // answerWhole collects the answer and gives it in one piece.
@@ -192,7 +225,7 @@
 	for p.End == nil {
 		var gone bool
 		if chunks, p, gone = w.wait(chunks); gone {
-			w.leave()
+			w.abandon()
 			w.ctx.SetConnectionClose()
 			return
 		}
@@ -325,6 +358,10 @@
 
 // Close is called by fasthttp after the last byte, and when a write failed.
 func (e *eventWriter) Close() error {
+	if !e.ended {
+		e.w.abandon()
+		return nil
+	}
 	e.w.leave()
 	return nil
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -17,6 +17,7 @@
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
 )
 
@@ -28,7 +29,7 @@
 
 // Follower reads streams that stand at a target; see targets.Targets.Follow.
 type Follower interface {
-	Follow(f *flight.Flight, target, address string, ended func(message.Result)) bool
+	Follow(f *flight.Flight, at flight.Target, ended func(message.Result)) bool
 }
 
 // Observation is what one answered request gave to measure.
@@ -70,6 +71,9 @@
 	// Observe is told of each request that was answered or refused, with what was
 	// known of it; may be nil.
 	Observe func(Observation)
+	// Arrived is told of each request that is handed to the core, with its path
+	// and the name of its tier, and must not wait; may be nil.
+	Arrived func(req *request.Request, tier, method, path string)
 	Log     *logrus.Logger
 	// Now is the clock; time.Now when nil.
 	Now func() time.Time
@@ -89,6 +93,9 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
+	if c.Arrived == nil {
+		c.Arrived = func(*request.Request, string, string, string) {}
+	}
 	if c.Observe == nil {
 		c.Observe = func(Observation) {}
 	}
@@ -107,6 +114,9 @@
 	index atomic.Pointer[index]
 }
 
+// streamsPath is where answers are read again, by token.
+const streamsPath = "/v1/streams/"
+
 // New readies a server; Serve runs it.
 func New(cfg Config) *Server {
 	cfg.setDefaults()
@@ -153,7 +163,7 @@
 	r.GET("/v1/entries", s.entries)
 	r.POST("/v1/chat/completions", s.completion)
 	r.POST("/v1/completions", s.completion)
-	r.GET("/v1/streams/{token}", s.reread)
+	r.GET(streamsPath+"{token}", s.reread)
 	r.ANY("/v1/services/{service}", s.service)
 	r.ANY("/v1/services/{service}/{path:*}", s.service)
 	if s.cfg.Metrics != nil {
@@ -183,6 +193,7 @@
 
 // unreadable answers a request that could not be read.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	linger(ctx.Conn())
 	code, status := unreadableStatus(err)
 	s.refuse(ctx, code, "", status)
 }
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -27,6 +27,7 @@
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/flight"
+	"sycamoretrail/internal/recording"
 	"sycamoretrail/internal/targets"
 )
 
@@ -98,6 +99,13 @@
 	return true
 }
 
+// answerWith changes how submissions are decided while the core is in use.
+func (c *fakeCore) answerWith(decide func(entry.Submit)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decide = decide
+}
+
 func all[T entry.Input](c *fakeCore) []T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -117,6 +125,34 @@
 	targets *targets.Targets
 	address string
 	doc     *document.Document
+	// recorder writes a trace where a spec sets it before its first call.
+	recorder *recording.Recorder
+	// seen is what the edge observed.
+	seen observations
+}
+
+// observations are noted on the server's goroutines.
+type observations struct {
+	mu  sync.Mutex
+	all []callers.Observation
+}
+
+func (o *observations) add(one callers.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, one)
+}
+
+func (o *observations) list() []callers.Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]callers.Observation(nil), o.all...)
+}
+
+func (n *node) arrived(req *request.Request, tier, method, path string) {
+	if n.recorder != nil {
+		n.recorder.Arrived(recording.Arrival{Request: *req, Tier: tier, Method: method, Path: path})
+	}
 }
 
 func testDocument(engine, service string) *document.Document {
@@ -140,7 +176,7 @@
 	for _, edit := range edits {
 		edit(n.doc)
 	}
-	n.flights = flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20})
+	n.flights = flight.NewRegistry(flight.Config{MaxOpen: 2000, Retain: time.Minute, RetainBytes: 1 << 20})
 	n.targets = targets.New(targets.Config{Core: n.core, Flights: n.flights, Log: quiet()})
 	n.core.decide = func(s entry.Submit) {
 		address := engine
@@ -156,6 +192,7 @@
 		Core: n.core, View: func() *entry.View { return view }, Flights: n.flights,
 		Rereads:  flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20}),
 		Follower: n.targets, TokenKey: tokenKey, Log: quiet(), LookEvery: 10 * time.Millisecond,
+		Arrived: n.arrived, Observe: n.seen.add,
 	})
 	ln := listen()
 	n.address = ln.Addr().String()
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -61,6 +61,13 @@
 	index   *document.Index
 	version int64
 	timing  timing
+	// fastest is the least declared step time of each pool's targets.
+	fastest map[string]time.Duration
+	// wokeAt is when this process last found that it had stood still.
+	wokeAt time.Time
+	// quorum: this entry is in touch with most members; quorumLost: since when not.
+	quorum     bool
+	quorumLost time.Time
 
 	accepted *acceptance.Acceptance
 	ids      *owner.Table
@@ -83,6 +90,8 @@
 	plan    *placement.Plan
 	homes   [partitions]ident.Incarnation
 	watches map[string]*targetWatch
+	// watchedOrders are targets held elsewhere that are probed for their orders.
+	watchedOrders []string
 
 	deaths     map[string]*death
 	deathOrder []string
@@ -101,6 +110,7 @@
 	membersAt time.Time
 	digestsAt time.Time
 
+	answering int
 	following bool
 	logUp     bool
 	changed   bool
@@ -204,6 +214,8 @@
 		e.instances(in)
 	case OrderDone:
 		e.performOrders(e.orders.OrderDone(e.now, in.Target, in.Refused, in.Failed))
+	case Answering:
+		e.answering = in.Open
 	case DrainStart:
 		e.drain.Start(e.now)
 	case Tick:
@@ -219,6 +231,7 @@
 	e.perform(e.share.Tick(e.now), fromShare)
 	e.performClaims(e.claims.Tick(e.now))
 	e.performOrders(e.orders.Tick(e.now))
+	e.watchOrders()
 	e.closeDeaths()
 	e.ids.Expire(e.now)
 	e.renew()
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
-	"sycamoretrail/internal/core/scheduler"
+	"sycamoretrail/internal/core/routing"
 	"sycamoretrail/internal/core/suspects"
 )
 
@@ -24,35 +23,67 @@
 // place chooses a target for a flight and offers it there.
 func (e *Entry) place(f *flight) {
 	if !e.now.Before(f.req.Deadline) {
-		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		e.refuseLate(f, outcome.ReasonDeadlinePassed)
 		return
 	}
-	target, found := e.choose(f)
-	if !found {
-		e.noTarget(f)
+	if e.waitsForTouch(f) {
+		f.stage = stageWaiting
+		e.wakeAt(f, e.now.Add(replaceWait))
+		return
+	}
+	target, status := e.choose(f)
+	if !status.OK() {
+		e.noTarget(f, status)
 		return
 	}
 	f.final = f.final || len(f.tried) >= triesBeforeFinal || e.lastCandidate(f)
 	e.offerAt(f, target)
 }
 
+// waitsForTouch holds a request back for a moment while this entry is out of
+// touch with most members: after a pause or a short cut the next heartbeats end
+// that. Until then every scheduler that it can see would refuse work below the
+// top tier, and an entry that sees only itself would offer to itself, where a
+// takeover must first wait for reports.
+func (e *Entry) waitsForTouch(f *flight) bool {
+	if e.quorum || e.cfg.Policy != PolicyScheduler || f.req.Tier == 0 && len(e.members.Live()) > 1 {
+		return false
+	}
+	return e.now.Sub(e.quorumLost) < e.timing.silence && e.poolMayRecover(f)
+}
+
 // noTarget handles a pool of which no target can be chosen: once all were
 // tried, the best of them is asked for the last word.
-func (e *Entry) noTarget(f *flight) {
+func (e *Entry) noTarget(f *flight, status routing.Status) {
 	if len(f.tried) > 0 {
+		askedAll := f.final
 		f.tried = f.tried[:0]
 		f.final = true
-		if target, found := e.choose(f); found {
+		if askedAll {
+			// Every target has turned the last word down as well. Where this entry
+			// schedules them all itself, asking again at once would go round for
+			// ever within one step.
+			f.stage = stageWaiting
+			e.wakeAt(f, e.now.Add(replaceWait))
+			return
+		}
+		var target string
+		if target, status = e.choose(f); status.OK() {
 			e.offerAt(f, target)
 			return
 		}
 	}
-	if e.poolMayRecover(f) {
+	switch {
+	case status == routing.NoneInTime:
+		// Waiting makes it only later, and no other tier's place makes a target
+		// faster, so the caller is told at once.
+		e.refuseLate(f, outcome.ReasonDeadline)
+	case e.poolMayRecover(f):
 		f.stage = stageWaiting
 		e.wakeAt(f, e.now.Add(replaceWait))
-		return
+	default:
+		e.abandon(f, outcome.Refused(outcome.ReasonNoTarget, e.jitter(retrySoon), "no target of the pool is available"))
 	}
-	e.abandon(f, outcome.Refused(outcome.ReasonNoTarget, e.jitter(retrySoon), "no target of the pool is available"))
 }
 
 // poolMayRecover gives a pool without a target a moment, since a change of
@@ -61,14 +92,12 @@
 	return e.now.Sub(f.req.Arrived) < e.timing.silence
 }
 
-func (e *Entry) choose(f *flight) (string, bool) {
+func (e *Entry) choose(f *flight) (string, routing.Status) {
 	exclude := func(target string) bool { return f.hasTried(target) }
 	if e.cfg.Policy == PolicyAlone {
-		target, _ := e.router.TwoChoices(e.now, &f.req, exclude)
-		return target, target != ""
+		return e.router.TwoChoices(e.now, &f.req, exclude)
 	}
-	target, _ := e.router.Choose(e.now, &f.req, exclude)
-	return target, target != ""
+	return e.router.Choose(e.now, &f.req, exclude)
 }
 
 func (e *Entry) lastCandidate(f *flight) bool {
@@ -80,6 +109,14 @@
 	f.target = target
 	f.scheduler = e.schedulerOf(target)
 	f.own = false
+	if f.scheduler == "" && e.state == message.Draining {
+		// Nobody is left to hand targets to; what callers may still bring is
+		// served by this entry's own share.
+		f.stage, f.own = stageOffered, true
+		f.offeredAt = e.now
+		e.sendOffer(f)
+		return
+	}
 	if f.scheduler == "" {
 		f.stage = stageWaiting
 		e.wakeAt(f, e.now.Add(replaceWait))
@@ -88,6 +125,7 @@
 	f.stage = stageOffered
 	f.heard = false
 	f.offeredAt = e.now
+	e.router.Offered(e.now, target)
 	e.note(Decision{ID: f.req.ID, Event: EventOffered, Target: target, Tier: f.req.Tier, Detail: string(f.scheduler)})
 	e.sendOffer(f)
 }
@@ -126,7 +164,7 @@
 // the scheduler stays silent.
 func (e *Entry) attendOffered(f *flight) {
 	if !e.now.Before(f.req.Deadline) {
-		e.abandon(f, outcome.Refused(outcome.ReasonDeadlinePassed, e.jitter(retrySoon), "the deadline passed before a place was free"))
+		e.refuseLate(f, outcome.ReasonDeadlinePassed)
 		return
 	}
 	if !f.own && e.schedulerOf(f.target) != f.scheduler {
@@ -135,90 +173,29 @@
 		return
 	}
 	if !f.own && !f.heard && e.now.Sub(f.offeredAt) >= e.timing.grant {
-		e.withdraw(f)
-		f.own = true
-		f.offeredAt = e.now
-	}
-	e.sendOffer(f)
-}
-
-// withdraw takes the present offer back.
-func (e *Entry) withdraw(f *flight) {
-	if f.stage != stageOffered {
-		return
-	}
-	withdrawal := message.Withdraw{ID: f.req.ID, Target: f.target}
-	if f.own {
-		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, withdrawal), fromShare)
-	} else {
-		e.send(f.scheduler, withdrawal)
-	}
-	f.stage = stageWaiting
-}
-
-// queued notes that the scheduler has the offer in its queue.
-func (e *Entry) queued(from ident.Incarnation, q message.Queued) {
-	f := e.flights[q.ID]
-	if f == nil || f.stage != stageOffered || f.target != q.Target || f.scheduler != from {
+		e.schedulerSilent(f)
 		return
 	}
-	f.heard = true
-}
-
-// granted dispatches a flight, if the grant is still good.
-func (e *Entry) granted(from ident.Incarnation, g message.Grant, own bool) {
-	f := e.flights[g.ID]
-	if f == nil || f.stage != stageOffered || f.target != g.Target || f.own != own {
-		// A grant of a former scheduler or for an offer taken back. The place
-		// must be given back at once, or it stands empty until it lapses.
-		e.giveBack(from, message.Withdraw{ID: g.ID, Target: g.Target}, own, f, g.Target)
-		return
-	}
-	sent, known := f.sentAt(g.Ask)
-	until := sent.Add(g.Valid - grantMargin)
-	if !known || !e.now.Before(until) {
-		// The grant spent its validity on the way, or this process slept. The
-		// target may be leaving or full by now: only a fresh grant counts.
-		e.withdraw(f)
-		e.offerAt(f, f.target)
-		return
-	}
-	e.dispatch(f, until)
-}
-
-// giveBack returns an unwanted place, unless the flight runs at that target.
-func (e *Entry) giveBack(to ident.Incarnation, w message.Withdraw, own bool, f *flight, target string) {
-	if f != nil && f.stage == stageRunning && f.target == target {
-		return
-	}
-	if own {
-		e.perform(e.share.Withdraw(e.now, e.cfg.Self.Incarnation, w), fromShare)
-		return
-	}
-	e.send(to, w)
+	e.sendOffer(f)
 }
 
-// refused moves a flight on after a scheduler turned it down.
-func (e *Entry) refused(from ident.Incarnation, r message.Refuse, own bool) {
-	f := e.flights[r.ID]
-	if f == nil || f.stage != stageOffered || f.target != r.Target || f.own != own {
-		return
-	}
-	if !own && f.scheduler != from {
-		return
-	}
-	f.stage = stageWaiting
-	switch {
-	case r.Settled:
-		e.abandon(f, outcome.Refused(r.Reason, r.RetryAfter, detailOf(r.Reason)))
-	case scheduler.Moved(r):
-		e.wakeAt(f, e.now.Add(replaceWait))
-	case r.Elsewhere != "":
-		e.offerAt(f, r.Elsewhere)
-	default:
+// schedulerSilent moves a flight on whose scheduler does not answer: to another
+// target, whose scheduler may, or else to this entry's own share of the target.
+// The share is small, and a request that it refuses has lost the time in which
+// the others could have served it.
+func (e *Entry) schedulerSilent(f *flight) {
+	e.withdraw(f)
+	if !f.hasTried(f.target) {
 		f.tried = append(f.tried, f.target)
-		e.place(f)
+		if target, status := e.choose(f); status.OK() {
+			e.offerAt(f, target)
+			return
+		}
 	}
+	f.stage = stageOffered
+	f.own = true
+	f.offeredAt = e.now
+	e.sendOffer(f)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -227,13 +204,3 @@
 	}
 	return b
 }
-
-func detailOf(reason outcome.Reason) string {
-	switch reason {
-	case outcome.ReasonDisplaced:
-		return "a higher tier needed the place"
-	case outcome.ReasonDeadline:
-		return "the answer could not be complete by the deadline"
-	}
-	return "every target that could serve the request is full"
-}
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/document"
@@ -27,6 +28,8 @@
 	// leaving by its own readiness answer, by the platform's list, or because
 	// it turned a request away as leaving.
 	leavingProbe, leavingList, leavingAnswer bool
+	// listedAt is when the list last called it leaving.
+	listedAt time.Time
 }
 
 func (w targetWatch) available() bool {
@@ -57,11 +60,19 @@
 	}
 }
 
+// listDoubt exceeds the lag of the platform's list.
+const listDoubt = 40 * time.Second
+
 // listLeaving takes the platform's word on a target; the list lags, so it can
-// only add to what the probe says.
+// only add to what the probe says. An older state of the list may be shown after
+// a newer one: were it believed, a target would get work again while it leaves,
+// so "not leaving" counts once it has stood for longer than the list can lag.
 func (e *Entry) listLeaving(target string, leaving bool) {
 	w := e.watch(target)
-	if w.leavingList == leaving {
+	if leaving {
+		w.listedAt = e.now
+	}
+	if w.leavingList == leaving || !leaving && e.now.Sub(w.listedAt) < listDoubt {
 		return
 	}
 	w.leavingList = leaving
@@ -118,20 +129,30 @@
 	}
 }
 
-// probes lists the targets that this entry watches: those that it schedules.
+// probes lists the targets that this entry watches: those that it schedules,
+// and those held elsewhere for whose orders its own wait.
 func (e *Entry) probes() []document.Target {
 	if e.doc == nil {
 		return nil
 	}
 	var watched []document.Target
 	for i := range e.doc.Targets {
-		if e.schedulerOf(e.doc.Targets[i].Name) == e.cfg.Self.Incarnation {
-			watched = append(watched, e.doc.Targets[i])
+		t := &e.doc.Targets[i]
+		if e.schedulerOf(t.Name) == e.cfg.Self.Incarnation || slices.Contains(e.watchedOrders, t.Name) {
+			watched = append(watched, *t)
 		}
 	}
 	return watched
 }
 
+// watchOrders renews the list of targets that are watched for their orders.
+func (e *Entry) watchOrders() {
+	if watched := e.orders.Watched(e.now); !slices.Equal(watched, e.watchedOrders) {
+		e.watchedOrders = watched
+		e.changed = true
+	}
+}
+
 // schedulerTarget describes a target to the schedulers.
 func (e *Entry) schedulerTarget(t *document.Target) scheduler.Target {
 	class, _ := e.index.Class(t.Class)
@@ -144,6 +165,18 @@
 	}
 }
 
+// fastestSteps finds each pool's least declared step time.
+func (e *Entry) fastestSteps() map[string]time.Duration {
+	fastest := make(map[string]time.Duration, len(e.doc.Pools))
+	for i := range e.doc.Targets {
+		t := e.schedulerTarget(&e.doc.Targets[i])
+		if least, known := fastest[t.Pool]; !known || t.StepTime < least {
+			fastest[t.Pool] = t.StepTime
+		}
+	}
+	return fastest
+}
+
 // schedulerSettings turns the document's rules into the schedulers' settings.
 func (e *Entry) schedulerSettings() scheduler.Settings {
 	doc := e.doc
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -71,7 +71,7 @@
 	Limit    int `cbor:"2,keyasint"`
 	InFlight int `cbor:"3,keyasint"`
 	Queued   int `cbor:"4,keyasint"`
-	// QueuedPrefill is prompt tokens granted or queued and not yet computed.
+	// QueuedPrefill is prompt tokens granted and not yet computed.
 	QueuedPrefill int `cbor:"5,keyasint"`
 	// PrefillRate in tokens per second and StepTime are the learned estimates.
 	PrefillRate float64       `cbor:"6,keyasint"`
@@ -82,6 +82,12 @@
 	LowestTier request.Tier `cbor:"9,keyasint"`
 	// Wait is the estimated wait for a place of a request of the lowest tier.
 	Wait time.Duration `cbor:"10,keyasint"`
+	// WaitingPrefill is prompt tokens of the offers that wait for a place; short
+	// prompts pass long ones, so only a long one counts them as ahead.
+	WaitingPrefill int `cbor:"11,keyasint,omitempty"`
+	// Waits is the estimated wait for a place by tier, the top tier first; Wait
+	// holds for tiers beyond.
+	Waits []time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Offer asks a target's scheduler for a place. Sent again to refresh it.
@@ -170,6 +176,8 @@
 	ResultBroken
 	// ResultCancelled: we cancelled it.
 	ResultCancelled
+	// ResultFailed: the target lives and answered with an error of its own.
+	ResultFailed
 )
 
 // Sample is what one run showed of its target's speed.
@@ -192,6 +200,8 @@
 type Running struct {
 	Full bool         `cbor:"1,keyasint,omitempty"`
 	Runs []RunningOne `cbor:"2,keyasint"`
+	// Moved names the targets for whose takeover a full report is sent.
+	Moved []string `cbor:"3,keyasint,omitempty"`
 }
 
 // RunningOne is one run at a target.
@@ -234,6 +244,8 @@
 	ID  ident.RequestID `cbor:"2,keyasint"`
 	// Known: the asker only wants to know what became of it, and never to run it.
 	Known bool `cbor:"3,keyasint,omitempty"`
+	// Tag tells which organisation brought the id to the asker; see owner.Tag.
+	Tag uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Standing is what an owner says of an id.
@@ -295,6 +307,9 @@
 	// Winner holds the key: ID itself, or the request that came first.
 	// Empty: the log gave no verdict.
 	Winner ident.RequestID `cbor:"3,keyasint,omitempty"`
+	// Unread: no verdict, and the home could not read the partition, so another
+	// request of the key may have run earlier.
+	Unread bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ClaimRelease asks the home to give up a claim whose request did not run.
--- a/internal/core/scheduler/estimate.go
+++ b/internal/core/scheduler/estimate.go
@@ -42,7 +42,7 @@
 // loadAfter is the present load after a while: the prompts that are being
 // computed now will be done by then.
 func (t *target) loadAfter(wait time.Duration) load {
-	l := load{prefill: t.prefill, inFlight: len(t.runs)}
+	l := load{prefill: t.backlog(), inFlight: len(t.runs)}
 	if wait <= 0 || l.prefill == 0 {
 		return l
 	}
@@ -59,7 +59,7 @@
 func (t *target) loadWithout(r *run) load {
 	l := load{prefill: t.prefill, inFlight: len(t.runs) - 1}
 	if r.prefilling {
-		l.prefill -= r.offer.PromptTokens
+		l.prefill = max(0, l.prefill-r.work)
 	}
 	return l
 }
@@ -119,7 +119,7 @@
 	if len(t.runs) > 0 {
 		mean = t.service / time.Duration(len(t.runs))
 	}
-	mean = time.Duration(float64(mean) * t.occupancy)
+	mean = t.scaled(mean)
 	return t.opensIn() + mean*time.Duration(ahead-max(free, 0)+1)/time.Duration(limit)
 }
 
@@ -128,6 +128,24 @@
 	return t.waitBehind(t.queue.Len(), 0)
 }
 
+// scaled is the time in place that runs of an estimated time really take there.
+func (t *target) scaled(service time.Duration) time.Duration {
+	return time.Duration(float64(service) * t.occupancy)
+}
+
+// waits estimates the wait of a newcomer of each tier, behind all that waits of
+// its own tier and above; nil if nobody waits for a place.
+func (t *target) waits() []time.Duration {
+	if t.queue.Len() == 0 && len(t.runs) < t.limit() {
+		return nil
+	}
+	waits := make([]time.Duration, t.set.Tiers)
+	for tier := range waits {
+		waits[tier] = t.waitBehind(t.queue.Above(request.Tier(tier+1)), 0)
+	}
+	return waits
+}
+
 func (t *target) learnOccupancy(r *run, held time.Duration) {
 	if r.service <= 0 {
 		return
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -27,9 +27,10 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"sycamoretrail/internal/core/floors"
@@ -114,7 +115,11 @@
 	timers     timers
 	members    []ident.Incarnation
 	reports    reportBuffer
-	out        []Effect
+	early      earlyFull
+	// parted is until when a pool counts as having lower work left, since a
+	// target of it was handed over.
+	parted map[string]time.Time
+	out    []Effect
 }
 
 // New returns a scheduler without targets. seed feeds its jitter. estimators
@@ -130,6 +135,8 @@
 		floors:     floors.New(),
 		holdings:   make(map[holdKey]*holding),
 		timers:     newTimers(),
+		early:      make(earlyFull),
+		parted:     make(map[string]time.Time),
 	}
 }
 
@@ -185,6 +192,7 @@
 	t := newTarget(s, desc)
 	s.targets[desc.Name] = t
 	s.reports.apply(s, t)
+	s.early.apply(s, t)
 }
 
 func (s *Scheduler) handOver(t *target) {
@@ -194,6 +202,7 @@
 	for _, r := range t.sortedRuns() {
 		t.endRun(r)
 	}
+	s.parted[t.desc.Pool] = s.now.Add(s.set.Silence)
 	delete(s.targets, t.desc.Name)
 }
 
@@ -306,13 +315,8 @@
 	return out
 }
 
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
+func sortedNames[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
 }
 
 // topTier is the highest tier.
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -39,7 +39,10 @@
 	prefillLong int
 	longRuns    int
 	suspects    int
-	service     time.Duration
+	pending     prefillBacklog
+	// hits is the part of prompts found cached, by tier and lane.
+	hits    map[hitKey]float64
+	service time.Duration
 
 	// occupancy is the learned ratio of real to estimated time in place.
 	occupancy float64
@@ -48,8 +51,15 @@
 	// shortSeen is when a short request of each tier was last offered.
 	shortSeen []time.Time
 	// rooms are requests that were told of room here and have not come yet.
-	rooms  map[ident.RequestID]time.Time
+	rooms  map[ident.RequestID]expectation
 	timers *timers
+	past   lateReports
+}
+
+// expectation is a request that was told of room, until when it must come.
+type expectation struct {
+	tier  request.Tier
+	until time.Time
 }
 
 func newTarget(s *Scheduler, desc Target) *target {
@@ -65,7 +75,8 @@
 		takeover:  true,
 		awaited:   make(map[ident.Incarnation]struct{}, len(s.members)),
 		occupancy: 1,
-		rooms:     make(map[ident.RequestID]time.Time),
+		hits:      make(map[hitKey]float64),
+		rooms:     make(map[ident.RequestID]expectation),
 		timers:    &s.timers,
 	}
 	for _, m := range s.members {
@@ -145,7 +156,7 @@
 	case queue.Suspect:
 		return t.suspects == 0 && t.fitsPrefill(it)
 	case queue.Long:
-		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier)
+		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
 	}
 	return t.fitsPrefill(it)
 }
--- a/internal/replay/live/live_test.go
+++ b/internal/replay/live/live_test.go
@@ -84,8 +84,8 @@
 	case strings.HasPrefix(path, "/v1/services/"):
 		ctx.Response.Header.Set(headerRequestID, id)
 		ctx.Response.Header.Set(headerOutcome, string(outcome.Answered))
-		ctx.Response.Header.Set(headerChecksum, fmt.Sprintf("%016x", xxhash.Sum64String("done")))
-		ctx.SetBodyString("done")
+		ctx.Response.Header.Set(headerChecksum, fmt.Sprintf("%016x", xxhash.Sum64String(id)))
+		ctx.SetBodyString(id)
 	default:
 		e.note(&e.posts, id)
 		e.stream(ctx, id, 0)
@@ -144,7 +144,7 @@
 		sum := sha256.Sum256([]byte(tokens[o.Name]))
 		o.KeyHashes = []string{hex.EncodeToString(sum[:])}
 	}
-	t, err := trace.Generate(doc, trace.Options{Deployment: trace.Tanglaw, Seed: 1, Load: 0.3, Seconds: 1, Scenario: trace.Usual})
+	t, err := trace.Generate(doc, trace.Options{Deployment: trace.Tanglaw, Seed: 1, Load: 1.5, Seconds: 0.3, Scenario: trace.Usual})
 	Expect(err).NotTo(HaveOccurred())
 	in, err := Run(context.Background(), Options{
 		Trace: t, Document: doc, Entries: entries, Tokens: tokens, Callers: 3, Concurrency: 20,
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
@@ -139,22 +140,28 @@
 
 // send asks the entry whose turn it is.
 func (c *call) send() {
-	w := c.world
 	if c.closed() {
 		return
 	}
+	c.sendTo(c.world.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress), ident.RequestID(c.seen.ID))
+}
+
+// sendTo sends the request to an entry, or attaches there to the stream of an
+// id if a token for one is held.
+func (c *call) sendTo(h *host, id ident.RequestID) {
+	w := c.world
 	c.seen.Attempts++
-	h := w.hostAt(c.entries[c.turn%len(c.entries)].CallerAddress)
 	a := &attempt{call: c, host: h}
 	c.open = a
-	left := c.seen.Sent + c.seen.Deadline - w.sinceStart()
-	w.after(max(left, 0)+patience, a.impatient)
+	w.after(c.timeLeft().whole+patience, a.impatient)
 	if h == nil || !h.up {
 		w.after(2*callerDelay, a.broke)
 		return
 	}
 	h.attempts = append(h.attempts, a)
-	target, id := c.target, ident.RequestID(c.seen.ID)
+	// The headers tell what is left at the sending; the entry counts from when
+	// it reads them, as the live one does.
+	target, left := c.target, c.timeLeft()
 	w.after(callerDelay, func() {
 		h.deliver(func() {
 			if c.open != a {
@@ -164,7 +171,7 @@
 				h.resume(a, id, target)
 				return
 			}
-			h.submit(a, c.request())
+			h.submit(a, c.request(left))
 		})
 	})
 }
@@ -199,22 +206,33 @@
 	c.world.open--
 }
 
+// timeLeft is what is left of a call's bounds; firstToken 0: no bound.
+type timeLeft struct{ whole, firstToken time.Duration }
+
+func (c *call) timeLeft() timeLeft {
+	spent := c.world.sinceStart() - c.seen.Sent
+	left := timeLeft{whole: max(c.seen.Deadline-spent, time.Millisecond)}
+	if c.seen.FirstTokenBy > 0 {
+		left.firstToken = max(c.seen.FirstTokenBy-spent, time.Millisecond)
+	}
+	return left
+}
+
 // request is what the callers' edge makes of the call.
-func (c *call) request() request.Request {
+func (c *call) request(left timeLeft) request.Request {
 	now := c.world.now
 	line := c.line
-	left := max(c.seen.Sent+c.seen.Deadline-c.world.sinceStart(), time.Millisecond)
 	r := request.Request{
 		ID: ident.RequestID(c.seen.ID), Organisation: line.Organisation, Tier: c.seen.Tier, Kind: c.seen.Kind,
 		Pool: c.seen.Pool, Model: line.Model, PromptTokens: line.PromptTokens, MaxTokens: line.MaxTokens,
-		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left),
+		Prefixes: prefixes(line, c.source), Idempotent: line.Idempotent, Arrived: now, Deadline: now.Add(left.whole),
 		Fingerprint: request.Fingerprint(xxhash.Sum64String(fmt.Sprint(line.Organisation, line.Model, c.source))),
 	}
 	if line.Kind == trace.Service {
 		r.Model = line.Service
 	}
-	if c.seen.FirstTokenBy > 0 {
-		r.FirstTokenBy = now.Add(c.seen.Sent + c.seen.FirstTokenBy - c.world.sinceStart())
+	if left.firstToken > 0 {
+		r.FirstTokenBy = now.Add(left.firstToken)
 	}
 	if c.seen.Key != "" {
 		sum := sha256.Sum256([]byte(line.Organisation + "\x00" + c.seen.Key))
@@ -286,6 +304,18 @@
 	c.again()
 }
 
+// sentOn follows a redirect to the answer of the request, or of the first of
+// its key, at another entry.
+func (a *attempt) sentOn(o entry.SeeOther) {
+	c := a.call
+	if c.open != a || c.closed() {
+		return
+	}
+	a.leave()
+	c.target = o.Target
+	c.sendTo(c.world.hostAt(o.Address), o.Of)
+}
+
 // broke: the connection is gone, since the entry is.
 func (a *attempt) broke() {
 	if c := a.call; c.open == a && !c.closed() {
