Bound goodput by bursts, first tokens and classes, tested from both sides

The bound was capacity over demand from a trace's beginning to its last deadline. It ignored bursts and first-token bounds, charged an answer's first token as a decode step and a repeated call as a second run (both too much, so it could lie below what a policy reaches), and took the pool's mean speed for every request.

Now: one preemptive machine per pool, work priced per class, windows from arrival to deadline, and first tokens with what a full batch may leave.

--- a/cmd/sycamore-replay/plot.go
+++ b/cmd/sycamore-replay/plot.go
@@ -33,7 +33,7 @@
 			if name == "" {
 				name = "replay"
 				if result, err := sweep.ReadFile(sweepPath); err == nil {
-					name = fmt.Sprintf("%s-%s", result.Deployment, result.Scenario)
+					name = fmt.Sprintf("%s-%s", result.Deployment, result.Name)
 				}
 			}
 			if err := os.MkdirAll(out, 0o755); err != nil {
--- a/cmd/sycamore-replay/sweep.go
+++ b/cmd/sycamore-replay/sweep.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -28,8 +30,8 @@
 		Short: "Run virtual replays over loads, policies and seeds",
 		Long: `sweep generates a trace for each load and seed, replays it on the virtual clock
 under each policy, and writes goodput by tier with its spread over the seeds,
-wasted prefill and latencies, beside the bound of an oracle: capacity over
-demand, the higher tiers served first (docs/design/13-replay.md).`,
+wasted prefill and latencies, beside the bounds of an oracle: "bound" with the
+higher tiers served first, "ceiling" for any policy (docs/design/13-replay.md).`,
 		Example: `  sycamore-replay sweep --deployment quebracho --loads 0.5,1,1.3,2,4 --seeds 5 --out out/quebracho.json --csv out/quebracho.csv
   sycamore-replay plot --sweep out/quebracho.json --out docs/plots`,
 		Args: cobra.NoArgs,
@@ -45,7 +47,8 @@
 	flags.Float64Var(&f.options.Seconds, "seconds", 20, "time over which requests arrive")
 	flags.IntVar(&f.options.Entries, "entries", defaultEntries, "number of entries")
 	flags.DurationVar(&f.options.ReportAge, "report-age", time.Second, "age of the engines' load reports")
-	flags.StringVar(&f.faults, "faults", "", `schedule of failures; "all" is `+allFaults)
+	flags.StringVar(&f.faults, "faults", "", faultsHelp)
+	flags.StringVar(&f.options.Name, "name", "", "name of the sweep (default: the scenario and the faults)")
 	flags.IntVar(&f.replays, "parallel", 2, "replays under way at once")
 	flags.StringVar(&f.out, "out", "", "file for the result as JSON, which plot reads")
 	flags.StringVar(&f.csv, "csv", "", "file for the summary as CSV (default: standard output)")
@@ -65,6 +68,7 @@
 	}
 	f.options.Deployment, f.options.Scenario = trace.Deployment(f.deployment), trace.Scenario(f.scenario)
 	f.options.Workers = f.replays
+	f.nameSweep()
 	for _, name := range f.policies {
 		policy := entry.Policy(name)
 		if err := checkPolicy(policy); err != nil {
@@ -82,6 +86,17 @@
 	return f.write(result)
 }
 
+// nameSweep names a sweep without a name by what makes it special.
+func (f *sweepFlags) nameSweep() {
+	if f.options.Name != "" {
+		return
+	}
+	f.options.Name = f.scenario
+	if f.faults != "" {
+		f.options.Name += "-" + strings.TrimSuffix(filepath.Base(f.faults), ".json")
+	}
+}
+
 func (f *sweepFlags) write(result *sweep.Result) error {
 	if f.out != "" {
 		if err := result.WriteFile(f.out); err != nil {
--- a/cmd/sycamore-replay/virtual.go
+++ b/cmd/sycamore-replay/virtual.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spf13/pflag"
@@ -14,8 +15,16 @@
 	"sycamoretrail/internal/replay/virtual"
 )
 
-// allFaults is the schedule that --faults all stands for.
-const allFaults = "traces/faults.json"
+// Schedules of failures that have a name.
+const (
+	// allFaults is the schedule that --faults all stands for.
+	allFaults = "traces/faults.json"
+	// namedFaults is the schedule that any other name stands for.
+	namedFaults = "traces/faults-%s.json"
+)
+
+const faultsHelp = `schedule of failures: a file, or a name: "all" is ` + allFaults +
+	`, "straggle" one engine at a fifth of its speed, "half-zone" half a zone gone (traces/faults-NAME.json)`
 
 // virtualFlags are the flags of the virtual mode.
 type virtualFlags struct {
@@ -26,7 +35,7 @@
 
 func (v *virtualFlags) register(flags *pflag.FlagSet) {
 	flags.StringVar(&v.policy, "policy", string(entry.PolicyScheduler), "virtual: scheduler, shares or alone")
-	flags.StringVar(&v.faults, "faults", "", `virtual: schedule of failures; "all" is `+allFaults)
+	flags.StringVar(&v.faults, "faults", "", "virtual: "+faultsHelp)
 	flags.Uint64Var(&v.seed, "seed", 1, "virtual: seed of the entries' choices")
 	flags.DurationVar(&v.reportAge, "report-age", time.Second, "virtual: age of the engines' load reports")
 }
@@ -45,11 +54,13 @@
 
 // readFaults reads a schedule by its name; none for an empty name.
 func readFaults(name string) ([]virtual.Fault, error) {
-	switch name {
-	case "":
+	switch {
+	case name == "":
 		return nil, nil
-	case "all":
+	case name == "all":
 		name = allFaults
+	case !strings.ContainsAny(name, "./"):
+		name = fmt.Sprintf(namedFaults, name)
 	}
 	return virtual.ReadFaults(name)
 }
--- a/internal/replay/report/books.go
+++ b/internal/replay/report/books.go
@@ -16,6 +16,8 @@
 	// byID lists the runs of a request id, callOf the first call that used it.
 	byID   map[string][]*Run
 	callOf map[string]*Call
+	// answeredOf is the first call of an id whose caller got the whole answer.
+	answeredOf map[string]*Call
 	// byKey lists the runs of a call that may not be repeated, by its key.
 	byKey map[string][]*Run
 	// byPool lists runs in order of their beginning.
@@ -24,7 +26,7 @@
 
 func newBooks(in *Input) *books {
 	b := &books{
-		calls: in.Calls, runs: in.Runs, byID: map[string][]*Run{}, callOf: map[string]*Call{},
+		calls: in.Calls, runs: in.Runs, byID: map[string][]*Run{}, callOf: map[string]*Call{}, answeredOf: map[string]*Call{},
 		byKey: map[string][]*Run{}, byPool: map[string][]*Run{},
 	}
 	for i := range b.calls {
@@ -32,6 +34,9 @@
 		if b.callOf[c.ID] == nil {
 			b.callOf[c.ID] = c
 		}
+		if b.answeredOf[c.ID] == nil && c.Answered() {
+			b.answeredOf[c.ID] = c
+		}
 	}
 	for i := range b.runs {
 		b.enter(&b.runs[i])
@@ -110,12 +115,7 @@
 	if first == nil || first.Answered() {
 		return first
 	}
-	for i := range b.calls {
-		if c := &b.calls[i]; c.ID == id && c.Answered() {
-			return c
-		}
-	}
-	return nil
+	return b.answeredOf[id]
 }
 
 // falselyNotRun: the caller was told "not run", yet a run with the id is in a
--- a/internal/replay/report/report.go
+++ b/internal/replay/report/report.go
@@ -64,6 +64,8 @@
 	// Goodput by tier: answered whole and in time / sent.
 	Goodput map[string]float64 `json:"goodput"`
 	Sent    map[string]int     `json:"sent"`
+	// Organisations have the same of each organisation, by tier.
+	Organisations map[string]map[string]Share `json:"organisations"`
 	// WastedPrefillTokens were computed for runs whose answer nobody got whole.
 	WastedPrefillTokens int `json:"wasted_prefill_tokens"`
 	// LatePrefillTokens were computed for whole answers that came too late; they
@@ -94,6 +96,15 @@
 	Violations map[string][]string `json:"violations,omitempty"`
 }
 
+// Share is a part of requests that were good.
+type Share struct {
+	Good int `json:"good"`
+	Sent int `json:"sent"`
+}
+
+// Goodput is the part itself.
+func (s Share) Goodput() float64 { return float64(s.Good) / float64(max(s.Sent, 1)) }
+
 // violationsKept bounds the examples kept of each sort.
 const violationsKept = 10
 
@@ -102,7 +113,8 @@
 	r := &Report{
 		Trace: in.Trace, Mode: in.Mode, Policy: in.Policy, Seed: in.Seed, Load: in.Load,
 		Requests: len(in.Calls), Goodput: map[string]float64{}, Sent: map[string]int{},
-		FirstToken: map[string]Percentiles{}, InterToken: map[string]Percentiles{},
+		Organisations: map[string]map[string]Share{},
+		FirstToken:    map[string]Percentiles{}, InterToken: map[string]Percentiles{},
 		Refusals: map[string]map[outcome.Reason]int{}, AnswerFaults: map[string]int{}, EntryFaults: map[string]int{},
 		RunsByTarget: map[string]int{}, LostLedgers: in.LostLedgers,
 		ToleranceMS: milliseconds(in.Tolerance), Violations: map[string][]string{},
@@ -188,7 +200,25 @@
 		r.Goodput[name] = float64(good) / float64(sent)
 		r.FirstToken[name] = percentiles(first)
 		r.InterToken[name] = percentiles(gaps)
+		r.Organisations[name] = byOrganisation(in.Calls, request.Tier(rank))
+	}
+}
+
+func byOrganisation(calls []Call, tier request.Tier) map[string]Share {
+	shares := map[string]Share{}
+	for i := range calls {
+		c := &calls[i]
+		if c.Tier != tier {
+			continue
+		}
+		s := shares[c.Organisation]
+		s.Sent++
+		if c.Good() {
+			s.Good++
+		}
+		shares[c.Organisation] = s
 	}
+	return shares
 }
 
 func (r *Report) violation(sort, id string) {
--- a/internal/replay/sweep/bound.go
+++ b/internal/replay/sweep/bound.go
@@ -1,127 +1,245 @@
 package sweep
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/document"
-	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/replay/trace"
+	"sycamoretrail/internal/replay/virtual"
 )
 
-// Bound is the best goodput that each tier of a trace could have, on paper:
-// capacity over demand, for an oracle that knows every size and wastes nothing.
-//
-// A request costs its pool 1 / Σ 1/w seconds, where w is the time that the
-// request takes of one target: for an engine
-//
-//	(prompt − cached) / prefill_rate + answer × step / max_in_flight
-//
-// with every whole block of a shared prefix cached, for a plain service
-// step / max_in_flight. All work of a tier falls between the trace's beginning
-// and its last deadline in the tier, and the tiers above come first, so
-//
-//	Σ cost(answered in tier) ≤ last deadline − Σ cost(answered above)
-//
-// Within a tier the cheapest requests are taken first, which gives the greatest
-// count. Bursts, batching that is not full and the cost of learning are left
-// out, so the bound cannot always be reached. It assumes that no target is
-// better at one sort of request than its pool is on the whole.
-func Bound(doc *document.Document, t *trace.Trace) map[string]float64 {
-	bounds := map[string]float64{}
-	used := map[string]time.Duration{}
-	for i := range doc.Tiers {
-		name := doc.Tiers[i].Name
-		sent, done := 0, 0
-		for pool, w := range tierWork(doc, t, name) {
-			sent += len(w.costs)
-			done += w.fit(used[pool])
-			used[pool] += w.taken
+// Bounds are the best goodputs that a trace allows, by tier and for AllTiers.
+type Bounds struct {
+	// Priority is the best of each tier beside the tiers above at their best:
+	// what strict order of tiers aims at.
+	Priority map[string]float64 `json:"priority"`
+	// Ceiling is what no policy passes, whatever it gives up in other tiers.
+	Ceiling map[string]float64 `json:"ceiling"`
+}
+
+// Bound works out the bounds on paper, for an oracle that knows every request,
+// size and failure beforehand and wastes nothing; docs/design/13-replay.md has
+// the argument. A pool is one machine that may divide its time at will; each
+// request brings its least work, which must fit between its arrival and its
+// deadline, and its first token before its own bound.
+func Bound(doc *document.Document, t *trace.Trace, faults []virtual.Fault) Bounds {
+	sent := make([]float64, len(doc.Tiers))
+	priority := make([]float64, len(doc.Tiers))
+	ceiling := make([]float64, len(doc.Tiers))
+	all := 0.0
+	for _, pool := range doc.Pools {
+		p := newPoolBound(doc, t, faults, pool.Name)
+		if len(p.jobs) == 0 {
+			continue
 		}
-		if sent > 0 {
-			bounds[name] = float64(done) / float64(sent)
+		best := p.inPriority()
+		for tier := range doc.Tiers {
+			sent[tier] += float64(p.sent[tier])
+			priority[tier] += best[tier]
+			ceiling[tier] += p.most(func(j int) bool { return j == tier })
 		}
+		all += p.most(func(int) bool { return true })
 	}
-	return bounds
+	b := Bounds{Priority: map[string]float64{}, Ceiling: map[string]float64{}}
+	total, served := 0.0, 0.0
+	for tier := range doc.Tiers {
+		if sent[tier] == 0 {
+			continue
+		}
+		b.Priority[doc.Tiers[tier].Name] = priority[tier] / sent[tier]
+		b.Ceiling[doc.Tiers[tier].Name] = ceiling[tier] / sent[tier]
+		total += sent[tier]
+		served += priority[tier]
+	}
+	if total > 0 {
+		b.Priority[AllTiers] = served / total
+		b.Ceiling[AllTiers] = min(all, sum(ceiling)) / total
+	}
+	return b
 }
 
-// work is what one tier brings to one pool.
-type work struct {
-	costs []time.Duration
-	// lastDeadline of the tier's requests, from the trace's beginning.
-	lastDeadline time.Duration
-	taken        time.Duration
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
 }
 
-// fit counts the requests that can be served beside what the tiers above take.
-func (w *work) fit(above time.Duration) int {
-	slices.Sort(w.costs)
-	for n, cost := range w.costs {
-		if above+w.taken+cost > w.lastDeadline {
-			return n
-		}
-		w.taken += cost
-	}
-	return len(w.costs)
+// poolBound is one pool's part of a trace.
+type poolBound struct {
+	stations []station
+	tiers    int
+	sent     []int
+	jobs     []poolJob
+	// families is the number of different windows that jobs have.
+	families int
+	end      time.Duration
+	speed    func(time.Duration) float64
+}
+
+// poolJob is a request, with its bounds from its arrival.
+type poolJob struct {
+	tier, family      int
+	work              float64
+	arrives           time.Duration
+	firstToken, whole time.Duration
+	answer            int
 }
 
-// tierWork gathers a tier's work by pool.
-func tierWork(doc *document.Document, t *trace.Trace, tier string) map[string]*work {
-	pools := map[string]*work{}
+func newPoolBound(doc *document.Document, t *trace.Trace, faults []virtual.Fault, pool string) *poolBound {
+	p := &poolBound{stations: stations(doc, pool), tiers: len(doc.Tiers), sent: make([]int, len(doc.Tiers))}
+	var seconds [][]float64
 	for i := range t.Lines {
 		line := &t.Lines[i]
-		if line.Tier != tier {
+		rank, known := doc.TierRank(line.Tier)
+		if !known || trace.PoolOf(doc, line) != pool {
 			continue
 		}
-		pool := trace.PoolOf(doc, line)
-		if pools[pool] == nil {
-			pools[pool] = &work{}
-		}
-		w := pools[pool]
-		w.costs = append(w.costs, Cost(doc, pool, line))
-		w.lastDeadline = max(w.lastDeadline, line.At()+deadline(doc, line))
+		j := poolJob{tier: int(rank), arrives: line.At(), answer: line.MaxTokens}
+		j.firstToken, j.whole = bounds(doc, line, int(rank))
+		p.sent[j.tier]++
+		p.jobs = append(p.jobs, j)
+		seconds = append(seconds, p.seconds(line, &j))
+		p.end = max(p.end, j.arrives+j.whole)
+	}
+	findPrices(p.stations, seconds)
+	for i := range p.jobs {
+		p.jobs[i].work = work(p.stations, seconds[i])
 	}
-	return pools
+	p.findFamilies()
+	p.speed = speedUnder(doc, pool, p.stations, faults)
+	return p
 }
 
-// Cost is the time that a whole pool takes for a request; 0: no target serves it.
-func Cost(doc *document.Document, pool string, line *trace.Line) time.Duration {
-	rate := 0.0
-	for i := range doc.Targets {
-		target := &doc.Targets[i]
-		if target.Pool != pool || target.Leaving {
-			continue
+// seconds are the request's least times by class; none for a request that is
+// sent again, since the run of the first answers both.
+func (p *poolBound) seconds(line *trace.Line, j *poolJob) []float64 {
+	if line.Resend != nil {
+		return nil
+	}
+	row := make([]float64, len(p.stations))
+	for i := range p.stations {
+		row[i] = p.stations[i].seconds(line, j.firstToken, j.whole)
+	}
+	return row
+}
+
+// bounds are the request's own, or its tier's; 0: none for the first token.
+func bounds(doc *document.Document, line *trace.Line, rank int) (first, whole time.Duration) {
+	whole = line.Deadline()
+	if whole == 0 {
+		whole = time.Duration(doc.Tiers[rank].DeadlineMS) * time.Millisecond
+	}
+	first = line.FirstToken()
+	if first == 0 && line.Kind == trace.Engine {
+		first = time.Duration(doc.Tiers[rank].FirstTokenMS) * time.Millisecond
+	}
+	return min(first, whole), whole
+}
+
+// window is what jobs of a family have in common.
+type window struct{ firstToken, whole time.Duration }
+
+// mostFamilies bounds the sets of families; a trace with more different windows
+// has them widened, which keeps the bound one.
+const mostFamilies = 5
+
+// findFamilies puts jobs with equal bounds into one family, and widens windows
+// while there are too many.
+func (p *poolBound) findFamilies() {
+	kinds := map[window]int{}
+	for i := range p.jobs {
+		kinds[window{p.jobs[i].firstToken, p.jobs[i].whole}] = 0
+	}
+	ordered := slices.SortedFunc(maps.Keys(kinds), func(a, b window) int {
+		return cmp.Or(cmp.Compare(a.whole, b.whole), cmp.Compare(a.firstToken, b.firstToken))
+	})
+	p.families = min(len(ordered), mostFamilies)
+	for i, kind := range ordered {
+		kinds[kind] = i * p.families / len(ordered)
+	}
+	widest := make([]window, p.families)
+	for _, kind := range ordered {
+		w := &widest[kinds[kind]]
+		w.whole = max(w.whole, kind.whole)
+		// No bound for one of them: none for the family.
+		if kind.firstToken == 0 || w.firstToken < 0 {
+			w.firstToken = -1
+		} else {
+			w.firstToken = max(w.firstToken, kind.firstToken)
 		}
-		if class := trace.ClassOf(doc, target.Class); class != nil {
-			rate += targetRate(class, line)
+	}
+	for i := range p.jobs {
+		j := &p.jobs[i]
+		j.family = kinds[window{j.firstToken, j.whole}]
+		j.firstToken, j.whole = max(widest[j.family].firstToken, 0), widest[j.family].whole
+	}
+}
+
+// drain is the greatest work that requests of the kind leave after their first
+// tokens: a full batch at each engine.
+func (p *poolBound) drain(which func(tier int) bool) float64 {
+	longest := 0
+	for i := range p.jobs {
+		if which(p.jobs[i].tier) {
+			longest = max(longest, p.jobs[i].answer)
 		}
 	}
-	if rate <= 0 {
-		return 0
+	total := 0.0
+	for i := range p.stations {
+		s := &p.stations[i]
+		total += s.price * float64(s.count) * s.drainSeconds(longest)
 	}
-	return time.Duration(float64(time.Second) / rate)
+	return total
 }
 
-// targetRate is how many requests like line a second one target serves.
-func targetRate(class *document.Class, line *trace.Line) float64 {
-	if class.Kind == document.KindEngine {
-		cached := 0
-		if line.SharedPrefix != nil {
-			cached = line.SharedPrefix.Tokens / request.PrefixBlockTokens * request.PrefixBlockTokens
+// most is how many requests of the tiers can be in time at most, if no other is
+// served: by their deadlines alone, and by their first tokens with what a full
+// batch may leave after them.
+func (p *poolBound) most(which func(tier int) bool) float64 {
+	drain := p.drain(which)
+	byDeadline, byFirst := newFluid(p.end, p.speed, p.families), newFluid(p.end, p.speed, p.families)
+	var whole, first []job
+	for i := range p.jobs {
+		j := &p.jobs[i]
+		if !which(j.tier) {
+			continue
 		}
-		return trace.EngineRate(class, trace.Mix{
-			PromptTokens: float64(line.PromptTokens), CachedTokens: float64(cached), AnswerTokens: float64(line.MaxTokens),
-		})
+		w := job{family: j.family, work: j.work, begin: j.arrives, end: j.arrives + j.whole}
+		whole = append(whole, w)
+		w.end = byFirst.after(min(j.arrives+j.firstTokenOrWhole(), w.end), drain)
+		first = append(first, w)
 	}
-	return trace.ServiceRate(class)
+	return min(byDeadline.serve(whole, 1)[0], byFirst.serve(first, 1)[0])
 }
 
-func deadline(doc *document.Document, line *trace.Line) time.Duration {
-	if line.DeadlineMS > 0 {
-		return line.Deadline()
+func (j *poolJob) firstTokenOrWhole() time.Duration {
+	if j.firstToken > 0 {
+		return j.firstToken
 	}
-	if rank, found := doc.TierRank(line.Tier); found {
-		return time.Duration(doc.Tiers[rank].DeadlineMS) * time.Millisecond
+	return j.whole
+}
+
+// inPriority is how many requests of each tier can be in time beside the tiers
+// above.
+func (p *poolBound) inPriority() []float64 {
+	f := newFluid(p.end, p.speed, p.families)
+	drain := make([]float64, p.tiers)
+	for tier := range drain {
+		drain[tier] = p.drain(func(other int) bool { return other == tier })
+	}
+	var jobs []job
+	for i := range p.jobs {
+		j := &p.jobs[i]
+		w := job{tier: j.tier, family: j.family, work: j.work, begin: j.arrives, end: j.arrives + j.whole}
+		if j.firstToken > 0 {
+			w.end = min(w.end, f.after(j.arrives+j.firstToken, drain[j.tier]))
+		}
+		jobs = append(jobs, w)
 	}
-	return 0
+	return f.serve(jobs, p.tiers)
 }
--- a/internal/replay/sweep/summary.go
+++ b/internal/replay/sweep/summary.go
@@ -21,74 +21,93 @@
 	Tier    string
 	Seeds   int
 	Goodput Spread
-	// Bound is the mean of the oracle's bound.
-	Bound float64
+	// Bound and Ceiling are the means of Bounds.
+	Bound, Ceiling float64
 	// WastedPrefill is wasted over all prefill, of all tiers.
 	WastedPrefill Spread
-	// FirstToken and InterToken are means over the seeds, in ms.
+	// FirstToken and InterToken are means over the seeds, in ms; FirstP99 is the
+	// spread of the first token's p99.
 	FirstToken, InterToken report.Percentiles
+	FirstP99               Spread
+	// Broken counts, over all tiers and seeds, what must not happen.
+	Broken int
 }
 
-// Summaries sums the rows up in their order, each tier after the other and then
-// AllTiers.
-func (r *Result) Summaries() []Summary {
-	var all []Summary
+// groups gives the rows of each load and policy, in order.
+func (r *Result) groups(do func(rows []Row)) {
 	for begin := 0; begin < len(r.Rows); {
 		end := begin
 		for end < len(r.Rows) && r.Rows[end].Load == r.Rows[begin].Load && r.Rows[end].Policy == r.Rows[begin].Policy {
 			end++
 		}
+		do(r.Rows[begin:end])
+		begin = end
+	}
+}
+
+// Summaries sums the rows up in their order, each tier after the other and then
+// AllTiers.
+func (r *Result) Summaries() []Summary {
+	var all []Summary
+	r.groups(func(rows []Row) {
 		for _, tier := range append(append([]string(nil), r.Tiers...), AllTiers) {
-			if s := summarise(r.Rows[begin:end], tier); s.Seeds > 0 {
+			if s := summarise(rows, tier); s.Seeds > 0 {
 				all = append(all, s)
 			}
 		}
-		begin = end
-	}
+	})
 	return all
 }
 
 func summarise(rows []Row, tier string) Summary {
 	s := Summary{Load: rows[0].Load, Policy: rows[0].Policy, Tier: tier}
-	var goodput, wasted []float64
+	var goodput, wasted, slowest []float64
 	for i := range rows {
 		row := &rows[i]
-		good, bound, sent := tierFigures(row, tier)
+		good, sent := tierFigures(row.Report, tier)
 		if !sent {
 			continue
 		}
 		s.Seeds++
 		goodput = append(goodput, good)
 		wasted = append(wasted, wastedShare(row.Report))
-		s.Bound += bound
+		slowest = append(slowest, row.Report.FirstToken[tier].P99)
+		s.Bound += row.Bounds.Priority[tier]
+		s.Ceiling += row.Bounds.Ceiling[tier]
+		s.Broken += broken(row.Report)
 		add(&s.FirstToken, row.Report.FirstToken[tier])
 		add(&s.InterToken, row.Report.InterToken[tier])
 	}
 	if s.Seeds == 0 {
 		return s
 	}
-	s.Goodput, s.WastedPrefill = spread(goodput), spread(wasted)
+	s.Goodput, s.WastedPrefill, s.FirstP99 = spread(goodput), spread(wasted), spread(slowest)
 	s.Bound /= float64(s.Seeds)
+	s.Ceiling /= float64(s.Seeds)
 	scale(&s.FirstToken, s.Seeds)
 	scale(&s.InterToken, s.Seeds)
 	return s
 }
 
-func tierFigures(row *Row, tier string) (good, bound float64, sent bool) {
+func tierFigures(r *report.Report, tier string) (good float64, sent bool) {
 	if tier != AllTiers {
-		return row.Report.Goodput[tier], row.Bound[tier], row.Report.Sent[tier] > 0
+		return r.Goodput[tier], r.Sent[tier] > 0
 	}
 	total := 0
-	for _, name := range slices.Sorted(maps.Keys(row.Report.Sent)) {
-		n := row.Report.Sent[name]
+	for _, name := range slices.Sorted(maps.Keys(r.Sent)) {
+		n := r.Sent[name]
 		total += n
-		good += row.Report.Goodput[name] * float64(n)
-		bound += row.Bound[name] * float64(n)
+		good += r.Goodput[name] * float64(n)
 	}
 	if total == 0 {
-		return 0, 0, false
+		return 0, false
 	}
-	return good / float64(total), bound / float64(total), true
+	return good / float64(total), true
+}
+
+// broken counts what must not happen in any replay.
+func broken(r *report.Report) int {
+	return r.Unanswered + r.IncompleteAnswers + r.DispatchedTwice + r.NonIdempotentRanTwice + r.FalseNotRun + r.TierInversions
 }
 
 func wastedShare(r *report.Report) float64 {
--- a/internal/replay/virtual/clock.go
+++ b/internal/replay/virtual/clock.go
@@ -1,41 +1,24 @@
 package virtual
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // event is something that happens at an instant; equal instants keep their order.
 type event struct {
-	at  time.Time
+	// at is in nanoseconds of the epoch's clock.
+	at  int64
 	seq uint64
 	do  func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].seq < e[j].seq
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	popped := (*e)[last]
-	(*e)[last] = event{}
-	*e = (*e)[:last]
-	return popped
+func (e *event) before(other *event) bool {
+	return e.at < other.at || e.at == other.at && e.seq < other.seq
 }
 
 // clock is the event heap.
 type clock struct {
 	now  time.Time
 	seq  uint64
-	heap events
+	heap []event
 }
 
 // after plans an event.
@@ -47,7 +30,50 @@
 		t = c.now
 	}
 	c.seq++
-	heap.Push(&c.heap, event{at: t, seq: c.seq, do: do})
+	c.push(event{at: t.UnixNano(), seq: c.seq, do: do})
+}
+
+// push and pop are container/heap's without its interfaces, which cost an
+// allocation for each event.
+func (c *clock) push(e event) {
+	c.heap = append(c.heap, e)
+	place := len(c.heap) - 1
+	for place > 0 {
+		parent := (place - 1) / 2
+		if !e.before(&c.heap[parent]) {
+			break
+		}
+		c.heap[place] = c.heap[parent]
+		place = parent
+	}
+	c.heap[place] = e
+}
+
+func (c *clock) pop() event {
+	first, last := c.heap[0], len(c.heap)-1
+	moved := c.heap[last]
+	c.heap[last] = event{}
+	c.heap = c.heap[:last]
+	if last == 0 {
+		return first
+	}
+	place := 0
+	for {
+		child := 2*place + 1
+		if child >= last {
+			break
+		}
+		if child+1 < last && c.heap[child+1].before(&c.heap[child]) {
+			child++
+		}
+		if !c.heap[child].before(&moved) {
+			break
+		}
+		c.heap[place] = c.heap[child]
+		place = child
+	}
+	c.heap[place] = moved
+	return first
 }
 
 // every plans an event again and again, for as long as it says so.
@@ -64,11 +90,11 @@
 // run makes events happen until the end, or until done says so.
 func (c *clock) run(end time.Time, done func() bool) {
 	for len(c.heap) > 0 && !done() {
-		next := heap.Pop(&c.heap).(event)
-		if next.at.After(end) {
+		next := c.pop()
+		if next.at > end.UnixNano() {
 			return
 		}
-		c.now = next.at
+		c.now = epoch.Add(time.Duration(next.at - epoch.UnixNano()))
 		next.do()
 	}
 }
--- a/internal/replay/virtual/target.go
+++ b/internal/replay/virtual/target.go
@@ -68,7 +68,7 @@
 	}
 	t.checksFencing = class.ChecksFencing
 	if class.Kind == document.KindEngine {
-		t.engine = enginemodel.New(engineParams(class))
+		t.engine = enginemodel.New(EngineParams(class))
 		t.holdDeclaredModel()
 		return t, nil
 	}
@@ -77,9 +77,9 @@
 	return t, nil
 }
 
-// engineParams makes an engine of a class's declared speed. Half of step_ms at a
+// EngineParams makes an engine of a class's declared speed. Half of step_ms at a
 // full batch is the step's fixed part.
-func engineParams(class *document.Class) enginemodel.Params {
+func EngineParams(class *document.Class) enginemodel.Params {
 	p := enginemodel.Newer()
 	step := time.Duration(class.StepMS * float64(time.Millisecond))
 	if class.PrefillRate > 0 {
