--- a/cmd/sycamore-replay/table.go
+++ b/cmd/sycamore-replay/table.go
@@ -10,7 +10,7 @@
 )
 
 func tableCommand() *cobra.Command {
-	var organisations bool
+	var organisations, latencies bool
 	command := &cobra.Command{
 		Use:     "table SWEEP...",
 		Short:   "Print sweeps as Markdown tables",
@@ -24,8 +24,11 @@
 				}
 				fmt.Printf("\n**%s, %s**\n\n", result.Deployment, result.Name)
 				write := result.WriteTable
-				if organisations {
+				switch {
+				case organisations:
 					write = result.WriteOrganisations
+				case latencies:
+					write = result.WriteLatencies
 				}
 				if err := write(os.Stdout); err != nil {
 					return err
@@ -34,6 +37,7 @@
 			return nil
 		},
 	}
+	command.Flags().BoolVar(&latencies, "latencies", false, "first-token and inter-token times instead of goodput")
 	command.Flags().BoolVar(&organisations, "organisations", false, "goodput of each organisation instead")
 	return command
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -90,6 +90,8 @@
 	plan    *placement.Plan
 	homes   [partitions]ident.Incarnation
 	watches map[string]*targetWatch
+	// watchedOrders are targets held elsewhere that are probed for their orders.
+	watchedOrders []string
 
 	deaths     map[string]*death
 	deathOrder []string
@@ -108,6 +110,7 @@
 	membersAt time.Time
 	digestsAt time.Time
 
+	answering int
 	following bool
 	logUp     bool
 	changed   bool
@@ -211,6 +214,8 @@
 		e.instances(in)
 	case OrderDone:
 		e.performOrders(e.orders.OrderDone(e.now, in.Target, in.Refused, in.Failed))
+	case Answering:
+		e.answering = in.Open
 	case DrainStart:
 		e.drain.Start(e.now)
 	case Tick:
@@ -226,6 +231,7 @@
 	e.perform(e.share.Tick(e.now), fromShare)
 	e.performClaims(e.claims.Tick(e.now))
 	e.performOrders(e.orders.Tick(e.now))
+	e.watchOrders()
 	e.closeDeaths()
 	e.ids.Expire(e.now)
 	e.renew()
--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -63,7 +63,7 @@
 		Organisation: m.Organisation,
 		Lane:         t.lane(m.PromptTokens, m.Alone, service),
 		Cost:         m.PromptTokens + m.MaxTokens,
-		Prompt:       m.PromptTokens,
+		Prompt:       m.PromptTokens - t.cached(m),
 	}
 	if service {
 		o.Cost = request.ServiceCost
@@ -108,6 +108,7 @@
 		delete(t.rooms, m.ID)
 	}
 	t.offers[m.ID] = o
+	t.past.begin(m.ID)
 	if o.Lane == queue.Short {
 		t.sawShort(o.Tier)
 	}
--- a/internal/replay/sweep/table.go
+++ b/internal/replay/sweep/table.go
@@ -35,28 +35,89 @@
 
 func number(v float64) string { return strconv.FormatFloat(v, 'f', 4, 64) }
 
-// WriteTable writes the same as a Markdown table for people: goodput and its
-// spread, bounds, wasted prefill in per cent, and p50/p95/p99 in ms.
+// WriteTable writes goodput as a Markdown table: a row for each load and policy
+// with a column for each tier, mean and min–max over the seeds, and rows for the
+// bounds.
 func (r *Result) WriteTable(w io.Writer) error {
 	var b strings.Builder
-	b.WriteString("| load | policy | tier | goodput (min–max) | bound | ceiling | wasted prefill % | first token ms p50/p95/p99 | between tokens ms p50/p95/p99 | broken |\n")
-	b.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	tiers := r.sentTiers()
+	head := append(append([]string{"load", "policy"}, tiers...), "wasted prefill %", "broken")
+	writeRow(&b, head)
+	writeRow(&b, slices.Repeat([]string{"---"}, len(head)))
+	summaries := r.Summaries()
+	for i := 0; i < len(summaries); i += len(tiers) {
+		group := summaries[i : i+len(tiers)]
+		first := &group[0]
+		row := []string{fmt.Sprint(first.Load), string(first.Policy)}
+		for j := range group {
+			row = append(row, goodput(group[j].Goodput))
+		}
+		writeRow(&b, append(row, percent(first.WastedPrefill), strconv.Itoa(first.Broken)))
+		if next := i + len(tiers); next == len(summaries) || summaries[next].Load != first.Load {
+			writeBounds(&b, group)
+		}
+	}
+	return flush(w, &b)
+}
+
+func writeBounds(b *strings.Builder, group []Summary) {
+	bound, ceiling := []string{fmt.Sprint(group[0].Load), "*bound*"}, []string{fmt.Sprint(group[0].Load), "*ceiling*"}
+	for i := range group {
+		bound = append(bound, fmt.Sprintf("%.3f", group[i].Bound))
+		ceiling = append(ceiling, fmt.Sprintf("%.3f", group[i].Ceiling))
+	}
+	writeRow(b, append(bound, "", ""))
+	writeRow(b, append(ceiling, "", ""))
+}
+
+// WriteLatencies writes first-token and inter-token times as a Markdown table:
+// means over the seeds, in ms.
+func (r *Result) WriteLatencies(w io.Writer) error {
+	var b strings.Builder
+	head := []string{"load", "policy", "tier", "first token p50", "p95", "p99 (min–max)", "between tokens p50", "p95", "p99"}
+	writeRow(&b, head)
+	writeRow(&b, slices.Repeat([]string{"---"}, len(head)))
 	for _, s := range r.Summaries() {
-		first, between := triple(s.FirstToken.P50, s.FirstToken.P95, s.FirstToken.P99), triple(s.InterToken.P50, s.InterToken.P95, s.InterToken.P99)
 		if s.FirstToken.Count == 0 {
-			first, between = "–", "–"
+			continue
+		}
+		writeRow(&b, []string{fmt.Sprint(s.Load), string(s.Policy), s.Tier, whole(s.FirstToken.P50), whole(s.FirstToken.P95),
+			fmt.Sprintf("%.0f (%.0f–%.0f)", s.FirstToken.P99, s.FirstP99.Min, s.FirstP99.Max),
+			whole(s.InterToken.P50), whole(s.InterToken.P95), whole(s.InterToken.P99)})
+	}
+	return flush(w, &b)
+}
+
+// sentTiers are the tiers that the sweep's traffic has, and AllTiers.
+func (r *Result) sentTiers() []string {
+	var tiers []string
+	for _, tier := range r.Tiers {
+		if slices.ContainsFunc(r.Rows, func(row Row) bool { return row.Report.Sent[tier] > 0 }) {
+			tiers = append(tiers, tier)
 		}
-		fmt.Fprintf(&b, "| %g | %s | %s | %.3f (%.3f–%.3f) | %.3f | %.3f | %.2f | %s | %s | %d |\n", s.Load, s.Policy, s.Tier,
-			s.Goodput.Mean, s.Goodput.Min, s.Goodput.Max, s.Bound, s.Ceiling, 100*s.WastedPrefill.Mean, first, between, s.Broken)
 	}
+	return append(tiers, AllTiers)
+}
+
+func goodput(s Spread) string { return fmt.Sprintf("%.3f (%.3f–%.3f)", s.Mean, s.Min, s.Max) }
+
+func percent(s Spread) string {
+	return fmt.Sprintf("%.2f (%.2f–%.2f)", 100*s.Mean, 100*s.Min, 100*s.Max)
+}
+
+func whole(v float64) string { return fmt.Sprintf("%.0f", v) }
+
+func writeRow(b *strings.Builder, cells []string) {
+	b.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+func flush(w io.Writer, b *strings.Builder) error {
 	if _, err := io.WriteString(w, b.String()); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
 	return nil
 }
 
-func triple(a, b, c float64) string { return fmt.Sprintf("%.0f / %.0f / %.0f", a, b, c) }
-
 // WriteOrganisations writes each organisation's goodput in each tier, over all
 // seeds, as a Markdown table.
 func (r *Result) WriteOrganisations(w io.Writer) error {
@@ -71,10 +132,7 @@
 			}
 		}
 	})
-	if _, err := io.WriteString(w, b.String()); err != nil {
-		return fmt.Errorf("write table: %w", err)
-	}
-	return nil
+	return flush(w, &b)
 }
 
 func organisations(rows []Row, tier string) map[string]report.Share {
