--- a/internal/replay/sweep/bound.go
+++ b/internal/replay/sweep/bound.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 	Priority map[string]float64 `json:"priority"`
 	// Ceiling is what no policy passes, whatever it gives up in other tiers.
 	Ceiling map[string]float64 `json:"ceiling"`
+	// Demand is the tiers' least work for each second of sending, in parts of what
+	// their busiest pool does in a second.
+	Demand map[string]float64 `json:"demand"`
 }
 
 // Bound works out the bounds on paper, for an oracle that knows every request,
@@ -29,12 +33,14 @@
 	sent := make([]float64, len(doc.Tiers))
 	priority := make([]float64, len(doc.Tiers))
 	ceiling := make([]float64, len(doc.Tiers))
+	b := Bounds{Priority: map[string]float64{}, Ceiling: map[string]float64{}, Demand: map[string]float64{}}
 	all := 0.0
 	for _, pool := range doc.Pools {
 		p := newPoolBound(doc, t, faults, pool.Name)
 		if len(p.jobs) == 0 {
 			continue
 		}
+		p.addDemand(b.Demand, doc, float64(t.Header.DurationMS)/1000)
 		best := p.inPriority()
 		for tier := range doc.Tiers {
 			sent[tier] += float64(p.sent[tier])
@@ -43,7 +49,6 @@
 		}
 		all += p.most(func(int) bool { return true })
 	}
-	b := Bounds{Priority: map[string]float64{}, Ceiling: map[string]float64{}}
 	total, served := 0.0, 0.0
 	for tier := range doc.Tiers {
 		if sent[tier] == 0 {
@@ -69,6 +74,23 @@
 	return total
 }
 
+// addDemand raises the demand of each tier, and of all, to this pool's.
+func (p *poolBound) addDemand(demand map[string]float64, doc *document.Document, seconds float64) {
+	if seconds <= 0 {
+		return
+	}
+	mine := map[string]float64{}
+	for i := range p.jobs {
+		if work := p.jobs[i].work; !math.IsInf(work, 1) {
+			mine[doc.Tiers[p.jobs[i].tier].Name] += work / seconds
+			mine[AllTiers] += work / seconds
+		}
+	}
+	for tier, work := range mine {
+		demand[tier] = max(demand[tier], work)
+	}
+}
+
 // poolBound is one pool's part of a trace.
 type poolBound struct {
 	stations []station
--- a/internal/replay/sweep/bound_test.go
+++ b/internal/replay/sweep/bound_test.go
@@ -58,7 +58,7 @@
 var _ = Describe("the bound", func() {
 	It("is what fits before the deadlines, each tier beside those above, and the ceiling each alone", func() {
 		lines := append(repeated(100, engineLine("rider", 0, 0, 500), 0), repeated(100, engineLine("attendant", 0, 0, 1000), 0)...)
-		b := Bound(twoEngines(), &trace.Trace{Lines: lines}, nil)
+		b := Bound(twoEngines(), &trace.Trace{Header: trace.Header{DurationMS: 2000}, Lines: lines}, nil)
 		half, whole := 5/lineWork, 10/lineWork
 		Expect(b.Priority["rider"]).To(BeNumerically("~", half, 1e-9))
 		Expect(b.Priority["attendant"]).To(BeNumerically("~", whole-half, 1e-9))
@@ -66,6 +66,7 @@
 		Expect(b.Ceiling["rider"]).To(BeNumerically("~", half, 1e-9))
 		Expect(b.Ceiling["attendant"]).To(BeNumerically("~", whole, 1e-9))
 		Expect(b.Ceiling[AllTiers]).To(BeNumerically("~", whole/2, 1e-9))
+		Expect(b.Demand["rider"]).To(BeNumerically("~", 100*lineWork/1000/2, 1e-9))
 	})
 
 	It("sees bursts: the same requests fit when they come evenly, not at once", func() {
@@ -114,10 +115,16 @@
 	})
 
 	DescribeTable("is not passed by any policy",
-		func(deployment trace.Deployment, scenario trace.Scenario, load float64) {
+		func(deployment trace.Deployment, scenario trace.Scenario, faults string, load float64) {
 			doc := exampleDocument(deployment)
+			var schedule []virtual.Fault
+			if faults != "" {
+				var err error
+				schedule, err = virtual.ReadFaults("../../../traces/faults-" + faults + ".json")
+				Expect(err).NotTo(HaveOccurred())
+			}
 			result, err := Run(Options{
-				Document: doc, Deployment: deployment, Scenario: scenario, Loads: []float64{load}, Seeds: []uint64{1, 2}, Seconds: 8,
+				Document: doc, Deployment: deployment, Scenario: scenario, Loads: []float64{load}, Seeds: []uint64{1, 2}, Seconds: 8, Faults: schedule,
 				Policies: []entry.Policy{entry.PolicyScheduler, entry.PolicyShares, entry.PolicyAlone}, Entries: 6, Workers: 4, ReportAge: time.Second,
 			})
 			Expect(err).NotTo(HaveOccurred())
@@ -129,10 +136,12 @@
 				}
 			}
 		},
-		Entry("Tanglaw at 2", trace.Tanglaw, trace.Usual, 2.0),
-		Entry("Tanglaw at 6", trace.Tanglaw, trace.Usual, 6.0),
-		Entry("Tanglaw's shift change", trace.Tanglaw, trace.ShiftBurst, 2.0),
-		Entry("Quebracho at 8", trace.Quebracho, trace.Usual, 8.0),
+		Entry("Tanglaw at 2", trace.Tanglaw, trace.Usual, "", 2.0),
+		Entry("Tanglaw at 6", trace.Tanglaw, trace.Usual, "", 6.0),
+		Entry("Tanglaw's shift change", trace.Tanglaw, trace.ShiftBurst, "", 2.0),
+		Entry("Tanglaw with half a zone gone", trace.Tanglaw, trace.Usual, "half-zone", 4.0),
+		Entry("Quebracho at 8", trace.Quebracho, trace.Usual, "", 8.0),
+		Entry("Quebracho with a straggler", trace.Quebracho, trace.Usual, "straggle", 8.0),
 	)
 
 	// A clairvoyant dispatcher on the engines' own model, without delays.
--- a/internal/replay/sweep/oracle_test.go
+++ b/internal/replay/sweep/oracle_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"fmt"
 	"math"
+	"os"
 	"slices"
 	"strconv"
+	"testing"
 	"time"
 
 	"sycamoretrail/internal/core/document"
@@ -42,6 +46,9 @@
 	wanted, good    bool
 }
 
+// ahead is how much prefill an engine may have before it when it is given more.
+const ahead = 120 * time.Millisecond
+
 var oracleEpoch = time.Unix(0, 0)
 
 // reached is how many of a trace's requests to a pool of engines the oracle
@@ -181,7 +188,7 @@
 	at = math.MaxInt64
 	for _, e := range o.engines {
 		load := e.model.Load()
-		if load.Running+load.Waiting >= e.params.MaxBatch || e.prefill > o.now+e.params.StepBase {
+		if load.Running+load.Waiting >= e.params.MaxBatch || e.prefill > o.now+ahead {
 			continue
 		}
 		if first := e.firstAt(r, o.now); first < at {
@@ -200,3 +207,35 @@
 	missing := float64(r.line.PromptTokens - sharedTokens(r.line))
 	return max(at, e.prefill) + time.Duration(missing/e.params.PrefillRate*float64(time.Second)) + e.params.StepBase
 }
+
+// BenchmarkOracle gives the figures of the design note: what the oracle reaches
+// of the bound, in the top tier and in all, and of the bound of single tiers.
+func BenchmarkOracle(b *testing.B) {
+	for _, deployment := range []trace.Deployment{trace.Tanglaw, trace.Quebracho} {
+		data, err := os.ReadFile("../../../examples/" + string(deployment) + ".json")
+		if err != nil {
+			b.Fatal(err)
+		}
+		doc := &document.Document{}
+		if err := json.Unmarshal(data, doc); err != nil {
+			b.Fatal(err)
+		}
+		for _, load := range []float64{1, 1.3, 2, 4} {
+			b.Run(fmt.Sprintf("%s/load=%g", deployment, load), func(b *testing.B) { measureOracle(b, doc, deployment, load) })
+		}
+	}
+}
+
+func measureOracle(b *testing.B, doc *document.Document, deployment trace.Deployment, load float64) {
+	t, err := trace.Generate(doc, trace.Options{Deployment: deployment, Scenario: trace.Usual, Seed: 1, Load: load, Seconds: 60})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var good, best []float64
+	for range b.N {
+		good = reached(doc, t, doc.Pools[0].Name)
+		best = newPoolBound(doc, t, nil, doc.Pools[0].Name).inPriority()
+	}
+	b.ReportMetric(good[0]/best[0], "top/bound")
+	b.ReportMetric(sum(good)/sum(best), "all/bound")
+}
--- a/internal/replay/sweep/summary.go
+++ b/internal/replay/sweep/summary.go
@@ -21,16 +21,17 @@
 	Tier    string
 	Seeds   int
 	Goodput Spread
-	// Bound and Ceiling are the means of Bounds.
-	Bound, Ceiling float64
+	// Bound, Ceiling and Demand are the means of Bounds.
+	Bound, Ceiling, Demand float64
 	// WastedPrefill is wasted over all prefill, of all tiers.
 	WastedPrefill Spread
 	// FirstToken and InterToken are means over the seeds, in ms; FirstP99 is the
 	// spread of the first token's p99.
 	FirstToken, InterToken report.Percentiles
 	FirstP99               Spread
-	// Broken counts, over all tiers and seeds, what must not happen.
-	Broken int
+	// Inversions counts tier inversions over all tiers and seeds, Broken whatever
+	// else must not happen.
+	Inversions, Broken int
 }
 
 // groups gives the rows of each load and policy, in order.
@@ -74,6 +75,8 @@
 		slowest = append(slowest, row.Report.FirstToken[tier].P99)
 		s.Bound += row.Bounds.Priority[tier]
 		s.Ceiling += row.Bounds.Ceiling[tier]
+		s.Demand += row.Bounds.Demand[tier]
+		s.Inversions += row.Report.TierInversions
 		s.Broken += broken(row.Report)
 		add(&s.FirstToken, row.Report.FirstToken[tier])
 		add(&s.InterToken, row.Report.InterToken[tier])
@@ -84,6 +87,7 @@
 	s.Goodput, s.WastedPrefill, s.FirstP99 = spread(goodput), spread(wasted), spread(slowest)
 	s.Bound /= float64(s.Seeds)
 	s.Ceiling /= float64(s.Seeds)
+	s.Demand /= float64(s.Seeds)
 	scale(&s.FirstToken, s.Seeds)
 	scale(&s.InterToken, s.Seeds)
 	return s
@@ -105,9 +109,9 @@
 	return good / float64(total), true
 }
 
-// broken counts what must not happen in any replay.
+// broken counts what must not happen in any replay, besides tier inversions.
 func broken(r *report.Report) int {
-	return r.Unanswered + r.IncompleteAnswers + r.DispatchedTwice + r.NonIdempotentRanTwice + r.FalseNotRun + r.TierInversions
+	return r.Unanswered + r.IncompleteAnswers + r.DispatchedTwice + r.NonIdempotentRanTwice + r.FalseNotRun
 }
 
 func wastedShare(r *report.Report) float64 {
--- a/internal/replay/sweep/table.go
+++ b/internal/replay/sweep/table.go
@@ -16,15 +16,16 @@
 // the seeds.
 func (r *Result) WriteCSV(w io.Writer) error {
 	out := csv.NewWriter(w)
-	_ = out.Write([]string{"load", "policy", "tier", "seeds", "goodput", "goodput_min", "goodput_max", "bound", "ceiling",
+	_ = out.Write([]string{"load", "policy", "tier", "seeds", "goodput", "goodput_min", "goodput_max", "bound", "ceiling", "demand",
 		"wasted_prefill", "wasted_min", "wasted_max", "ttft_p50_ms", "ttft_p95_ms", "ttft_p99_ms", "ttft_p99_min_ms", "ttft_p99_max_ms",
-		"itl_p50_ms", "itl_p95_ms", "itl_p99_ms", "broken"})
+		"itl_p50_ms", "itl_p95_ms", "itl_p99_ms", "inversions", "broken"})
 	for _, s := range r.Summaries() {
 		_ = out.Write([]string{number(s.Load), string(s.Policy), s.Tier, strconv.Itoa(s.Seeds),
-			number(s.Goodput.Mean), number(s.Goodput.Min), number(s.Goodput.Max), number(s.Bound), number(s.Ceiling),
+			number(s.Goodput.Mean), number(s.Goodput.Min), number(s.Goodput.Max), number(s.Bound), number(s.Ceiling), number(s.Demand),
 			number(s.WastedPrefill.Mean), number(s.WastedPrefill.Min), number(s.WastedPrefill.Max),
 			number(s.FirstToken.P50), number(s.FirstToken.P95), number(s.FirstToken.P99), number(s.FirstP99.Min), number(s.FirstP99.Max),
-			number(s.InterToken.P50), number(s.InterToken.P95), number(s.InterToken.P99), strconv.Itoa(s.Broken)})
+			number(s.InterToken.P50), number(s.InterToken.P95), number(s.InterToken.P99),
+			strconv.Itoa(s.Inversions), strconv.Itoa(s.Broken)})
 	}
 	out.Flush()
 	if err := out.Error(); err != nil {
@@ -41,7 +42,7 @@
 func (r *Result) WriteTable(w io.Writer) error {
 	var b strings.Builder
 	tiers := r.sentTiers()
-	head := append(append([]string{"load", "policy"}, tiers...), "wasted prefill %", "broken")
+	head := append(append([]string{"load", "policy"}, tiers...), "wasted prefill %", "inversions", "else broken")
 	writeRow(&b, head)
 	writeRow(&b, slices.Repeat([]string{"---"}, len(head)))
 	summaries := r.Summaries()
@@ -52,7 +53,7 @@
 		for j := range group {
 			row = append(row, goodput(group[j].Goodput))
 		}
-		writeRow(&b, append(row, percent(first.WastedPrefill), strconv.Itoa(first.Broken)))
+		writeRow(&b, append(row, percent(first.WastedPrefill), strconv.Itoa(first.Inversions), strconv.Itoa(first.Broken)))
 		if next := i + len(tiers); next == len(summaries) || summaries[next].Load != first.Load {
 			writeBounds(&b, group)
 		}
@@ -61,13 +62,20 @@
 }
 
 func writeBounds(b *strings.Builder, group []Summary) {
-	bound, ceiling := []string{fmt.Sprint(group[0].Load), "*bound*"}, []string{fmt.Sprint(group[0].Load), "*ceiling*"}
-	for i := range group {
-		bound = append(bound, fmt.Sprintf("%.3f", group[i].Bound))
-		ceiling = append(ceiling, fmt.Sprintf("%.3f", group[i].Ceiling))
+	for _, row := range []struct {
+		name string
+		of   func(*Summary) float64
+	}{
+		{"*bound*", func(s *Summary) float64 { return s.Bound }},
+		{"*ceiling*", func(s *Summary) float64 { return s.Ceiling }},
+		{"*demand / capacity*", func(s *Summary) float64 { return s.Demand }},
+	} {
+		cells := []string{fmt.Sprint(group[0].Load), row.name}
+		for i := range group {
+			cells = append(cells, fmt.Sprintf("%.3f", row.of(&group[i])))
+		}
+		writeRow(b, append(cells, "", "", ""))
 	}
-	writeRow(b, append(bound, "", ""))
-	writeRow(b, append(ceiling, "", ""))
 }
 
 // WriteLatencies writes first-token and inter-token times as a Markdown table:
