--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/platform"
+	"sycamoretrail/internal/telemetry"
 )
 
 const gaugeInterval = time.Second
@@ -31,11 +33,19 @@
 	m.Gauge("document_version", float64(view.Version))
 	m.Gauge("ready", readiness(view.State))
 	m.Gauge("entries_known", float64(len(view.Entries)))
+	usage := telemetry.ReadProcessUsage()
+	m.Gauge("process_cpu_seconds", usage.CPU.Seconds())
+	m.Gauge("process_resident_bytes", float64(usage.Resident))
+	m.Gauge("process_heap_bytes", float64(usage.Heap))
+	m.Gauge("process_goroutines", float64(usage.Goroutines))
+	p.reportTraffic("log", p.log.Traffic())
+	p.reportTraffic("instances", p.instances.Traffic())
 	stats := p.links.Stats()
 	m.Gauge("peer_links", float64(stats.Links))
 	m.Gauge("peer_sent_bytes", float64(stats.SentBytes))
 	m.Gauge("peer_received_bytes", float64(stats.ReceivedBytes))
 	m.Gauge("peer_sent_frames", float64(stats.FramesSent))
+	m.Gauge("peer_received_frames", float64(stats.FramesReceived))
 	m.Gauge("peer_no_link_messages", float64(stats.NoLink))
 	for _, kind := range stats.Kinds {
 		name := kind.Kind.String()
@@ -47,6 +57,12 @@
 	}
 }
 
+// reportTraffic sets the bytes exchanged with a part of the platform.
+func (p *process) reportTraffic(part string, traffic *platform.Traffic) {
+	p.metrics.GaugeOf("platform_sent_bytes", "part", part, float64(traffic.Sent()))
+	p.metrics.GaugeOf("platform_received_bytes", "part", part, float64(traffic.Received()))
+}
+
 func readiness(state message.State) float64 {
 	if state == message.Ready {
 		return 1
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -32,6 +32,7 @@
 	metrics   *telemetry.Metrics
 	loop      *duty.Loop[*entry.Entry]
 	log       *platform.Log
+	instances *platform.Instances
 	links     *peers.Links
 	data      *dataPlane
 	operators *operators.Server
@@ -56,6 +57,7 @@
 		views:    newViews(),
 	}
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
+	p.instances = platform.NewInstances(s.Platform.Instances)
 	p.links = peers.New(peers.Options{
 		Self:    cfg.Self,
 		Key:     []byte(s.SharedKey),
@@ -103,7 +105,7 @@
 	p.links.Start(listeners.peers)
 	go p.serve("operators", func() error { return p.operators.Serve(listeners.operators) })
 	go p.serve("callers", func() error { return p.data.Serve(listeners.callers) })
-	go platform.PollInstances(ctx, p.settings.Platform.Instances, p.listed, p.listFailed)
+	go p.instances.Poll(ctx, p.listed, p.listFailed)
 	go p.reportGauges(ctx)
 	p.logger.WithField("version", version).Info("entry started")
 	err = p.wait()
--- a/cmd/sycamore-standin/layout.go
+++ b/cmd/sycamore-standin/layout.go
@@ -42,6 +42,7 @@
 	flags.IntVar(&o.Entries, "entries", 6, "number of entries")
 	flags.StringVar(&o.Policy, "policy", "", "entries' policy: scheduler, shares or alone")
 	flags.StringVar(&o.TraceDir, "trace-dir", "", "folder in which entries record their traffic")
+	flags.Float64Var(&o.EngineStepMS, "step-ms", 0, "time of an engine's step in ms (0: by its generation)")
 	_ = command.MarkFlagRequired("document")
 	return command
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -20,25 +20,25 @@
 
 // newClient makes an HTTP client that never repeats a call by itself: a second
 // append after a lost answer would be a second record.
-func newClient() *fasthttp.Client {
+func newClient(traffic *Traffic) *fasthttp.Client {
 	return &fasthttp.Client{
 		Name:                      "sycamoretrail",
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       idleTimeout,
 		MaxResponseBodySize:       maxAnswer,
-		Dial:                      func(address string) (net.Conn, error) { return dial(address) },
+		Dial:                      func(address string) (net.Conn, error) { return dial(address, traffic) },
 	}
 }
 
 // dial wraps every failure as a dial error, also fasthttp's own, so that
 // definite can tell that nothing was sent.
-func dial(address string) (net.Conn, error) {
+func dial(address string, traffic *Traffic) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return conn, nil
+	return &meteredConn{Conn: conn, traffic: traffic}, nil
 }
 
 // call does one HTTP call and reads its JSON answer into answer.
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -14,15 +14,31 @@
 	listTimeout  = 2 * time.Second
 )
 
-// PollInstances reads the instance list until the context ends and hands each
-// answer on. A failure is told to failed and changes nothing: the list lags
-// anyway and is only a hint.
-func PollInstances(ctx context.Context, base string, took func(entry.InstanceList), failed func(error)) {
-	client := newClient()
+// Instances is the client of the platform's list of instances.
+type Instances struct {
+	base    string
+	client  *fasthttp.Client
+	traffic Traffic
+}
+
+// NewInstances makes a client of the list at the base URL.
+func NewInstances(base string) *Instances {
+	i := &Instances{base: base}
+	i.client = newClient(&i.traffic)
+	return i
+}
+
+// Traffic counts what this client sent and received.
+func (i *Instances) Traffic() *Traffic { return &i.traffic }
+
+// Poll reads the list until the context ends and hands each answer on. A
+// failure is told to failed and changes nothing: the list lags anyway and is
+// only a hint.
+func (i *Instances) Poll(ctx context.Context, took func(entry.InstanceList), failed func(error)) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
-		list, err := readInstances(client, base)
+		list, err := i.read()
 		if err != nil {
 			failed(err)
 		} else {
@@ -36,10 +52,10 @@
 	}
 }
 
-func readInstances(client *fasthttp.Client, base string) (entry.InstanceList, error) {
+func (i *Instances) read() (entry.InstanceList, error) {
 	var answer struct {
 		Instances []entry.Instance `json:"instances"`
 	}
-	err := call(client, fasthttp.MethodGet, base+"/instances", nil, listTimeout, &answer)
+	err := call(i.client, fasthttp.MethodGet, i.base+"/instances", nil, listTimeout, &answer)
 	return entry.InstanceList{Instances: answer.Instances}, err
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -29,6 +29,7 @@
 	urls    []string
 	current atomic.Int64
 	client  *fasthttp.Client
+	traffic Traffic
 	deliver Deliver
 	clock   func() time.Time
 	appends pond.Pool
@@ -45,9 +46,8 @@
 // NewLog makes a client of the log at the base URLs.
 func NewLog(urls []string, deliver Deliver, clock func() time.Time) *Log {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Log{
+	l := &Log{
 		urls:      urls,
-		client:    newClient(),
 		deliver:   deliver,
 		clock:     clock,
 		appends:   pond.NewPool(appendWorkers, pond.WithQueueSize(appendQueue), pond.WithNonBlocking(true)),
@@ -56,8 +56,13 @@
 		pollWait:  pollWait,
 		followers: make(map[record.Stream]context.CancelFunc),
 	}
+	l.client = newClient(&l.traffic)
+	return l
 }
 
+// Traffic counts what this client sent and received.
+func (l *Log) Traffic() *Traffic { return &l.traffic }
+
 // Close ends all reading and waits for the appends under way.
 func (l *Log) Close() {
 	l.cancel()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -320,8 +320,8 @@
 		cancel()
 		var took []entry.InstanceList
 		var failed []error
-		PollInstances(ctx, "http://"+listener.Addr().String(), func(l entry.InstanceList) { took = append(took, l) }, func(err error) { failed = append(failed, err) })
-		PollInstances(ctx, deadURL(), func(l entry.InstanceList) { took = append(took, l) }, func(err error) { failed = append(failed, err) })
+		NewInstances("http://"+listener.Addr().String()).Poll(ctx, func(l entry.InstanceList) { took = append(took, l) }, func(err error) { failed = append(failed, err) })
+		NewInstances(deadURL()).Poll(ctx, func(l entry.InstanceList) { took = append(took, l) }, func(err error) { failed = append(failed, err) })
 		Expect(took).To(Equal([]entry.InstanceList{rows}))
 		Expect(failed).To(HaveLen(1))
 	})
--- /dev/null
+++ b/internal/replay/capacity/load.go
@@ -0,0 +1,249 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/replay/live"
+	"sycamoretrail/internal/replay/report"
+)
+
+// Kind is what a load consists of.
+type Kind string
+
+const (
+	// Completion is a streamed answer of an engine.
+	Completion Kind = "completion"
+	// ServiceCall is a GET of the plain service, which may be repeated.
+	ServiceCall Kind = "service"
+	// KeyedCall is a POST of the plain service with an idempotency key, which
+	// is claimed on the log before it runs.
+	KeyedCall Kind = "keyed"
+)
+
+// Errors of sending a load.
+var (
+	ErrLoad   = errors.New("load cannot be sent")
+	errStatus = errors.New("no answer of the target")
+)
+
+// Load says what is sent, and how fast. All organisations whose tokens are
+// given send in turn, to all entries in turn.
+type Load struct {
+	// Entries are callers' addresses.
+	Entries  []string
+	Document *document.Document
+	Tokens   map[string]string
+	Kind     Kind
+	// Count bounds the requests; 0: until the context ends.
+	Count int
+	// Rate is requests a second; 0: all of them at once.
+	Rate float64
+	// PromptTokens and AnswerTokens size a completion.
+	PromptTokens, AnswerTokens int
+}
+
+// Tally is what became of a load.
+type Tally struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	// Refused were answered with another outcome, Failed not at all.
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	// Faulty streams lost, doubled or reordered a chunk, or differ from the end
+	// mark's count or checksum.
+	Faulty int `json:"faulty"`
+	// Chunks is what all streams brought together, Expected what they were to.
+	Chunks   int `json:"chunks"`
+	Expected int `json:"chunks_expected"`
+	// OpenMost is how many streams were open at once, between the first chunk
+	// and the end mark.
+	OpenMost int `json:"open_most"`
+	// Why counts the reasons of what was not answered whole.
+	Why        map[string]int     `json:"why,omitempty"`
+	FirstChunk report.Percentiles `json:"first_chunk_ms"`
+	Whole      report.Percentiles `json:"whole_ms"`
+	Seconds    float64            `json:"seconds"`
+}
+
+// sender is a load under way.
+type sender struct {
+	load          Load
+	http          *fasthttp.Client
+	organisations []string
+	tag           string
+	open, most    atomic.Int64
+
+	mutex        sync.Mutex
+	tally        Tally
+	first, whole []time.Duration
+}
+
+// Run sends the load and waits for the last answer.
+func (l Load) Run(ctx context.Context) (Tally, error) {
+	if len(l.Entries) == 0 || len(l.Tokens) == 0 || l.Count == 0 && l.Rate <= 0 {
+		return Tally{}, fmt.Errorf("%w: name entries, tokens, and a count or a rate", ErrLoad)
+	}
+	s := &sender{load: l, http: newHTTP(), organisations: slices.Sorted(maps.Keys(l.Tokens)), tag: strconv.FormatInt(time.Now().UnixNano(), 36)}
+	s.tally.Why = map[string]int{}
+	began := time.Now()
+	var group sync.WaitGroup
+	for i := 0; l.Count == 0 || i < l.Count; i++ {
+		if !s.due(ctx, began, i) {
+			break
+		}
+		group.Go(func() { s.send(i) })
+	}
+	group.Wait()
+	s.tally.Seconds = time.Since(began).Seconds()
+	s.tally.OpenMost = int(s.most.Load())
+	s.tally.FirstChunk = report.PercentilesOf(s.first)
+	s.tally.Whole = report.PercentilesOf(s.whole)
+	return s.tally, nil
+}
+
+// due waits for a request's time; false: the load is over.
+func (s *sender) due(ctx context.Context, began time.Time, i int) bool {
+	if s.load.Rate <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(time.Until(began.Add(time.Duration(float64(i) / s.load.Rate * float64(time.Second)))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send makes one request and enters what became of it.
+func (s *sender) send(i int) {
+	c, err := s.call(i)
+	if err != nil {
+		s.enter(func(t *Tally) { t.Sent++; t.Failed++; t.Why[err.Error()]++ })
+		return
+	}
+	sent := time.Now()
+	if s.load.Kind == Completion {
+		s.stream(c, sent)
+		return
+	}
+	err = c.do(s.http, func(resp *fasthttp.Response) error {
+		defer func() { _ = resp.Body() }()
+		if string(resp.Header.Peek("X-Outcome")) != string(outcome.Answered) {
+			return fmt.Errorf("%w: status %d, %s", errStatus, resp.StatusCode(), resp.Header.Peek("X-Reason"))
+		}
+		return nil
+	})
+	took := time.Since(sent)
+	s.enter(func(t *Tally) {
+		t.Sent++
+		switch {
+		case err == nil:
+			t.Answered++
+			s.whole = append(s.whole, took)
+		case errors.Is(err, errStatus):
+			t.Refused++
+			t.Why[err.Error()]++
+		default:
+			t.Failed++
+			t.Why[err.Error()]++
+		}
+	})
+}
+
+// stream reads one streamed answer and checks every chunk of it.
+func (s *sender) stream(c *call, sent time.Time) {
+	var seen live.Streamed
+	err := c.do(s.http, func(resp *fasthttp.Response) error {
+		if resp.StatusCode() != fasthttp.StatusOK {
+			return fmt.Errorf("%w: status %d, %s", errStatus, resp.StatusCode(), resp.Header.Peek("X-Reason"))
+		}
+		s.opened(1)
+		defer s.opened(-1)
+		var err error
+		seen, err = live.Follow(resp.BodyStream(), string(resp.Header.Peek("X-Request-Id")))
+		return err
+	})
+	ended := time.Now()
+	s.enter(func(t *Tally) {
+		t.Sent++
+		// The engine sends a chunk for each token and one for its account.
+		t.Expected += s.load.AnswerTokens + 1
+		t.Chunks += seen.Chunks
+		switch {
+		case errors.Is(err, errStatus) || err == nil && seen.Outcome != outcome.Answered:
+			t.Refused++
+			t.Why[fmt.Sprint(seen.Reason, err)]++
+		case err != nil:
+			t.Failed++
+			t.Why[err.Error()]++
+		case seen.Fault != "":
+			t.Faulty++
+			t.Why[seen.Fault]++
+		default:
+			t.Answered++
+			s.first = append(s.first, seen.First.Sub(sent))
+			s.whole = append(s.whole, ended.Sub(sent))
+		}
+	})
+}
+
+func (s *sender) enter(change func(*Tally)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(&s.tally)
+}
+
+func (s *sender) opened(by int64) {
+	now := s.open.Add(by)
+	for most := s.most.Load(); now > most && !s.most.CompareAndSwap(most, now); most = s.most.Load() {
+	}
+}
+
+func (s *sender) call(i int) (*call, error) {
+	name := s.organisations[i%len(s.organisations)]
+	c := &call{address: s.load.Entries[i%len(s.load.Entries)], token: s.load.Tokens[name], method: fasthttp.MethodGet}
+	switch s.load.Kind {
+	case ServiceCall:
+		c.path = servicePath(i)
+		return c, nil
+	case KeyedCall:
+		c.path = servicePath(i)
+		c.method = fasthttp.MethodPost
+		c.key = fmt.Sprintf("%s-%d", s.tag, i)
+		c.body = []byte(`{}`)
+		return c, nil
+	}
+	model, err := modelOf(s.load.Document, name)
+	if err != nil {
+		return nil, err
+	}
+	c.path, c.method = completionPath, fasthttp.MethodPost
+	c.body, err = completionBody(model, i, s.load.PromptTokens, s.load.AnswerTokens)
+	return c, err
+}
+
+func servicePath(i int) string { return "/v1/services/" + ServiceName + "/items/" + strconv.Itoa(i) }
+
+// modelOf is the first model that an organisation may use.
+func modelOf(doc *document.Document, organisation string) (string, error) {
+	for i := range doc.Organisations {
+		if o := &doc.Organisations[i]; o.Name == organisation && len(o.Models) > 0 {
+			return o.Models[0], nil
+		}
+	}
+	return "", fmt.Errorf("%w: organisation %q has no model", ErrLoad, organisation)
+}
--- a/internal/replay/report/percentiles.go
+++ b/internal/replay/report/percentiles.go
@@ -36,3 +36,6 @@
 	rank := int(math.Ceil(share * float64(len(sorted))))
 	return sorted[max(rank, 1)-1]
 }
+
+// PercentilesOf sums up durations that were measured elsewhere.
+func PercentilesOf(values []time.Duration) Percentiles { return percentiles(slices.Clone(values)) }
--- a/internal/standin/layout/layout.go
+++ b/internal/standin/layout/layout.go
@@ -60,6 +60,8 @@
 	Policy string
 	// TraceDir is where entries record their traffic; empty: nowhere.
 	TraceDir string
+	// EngineStepMS is the time of an engine's step; 0: that of its generation.
+	EngineStepMS float64
 }
 
 // Write puts the settings files into a directory: standin.json, entry-N.json,
@@ -121,7 +123,9 @@
 			add(standins.KindService, t.Name, t.Address, service.Params{})
 			continue
 		}
-		add(standins.KindEngine, t.Name, t.Address, engineParams(index, t, class))
+		params := engineParams(index, t, class)
+		params.StepBaseMS = o.EngineStepMS
+		add(standins.KindEngine, t.Name, t.Address, params)
 	}
 	if fault != nil {
 		return file, fmt.Errorf("%w: %w", ErrLayout, fault)
--- /dev/null
+++ b/scripts/streams.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Reads COUNT streams (1000) at once through one entry, checks every chunk, and
+# writes what the entry used to out/streams/streams.json.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/loopback.sh
+
+dir=out/streams
+mkdir -p "$dir"
+bin/sycamore-replay generate-document --targets 64 --one-generation --models 1 --organisations 4 \
+  --out "$dir/document.json" --tokens "$dir/tokens.json"
+start_deployment "$dir" "$dir/document.json" 1
+sleep "${SETTLE_SECONDS:-3}"
+bin/sycamore-replay streams --entries "$(joined "${entry_addresses[@]}")" --pids "$(joined "${entry_pids[@]}")" \
+  --document "$dir/document.json" --tokens "$dir/tokens.json" \
+  --count "${COUNT:-1000}" --tokens-each "${TOKENS:-100}" --report "$dir/streams.json"
