--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -219,6 +219,9 @@
 	Tier request.Tier  `cbor:"3,keyasint"`
 	For  time.Duration `cbor:"4,keyasint"`
 	Need Offer         `cbor:"5,keyasint"`
+	// Last: the asker will refuse as soon as the floor stands, so lower runs that
+	// may be cancelled must be.
+	Last bool `cbor:"6,keyasint,omitempty"`
 }
 
 // FloorReply answers a FloorAsk: either Room names a target that can take the
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -121,6 +121,16 @@
 	return o.Due.Before(than.Due) && !o.Due.Before(after)
 }
 
+// last reports whether an offer's time leaves no more than the cut of lower runs
+// and the end of this exchange.
+func (h *holding) last(s *Scheduler) bool {
+	end := s.now.Add(lastTrips * s.set.tripTime())
+	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.giveUp(s).Before(end) })
+}
+
+// lastTrips before its end an offer's refusal is prepared.
+const lastTrips = 2
+
 func (s *Scheduler) holdingFor(key holdKey) *holding {
 	h := s.holdings[key]
 	if h == nil {
@@ -181,6 +191,7 @@
 	h.need = h.pick(s.now, s.set.tripTime())
 	own := s.ownCandidate(h.need)
 	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
+	m.Last = h.last(s)
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -223,7 +234,9 @@
 		return s.take()
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
-	s.yield(a.Pool, a.Tier)
+	if a.Last {
+		s.yield(a.Pool, a.Tier)
+	}
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
 	s.flush(a.Pool)
@@ -286,7 +299,9 @@
 		s.fillPool(h.key.pool)
 		return
 	}
-	s.yield(h.key.pool, h.key.tier)
+	if h.last(s) {
+		s.yield(h.key.pool, h.key.tier)
+	}
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
 	}
