Judge a paused entry by what its callers were told

The check held that nothing that waited in a paused entry may run after it woke. That was wrong: a caller that still waits there in time may be served under a fresh grant, and refusing it helps nobody. In its place, as strict for what it protects: nothing runs after its caller was told its final word, and nothing after its deadline. New for all failures in which no target dies: no caller may be told that its target failed. Observed: entry-paused, 34 callers told target_failed after the waking. Cause: internal/targets checks the grant's end (NotAfter) also where it resumes a stream that runs already, so a resumption after a pause counts as unreachable.

--- a/internal/replay/faults/callers.go
+++ b/internal/replay/faults/callers.go
@@ -114,7 +114,7 @@
 
 func poison() Failure {
 	return Failure{
-		Name: "poison", Load: 0.5, Seconds: 18,
+		Name: "poison", Load: 0.5, Seconds: 18, kills: true,
 		About: "a request kills every engine that runs it; its caller sends it again at once under new ids",
 		play: func(p *play) error {
 			for _, name := range p.engines() {
--- a/internal/replay/faults/entries.go
+++ b/internal/replay/faults/entries.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// judgePaused: what waited in the entry when it stopped must not run after it
-// woke, since its caller has been told by then that nobody knows.
+// judgePaused: what waited in the entry when it stopped may run after it woke
+// while its caller still waits there in time, under a fresh grant. It must not run
+// once its caller has gone elsewhere and been told that nobody knows, nor late.
 func judgePaused(p *play) {
 	waited, ran := 0, 0
 	for _, c := range p.calls(func(c *report.Call) bool { return askedFirst(c, p.victim) && p.openAt(c, p.begun) }) {
@@ -113,19 +114,16 @@
 			continue
 		}
 		waited++
-		if run != nil && run.Began >= p.at(p.healed) {
-			ran++
-			p.problem("%s waited when the entry stopped and ran after it woke", c.ID)
+		if run == nil {
+			continue
 		}
+		ran++
+		p.require(run.Began <= c.Ended, "%s ran after its caller had been told %s", c.ID, got(c))
+		p.require(run.Began <= c.Sent+c.Deadline, "%s ran after its deadline", c.ID)
 	}
 	p.require(waited > 0, "no request waited in the entry that stopped, so nothing was tried")
 	p.fact("requests that waited", float64(waited), "")
 	p.fact("of them run after the waking", float64(ran), "")
-	stale := p.calls(func(c *report.Call) bool {
-		run := p.runs[c.ID]
-		return run != nil && c.Settled && run.Began > c.Ended && c.Status.Outcome == outcome.Unknown
-	})
-	p.fact("runs begun after their caller was told unknown", float64(len(stale)), "")
 }
 
 func plannedStop() Failure {
--- a/internal/replay/faults/faults.go
+++ b/internal/replay/faults/faults.go
@@ -33,6 +33,8 @@
 	// Load is the callers' demand as a multiple of the engines' capacity, over
 	// Seconds.
 	Load, Seconds float64
+	// kills: targets die in it. In all others no caller may be told that one did.
+	kills bool
 	// added are requests besides the usual ones.
 	added func() []trace.Line
 	// play brings the failure about, in order, while the load runs.
--- a/internal/replay/faults/judge.go
+++ b/internal/replay/faults/judge.go
@@ -45,6 +45,10 @@
 		p.require(count.value == 0, "%s: %d: %v", count.name, count.value, r.Violations[count.name])
 	}
 	p.require(len(r.LostLedgers) == 0, "ledgers not read: %v", r.LostLedgers)
+	if !p.failure.kills {
+		misled := p.calls(func(c *report.Call) bool { return c.Status.Reason == outcome.ReasonTargetFailed })
+		p.require(len(misled) == 0, "%d callers were told that their target failed, and none did", len(misled))
+	}
 	for _, what := range p.versions.reverted {
 		p.problem("%s", what)
 	}
--- a/internal/replay/faults/result.go
+++ b/internal/replay/faults/result.go
@@ -75,6 +75,9 @@
 	Unit  string  `json:"unit"`
 }
 
+// problemsShown are told on the output; the file has all.
+const problemsShown = 5
+
 // Line tells the result in one line.
 func (r *Result) Line(tiers []string) string {
 	var b strings.Builder
@@ -97,9 +100,12 @@
 	for _, f := range r.Facts {
 		fmt.Fprintf(&b, "; %s %.4g %s", f.Name, f.Value, f.Unit)
 	}
-	for _, problem := range r.Problems {
+	for _, problem := range r.Problems[:min(len(r.Problems), problemsShown)] {
 		fmt.Fprintf(&b, "\n     %s", problem)
 	}
+	if more := len(r.Problems) - problemsShown; more > 0 {
+		fmt.Fprintf(&b, "\n     and %d more", more)
+	}
 	return b.String()
 }
 
--- a/internal/replay/faults/targets.go
+++ b/internal/replay/faults/targets.go
@@ -11,7 +11,7 @@
 
 func targetDies() Failure {
 	return Failure{
-		Name: "target-dies", Load: 0.5, Seconds: 16,
+		Name: "target-dies", Load: 0.5, Seconds: 16, kills: true,
 		About: "an engine dies with streams running and comes back 6 s later, empty",
 		added: func() []trace.Line { return longStreams(2500, 24) },
 		play: func(p *play) error {
