--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -15,6 +15,7 @@
 	"sycamoretrail/internal/operators"
 	"sycamoretrail/internal/peers"
 	"sycamoretrail/internal/platform"
+	"sycamoretrail/internal/recording"
 	"sycamoretrail/internal/settings"
 	"sycamoretrail/internal/telemetry"
 )
@@ -32,10 +33,13 @@
 	metrics   *telemetry.Metrics
 	loop      *duty.Loop[*entry.Entry]
 	log       *platform.Log
+	instances *platform.Instances
 	links     *peers.Links
 	data      *dataPlane
 	operators *operators.Server
 	views     *views
+	// recording is nil where the settings name no trace_file.
+	recording *recording.Recorder
 }
 
 // newProcess makes all parts; none of them listens or connects yet.
@@ -56,6 +60,7 @@
 		views:    newViews(),
 	}
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
+	p.instances = platform.NewInstances(s.Platform.Instances)
 	p.links = peers.New(peers.Options{
 		Self:    cfg.Self,
 		Key:     []byte(s.SharedKey),
@@ -64,6 +69,11 @@
 		Deliver: p.loop.Deliver,
 		Log:     p.logger.WithField("duty", "peers"),
 	})
+	if s.TraceFile != "" {
+		if p.recording, err = recording.Open(s.TraceFile, s.Name, []byte(s.SharedKey), time.Now()); err != nil {
+			return nil, err
+		}
+	}
 	p.data = newDataPlane(p)
 	if p.operators, err = p.newOperators(); err != nil {
 		return nil, err
@@ -103,7 +113,7 @@
 	p.links.Start(listeners.peers)
 	go p.serve("operators", func() error { return p.operators.Serve(listeners.operators) })
 	go p.serve("callers", func() error { return p.data.Serve(listeners.callers) })
-	go platform.PollInstances(ctx, p.settings.Platform.Instances, p.listed, p.listFailed)
+	go p.instances.Poll(ctx, p.listed, p.listFailed)
 	go p.reportGauges(ctx)
 	p.logger.WithField("version", version).Info("entry started")
 	err = p.wait()
@@ -150,6 +160,11 @@
 	if err := p.operators.Close(); err != nil {
 		p.logger.WithError(err).Warn("operators' listener did not close")
 	}
+	if p.recording != nil {
+		if err := p.recording.Close(); err != nil {
+			p.logger.WithError(err).Warn("trace file did not close")
+		}
+	}
 	if err := p.metrics.Close(); err != nil {
 		p.logger.WithError(err).Warn("metrics did not close")
 	}
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -31,6 +31,10 @@
 		e.wakeAt(f, e.now.Add(replaceWait))
 		return
 	}
+	if len(f.tried) >= triesBeforeFinal && e.patient(f) {
+		e.rest(f)
+		return
+	}
 	target, status := e.choose(f)
 	if !status.OK() {
 		e.noTarget(f, status)
@@ -125,6 +129,7 @@
 	f.stage = stageOffered
 	f.heard = false
 	f.offeredAt = e.now
+	e.router.Offered(e.now, target)
 	e.note(Decision{ID: f.req.ID, Event: EventOffered, Target: target, Tier: f.req.Tier, Detail: string(f.scheduler)})
 	e.sendOffer(f)
 }
