--- a/internal/core/owner/epoch.go
+++ b/internal/core/owner/epoch.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// empty: nothing is remembered of the epoch's ids, nor was one refused.
+func (e *epoch) empty() bool { return len(e.own)+len(e.adopted) == 0 && e.refused.bits == nil }
+
 func (t *Table) current() *epoch { return t.epochs[len(t.epochs)-1] }
 
 // open begins an epoch. A prefix handed out at its very end is good for one
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -97,6 +97,11 @@
 	renewed := period != t.cfg.Period
 	t.cfg.Period, t.cfg.Longest, t.cfg.Max = period, longest, limit
 	for _, e := range t.epochs {
+		if e.empty() {
+			// An entry that starts knows no longest deadline yet. Kept for that of
+			// the start, its first epoch would keep all later ones in memory.
+			e.forget = e.usable
+		}
 		e.extend(longest)
 	}
 	if renewed {
