--- a/internal/core/entry/guard.go
+++ b/internal/core/entry/guard.go
@@ -5,9 +5,8 @@
 type guard uint8
 
 const (
-	guardNone guard = iota
 	// guardVoid: the owner remembers that it gave an id up.
-	guardVoid
+	guardVoid guard = iota + 1
 	// guardClaim: a key is claimed on the log before its request runs.
 	guardClaim
 	// guardPartial: a run that broke is never called "not run".
