--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -92,8 +92,12 @@
 	}
 }
 
-// observe counts an answered request.
+// observe counts an answered or refused request, and logs a refusal that the core
+// knows nothing of.
 func (p *process) observe(o callers.Observation) {
+	if o.Refused {
+		p.decisions.Refused(o.ID, o.Organisation, o.Status.Reason)
+	}
 	p.metrics.Settled(telemetry.Settled{
 		Organisation: o.Organisation, Tier: o.Tier, Status: o.Status, FirstToken: o.FirstByte, Total: o.Total,
 	})
--- a/cmd/sycamore-entry/inspector.go
+++ b/cmd/sycamore-entry/inspector.go
@@ -105,7 +105,7 @@
 	for _, n := range x.Noted {
 		answer.Decisions = append(answer.Decisions, operators.Decision{
 			AgeMS: time.Since(n.At).Milliseconds(), Event: string(n.Event), Target: n.Target,
-			Tier: n.Tier, Reason: string(n.Reason), Detail: n.Detail,
+			Tier: n.Tier, TierName: i.views.tierName(n.Tier), Reason: string(n.Reason), Detail: n.Detail,
 		})
 	}
 	return answer, nil
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -31,6 +31,7 @@
 	settings  settings.Entry
 	logger    *logrus.Logger
 	metrics   *telemetry.Metrics
+	decisions *telemetry.Decisions
 	loop      *duty.Loop[*entry.Entry]
 	log       *platform.Log
 	links     *peers.Links
@@ -58,6 +59,7 @@
 		loop:     duty.NewLoop(entry.New(cfg, time.Now()), time.Now),
 		views:    newViews(),
 	}
+	p.decisions = telemetry.NewDecisions(logger, time.Now, telemetry.DecisionsPerSecond, p.views.tierName)
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
 	p.links = peers.New(peers.Options{
 		Self:    cfg.Self,
@@ -82,7 +84,7 @@
 		Peers:     p.links,
 		Platform:  p.log,
 		Publisher: p.views,
-		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
+		Telemetry: p.decisions,
 	})
 	return p, nil
 }
--- a/cmd/sycamore-entry/views.go
+++ b/cmd/sycamore-entry/views.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/request"
 )
 
 // views holds the latest view for readers on any goroutine.
@@ -23,3 +24,12 @@
 
 // Latest returns the view in force.
 func (v *views) Latest() *entry.View { return v.current.Load() }
+
+// tierName is the name of a tier in the document in force; "" where it has none.
+func (v *views) tierName(tier request.Tier) string {
+	doc := v.Latest().Document
+	if doc == nil || int(tier) >= len(doc.Tiers) {
+		return ""
+	}
+	return doc.Tiers[tier].Name
+}
--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -181,7 +181,7 @@
 		return
 	}
 	w.s.cfg.Observe(Observation{
-		Organisation: w.f.Organisation, Tier: w.tier, Model: w.model, Status: status,
+		ID: w.f.ID, Organisation: w.f.Organisation, Tier: w.tier, Model: w.model, Status: status,
 		FirstByte: w.firstByte, Total: w.s.cfg.Now().Sub(w.began),
 	})
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,7 @@
 
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
@@ -34,6 +35,10 @@
 
 // Observation is what one answered request gave to measure.
 type Observation struct {
+	// ID is empty where the request was refused before it had one.
+	ID ident.RequestID
+	// Refused: the edge refused it, and the core never got it.
+	Refused      bool
 	Organisation string
 	Tier         string
 	Model        string
--- a/internal/callers/completion.go
+++ b/internal/callers/completion.go
@@ -52,13 +52,12 @@
 	if r, ok := err.(*refusalError); ok {
 		status = r.status
 	}
-	id, seen := "", Observation{Status: status}
+	seen := Observation{Status: status, Refused: true}
 	if c != nil {
-		id = string(c.id)
-		seen.Organisation, seen.Tier = c.org.name, c.tier
+		seen.ID, seen.Organisation, seen.Tier = c.id, c.org.name, c.tier
 	}
 	s.cfg.Observe(seen)
-	s.refuse(ctx, statusCode(status), id, status)
+	s.refuse(ctx, statusCode(status), string(seen.ID), status)
 }
 
 // readCompletion checks a completion and describes it to the core.
--- a/internal/ctl/watch_test.go
+++ b/internal/ctl/watch_test.go
@@ -11,8 +11,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/operators/api"
 	"sycamoretrail/internal/operators/operatorstest"
+	"sycamoretrail/internal/reasons"
 )
 
 var _ = Describe("status", func() {
@@ -85,6 +87,8 @@
 		Expect(got.code).To(Equal(0), got.err)
 		Expect(got.out).To(MatchRegexp(`owner entry-3, standing: refused`))
 		Expect(got.out).To(MatchRegexp(`1.5s ago +refused +engine-0 +0 +overload`))
+		Expect(got.out).To(ContainSubstring("overload: " + reasons.Of(outcome.ReasonOverload).Meaning))
+		Expect(got.out).To(ContainSubstring("What to do: " + reasons.Of(outcome.ReasonOverload).Remedy))
 	})
 
 	It("asks all when the owner is gone", func() {
--- a/internal/operators/api/api.go
+++ b/internal/operators/api/api.go
@@ -116,8 +116,10 @@
 	Event  string       `json:"event"`
 	Target string       `json:"target,omitempty"`
 	Tier   request.Tier `json:"tier"`
-	Reason string       `json:"reason,omitempty"`
-	Detail string       `json:"detail,omitempty"`
+	// TierName is the tier's name in the document in force.
+	TierName string `json:"tier_name,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+	Detail   string `json:"detail,omitempty"`
 }
 
 // Document answers GET /admin/v1/document. Data is the document's JSON as it
--- /dev/null
+++ b/internal/peers/tls_test.go
@@ -0,0 +1,155 @@
+package peers
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/settings"
+)
+
+// authority signs certificates of entries.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pem         []byte
+}
+
+func newKey() *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	return key
+}
+
+func pemOf(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+func newAuthority(name string) *authority {
+	a := &authority{key: newKey()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	Expect(err).NotTo(HaveOccurred())
+	a.certificate, err = x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	a.pem = pemOf("CERTIFICATE", der)
+	return a
+}
+
+// issue writes the files of an entry at an IP number, which trusts the
+// authorities given, and reads them as an entry does.
+func (a *authority) issue(ip string, trusts ...*authority) *tls.Config {
+	key := newKey()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: ip}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.ParseIP(ip)}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	var pool []byte
+	for _, trusted := range trusts {
+		pool = append(pool, trusted.pem...)
+	}
+	dir := GinkgoT().TempDir()
+	file := func(name string, data []byte) string {
+		path := filepath.Join(dir, name)
+		Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+		return path
+	}
+	files := settings.TLS{
+		CertFile: file("cert.pem", pemOf("CERTIFICATE", der)),
+		KeyFile:  file("key.pem", pemOf("EC PRIVATE KEY", keyDER)),
+		CAFile:   file("ca.pem", pool),
+	}
+	config, err := files.Config()
+	Expect(err).NotTo(HaveOccurred())
+	return config
+}
+
+func protected(config *tls.Config, addresses ...string) func(*Options) {
+	return func(o *Options) { o.TLS, o.Seeds = config, addresses }
+}
+
+// shown is what a stranger reads after its handshake with an entry: with TLS 1.3
+// the entry judges a client's certificate only then.
+func shown(address string, config *tls.Config) error {
+	conn, err := tls.Dial("tcp", address, config)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+var _ = Describe("links under TLS", func() {
+	const loopback = "127.0.0.1"
+
+	It("stand and carry messages between entries of one authority", func() {
+		ca := newAuthority("ca")
+		a := begin("1", listenAt(""), protected(ca.issue(loopback, ca)))
+		b := begin("2", listenAt(""), protected(ca.issue(loopback, ca), a.address))
+		Eventually(a.seen).Should(HaveLen(1))
+		Eventually(b.seen).Should(HaveLen(1))
+		a.Send("2", message.DocumentAsk{})
+		Eventually(b.seen).Should(ContainElement(entry.FromPeer{From: "1", Message: message.DocumentAsk{}}))
+	})
+
+	// Certificates are replaced one entry after another. While some have the new
+	// authority's and some the old one's, each must still link with each, or the
+	// entries would fall apart in two halves; ca_file holds both meanwhile.
+	It("stand between the old and the new authority's entries while both are trusted", func() {
+		old, fresh := newAuthority("old"), newAuthority("new")
+		a := begin("1", listenAt(""), protected(old.issue(loopback, old, fresh)))
+		b := begin("2", listenAt(""), protected(fresh.issue(loopback, old, fresh), a.address))
+		Eventually(a.seen).Should(Equal([]entry.Input{a.up(b)}))
+		Eventually(b.seen).Should(Equal([]entry.Input{b.up(a)}))
+	})
+
+	It("are refused to who has no certificate of the authority, whatever it trusts", func() {
+		ca, other := newAuthority("ca"), newAuthority("other")
+		a := begin("1", listenAt(""), protected(ca.issue(loopback, ca)))
+		Expect(shown(a.address, other.issue(loopback, ca))).To(MatchError(ContainSubstring("remote error: tls")))
+		bare := ca.issue(loopback, ca)
+		bare.Certificates = nil
+		Expect(shown(a.address, bare)).To(MatchError(ContainSubstring("remote error: tls: certificate required")))
+		plain := begin("2", listenAt(""), nil)
+		_, err := plain.dial(a.address)
+		Expect(err).To(HaveOccurred())
+		Expect(a.seen()).To(BeEmpty())
+	})
+
+	It("are not made to an entry whose certificate names another address or authority", func() {
+		ca, other := newAuthority("ca"), newAuthority("other")
+		a := begin("1", listenAt(""), protected(ca.issue(loopback, ca)))
+		elsewhere := begin("2", listenAt(""), protected(ca.issue("127.0.0.2", ca)))
+		_, err := a.dial(elsewhere.address)
+		Expect(err).To(MatchError(ContainSubstring("127.0.0.2")))
+		stranger := begin("3", listenAt(""), protected(other.issue(loopback, ca)))
+		_, err = a.dial(stranger.address)
+		Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+		open := begin("4", listenAt(""), nil)
+		_, err = a.dial(open.address)
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -11,6 +11,10 @@
 	"github.com/sirupsen/logrus"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/ident"
+	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/reasons"
 )
 
 // DecisionsPerSecond bounds the lines on decisions. At full load an entry takes
@@ -39,9 +43,10 @@
 // Decisions writes one line for each decision of the core, up to a bound for
 // each second. What was left out is counted on the next second's first line.
 type Decisions struct {
-	log   logrus.FieldLogger
-	clock func() time.Time
-	limit int
+	log      logrus.FieldLogger
+	clock    func() time.Time
+	limit    int
+	tierName func(request.Tier) string
 
 	mutex   sync.Mutex
 	second  int64
@@ -49,25 +54,45 @@
 	left    int
 }
 
-// NewDecisions makes the writer; limit is in lines a second.
-func NewDecisions(log logrus.FieldLogger, clock func() time.Time, limit int) *Decisions {
-	return &Decisions{log: log, clock: clock, limit: limit}
+// NewDecisions makes the writer; limit is in lines a second, tierName gives the
+// name of a tier for the lines on requests.
+func NewDecisions(log logrus.FieldLogger, clock func() time.Time, limit int, tierName func(request.Tier) string) *Decisions {
+	return &Decisions{log: log, clock: clock, limit: limit, tierName: tierName}
 }
 
 // Decision writes a line, or counts it.
 func (d *Decisions) Decision(e entry.Decision) {
-	left, ok := d.admit()
-	if !ok {
-		return
-	}
 	fields := logrus.Fields{"event": string(e.Event)}
 	addText(fields, "id", string(e.ID))
 	addText(fields, "target", e.Target)
-	addText(fields, "reason", string(e.Reason))
 	addText(fields, "detail", e.Detail)
 	if e.ID != "" {
-		fields["tier"] = int(e.Tier)
+		addText(fields, "tier", d.tierName(e.Tier))
+	}
+	d.write(fields, e.Reason)
+}
+
+// EventRefused marks the line of a request that never reached the core.
+const EventRefused = "refused"
+
+// Refused writes a line on a request that was refused before it reached the core:
+// id and organisation are empty where they were not known yet. It has no detail,
+// since there the detail repeats what the caller wrote.
+func (d *Decisions) Refused(id ident.RequestID, organisation string, reason outcome.Reason) {
+	fields := logrus.Fields{"event": EventRefused, "detail": string(outcome.NotRun)}
+	addText(fields, "id", string(id))
+	addText(fields, "organisation", organisation)
+	d.write(fields, reason)
+}
+
+// write adds the reason with its words, and writes the line or counts it.
+func (d *Decisions) write(fields logrus.Fields, reason outcome.Reason) {
+	left, ok := d.admit()
+	if !ok {
+		return
 	}
+	addText(fields, "reason", string(reason))
+	addText(fields, "why", reasons.Of(reason).Meaning)
 	if left > 0 {
 		fields["left_out"] = left
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -13,6 +13,7 @@
 
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/request"
 )
 
 var _ = Describe("lines on decisions", func() {
@@ -21,7 +22,7 @@
 		logger, err := NewLogger(&out, "info")
 		Expect(err).NotTo(HaveOccurred())
 		now := time.Unix(1000, 0)
-		d := NewDecisions(logger, func() time.Time { return now }, 2)
+		d := NewDecisions(logger, func() time.Time { return now }, 2, func(request.Tier) string { return "gate" })
 		for range 5 {
 			d.Decision(entry.Decision{ID: "a.1.b", Event: entry.EventSettled, Reason: outcome.ReasonOverload, Tier: 2})
 		}
@@ -31,11 +32,25 @@
 		Expect(lines).To(HaveLen(3))
 		var first, last map[string]any
 		Expect(json.Unmarshal([]byte(lines[0]), &first)).To(Succeed())
-		Expect(first).To(And(HaveKeyWithValue("id", "a.1.b"), HaveKeyWithValue("reason", "overload"), HaveKeyWithValue("tier", 2.0)))
+		Expect(first).To(And(HaveKeyWithValue("id", "a.1.b"), HaveKeyWithValue("reason", "overload"), HaveKeyWithValue("tier", "gate"), HaveKeyWithValue("why", ContainSubstring("queue has no room"))))
 		Expect(json.Unmarshal([]byte(lines[2]), &last)).To(Succeed())
 		Expect(last).To(And(HaveKeyWithValue("left_out", 3.0), Not(HaveKey("id"))))
 	})
 
+	// An organisation asks for a model that it may not use; the core never hears of
+	// it, so explain cannot either. The log must say it, without the caller's words.
+	It("tell of refusals at the edge", func() {
+		var out bytes.Buffer
+		logger, err := NewLogger(&out, "info")
+		Expect(err).NotTo(HaveOccurred())
+		d := NewDecisions(logger, time.Now, 2, nil)
+		d.Refused("a.1.b", "acme", outcome.ReasonUnknownModel)
+		var line map[string]any
+		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+		Expect(line).To(And(HaveKeyWithValue("event", EventRefused), HaveKeyWithValue("id", "a.1.b"), HaveKeyWithValue("organisation", "acme"),
+			HaveKeyWithValue("reason", "unknown_model"), HaveKeyWithValue("why", ContainSubstring("may not use this model"))))
+	})
+
 	It("follow the level while the process runs", func() {
 		var out bytes.Buffer
 		logger, err := NewLogger(&out, "info")
--- a/scripts/down.sh
+++ b/scripts/down.sh
@@ -36,6 +36,7 @@
   return 1
 }
 
+stop console
 stop 'entry-*'
 stop standin
 rm "$dir/pids"
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Starts the stand-ins and 6 entries of a deployment on loopback and leaves them
-# running: settings, logs and process ids are under out/<deployment>. Publishes
+# Starts the stand-ins, 6 entries and the console of a deployment on loopback and
+# leaves them running: settings, logs and process ids are under out/<deployment>. Publishes
 # the deployment's document and waits until the entries are ready. scripts/down.sh
 # stops all of it.
 set -euo pipefail
@@ -31,6 +31,7 @@
 for i in $(seq "$entries"); do
   start "entry-$i" bin/sycamore-entry run --settings "$dir/entry-$i.json"
 done
+start console bin/sycamore-console run --settings "$dir/console.json"
 
 ctl() { bin/sycamorectl --settings "$dir/ctl.json" "$@"; }
 
