Change the entries' shared key without a gap; warn of refused certificates

Found while writing keys.md: with one key, replacing entries one by one would part them in two groups. An entry now accepts a second key. A certificate that either end refuses was logged nowhere at the usual level; it is a warning now.

--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -60,7 +60,7 @@
 	d.Targets = targets.New(targets.Config{Core: core, Flights: d.Registry, Log: p.logger})
 	d.callers = callers.New(callers.Config{
 		Core: core, View: p.views.current.Load, Flights: d.Registry, Rereads: d.rereads, Follower: d.Targets,
-		TokenKey: []byte(p.settings.SharedKey), Metrics: p.metrics.Handler, Observe: p.observe, Arrived: p.record, Log: p.logger,
+		TokenKey: []byte(p.settings.SharedKey), AcceptedTokenKey: []byte(p.settings.AcceptedKey), Metrics: p.metrics.Handler, Observe: p.observe, Arrived: p.record, Log: p.logger,
 	})
 	go d.Targets.Watch(d.stop, p.views.current.Load, p.views.probed)
 	go d.sweep()
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -62,12 +62,14 @@
 	p.decisions = telemetry.NewDecisions(logger, time.Now, telemetry.DecisionsPerSecond, p.views.tierName)
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
 	p.links = peers.New(peers.Options{
-		Self:    cfg.Self,
-		Key:     []byte(s.SharedKey),
-		TLS:     tls,
-		Seeds:   s.Peers,
-		Deliver: p.loop.Deliver,
-		Log:     p.logger.WithField("duty", "peers"),
+		Self: cfg.Self,
+		Key:  []byte(s.SharedKey),
+
+		AcceptedKey: []byte(s.AcceptedKey),
+		TLS:         tls,
+		Seeds:       s.Peers,
+		Deliver:     p.loop.Deliver,
+		Log:         p.logger.WithField("duty", "peers"),
 	})
 	if s.TraceFile != "" {
 		if p.recording, err = recording.Open(s.TraceFile, s.Name, []byte(s.SharedKey), time.Now()); err != nil {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -60,6 +60,8 @@
 	Follower Follower
 	// TokenKey signs stream tokens; the same at every entry.
 	TokenKey []byte
+	// AcceptedTokenKey is a second key of tokens that are read; nil: none.
+	AcceptedTokenKey []byte
 	// TokenLife is how long a stream token is good.
 	TokenLife time.Duration
 	// MaxHeaderBytes is the most that any document can allow.
@@ -82,6 +84,9 @@
 	Log     *logrus.Logger
 	// Now is the clock; time.Now when nil.
 	Now func() time.Time
+
+	// tokenKeys are the keys of tokens that are read.
+	tokenKeys [][]byte
 }
 
 func (c *Config) setDefaults() {
@@ -92,6 +97,10 @@
 	setDefault(&c.IdleTimeout, time.Minute)
 	setDefault(&c.LookEvery, 200*time.Millisecond)
 	setDefault(&c.Grace, 5*time.Second)
+	c.tokenKeys = [][]byte{c.TokenKey}
+	if len(c.AcceptedTokenKey) > 0 {
+		c.tokenKeys = append(c.tokenKeys, c.AcceptedTokenKey)
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -21,7 +21,7 @@
 		return
 	}
 	text, _ := ctx.UserValue("token").(string)
-	token, err := readToken(text, s.cfg.TokenKey, s.cfg.Now())
+	token, err := readToken(text, s.cfg.tokenKeys, s.cfg.Now())
 	if err != nil {
 		code := fasthttp.StatusBadRequest
 		reason := outcome.ReasonMalformed
--- a/internal/callers/token.go
+++ b/internal/callers/token.go
@@ -47,8 +47,18 @@
 	return mac.Sum(nil)
 }
 
-// readToken checks a token's signature before it looks at anything else.
-func readToken(text string, key []byte, now time.Time) (streamToken, error) {
+func signedByOne(keys [][]byte, signed, mac []byte) bool {
+	for _, key := range keys {
+		if hmac.Equal(mac, tokenMAC(key, signed)) {
+			return true
+		}
+	}
+	return false
+}
+
+// readToken checks a token's signature, by one of the keys, before it looks at
+// anything else.
+func readToken(text string, keys [][]byte, now time.Time) (streamToken, error) {
 	var t streamToken
 	if len(text) > maxTokenLength {
 		return t, errBadToken
@@ -58,7 +68,7 @@
 		return t, errBadToken
 	}
 	signed, mac := data[:len(data)-sha256.Size], data[len(data)-sha256.Size:]
-	if !hmac.Equal(mac, tokenMAC(key, signed)) {
+	if !signedByOne(keys, signed, mac) {
 		return t, errBadToken
 	}
 	if err := cbor.Unmarshal(signed, &t); err != nil {
--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -151,7 +151,9 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			a.refusals++
 			l.gone(a, "")
+			return err
 		}
+		l.refused(a.text, err)
 		return err
 	}
 	defer conn.Close()
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -69,7 +69,9 @@
 type identity struct {
 	version int
 	self    message.Member
-	key     []byte
+	// key proves this end; the other may prove itself by it or by accepted, the
+	// key of before or after while keys are changed. nil: no other.
+	key, accepted []byte
 }
 
 // dialHello does the hello as the end that opened the connection. Once the peer
@@ -90,7 +92,7 @@
 	if err := veto(peer.Member); err != nil {
 		return peer.Member, err
 	}
-	if err := writeFrame(conn, helloFrame{Proof: id.proof(labelDialler, own, peerRaw)}); err != nil {
+	if err := writeFrame(conn, helloFrame{Proof: proof(id.key, labelDialler, own, peerRaw)}); err != nil {
 		return message.Member{}, err
 	}
 	answer, _, err := readFrame(conn)
@@ -113,7 +115,7 @@
 	if err != nil {
 		return message.Member{}, err
 	}
-	if err := writeFrame(conn, helloFrame{Proof: id.proof(labelAcceptor, peerRaw, own)}); err != nil {
+	if err := writeFrame(conn, helloFrame{Proof: proof(id.key, labelAcceptor, peerRaw, own)}); err != nil {
 		return message.Member{}, err
 	}
 	if err := id.checkProof(conn, labelDialler, peerRaw, own); err != nil {
@@ -159,16 +161,20 @@
 	if err != nil {
 		return err
 	}
-	if !hmac.Equal(frame.Proof, id.proof(label, diallerHello, acceptorHello)) {
-		refuse(conn, refusalKey, "shared_key differs")
-		return ErrKey
+	if hmac.Equal(frame.Proof, proof(id.key, label, diallerHello, acceptorHello)) {
+		return nil
 	}
-	return nil
+	// An empty key is known to everybody.
+	if len(id.accepted) > 0 && hmac.Equal(frame.Proof, proof(id.accepted, label, diallerHello, acceptorHello)) {
+		return nil
+	}
+	refuse(conn, refusalKey, "shared_key differs")
+	return ErrKey
 }
 
 // proof binds the key to both hellos as they went over the wire.
-func (id identity) proof(label string, diallerHello, acceptorHello []byte) []byte {
-	mac := hmac.New(sha256.New, id.key)
+func proof(key []byte, label string, diallerHello, acceptorHello []byte) []byte {
+	mac := hmac.New(sha256.New, key)
 	for _, part := range [][]byte{[]byte(label), diallerHello, acceptorHello} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
--- a/internal/peers/hello_test.go
+++ b/internal/peers/hello_test.go
@@ -88,6 +88,39 @@
 		Expect(accepted.err).To(MatchError(ErrKey))
 	})
 
+	// The shared key is changed entry by entry, in three rounds: all accept the new
+	// one, all use it, none accepts the old one. In each round every entry must
+	// link with every other, whichever of the two has gone on already.
+	It("holds in each round of a change of the key", func() {
+		const fresh = "another key, as long as the first"
+		with := func(name, key, accepted string) identity {
+			id := someone(name, key, 1)
+			id.accepted = []byte(accepted)
+			return id
+		}
+		rounds := [][2]string{{key, ""}, {key, fresh}, {fresh, key}, {fresh, ""}}
+		for i := range rounds[1:] {
+			before, after := rounds[i], rounds[i+1]
+			for _, pair := range [][2][2]string{{before, after}, {after, before}, {after, after}} {
+				dialled, accepted, _, _ := shake(with("a", pair[0][0], pair[0][1]), with("b", pair[1][0], pair[1][1]), agree)
+				Expect(dialled.err).NotTo(HaveOccurred())
+				Expect(accepted.err).NotTo(HaveOccurred())
+			}
+		}
+		dialled, accepted, _, _ := shake(with("a", key, ""), with("b", fresh, ""), agree)
+		Expect(dialled.err).To(MatchError(ErrKey))
+		Expect(accepted.err).To(MatchError(ErrKey))
+	})
+
+	// A stranger proves itself by the empty key, and cares for no proof of the
+	// other end. Settings without an accepted key must not mean this one.
+	It("does not take the empty key where none is accepted", func() {
+		stranger, careful := someone("a", "", 1), someone("b", key, 1)
+		stranger.accepted, careful.accepted = []byte(key), []byte{}
+		_, accepted, _, _ := shake(stranger, careful, agree)
+		Expect(accepted.err).To(MatchError(ErrKey))
+	})
+
 	// During an upgrade an entry of the next version dials an old one. Both ends
 	// must name both versions, also where the key would differ as well, so that an
 	// operator does not look for a wrong key.
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -23,6 +23,8 @@
 	Self message.Member
 	// Key is the shared key.
 	Key []byte
+	// AcceptedKey is a second key by which a peer may prove itself; nil: none.
+	AcceptedKey []byte
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
 	// Seeds are addresses to connect to from the start and never to forget.
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Links{
 		options:   options,
-		identity:  identity{version: options.Version, self: options.Self, key: options.Key},
+		identity:  identity{version: options.Version, self: options.Self, key: options.Key, accepted: options.AcceptedKey},
 		ctx:       ctx,
 		cancel:    cancel,
 		links:     make(map[ident.Incarnation]*link),
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"crypto/tls"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -92,13 +94,24 @@
 	_ = conn.SetWriteDeadline(deadline) // first read or write
 }
 
-// refused logs a failed hello; a wrong version or key is an operator's mistake
-// and worth a warning, a connection that just ended is not.
+// refused logs a failed hello; a wrong version, key or certificate is an
+// operator's mistake and worth a warning, a connection that just ended is not.
 func (l *Links) refused(address string, err error) {
 	line := l.options.Log.WithError(err).WithField("address", address)
-	if errors.Is(err, ErrVersion) || errors.Is(err, ErrKey) {
+	if errors.Is(err, ErrVersion) || errors.Is(err, ErrKey) || certificateRefused(err) {
 		line.Warn("peer link refused")
 		return
 	}
 	line.Debug("peer hello failed")
 }
+
+// opAlert is the operation of errors by which crypto/tls tells of an alert that
+// the other end sent.
+const opAlert = "remote error"
+
+// certificateRefused: one of the ends does not accept the other's certificate.
+func certificateRefused(err error) bool {
+	var unverified *tls.CertificateVerificationError
+	var op *net.OpError
+	return errors.As(err, &unverified) || errors.As(err, &op) && op.Op == opAlert
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,7 +32,11 @@
 		checkAddress(fmt.Sprintf("peers[%d]", i), address, faults)
 	}
 	s.SharedKey = secret("shared_key", s.SharedKey, "shared_key_file", s.SharedKeyFile, faults)
-	checkKey(s.SharedKey, faults)
+	checkKey("shared_key", s.SharedKey, faults)
+	if s.AcceptedKey != "" || s.AcceptedKeyFile != "" {
+		s.AcceptedKey = secret("accepted_key", s.AcceptedKey, "accepted_key_file", s.AcceptedKeyFile, faults)
+		checkKey("accepted_key", s.AcceptedKey, faults)
+	}
 	checkTokenHash(s.OperatorTokenSHA256, faults)
 	if s.TLS != nil {
 		s.TLS.check(faults)
@@ -183,9 +187,9 @@
 	return text
 }
 
-func checkKey(key string, faults *Faults) {
+func checkKey(path, key string, faults *Faults) {
 	if key != "" && len(key) < MinKeyLength {
-		faults.add("shared_key", fmt.Sprintf("has %d bytes", len(key)), fmt.Sprintf("use at least %d random bytes, the same on each entry", MinKeyLength))
+		faults.add(path, fmt.Sprintf("has %d bytes", len(key)), fmt.Sprintf("use at least %d random bytes, the same on each entry", MinKeyLength))
 	}
 }
 
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -23,6 +23,10 @@
 	// Either it or SharedKeyFile is given; each entry has the same.
 	SharedKey     string `json:"shared_key"`
 	SharedKeyFile string `json:"shared_key_file"`
+	// AcceptedKey is a second shared key that other entries may use while the key
+	// is changed; it or AcceptedKeyFile, or neither.
+	AcceptedKey     string `json:"accepted_key"`
+	AcceptedKeyFile string `json:"accepted_key_file"`
 	// OperatorTokenSHA256 is the hex SHA-256 of the operators' bearer token.
 	OperatorTokenSHA256 string `json:"operator_token_sha256"`
 	// TLS protects the links between entries; without it they are plain TCP.
