--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -6,6 +6,7 @@
 
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/message"
+	"sycamoretrail/internal/platform"
 	"sycamoretrail/internal/telemetry"
 )
 
@@ -46,9 +47,26 @@
 		m.Total(telemetry.TraceLines, p.recording.Written())
 		m.Total(telemetry.TraceDropped, p.recording.Dropped())
 	}
+	p.reportUsage()
 	p.reportLinks()
 }
 
+func (p *process) reportUsage() {
+	m, usage := p.metrics, telemetry.ReadProcessUsage()
+	m.Set(telemetry.ProcessCPU, usage.CPU.Seconds())
+	m.Set(telemetry.ProcessResident, float64(usage.Resident))
+	m.Set(telemetry.ProcessHeap, float64(usage.Heap))
+	m.Set(telemetry.ProcessGoroutines, float64(usage.Goroutines))
+	p.reportTraffic("log", p.log.Traffic())
+	p.reportTraffic("instances", p.instances.Traffic())
+}
+
+// reportTraffic sets the bytes exchanged with a part of the platform.
+func (p *process) reportTraffic(part string, traffic *platform.Traffic) {
+	p.metrics.Set(telemetry.PlatformSentBytes, float64(traffic.Sent()), part)
+	p.metrics.Set(telemetry.PlatformReceivedBytes, float64(traffic.Received()), part)
+}
+
 func (p *process) reportLinks() {
 	m, stats := p.metrics, p.links.Stats()
 	m.Set(telemetry.PeerLinks, float64(stats.Links))
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -25,17 +25,21 @@
 // saying "not run" could turn one release into two charges.
 func (e *Entry) ask(f *flight, holder ident.Incarnation) {
 	if holder == e.cfg.Self.Incarnation || !e.members.Reachable(holder) {
-		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone"))
+		status := outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone")
+		if !e.on(guardOwnerGone) {
+			status.Outcome = outcome.NotRun
+		}
+		e.settleForeign(f, status)
 		return
 	}
 	f.asked = holder
 	e.asks++
-	e.send(holder, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID})
+	e.send(holder, message.OwnerAsk{Seq: e.asks, ID: f.subject, Known: f.subject != f.req.ID, Tag: owner.Tag(f.req.Organisation)})
 	e.wakeAt(f, e.now.Add(e.timing.grant))
 }
 
 func (e *Entry) attendAsking(f *flight) {
-	if !e.now.Before(f.giveUp) {
+	if !e.now.Before(f.giveUp) && e.on(guardGiveUp) {
 		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
 		return
 	}
@@ -54,7 +58,17 @@
 		// The asker wants the outcome of another's request, not its id.
 		return e.told(q.ID)
 	}
-	return e.ids.Ask(e.now, from, q.ID)
+	if !e.ids.Belongs(e.now, q.ID, q.Tag) {
+		return message.OwnerReply{ID: q.ID, Standing: message.StandingFinished, Status: anothersID()}
+	}
+	if !e.on(guardVoid) {
+		return message.OwnerReply{ID: q.ID, Standing: message.StandingVoided}
+	}
+	reply := e.ids.Ask(e.now, from, q.ID)
+	if reply.Standing == message.StandingVoided {
+		e.ids.Mark(e.now, q.ID, q.Tag)
+	}
+	return reply
 }
 
 // told says what is remembered of an id, without recording anything.
@@ -120,6 +134,7 @@
 		e.refuseUnseen(&f.req, outcome.Refused(outcome.ReasonEntryFull, retrySoon, "the entry remembers no more ids"))
 		return
 	}
+	e.ids.Mark(e.now, f.req.ID, owner.Tag(f.req.Organisation))
 	e.accept(f.req)
 }
 
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -71,7 +71,7 @@
 	Limit    int `cbor:"2,keyasint"`
 	InFlight int `cbor:"3,keyasint"`
 	Queued   int `cbor:"4,keyasint"`
-	// QueuedPrefill is prompt tokens granted or queued and not yet computed.
+	// QueuedPrefill is prompt tokens granted and not yet computed.
 	QueuedPrefill int `cbor:"5,keyasint"`
 	// PrefillRate in tokens per second and StepTime are the learned estimates.
 	PrefillRate float64       `cbor:"6,keyasint"`
@@ -82,6 +82,12 @@
 	LowestTier request.Tier `cbor:"9,keyasint"`
 	// Wait is the estimated wait for a place of a request of the lowest tier.
 	Wait time.Duration `cbor:"10,keyasint"`
+	// WaitingPrefill is prompt tokens of the offers that wait for a place; short
+	// prompts pass long ones, so only a long one counts them as ahead.
+	WaitingPrefill int `cbor:"11,keyasint,omitempty"`
+	// Waits is the estimated wait for a place by tier, the top tier first; Wait
+	// holds for tiers beyond.
+	Waits []time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Offer asks a target's scheduler for a place. Sent again to refresh it.
@@ -215,6 +221,9 @@
 	Tier request.Tier  `cbor:"3,keyasint"`
 	For  time.Duration `cbor:"4,keyasint"`
 	Need Offer         `cbor:"5,keyasint"`
+	// Last: the asker will refuse as soon as the floor stands, so lower runs that
+	// may be cancelled must be.
+	Last bool `cbor:"6,keyasint,omitempty"`
 }
 
 // FloorReply answers a FloorAsk: either Room names a target that can take the
@@ -229,6 +238,9 @@
 	// Lower: work below Tier still runs there and cannot be cancelled; the
 	// asker waits for its end as long as its request's deadline allows.
 	Lower bool `cbor:"6,keyasint,omitempty"`
+	// Cost is what the run has cost that must be cancelled to make Room, in
+	// tokens and at least 1; 0: none must.
+	Cost int `cbor:"7,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
@@ -238,6 +250,8 @@
 	ID  ident.RequestID `cbor:"2,keyasint"`
 	// Known: the asker only wants to know what became of it, and never to run it.
 	Known bool `cbor:"3,keyasint,omitempty"`
+	// Tag tells which organisation brought the id to the asker; see owner.Tag.
+	Tag uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Standing is what an owner says of an id.
--- a/internal/core/scheduler/report.go
+++ b/internal/core/scheduler/report.go
@@ -89,6 +89,9 @@
 		s.remove(o)
 	}
 	r := t.runs[one.Offer.ID]
+	if r == nil && t.past.over(s.now, one.Offer.ID, s.set.Silence) {
+		return
+	}
 	if r == nil {
 		r = s.reportedRun(t, from, one)
 		t.addRun(r)
@@ -111,10 +114,12 @@
 
 func (s *Scheduler) reportedRun(t *target, from ident.Incarnation, one message.RunningOne) *run {
 	m := one.Offer
-	service := t.est.Total(m.PromptTokens, 0, m.MaxTokens, 0, len(t.runs))
+	work := m.PromptTokens - t.cached(m)
+	service := t.est.Total(work, 0, m.MaxTokens, 0, len(t.runs))
 	began := s.now.Add(-one.Age)
 	return &run{
 		offer:    m,
+		work:     work,
 		from:     from,
 		target:   t,
 		lane:     t.lane(m.PromptTokens, m.Alone, m.Kind == request.Service),
--- a/internal/replay/plot/plot.go
+++ b/internal/replay/plot/plot.go
@@ -1,8 +1,10 @@
-// Package plot draws goodput and first-token times against load, as PNG files.
+// Package plot draws goodput, times and wasted prefill against load, and
+// goodput by scenario, as PNG files.
 package plot
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"maps"
 	"path/filepath"
@@ -13,6 +15,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/replay/report"
 	"sycamoretrail/internal/replay/sweep"
 )
@@ -24,6 +27,9 @@
 	Load       float64
 	Goodput    float64
 	FirstToken report.Percentiles
+	InterToken report.Percentiles
+	// Wasted is the part of prefill that was wasted, of all tiers.
+	Wasted float64
 }
 
 // boundLabel is the oracle's line.
@@ -34,7 +40,8 @@
 	var points []Point
 	drawn := map[string]bool{}
 	for _, s := range r.Summaries() {
-		points = append(points, Point{Label: string(s.Policy), Tier: s.Tier, Load: s.Load, Goodput: s.Goodput.Mean, FirstToken: s.FirstToken})
+		points = append(points, Point{Label: string(s.Policy), Tier: s.Tier, Load: s.Load, Goodput: s.Goodput.Mean,
+			FirstToken: s.FirstToken, InterToken: s.InterToken, Wasted: s.WastedPrefill.Mean})
 		key := fmt.Sprintf("%s %g", s.Tier, s.Load)
 		if !drawn[key] {
 			drawn[key] = true
@@ -44,11 +51,21 @@
 	return points
 }
 
+// Former makes points of one policy of a former version's sweep.
+func Former(r *sweep.Result, policy entry.Policy) []Point {
+	points := only(FromSweep(r), func(p Point) bool { return p.Label == string(policy) })
+	for i := range points {
+		points[i].Label += " before"
+	}
+	return points
+}
+
 // FromReport makes points of a single report, one for each tier.
 func FromReport(label string, r *report.Report) []Point {
 	var points []Point
 	for _, tier := range slices.Sorted(maps.Keys(r.Goodput)) {
-		points = append(points, Point{Label: label, Tier: tier, Load: r.Load, Goodput: r.Goodput[tier], FirstToken: r.FirstToken[tier]})
+		points = append(points, Point{Label: label, Tier: tier, Load: r.Load, Goodput: r.Goodput[tier],
+			FirstToken: r.FirstToken[tier], InterToken: r.InterToken[tier]})
 	}
 	return points
 }
@@ -59,28 +76,52 @@
 	height = 10 * vg.Centimeter
 )
 
-// Draw writes the pictures NAME-goodput-TIER.png and NAME-ttft-TIER.png, and
+// Draw writes the pictures NAME-goodput-TIER.png, NAME-ttft-TIER.png and
+// NAME-itl-TIER.png, and NAME-wasted.png where the points know the waste; it
 // returns their paths.
 func Draw(points []Point, dir, name string) ([]string, error) {
 	var files []string
-	for _, tier := range distinct(points, func(p Point) string { return p.Tier }) {
-		mine := slices.DeleteFunc(slices.Clone(points), func(p Point) bool { return p.Tier != tier })
-		path := filepath.Join(dir, fmt.Sprintf("%s-goodput-%s.png", name, tier))
-		if err := drawGoodput(mine, tier, path); err != nil {
-			return files, err
+	draw := func(kind string, points []Point, with func(path string) error) error {
+		if len(points) == 0 {
+			return nil
 		}
+		path := filepath.Join(dir, fmt.Sprintf("%s-%s.png", name, kind))
 		files = append(files, path)
-		timed := slices.DeleteFunc(mine, func(p Point) bool { return p.FirstToken.Count == 0 })
-		if len(timed) == 0 {
-			continue
-		}
-		path = filepath.Join(dir, fmt.Sprintf("%s-ttft-%s.png", name, tier))
-		if err := drawFirstToken(timed, tier, path); err != nil {
+		return with(path)
+	}
+	for _, tier := range distinct(points, func(p Point) string { return p.Tier }) {
+		mine := only(points, func(p Point) bool { return p.Tier == tier })
+		timed := only(mine, func(p Point) bool { return p.FirstToken.Count > 0 })
+		err := errors.Join(
+			draw("goodput-"+tier, mine, func(path string) error { return drawGoodput(mine, tier, path) }),
+			draw("ttft-"+tier, timed, func(path string) error {
+				return drawTimes(timed, "Time to the first token, "+tier, path, func(p Point) report.Percentiles { return p.FirstToken })
+			}),
+			draw("itl-"+tier, timed, func(path string) error {
+				return drawTimes(timed, "Time between tokens, "+tier, path, func(p Point) report.Percentiles { return p.InterToken })
+			}),
+		)
+		if err != nil {
 			return files, err
 		}
-		files = append(files, path)
 	}
-	return files, nil
+	all := only(points, func(p Point) bool { return p.Tier == sweep.AllTiers && p.Label != boundLabel })
+	return files, draw("wasted", all, func(path string) error { return drawWasted(all, path) })
+}
+
+func only(points []Point, which func(Point) bool) []Point {
+	return slices.DeleteFunc(slices.Clone(points), func(p Point) bool { return !which(p) })
+}
+
+func drawWasted(points []Point, path string) error {
+	p := newPlot("Wasted prefill", "wasted / all prefill tokens")
+	p.Y.Min = 0
+	for i, label := range distinct(points, func(p Point) string { return p.Label }) {
+		if err := addLine(p, label, i, 0, along(points, label, func(p Point) float64 { return p.Wasted })); err != nil {
+			return err
+		}
+	}
+	return save(p, path)
 }
 
 func drawGoodput(points []Point, tier, path string) error {
@@ -95,7 +136,7 @@
 	return save(p, path)
 }
 
-// percentile is one line of a first-token picture.
+// percentile is one line of a picture of times.
 type percentile struct {
 	name string
 	of   func(report.Percentiles) float64
@@ -107,12 +148,12 @@
 	{"p99", func(p report.Percentiles) float64 { return p.P99 }},
 }
 
-func drawFirstToken(points []Point, tier, path string) error {
-	p := newPlot("Time to the first token, "+tier, "ms")
+func drawTimes(points []Point, title, path string, of func(Point) report.Percentiles) error {
+	p := newPlot(title, "ms")
 	p.Y.Min = 0
 	for i, label := range distinct(points, func(p Point) string { return p.Label }) {
 		for j, which := range drawnPercentiles {
-			line := along(points, label, func(p Point) float64 { return which.of(p.FirstToken) })
+			line := along(points, label, func(p Point) float64 { return which.of(of(p)) })
 			if err := addLine(p, label+" "+which.name, i, j, line); err != nil {
 				return err
 			}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -75,6 +75,16 @@
 	PoolFloor      = declare(KindGauge, "floor_tier", "Rank of the lowest tier admitted in the pool, 0 the highest; -1: no floor.", "pool")
 )
 
+// The process itself, and what it exchanges with the platform.
+var (
+	ProcessCPU            = declare(KindGauge, "process_cpu_seconds", "Processor time since the start, user and system.")
+	ProcessResident       = declare(KindGauge, "process_resident_bytes", "Memory held, as the system counts it.")
+	ProcessHeap           = declare(KindGauge, "process_heap_bytes", "Memory of live and not yet collected objects.")
+	ProcessGoroutines     = declare(KindGauge, "process_goroutines", "Goroutines.")
+	PlatformSentBytes     = declare(KindGauge, "platform_sent_bytes", "Bytes sent to a part of the platform: log, instances.", "part")
+	PlatformReceivedBytes = declare(KindGauge, "platform_received_bytes", "Bytes received from it.", "part")
+)
+
 // Links to other entries, counted since the process began.
 var (
 	PeerLinks            = declare(KindGauge, "peer_links", "Links that stand.")
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -4,20 +4,23 @@
 # stops what it started, by id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source scripts/lib.sh
 
-export DEPLOYMENT=${DEPLOYMENT:-tanglaw}
+deployment=${DEPLOYMENT:-tanglaw}
 entries=${ENTRIES:-6}
-trace=${TRACE:-traces/$DEPLOYMENT.jsonl}
+policy=${POLICY:-scheduler}
+trace=${TRACE:-traces/$deployment.jsonl}
 report=${REPORT:-out/run.json}
+dir=out/$deployment
 
-trap scripts/down.sh EXIT
-scripts/up.sh
+trap 'stop_deployment TERM' EXIT
+start_deployment
+cat "$dir/publish.txt"
+ctl status
 
-addresses=()
-for i in $(seq "$entries"); do addresses+=("127.0.0.1:$((24000 + i))"); done
-joined=$(IFS=,; echo "${addresses[*]}")
+addresses=$(seq -s, -f '127.0.0.1:240%02.0f' "$entries")
 code=0
-bin/sycamore-replay run --mode live --trace "$trace" --document "examples/$DEPLOYMENT.json" \
-  --entries "$joined" --outcomes "${OUTCOMES:-traces/outcomes.json}" --report "$report" || code=$?
+bin/sycamore-replay run --mode live --trace "$trace" --document "examples/$deployment.json" \
+  --entries "$addresses" --outcomes "${OUTCOMES:-traces/outcomes.json}" --report "$report" || code=$?
 echo "report: $report"
 exit "$code"
