--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -31,6 +31,7 @@
 	settings  settings.Entry
 	logger    *logrus.Logger
 	metrics   *telemetry.Metrics
+	decisions *telemetry.Decisions
 	loop      *duty.Loop[*entry.Entry]
 	log       *platform.Log
 	instances *platform.Instances
@@ -59,15 +60,18 @@
 		loop:     duty.NewLoop(entry.New(cfg, time.Now()), time.Now),
 		views:    newViews(),
 	}
+	p.decisions = telemetry.NewDecisions(logger, time.Now, telemetry.DecisionsPerSecond, p.views.tierName)
 	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
 	p.instances = platform.NewInstances(s.Platform.Instances)
 	p.links = peers.New(peers.Options{
-		Self:    cfg.Self,
-		Key:     []byte(s.SharedKey),
-		TLS:     tls,
-		Seeds:   s.Peers,
-		Deliver: p.loop.Deliver,
-		Log:     p.logger.WithField("duty", "peers"),
+		Self: cfg.Self,
+		Key:  []byte(s.SharedKey),
+
+		AcceptedKey: []byte(s.AcceptedKey),
+		TLS:         tls,
+		Seeds:       s.Peers,
+		Deliver:     p.loop.Deliver,
+		Log:         p.logger.WithField("duty", "peers"),
 	})
 	if s.TraceFile != "" {
 		if p.recording, err = recording.Open(s.TraceFile, s.Name, []byte(s.SharedKey), time.Now()); err != nil {
@@ -84,7 +88,7 @@
 		Peers:     p.links,
 		Platform:  p.log,
 		Publisher: p.views,
-		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
+		Telemetry: p.decisions,
 	})
 	return p, nil
 }
