Routing weighs waiting above decoding; lower runs are cut for what is refused only

Cause 1: a short request waited up to half a second at a fast engine while a slower one had places, so bursts met queues. Decoding counts a twentieth now; the bounds say whether a target is fast enough. An offer whose time is over is now held for a moment while the lower runs are cut (FloorReply.Cutting), and nothing is cut before.

--- a/internal/core/floors/floors.go
+++ b/internal/core/floors/floors.go
@@ -98,6 +98,8 @@
 	// Over: all have answered or were silent. Stands: all promised.
 	Over   bool
 	Stands bool
+	// Cutting: some who promised are cancelling lower runs.
+	Cutting bool
 }
 
 // Candidate is a target that could take a request if a run there were cancelled,
@@ -151,6 +153,7 @@
 	} else {
 		e.valid = min(e.valid, r.Valid)
 		e.lower = e.lower || r.Lower
+		e.cutting = e.cutting || r.Cutting
 	}
 	return f.conclude(now, p, e, verdicts)
 }
@@ -185,7 +188,7 @@
 		p.stand(standing{tier: e.tier, until: until, lower: e.lower})
 		p.promise(e.tier, until)
 	}
-	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands})
+	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands, Cutting: e.cutting})
 }
 
 // Promise records a floor that this scheduler has promised to another, and
--- a/internal/core/floors/pool.go
+++ b/internal/core/floors/pool.go
@@ -46,6 +46,7 @@
 	waiting []ident.Incarnation
 	room    bool
 	lower   bool
+	cutting bool
 	// least is the room that costs least of those that cost something; it is
 	// taken at the end, if there was none for nothing.
 	least Candidate
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -239,6 +239,8 @@
 	// Cost is what the run has cost that must be cancelled to make Room, in
 	// tokens and at least 1; 0: none must.
 	Cost int `cbor:"7,keyasint,omitempty"`
+	// Cutting: lower runs are being cancelled there; they are gone in a moment.
+	Cutting bool `cbor:"8,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
--- a/internal/core/routing/finish.go
+++ b/internal/core/routing/finish.go
@@ -2,6 +2,11 @@
 
 import "sycamoretrail/internal/core/request"
 
+// decodeWeight is how much a second of decoding counts beside one of waiting. A
+// place that is free now on a slower target keeps the faster one's queue short
+// for a burst; the bounds decide whether the slower one is fast enough.
+const decodeWeight = 0.05
+
 // finishScorer counts the estimated time to the whole answer: wait, prefill of
 // what is queued before it and of its own prompt, decode.
 type finishScorer struct{}
@@ -9,7 +14,7 @@
 func (finishScorer) score(q *query, c *candidate) {
 	c.first = queueTime(q, c) + c.prefill + c.view.step
 	c.finish = c.first + decode(q, c)
-	c.cost += c.finish
+	c.cost += c.first + decodeWeight*decode(q, c)
 }
 
 // prepare estimates the request's own prefill at the candidate.
--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -27,7 +27,11 @@
 	// lastWord: a refusal here ends the request, so it needs a floor.
 	lastWord bool
 	// told: it was sent here since a run can be cancelled for it.
-	told       bool
+	told bool
+	// doomed: its time is over, and it waits for lower runs to be cancelled
+	// before it is refused, until doomedBy.
+	doomed     bool
+	doomedBy   time.Time
 	preempting bool
 	stage      stage
 	holding    *holding
@@ -243,6 +247,9 @@
 
 // giveUp is when the offer cannot be met any more.
 func (o *offer) giveUp(s *Scheduler) time.Time {
+	if o.doomed {
+		return o.doomedBy
+	}
 	if s.set.Early {
 		return o.Due
 	}
@@ -311,6 +318,12 @@
 // expire refuses an offer whose time has run out.
 func (s *Scheduler) expire(o *offer) {
 	_, covered := s.floors.Covered(s.now, o.target.desc.Pool, o.Tier)
+	standing := s.floors.Standing(s.now, o.target.desc.Pool, o.Tier)
+	if covered && s.quorum && !standing && s.set.Preempt && !o.doomed {
+		o.stage = stagePreempted
+		s.doom(o)
+		return
+	}
 	if covered && s.quorum {
 		// Lower work that cannot be cancelled may still run: it has been
 		// waited for as long as the deadline allowed.
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -81,6 +81,8 @@
 	// again is the earliest next exchange: lower work that can't be cancelled
 	// was left running, and its end is waited for.
 	again time.Time
+	// cut: the exchange had lower runs cancelled.
+	cut bool
 }
 
 func (h *holding) here(t *target) []*offer {
@@ -121,15 +123,28 @@
 	return o.Due.Before(than.Due) && !o.Due.Before(after)
 }
 
-// last reports whether an offer's time leaves no more than the cut of lower runs
-// and the end of this exchange.
-func (h *holding) last(s *Scheduler) bool {
-	end := s.now.Add(lastTrips * s.set.tripTime())
-	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.giveUp(s).Before(end) })
+// last reports whether an offer's time is over, so that it is refused as soon as
+// nothing lower runs any more.
+func (h *holding) last() bool {
+	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed })
 }
 
-// lastTrips before its end an offer's refusal is prepared.
-const lastTrips = 2
+// doom keeps an offer whose time is over for the moment in which the lower runs
+// of the pool are cancelled.
+//
+// Failure: it is refused while such runs go on; or they are cancelled earlier,
+// for an offer that then gets a place in time.
+func (s *Scheduler) doom(o *offer) {
+	o.doomed = true
+	o.doomedBy = s.now.Add(s.set.tripTime())
+	o.target.queue.Remove(&o.Item)
+	if o.holding == nil {
+		s.keep(o)
+	}
+	h := o.holding
+	h.again = s.now
+	s.ask(h)
+}
 
 func (s *Scheduler) holdingFor(key holdKey) *holding {
 	h := s.holdings[key]
@@ -158,11 +173,16 @@
 		s.refuse(o, refusal{reason: o.reason})
 		return
 	}
-	o.holding = h
-	h.offers = append(h.offers, o)
+	s.keep(o)
 	s.ask(h)
 }
 
+// keep puts an offer into its tier's holding.
+func (s *Scheduler) keep(o *offer) {
+	o.holding = s.holdingFor(holdKey{pool: o.target.desc.Pool, tier: o.Tier})
+	o.holding.offers = append(o.holding.offers, o)
+}
+
 // tripTime is allowed for an offer's way to another target and for the end of a
 // run that is cancelled there for it.
 func (s *Settings) tripTime() time.Duration { return s.Grant / tripPart }
@@ -189,9 +209,10 @@
 		return
 	}
 	h.need = h.pick(s.now, s.set.tripTime())
+	h.cut = h.last()
 	own := s.ownCandidate(h.need)
 	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
-	m.Last = h.last(s)
+	m.Last = h.cut
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -201,6 +222,9 @@
 // tooSoon: the floor that the last exchange obtained still stands, so another
 // would bring nothing yet.
 func (s *Scheduler) tooSoon(h *holding) bool {
+	if !h.cut && h.last() {
+		return false
+	}
 	_, covered := s.floors.Covered(s.now, h.key.pool, h.key.tier)
 	return covered && s.now.Before(h.again)
 }
@@ -235,7 +259,7 @@
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
 	if a.Last {
-		s.yield(a.Pool, a.Tier)
+		reply.Cutting = s.yield(a.Pool, a.Tier)
 	}
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
@@ -260,7 +284,7 @@
 			s.sendElsewhere(h, v.Room)
 		}
 		if v.Over {
-			s.exchangeOver(h, v.Stands)
+			s.exchangeOver(h, v)
 		}
 	}
 }
@@ -293,14 +317,15 @@
 
 // exchangeOver refuses what was held if the floor stands and nothing lower is
 // left; else the offers go on waiting, or ask again.
-func (s *Scheduler) exchangeOver(h *holding, stands bool) {
-	if !stands {
+func (s *Scheduler) exchangeOver(h *holding, v verdict) {
+	if !v.Stands {
 		s.ask(h)
 		s.fillPool(h.key.pool)
 		return
 	}
-	if h.last(s) {
-		s.yield(h.key.pool, h.key.tier)
+	cutting := v.Cutting
+	if h.cut && s.yield(h.key.pool, h.key.tier) {
+		cutting = true
 	}
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
@@ -314,11 +339,18 @@
 	}
 	for _, o := range slices.Clone(h.offers) {
 		switch {
-		case o.gone || o.Waiting() || s.readmit(o):
+		case o.gone || o.Waiting():
+		case o.doomed && h.cut && !cutting:
+			// What is left can't be cancelled; it was waited for.
+			s.refuse(o, refusal{reason: o.reason, settled: true})
+		case s.readmit(o):
 		case settled:
 			s.refuseForLoad(o, o.reason)
 		}
 	}
+	if !h.cut && h.last() {
+		s.ask(h)
+	}
 	s.fillPool(h.key.pool)
 }
 
@@ -326,7 +358,7 @@
 // in time and the queue has room now.
 func (s *Scheduler) readmit(o *offer) bool {
 	t := o.target
-	if o.Waiting() || !t.available || !s.admissible(o) || t.late(o, t.wait(o)) {
+	if o.doomed || o.Waiting() || !t.available || !s.admissible(o) || t.late(o, t.wait(o)) {
 		return false
 	}
 	if t.queue.Len() >= max(1, s.set.QueuePerTarget) {
@@ -349,18 +381,20 @@
 	}
 }
 
-// yield cuts lower runs under a new floor where work of its tier or above waits,
-// one for each that waits.
+// yield cuts the lower runs that may be cancelled, before a request of a tier is
+// refused, and reports whether some are on their way out.
 //
-// Failure: the asker's request could not be in time at this target, since others
-// wait here before it. Symptom: it is refused while the lower runs here go on,
-// and those that wait have the time to let them.
-func (s *Scheduler) yield(pool string, tier request.Tier) {
+// Failure: the asker's request could not be in time at this target, so no room
+// was named. Symptom: it is refused while the lower runs here go on.
+func (s *Scheduler) yield(pool string, tier request.Tier) bool {
+	cutting := false
 	for _, t := range s.pools[pool] {
 		for r := s.victim(t, tier); r != nil; r = s.victim(t, tier) {
 			s.sendPreempt(r)
 		}
+		cutting = cutting || t.preempting() > 0
 	}
+	return cutting
 }
 
 // preempting counts the runs that are being cut.
