--- a/internal/core/routing/finish.go
+++ b/internal/core/routing/finish.go
@@ -2,7 +2,8 @@
 
 import "sycamoretrail/internal/core/request"
 
-// decodeWeight is how much a second of decoding counts beside one of waiting. A
+// decodeWeight is how much a second of decoding counts beside one of waiting, for
+// short requests. A
 // place that is free now on a slower target keeps the faster one's queue short
 // for a burst; the bounds decide whether the slower one is fast enough.
 const decodeWeight = 0.05
@@ -14,6 +15,10 @@
 func (finishScorer) score(q *query, c *candidate) {
 	c.first = queueTime(q, c) + c.prefill + c.view.step
 	c.finish = c.first + decode(q, c)
+	if q.long {
+		c.cost += c.finish
+		return
+	}
 	c.cost += c.first + decodeWeight*decode(q, c)
 }
 
