--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -221,6 +221,9 @@
 	Tier request.Tier  `cbor:"3,keyasint"`
 	For  time.Duration `cbor:"4,keyasint"`
 	Need Offer         `cbor:"5,keyasint"`
+	// Last: the asker will refuse as soon as the floor stands, so lower runs that
+	// may be cancelled must be.
+	Last bool `cbor:"6,keyasint,omitempty"`
 }
 
 // FloorReply answers a FloorAsk: either Room names a target that can take the
@@ -235,6 +238,9 @@
 	// Lower: work below Tier still runs there and cannot be cancelled; the
 	// asker waits for its end as long as its request's deadline allows.
 	Lower bool `cbor:"6,keyasint,omitempty"`
+	// Cost is what the run has cost that must be cancelled to make Room, in
+	// tokens and at least 1; 0: none must.
+	Cost int `cbor:"7,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
