--- a/internal/core/entry/guard.go
+++ b/internal/core/entry/guard.go
@@ -5,7 +5,7 @@
 type guard uint8
 
 const (
-	guardNone guard = iota
+	_ guard = iota // every safeguard is in place
 	// guardVoid: the owner remembers that it gave an id up.
 	guardVoid
 	// guardClaim: a key is claimed on the log before its request runs.
