Ask for an offer whose time is over before it is refused for its deadline

And an offer for which a run was to be cancelled joined its queue under a floor promised meanwhile (found by TestPromises).

--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -319,7 +319,9 @@
 func (s *Scheduler) expire(o *offer) {
 	_, covered := s.floors.Covered(s.now, o.target.desc.Pool, o.Tier)
 	standing := s.floors.Standing(s.now, o.target.desc.Pool, o.Tier)
-	if covered && s.quorum && !standing && s.set.Preempt && !o.doomed {
+	if s.quorum && !standing && s.set.Preempt && !o.doomed {
+		// No trip of its owner helps any more.
+		o.lastWord = true
 		o.stage = stagePreempted
 		s.doom(o)
 		return
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -304,6 +304,10 @@
 // offer wait for its place.
 func (s *Scheduler) preemptHere(o *offer) {
 	t := o.target
+	if o.doomed || !o.Waiting() && !s.admissible(o) {
+		// A floor was promised meanwhile: nothing below it may join a queue.
+		return
+	}
 	s.release(o)
 	if !o.Waiting() {
 		t.queue.Push(&o.Item)
