--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -85,15 +85,20 @@
 		return roomInQueue
 	case inTime && s.displaceable(t, o, expected):
 		return roomByDisplacement
-	case s.preemptibleRuns(t, o) > expected && s.inTimeByPreemption(t, o):
+	case s.preemptibleRuns(t, o) > expected && s.inTimeByPreemption(t, o, ahead):
 		return roomByPreemption
 	}
 	return roomNone
 }
 
-func (s *Scheduler) inTimeByPreemption(t *target, o *offer) bool {
+// inTimeByPreemption: the place of the run that is cancelled goes to whoever is
+// first in the queue, so the offer must be in time with one less before it.
+func (s *Scheduler) inTimeByPreemption(t *target, o *offer, ahead int) bool {
 	r := s.victim(t, o.Tier)
-	return r != nil && !t.lateBeside(o, 0, t.loadWithout(r))
+	if r == nil || t.lateBeside(o, 0, t.loadWithout(r)) {
+		return false
+	}
+	return ahead == 0 || !t.late(o, t.waitBehind(ahead-1, o.service))
 }
 
 func (s *Scheduler) displaceable(t *target, o *offer, expected int) bool {
