--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -12,6 +12,13 @@
 	// digestGood is how long a digest counts; past it the target is judged by
 	// the prior, load reports and own dispatches.
 	digestGood = 5 * time.Second
+	// alike is how many owners are taken to place alike between two digests, this
+	// one counted.
+	//
+	// Failure: owners see their own offers only. Symptom: all of them join the
+	// queue that was shortest in the last digest, and a burst of the top tier
+	// finds 18 waiting at one target and none at the next.
+	alike = 4
 	// optimisticFor bounds how long own dispatches count without a digest.
 	optimisticFor = 3 * time.Second
 	// reportGood is how long a load report counts.
@@ -141,8 +148,9 @@
 	v.waiting = float64(d.WaitingPrefill)
 	v.wait = d.Wait.Seconds()
 	v.waits = d.Waits
-	v.placed = t.ownOffers + t.ownRuns
-	v.inFlight += t.ownOffers
+	placed := t.ownOffers + t.ownRuns
+	v.placed = alike * placed
+	v.inFlight += alike*placed - t.ownRuns
 	v.age = now.Sub(t.digestAt).Seconds()
 	if d.PrefillRate > 0 {
 		v.rate = d.PrefillRate
