--- a/internal/core/entry/patience.go
+++ b/internal/core/entry/patience.go
@@ -5,7 +5,7 @@
 const (
 	// patiencePart of a request's time may pass before its owner asks for the
 	// last word.
-	patiencePart = 2
+	patiencePart = 0.85
 	// pauseLeast and pauseMost bound the pauses between rounds of offers.
 	pauseLeast = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
@@ -27,7 +27,7 @@
 	if first := f.req.FirstTokenBy; !first.IsZero() && first.Before(bound) {
 		bound = first
 	}
-	return e.now.Before(f.req.Arrived.Add(bound.Sub(f.req.Arrived) / patiencePart))
+	return e.now.Before(f.req.Arrived.Add(time.Duration(patiencePart * float64(bound.Sub(f.req.Arrived)))))
 }
 
 // rest ends a round of offers: the next one begins after a pause that doubles.
