Take the last measures for an offer at half its slack

Cause: riders that were moved a quarter of their slack before the end arrived with too little time (trial print), and each that was refused had lower work cut. Conclusion: a half.

--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -265,7 +265,7 @@
 // preemptAt leaves time for a run to be cancelled before giving up.
 func (o *offer) preemptAt(s *Scheduler) time.Time {
 	end := o.giveUp(s)
-	return end.Add(-min(s.set.Grant, end.Sub(o.arrived)/4))
+	return end.Add(-min(s.set.Grant, end.Sub(o.arrived)/2))
 }
 
 func (o *offer) nextTime(s *Scheduler) time.Time {
