--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -222,11 +222,25 @@
 	}
 	t.queue.Push(&o.Item)
 	s.fill(t)
+	s.easeQueue(o)
 	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
 		s.shedOne(o)
 	}
 }
 
+// easeQueue cuts a lower run for a newcomer that makes the queue of its tier and
+// above too long for the last in it, if the run has cost less than the newcomer
+// brings. The newcomer may be in time by fairness; then it is another who isn't.
+func (s *Scheduler) easeQueue(o *offer) {
+	t := o.target
+	if o.gone || !o.Waiting() || !t.late(o, t.waitBehind(t.queue.Above(o.Tier+1)-1, o.service)) {
+		return
+	}
+	if r := s.victimFor(o); r != nil && t.computed(r) <= o.Cost {
+		s.preempt(o)
+	}
+}
+
 // shedOne refuses one offer of a queue that a newcomer has made too long: the
 // lowest tier's last, which would have been served last; were it the oldest,
 // work nearest to being served would be lost. Within the newcomer's own tier
