--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -223,11 +223,25 @@
 	}
 	t.queue.Push(&o.Item)
 	s.fill(t)
+	s.easeQueue(o)
 	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
 		s.shedOne(o)
 	}
 }
 
+// easeQueue cuts a lower run for a newcomer that makes the queue of its tier and
+// above too long for the last in it, if the run has cost less than the newcomer
+// brings. The newcomer may be in time by fairness; then it is another who isn't.
+func (s *Scheduler) easeQueue(o *offer) {
+	t := o.target
+	if o.gone || !o.Waiting() || !t.late(o, t.waitBehind(t.queue.Above(o.Tier+1)-1, o.service)) {
+		return
+	}
+	if r := s.victimFor(o); r != nil && t.computed(r) <= o.Cost {
+		s.preempt(o)
+	}
+}
+
 // shedOne refuses one offer of a queue that a newcomer has made too long: the
 // lowest tier's last, which would have been served last; were it the oldest,
 // work nearest to being served would be lost. Within the newcomer's own tier
@@ -266,7 +280,7 @@
 // preemptAt leaves time for a run to be cancelled before giving up.
 func (o *offer) preemptAt(s *Scheduler) time.Time {
 	end := o.giveUp(s)
-	return end.Add(-min(s.set.Grant, end.Sub(o.arrived)/4))
+	return end.Add(-min(s.set.Grant, end.Sub(o.arrived)/2))
 }
 
 func (o *offer) nextTime(s *Scheduler) time.Time {
@@ -320,7 +334,9 @@
 func (s *Scheduler) expire(o *offer) {
 	_, covered := s.floors.Covered(s.now, o.target.desc.Pool, o.Tier)
 	standing := s.floors.Standing(s.now, o.target.desc.Pool, o.Tier)
-	if covered && s.quorum && !standing && s.set.Preempt && !o.doomed {
+	if s.quorum && !standing && s.set.Preempt && !o.doomed {
+		// No trip of its owner helps any more.
+		o.lastWord = true
 		o.stage = stagePreempted
 		s.doom(o)
 		return
