--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -60,7 +60,7 @@
 	d.Targets = targets.New(targets.Config{Core: core, Flights: d.Registry, Log: p.logger})
 	d.callers = callers.New(callers.Config{
 		Core: core, View: p.views.current.Load, Flights: d.Registry, Rereads: d.rereads, Follower: d.Targets,
-		TokenKey: []byte(p.settings.SharedKey), Metrics: p.metrics.Handler, Observe: p.observe, Arrived: p.record, Log: p.logger,
+		TokenKey: []byte(p.settings.SharedKey), AcceptedTokenKey: []byte(p.settings.AcceptedKey), Metrics: p.metrics.Handler, Observe: p.observe, Arrived: p.record, Log: p.logger,
 	})
 	go d.Targets.Watch(d.stop, p.views.current.Load, p.views.probed)
 	go d.sweep()
@@ -92,8 +92,12 @@
 	}
 }
 
-// observe counts an answered request.
+// observe counts an answered or refused request, and logs a refusal that the core
+// knows nothing of.
 func (p *process) observe(o callers.Observation) {
+	if o.Refused {
+		p.decisions.Refused(o.ID, o.Organisation, o.Status.Reason)
+	}
 	p.metrics.Settled(telemetry.Settled{
 		Organisation: o.Organisation, Tier: o.Tier, Status: o.Status, FirstToken: o.FirstByte, Total: o.Total,
 	})
