Begin the next exchange at a Tick where there is nobody to ask

A deployment of one entry would have crashed the same way. Now such an exchange is begun again at the next Tick. The spec that crashed passes; scheduler and virtual replay specs pass.

--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -83,6 +83,8 @@
 	again time.Time
 	// cut: the exchange had lower runs cancelled.
 	cut bool
+	// alone: the last exchange had nobody to ask, so it ended at once.
+	alone bool
 }
 
 func (h *holding) here(t *target) []*offer {
@@ -213,6 +215,7 @@
 	own := s.ownCandidate(h.need)
 	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
 	m.Last = h.cut
+	h.alone = len(others) == 0
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -323,7 +326,11 @@
 // left; else the offers go on waiting, or ask again.
 func (s *Scheduler) exchangeOver(h *holding, v verdict) {
 	if !v.Stands {
-		s.ask(h)
+		// With nobody to ask the next exchange would end within this call, and so
+		// on without end; it begins at the next Tick.
+		if !h.alone {
+			s.ask(h)
+		}
 		s.fillPool(h.key.pool)
 		return
 	}
