Cut also runs in their last moments before a refusal, and wait for their end

Cause: of the inversions left some were beside runs that the estimate had near their end, some beside runs whose cancellation was under way.

--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -339,7 +339,11 @@
 // caller could not send it again; nor is a plain service's, which may go on
 // there unseen.
 func (t *target) preemptible(r *run) bool {
-	return r.offer.Idempotent && r.offer.Kind == request.Engine && !r.preempting && !r.orphan && !t.lastMoments(r)
+	return r.repeatable() && !r.preempting && !t.lastMoments(r)
+}
+
+func (r *run) repeatable() bool {
+	return r.offer.Idempotent && r.offer.Kind == request.Engine && !r.orphan
 }
 
 // preemptFor preempts for an offer whose refusal would be the last word.
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -129,6 +129,13 @@
 	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed })
 }
 
+const (
+	// cutTrips bound how long the end of cancelled runs is waited for, cutLooks is
+	// how often a trip's time it is asked for.
+	cutTrips = 2
+	cutLooks = 4
+)
+
 // doom keeps an offer whose time is over for the moment in which the lower runs
 // of the pool are cancelled.
 //
@@ -136,7 +143,7 @@
 // for an offer that then gets a place in time.
 func (s *Scheduler) doom(o *offer) {
 	o.doomed = true
-	o.doomedBy = s.now.Add(s.set.tripTime())
+	o.doomedBy = earliest(o.deadline, s.now.Add(cutTrips*s.set.tripTime()))
 	o.target.queue.Remove(&o.Item)
 	if o.holding == nil {
 		s.keep(o)
@@ -340,6 +347,9 @@
 	h.again = s.now.Add(until.Sub(s.now) / 4 * 3) // renewed before its end
 	if !settled {
 		h.again = s.now.Add(s.set.tripTime())
+		if cutting {
+			h.again = s.now.Add(s.set.tripTime() / cutLooks)
+		}
 	}
 	for _, o := range slices.Clone(h.offers) {
 		switch {
@@ -389,12 +399,18 @@
 // refused, and reports whether some are on their way out.
 //
 // Failure: the asker's request could not be in time at this target, so no room
-// was named. Symptom: it is refused while the lower runs here go on.
+// was named. Symptom: it is refused while the lower runs here go on. Also a run
+// in its last moments is cut: how long those last is an estimate.
 func (s *Scheduler) yield(pool string, tier request.Tier) bool {
 	cutting := false
+	if !s.set.Preempt {
+		return false
+	}
 	for _, t := range s.pools[pool] {
-		for r := s.victim(t, tier); r != nil; r = s.victim(t, tier) {
-			s.sendPreempt(r)
+		for _, r := range t.sortedRuns() {
+			if tier.Above(r.offer.Tier) && r.repeatable() && !r.preempting {
+				s.sendPreempt(r)
+			}
 		}
 		cutting = cutting || t.preempting() > 0
 	}
