Wake a patient request in time for its last word

Cause: a pause between rounds went past the time at which the last word was due, and the request was then refused for its deadline without a floor.

--- a/internal/core/entry/patience.go
+++ b/internal/core/entry/patience.go
@@ -23,17 +23,23 @@
 	if e.cfg.Policy != PolicyScheduler || f.req.Tier == 0 || f.own || f.final {
 		return false
 	}
+	return e.now.Before(f.patience())
+}
+
+// patience is when the last word is asked for.
+func (f *flight) patience() time.Time {
 	bound := f.req.Deadline
 	if first := f.req.FirstTokenBy; !first.IsZero() && first.Before(bound) {
 		bound = first
 	}
-	return e.now.Before(f.req.Arrived.Add(time.Duration(patiencePart * float64(bound.Sub(f.req.Arrived)))))
+	return f.req.Arrived.Add(time.Duration(patiencePart * float64(bound.Sub(f.req.Arrived))))
 }
 
-// rest ends a round of offers: the next one begins after a pause that doubles.
+// rest ends a round of offers: the next one begins after a pause that doubles,
+// at the latest when the last word is due.
 func (e *Entry) rest(f *flight) {
 	f.pause = min(max(2*f.pause, pauseLeast), pauseMost)
 	f.tried = f.tried[:0]
 	f.stage = stageWaiting
-	e.wakeAt(f, e.now.Add(e.jitter(f.pause)))
+	e.wakeAt(f, earlier(e.now.Add(e.jitter(f.pause)), f.patience()))
 }
