--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -178,6 +178,7 @@
 	r.POST("/v1/chat/completions", s.completion)
 	r.POST("/v1/completions", s.completion)
 	r.GET(streamsPath+"{token}", s.reread)
+	r.ANY(streamsPath+"{token}", s.notReread)
 	r.ANY("/v1/services/{service}", s.service)
 	r.ANY("/v1/services/{service}/{path:*}", s.service)
 	if s.cfg.Metrics != nil {
--- a/internal/callers/referral_test.go
+++ b/internal/callers/referral_test.go
@@ -66,6 +66,18 @@
 		Expect(calls.Load()).To(Equal(int32(1)))
 	})
 
+	// A client follows 303 and keeps POST, as some do. It must not read "not run"
+	// there: the first request ran, and its answer is held at this address.
+	It("is never told that nothing ran when it follows with another method", func() {
+		n := newNode("", "")
+		for _, method := range []string{"POST", "PUT", "DELETE", "HEAD"} {
+			resp, _ := n.call(method, "/v1/streams/pAFv", "", nil)
+			Expect(resp.StatusCode).To(Equal(405), method)
+			Expect(resp.Header.Get("X-Outcome")).To(Equal("unknown"), method)
+			Expect(resp.Header.Get("Allow")).To(Equal("GET"), method)
+		}
+	})
+
 	// Another organisation names the id of a request that is not its own. It is
 	// told that the answer is not held, and never sees it.
 	It("is not given the answer of another organisation", func() {
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -12,6 +12,15 @@
 	"sycamoretrail/internal/flight"
 )
 
+// notReread answers other methods than GET. A client that keeps POST when it
+// follows 303 to a stream comes here; "no such call, not run" would tell it that
+// its request did not run, when the answer is there to be read.
+func (s *Server) notReread(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(fasthttp.HeaderAllow, fasthttp.MethodGet)
+	s.refuse(ctx, fasthttp.StatusMethodNotAllowed, "",
+		outcome.Undetermined(outcome.ReasonMalformed, "streams are read with GET; nothing was run by this call"))
+}
+
 // reread answers /v1/streams/{token}: the answer again from a chunk on, at any
 // entry. Here "not run" is never said, since the request itself may have run.
 func (s *Server) reread(ctx *fasthttp.RequestCtx) {
--- a/scripts/down.sh
+++ b/scripts/down.sh
@@ -10,7 +10,7 @@
 
 # runs: the id is still that of the program started then, and not of another.
 runs() {
-  tr '\0' ' ' <"/proc/$1/cmdline" 2>/dev/null | grep -q "$dir/"
+  { tr '\0' ' ' <"/proc/$1/cmdline"; } 2>/dev/null | grep -q "$dir/"
 }
 
 running() {
