--- a/cmd/sycamore-entry/dataplane.go
+++ b/cmd/sycamore-entry/dataplane.go
@@ -37,11 +37,16 @@
 
 // coreInputs brings the edges' inputs to the core. Ends must not be lost; all
 // else is refused or dropped when the ring is full.
-type coreInputs struct{ loop *duty.Loop[*entry.Entry] }
+type coreInputs struct {
+	loop    *duty.Loop[*entry.Entry]
+	targets *targetLog
+}
 
 // Submit hands an input over; false when the ring is full.
 func (c coreInputs) Submit(in entry.Input) bool {
-	switch in.(type) {
+	switch in := in.(type) {
+	case entry.TargetState:
+		c.targets.note(in)
 	case entry.RunEnded, entry.RunStarted, entry.CallerGone, entry.OrderDone:
 		c.loop.Deliver(in)
 		return true
@@ -56,7 +61,7 @@
 		rereads:  flight.NewRegistry(registry),
 		stop:     make(chan struct{}),
 	}
-	core := coreInputs{loop: p.loop}
+	core := coreInputs{loop: p.loop, targets: newTargetLog(p.logger.WithField("duty", "targets"))}
 	d.Targets = targets.New(targets.Config{Core: core, Flights: d.Registry, Log: p.logger})
 	d.callers = callers.New(callers.Config{
 		Core: core, View: p.views.current.Load, Flights: d.Registry, Rereads: d.rereads, Follower: d.Targets,
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -61,7 +61,7 @@
 		views:    newViews(),
 	}
 	p.decisions = telemetry.NewDecisions(logger, time.Now, telemetry.DecisionsPerSecond, p.views.tierName)
-	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now)
+	p.log = platform.NewLog(s.Platform.Log, p.loop.Deliver, time.Now, p.logger.WithField("duty", "platform"))
 	p.instances = platform.NewInstances(s.Platform.Instances)
 	p.links = peers.New(peers.Options{
 		Self: cfg.Self,
@@ -149,7 +149,10 @@
 }
 
 // Drain begins a planned stop, for SIGTERM and for operators.
-func (p *process) Drain() { p.loop.Deliver(entry.DrainStart{}) }
+func (p *process) Drain() {
+	p.logger.Info("draining")
+	p.loop.Deliver(entry.DrainStart{})
+}
 
 // SetLogLevel changes the level while the process runs.
 func (p *process) SetLogLevel(level string) error { return telemetry.SetLevel(p.logger, level) }
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -164,7 +165,12 @@
 	l.options.Log.WithFields(peerFields(k.member)).Info("peer link is up")
 	err := k.run()
 	l.unregister(k)
-	l.options.Log.WithFields(peerFields(k.member)).WithError(err).Warn("peer link is down")
+	line := l.options.Log.WithFields(peerFields(k.member)).WithError(err)
+	if errors.Is(err, errClosed) {
+		line.Info("peer link is down") // this process ends
+	} else {
+		line.Warn("peer link is down")
+	}
 	return err
 }
 
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -69,13 +69,14 @@
 }
 
 func (f *follower) run() {
+	defer f.log.outages.forget(f.stream)
 	for f.ctx.Err() == nil {
 		err := f.round()
 		if f.ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			f.fail()
+			f.fail(err)
 			continue
 		}
 		f.failed = 0
@@ -116,7 +117,7 @@
 		return errWentBack
 	}
 	if p.First > f.next && f.caught {
-		f.reportDown()
+		f.reportDown(errAgedOut)
 	}
 	for _, record := range p.Records {
 		if record.Offset < f.next {
@@ -131,25 +132,27 @@
 	}
 	f.caught = true
 	f.down = false
+	f.log.outages.ended(f.stream)
 	f.deliver(entry.LogCaughtUp{Stream: f.stream, Offset: f.next, Since: since})
 	return nil
 }
 
 // fail waits before the next try, and reports an outage once each base URL has
 // failed in turn.
-func (f *follower) fail() {
+func (f *follower) fail(cause error) {
 	f.log.moveOn(f.log.base())
 	f.failed++
 	if f.failed >= len(f.log.urls) {
-		f.reportDown()
+		f.reportDown(cause)
 		f.backoff.Sleep(f.ctx, nil)
 	}
 }
 
-func (f *follower) reportDown() {
+func (f *follower) reportDown(cause error) {
 	f.caught = false
 	if !f.down {
 		f.down = true
+		f.log.outages.began(f.stream, cause)
 		f.deliver(entry.LogDown{Stream: f.stream})
 	}
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
@@ -41,10 +42,11 @@
 
 	mutex     sync.Mutex
 	followers map[record.Stream]context.CancelFunc
+	outages   *outages
 }
 
-// NewLog makes a client of the log at the base URLs.
-func NewLog(urls []string, deliver Deliver, clock func() time.Time) *Log {
+// NewLog makes a client of the log at the base URLs; logger is told of outages.
+func NewLog(urls []string, deliver Deliver, clock func() time.Time, logger logrus.FieldLogger) *Log {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Log{
 		urls:      urls,
@@ -55,6 +57,7 @@
 		cancel:    cancel,
 		pollWait:  pollWait,
 		followers: make(map[record.Stream]context.CancelFunc),
+		outages:   newOutages(logger, clock),
 	}
 	l.client = newClient(&l.traffic)
 	return l
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -129,7 +129,7 @@
 }
 
 func client(got *inputs, urls ...string) *Log {
-	l := NewLog(urls, got.take, time.Now)
+	l := NewLog(urls, got.take, time.Now, quiet())
 	l.pollWait = 0
 	DeferCleanup(l.Close)
 	return l
@@ -289,7 +289,7 @@
 		var once sync.Once
 		l := NewLog([]string{log.url}, func(in entry.Input) {
 			once.Do(func() { first = in.(entry.LogCaughtUp).Since; close(done) })
-		}, clock)
+		}, clock, quiet())
 		DeferCleanup(l.Close)
 		l.Follow(entry.Follow{Stream: "s"})
 		Eventually(done).Should(BeClosed())
