Leave open whether a request ran whose dispatch the ids' table turned down

Cause: dispatch gave "not run" whenever the table said no. It also says no for an id that was dispatched before or was given up to another entry, and such a request may have run. Now only an id that still waits here, at a target that the document dropped, is "not run"; all else is unknown. Tested on the core alone, both cases.

--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -5,6 +5,7 @@
 
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
+	"sycamoretrail/internal/core/owner"
 )
 
 // dispatch is the only place that lets a request run. The ids' table says yes
@@ -13,8 +14,9 @@
 func (e *Entry) dispatch(f *flight, notAfter time.Time) {
 	target, known := e.index.Target(f.target)
 	if !known || !e.ids.Dispatched(e.now, f.req.ID, f.target) {
+		status := e.undispatchable(f)
 		e.withdraw(f)
-		e.finish(f, outcome.Refused(outcome.ReasonVoided, 0, "the request may not run under this id"))
+		e.finish(f, status)
 		return
 	}
 	f.stage = stageRunning
@@ -32,6 +34,18 @@
 	e.sendRunning(f)
 }
 
+// undispatchable is the word on a request whose dispatch was turned down. Only an
+// id that still waits here, at a target that the document has dropped, provably
+// did not run; one that the table does not know as waiting may have run under an
+// earlier dispatch, or at the entry to which the id was given up.
+func (e *Entry) undispatchable(f *flight) outcome.Status {
+	known := e.ids.Standing(e.now, f.req.ID)
+	if known.Kind == owner.KindKnown && known.Standing == message.StandingWaiting {
+		return outcome.Refused(outcome.ReasonVoided, 0, "the target is no longer configured")
+	}
+	return outcome.Undetermined(outcome.ReasonVoided, "the request may not run under this id any more")
+}
+
 func (e *Entry) sendRunning(f *flight) {
 	report := message.Running{Runs: []message.RunningOne{e.running(f)}}
 	if f.own {
