Say "unknown" of a re-sent request that this entry could not ask about

Cause: an entry that starts, has stopped or is full refused "not run" before the core saw the id. A request with an id may run at its owner or at the entry to which the owner gave it up, which holds for ids of this entry's own prefix as well; one with a key may have run under another id. "Not run" is said now only where neither came with the request. Tested for each state and header.

--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -27,13 +28,46 @@
 	return fmt.Sprintf("refused (%s): %s", e.status.Reason, e.status.Detail)
 }
 
+// statusOf is the status that an error of a check gives its caller.
+func statusOf(err error) outcome.Status {
+	var r *refusalError
+	if errors.As(err, &r) {
+		return r.status
+	}
+	return outcome.Refused(outcome.ReasonMalformed, 0, err.Error())
+}
+
 func refused(reason outcome.Reason, format string, args ...any) error {
 	return &refusalError{outcome.Refused(reason, 0, fmt.Sprintf(format, args...))}
 }
 
-// notReadyRetry is the advice of an entry that has no document yet.
+// notReadyRetry is the advice of an entry that can take no request for a moment.
 const notReadyRetry = time.Second
 
+// refusedUnasked refuses a request for this entry's own state, before the core
+// was asked about its id.
+//
+// Failure: a caller lost an answer and sends the request again, to an entry that
+// starts or is full. The request may be running at its owner, or at a third
+// entry to which the id was given up, even an id of this entry's own prefix.
+// Symptom of "not run" here: the caller sends it under a new id, and it runs
+// twice. So "not run" is said only where there was no earlier sending to ask
+// for: of a request that came with neither an id nor a key of its own.
+func refusedUnasked(ctx *fasthttp.RequestCtx, reason outcome.Reason, detail string) error {
+	status := outcome.Refused(reason, notReadyRetry, detail)
+	if sentBefore(&ctx.Request.Header) {
+		status.Outcome = outcome.Unknown
+	}
+	return &refusalError{status}
+}
+
+// sentBefore reports whether a request may have been sent before, as far as its
+// header tells. A key counts although it may not bind the request: without a
+// document the edge can't tell.
+func sentBefore(header *fasthttp.RequestHeader) bool {
+	return len(header.Peek(headerRequestID)) > 0 || len(header.Peek(headerKey)) > 0
+}
+
 // call is a request that is being checked.
 type call struct {
 	ctx  *fasthttp.RequestCtx
@@ -49,7 +83,7 @@
 func (s *Server) identify(ctx *fasthttp.RequestCtx) (*call, error) {
 	view := s.cfg.View()
 	if view.Document == nil || view.State == message.Starting || view.State == message.Stopped {
-		return nil, &refusalError{outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry is "+view.State.String())}
+		return nil, refusedUnasked(ctx, outcome.ReasonNotReady, "this entry is "+view.State.String())
 	}
 	if size := len(ctx.Request.Header.RawHeaders()); size > view.Document.Limits.HeaderBytes {
 		return nil, refused(outcome.ReasonTooLarge, "the header has %d bytes; limits.header_bytes is %d", size, view.Document.Limits.HeaderBytes)
@@ -97,7 +131,7 @@
 		return id, nil
 	}
 	if c.view.Prefix == "" {
-		return "", &refusalError{outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry hands out no request ids now")}
+		return "", refusedUnasked(c.ctx, outcome.ReasonNotReady, "this entry hands out no request ids now")
 	}
 	var random [suffixBytes]byte
 	_, _ = rand.Read(random[:])
--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -21,8 +21,7 @@
 func (s *Server) run(c *call, req request.Request, f *flight.Flight) {
 	standing, added := s.cfg.Flights.Put(f)
 	if standing == nil {
-		s.refuseError(c.ctx, c, &refusalError{
-			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can")})
+		s.refuseError(c.ctx, c, refusedUnasked(c.ctx, outcome.ReasonEntryFull, "this entry holds as many requests as it can"))
 		return
 	}
 	if !added && (standing.Organisation != f.Organisation || standing.Fingerprint != f.Fingerprint) {
@@ -34,10 +33,8 @@
 	f.Enter()
 	f.Submitting()
 	if !s.cfg.Core.Submit(entry.Submit{Request: req}) && f.SubmitFailed() {
-		// The core never got the request: nobody can have run it.
-		status := outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry takes no more requests for a moment")
 		s.cfg.Flights.Remove(f)
-		f.Finish(status)
+		f.Finish(statusOf(refusedUnasked(c.ctx, outcome.ReasonEntryFull, "this entry takes no more requests for a moment")))
 	}
 	w := &waiting{s: s, ctx: c.ctx, f: f, stream: f.Stream, tier: c.tier, model: req.Model,
 		began: req.Arrived, until: req.Deadline.Add(s.cfg.Grace)}
--- a/internal/callers/completion.go
+++ b/internal/callers/completion.go
@@ -48,10 +48,7 @@
 // refuseError answers with a refusal that the edge decided; c is nil when the
 // caller could not be identified.
 func (s *Server) refuseError(ctx *fasthttp.RequestCtx, c *call, err error) {
-	status := outcome.Refused(outcome.ReasonMalformed, 0, err.Error())
-	if r, ok := err.(*refusalError); ok {
-		status = r.status
-	}
+	status := statusOf(err)
 	seen := Observation{Status: status, Refused: true}
 	if c != nil {
 		seen.ID, seen.Organisation, seen.Tier = c.id, c.org.name, c.tier
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -125,6 +126,8 @@
 	targets *targets.Targets
 	address string
 	doc     *document.Document
+	// view is what the edge reads; a spec may put another in its place.
+	view atomic.Pointer[entry.View]
 	// recorder writes a trace where a spec sets it before its first call.
 	recorder *recording.Recorder
 	// seen is what the edge observed.
@@ -186,10 +189,10 @@
 		n.targets.Dispatch(entry.Dispatch{ID: s.Request.ID, Target: "e1", Address: address, Kind: s.Request.Kind, Deadline: s.Request.Deadline})
 	}
 	n.core.onEnded = func(e entry.RunEnded) { n.settle(e) }
-	view := &entry.View{State: message.Ready, Version: 1, Document: n.doc, Prefix: prefix, GoodFor: 5 * time.Second,
-		Entries: []message.Member{{Name: "a", Zone: "z1", CallerAddress: "1"}, {Name: "b", Zone: "z2", CallerAddress: "2"}}}
+	n.view.Store(&entry.View{State: message.Ready, Version: 1, Document: n.doc, Prefix: prefix, GoodFor: 5 * time.Second,
+		Entries: []message.Member{{Name: "a", Zone: "z1", CallerAddress: "1"}, {Name: "b", Zone: "z2", CallerAddress: "2"}}})
 	srv := callers.New(callers.Config{
-		Core: n.core, View: func() *entry.View { return view }, Flights: n.flights,
+		Core: n.core, View: n.view.Load, Flights: n.flights,
 		Rereads:  flight.NewRegistry(flight.Config{MaxOpen: 64, Retain: time.Minute, RetainBytes: 1 << 20}),
 		Follower: n.targets, TokenKey: tokenKey, Log: quiet(), LookEvery: 10 * time.Millisecond,
 		Arrived: n.arrived, Observe: n.seen.add,
@@ -201,6 +204,13 @@
 	return n
 }
 
+// inState has the edge read a view of another state of life.
+func (n *node) inState(state message.State) {
+	view := *n.view.Load()
+	view.State = state
+	n.view.Store(&view)
+}
+
 // settle gives the final word where no answer carries it, as the core does.
 func (n *node) settle(e entry.RunEnded) {
 	switch {
--- a/internal/callers/refusal_test.go
+++ b/internal/callers/refusal_test.go
@@ -12,6 +12,7 @@
 
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 )
 
@@ -67,6 +68,33 @@
 		Expect(n.flights.Stats().Open).To(BeZero())
 	})
 
+	// The caller lost an answer and sends the request again, to an entry that
+	// starts, has stopped, or whose ring is full. Its run may be under way at the
+	// id's owner or its delegate, and nobody was asked: "unknown", so that the
+	// caller asks elsewhere with the same id in place of running it twice. Only a
+	// request that came without id and key cannot have been sent before.
+	DescribeTable("before the core was asked", func(header map[string]string, said string) {
+		n := newNode("", "")
+		for _, state := range []message.State{message.Starting, message.Stopped} {
+			n.inState(state)
+			resp, data := n.call("POST", "/v1/services/slots/reserve", "", header)
+			Expect(refusal(data).Reason).To(Equal(outcome.ReasonNotReady))
+			Expect(refusal(data).Ran).To(BeEquivalentTo(said))
+			Expect(resp.Header.Get("Retry-After")).To(Equal("1"))
+		}
+		n.inState(message.Ready)
+		n.core.full = true
+		_, data := n.call("POST", "/v1/services/slots/reserve", "", header)
+		Expect(refusal(data).Reason).To(Equal(outcome.ReasonEntryFull))
+		Expect(refusal(data).Ran).To(BeEquivalentTo(said))
+		Expect(all[entry.Submit](n.core)).To(BeEmpty())
+	},
+		Entry("of a first sending", nil, "no"),
+		Entry("of another entry's id", map[string]string{"X-Request-Id": "fedcba9876543210-1.0.x"}, "unknown"),
+		Entry("of an id of its own, which it may have given up", map[string]string{"X-Request-Id": string(prefix) + "x"}, "unknown"),
+		Entry("of a key", map[string]string{"Idempotency-Key": "k"}, "unknown"),
+	)
+
 	// The caller sees the core's refusal as JSON with a status code, since no
 	// byte of an answer has been sent.
 	DescribeTable("what the core refuses", func(status outcome.Status, code int, said string) {
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -47,12 +47,7 @@
 // rereadRefused turns a refusal of identify into one that claims nothing about
 // the request.
 func (s *Server) rereadRefused(ctx *fasthttp.RequestCtx, err error) {
-	var r *refusalError
-	if !errors.As(err, &r) {
-		s.refuseError(ctx, nil, err)
-		return
-	}
-	status := r.status
+	status := statusOf(err)
 	code := statusCode(status)
 	status.Outcome = outcome.Unknown
 	s.refuse(ctx, code, "", status)
