Ask again about an id whose flight ended in doubt

Cause: the registry keeps ended flights for re-reading, so a re-send of an id whose owner could not be asked got the old "unknown" for 30 s, and a stream token of that id too. A flight that ended "unknown" with nothing to read gives way now: the core decides anew, and its table of ids still lets nothing run twice. Words that were given stay. The re-read's test fails without its part.

--- a/internal/callers/failure_test.go
+++ b/internal/callers/failure_test.go
@@ -68,6 +68,54 @@
 
 const notFound = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
+var _ = Describe("an id whose owner could not be asked", func() {
+	// The caller is told "unknown" and sends the same id to the same entry again.
+	// By then the owner answers that it gave the id up: the request runs, once,
+	// and its caller gets the answer in place of the old word.
+	It("is asked about anew when it comes again", func() {
+		var posts atomic.Int32
+		engine := serve(func(ctx *fasthttp.RequestCtx) {
+			posts.Add(1)
+			ctx.SetBodyString(`{"choices":[]}`)
+		})
+		n := newNode(engine, "")
+		found := n.core.decide
+		n.core.answerWith(func(s entry.Submit) {
+			n.flights.Settle(entry.Settle{ID: s.Request.ID, Status: outcome.Undetermined(outcome.ReasonOwnerUnreachable, "")})
+		})
+		id := map[string]string{"X-Request-Id": "fedcba9876543210-1.0.x"}
+		resp, body := n.call("POST", "/v1/chat/completions", wholeBody, id)
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(refusal(body).Ran).To(BeEquivalentTo("unknown"))
+		n.core.answerWith(found)
+		for range 2 {
+			resp, body = n.call("POST", "/v1/chat/completions", wholeBody, id)
+			Expect(resp.StatusCode).To(Equal(200), "%s", body)
+		}
+		Expect(posts.Load()).To(Equal(int32(1)))
+	})
+
+	// The caller asked a second entry with its id, was told "unknown", and then
+	// reads the stream there with its token. The second entry's flight of the id
+	// holds only that word; the engine holds the stream, which the caller gets.
+	It("does not keep its stream from being read again", func() {
+		engine := &cuttingServer{write: func(string) string { return chunked(token(0)+doneEvent, true) }}
+		address := engine.start()
+		owner, other := newNode(address, ""), newNode(address, "")
+		resp, _ := owner.call("POST", "/v1/chat/completions", chatBody, nil)
+		id := map[string]string{"X-Request-Id": resp.Header.Get("X-Request-Id")}
+		other.core.answerWith(func(s entry.Submit) {
+			other.flights.Settle(entry.Settle{ID: s.Request.ID, Status: outcome.Undetermined(outcome.ReasonOwnerUnreachable, "")})
+		})
+		other.call("POST", "/v1/chat/completions", chatBody, id)
+		_, body := other.call("GET", "/v1/streams/"+resp.Header.Get("X-Stream-Token"), "", nil)
+		_, chunks, mark := readStream(body)
+		Expect(chunks).To(HaveLen(1))
+		Expect(mark.Outcome).To(Equal("answered"))
+		Expect(engine.posts.Load()).To(Equal(int32(1)))
+	})
+})
+
 var _ = Describe("a target that breaks off", func() {
 	// The caller gets the whole answer, each token once. The engine's connection
 	// breaks after two tokens; the edge asks for the stream from token 2 on, and
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -53,10 +53,11 @@
 	s.refuse(ctx, code, "", status)
 }
 
-// attach follows the stream: its flight, when this entry has it, else at its target.
+// attach follows the stream: its flight, when this entry has it, else at its
+// target. A flight in doubt knows less than the target may.
 func (s *Server) attach(c *call, token streamToken, from int) {
 	f := s.cfg.Flights.Get(token.ID)
-	remote := f == nil || f.Organisation != token.Organisation
+	remote := f == nil || f.Organisation != token.Organisation || f.InDoubt()
 	if remote {
 		if f = s.remote(c, token); f == nil {
 			return
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -68,6 +68,19 @@
 	return true
 }
 
+// InDoubt reports whether the flight ended without a word on its request, which
+// the core may know by now.
+//
+// Failure: the entry that owns an id could not be reached, and its caller, told
+// "unknown", sends the id again. Symptom, were the flight kept: the old "unknown"
+// for as long as answers are retained, and the owner is never asked again. Such
+// a flight is put aside, so that the core decides anew; its table of ids lets
+// nothing run twice, and repeats its word on an id of its own.
+func (f *Flight) InDoubt() bool {
+	end := f.Answer.Ended()
+	return end != nil && end.See == nil && end.Status.Outcome == outcome.Unknown
+}
+
 // Target is where a request was dispatched.
 type Target struct {
 	Name, Address string
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -175,6 +175,34 @@
 		Expect(f.Answer.Ended()).To(BeNil())
 	})
 
+	// The caller was told "unknown", since the owner of its id could not be
+	// reached, and sends the id again. The old word would keep it from learning
+	// what became of its request; a flight of its own has the core ask again.
+	It("puts a flight aside that ended in doubt", func() {
+		doubtful := add("a")
+		doubtful.Finish(outcome.Undetermined(outcome.ReasonOwnerUnreachable, ""))
+		again := add("a")
+		Expect(again).NotTo(BeIdenticalTo(doubtful))
+		Expect(r.Get("a")).To(BeIdenticalTo(again))
+		Expect(r.Stats()).To(Equal(Stats{Open: 1, Ended: 1, EndedBytes: endedOverhead}))
+		now = now.Add(time.Minute)
+		r.Sweep()
+		Expect(r.Get("a")).To(BeIdenticalTo(again))
+	})
+
+	DescribeTable("keeps a flight with a word on its request", func(end func(*Flight)) {
+		f := add("a")
+		end(f)
+		standing, added := r.Put(New(&Flight{ID: "a"}, nil, 1000))
+		Expect(added).To(BeFalse())
+		Expect(standing).To(BeIdenticalTo(f))
+	},
+		Entry("answered", func(f *Flight) { f.Finish(outcome.Complete()) }),
+		Entry("not run", func(f *Flight) { f.Finish(outcome.Refused(outcome.ReasonOverload, 0, "")) }),
+		Entry("ran in part", func(f *Flight) { f.Finish(outcome.Partial(outcome.ReasonTargetFailed, "")) }),
+		Entry("referred", func(f *Flight) { f.refer(Referral{ID: "b"}) }),
+	)
+
 	It("knows when the last reader of an open answer leaves", func() {
 		f := add("a")
 		f.Enter()
--- a/internal/flight/registry.go
+++ b/internal/flight/registry.go
@@ -51,12 +51,13 @@
 }
 
 // Put adds a flight, or returns the one of the same id that stands here. It
-// returns nil when the registry is full.
+// returns nil when the registry is full. A flight that ended in doubt gives way:
+// see InDoubt.
 func (r *Registry) Put(f *Flight) (standing *Flight, added bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep()
-	if known, there := r.flights[f.ID]; there {
+	if known, there := r.flights[f.ID]; there && !known.InDoubt() {
 		return known, false
 	}
 	if r.open >= r.cfg.MaxOpen {
