Write decisions from a goroutine of their own, and keep the meters

Done: lines go through a bounded ring to a goroutine that writes them, what does not fit is counted on the next line; the meters of a tier, an organisation and an outcome are looked up once. Tiers' series are bounded as well: a refused request is counted under whatever tier its caller wrote.

--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -37,6 +37,7 @@
 	data      *dataPlane
 	operators *operators.Server
 	views     *views
+	decisions *telemetry.Decisions
 }
 
 // newProcess makes all parts; none of them listens or connects yet.
@@ -70,13 +71,14 @@
 	if p.operators, err = p.newOperators(); err != nil {
 		return nil, err
 	}
+	p.decisions = telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond)
 	p.loop.Connect(duty.Edges{
 		Targets:   p.data,
 		Flights:   p.data,
 		Peers:     p.links,
 		Platform:  p.log,
 		Publisher: p.views,
-		Telemetry: telemetry.NewDecisions(p.logger, time.Now, telemetry.DecisionsPerSecond),
+		Telemetry: p.decisions,
 	})
 	return p, nil
 }
@@ -155,6 +157,7 @@
 	if err := p.metrics.Close(); err != nil {
 		p.logger.WithError(err).Warn("metrics did not close")
 	}
+	p.decisions.Close()
 }
 
 type listeners struct {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,11 @@
 	closer        io.Closer
 	reporter      *reporter
 	organisations *organisations
+	tierNames     tierNames
+
+	requests *cache[requestKey, tally.Counter]
+	tiers    *cache[string, *meters]
+	labels   *cache[string, *meters]
 }
 
 // NewMetrics makes the root scope. Zone and name go onto each series.
@@ -54,7 +59,12 @@
 		SanitizeOptions:        &sanitizer,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{scope: scope, closer: closer, reporter: reporter, organisations: newOrganisations(MaxOrganisationSeries)}
+	m := &Metrics{scope: scope, closer: closer, reporter: reporter, organisations: newOrganisations(MaxOrganisationSeries),
+		tierNames: tierNames{known: make(map[string]bool)}}
+	m.requests = newCache(func(k requestKey) tally.Counter { return requestCounter(scope, k) })
+	m.tiers = newCache(func(tier string) *meters { return newMeters(scope, "tier", tier) })
+	m.labels = newCache(func(name string) *meters { return newMeters(scope, "organisation", name) })
+	return m
 }
 
 // Close reports a last time.
@@ -77,26 +87,10 @@
 // Settled counts a finished request: by tier and by organisation apart, not by
 // both, so that the number of series is a sum and not a product.
 func (m *Metrics) Settled(s Settled) {
-	m.scope.Tagged(map[string]string{
-		"tier":    s.Tier,
-		"outcome": string(s.Status.Outcome),
-		"reason":  string(s.Status.Reason),
-	}).Counter("requests_total").Inc(1)
-	m.record("tier", s.Tier, s)
-	m.record("organisation", m.organisations.label(s.Organisation), s)
-}
-
-func (m *Metrics) record(tag, value string, s Settled) {
-	scope := m.scope.Tagged(map[string]string{tag: value}).SubScope("by_" + tag)
-	scope.Counter("tokens_total").Inc(int64(s.Tokens))
-	if s.Status.Outcome == outcome.Answered {
-		scope.Histogram("answer_seconds", latencyBuckets).RecordDuration(s.Total)
-	} else {
-		scope.Counter("not_answered_total").Inc(1)
-	}
-	if s.FirstToken > 0 {
-		scope.Histogram("first_token_seconds", latencyBuckets).RecordDuration(s.FirstToken)
-	}
+	s.Tier = m.tierNames.label(s.Tier)
+	m.requests.of(requestKey{tier: s.Tier, outcome: s.Status.Outcome, reason: s.Status.Reason}).Inc(1)
+	m.tiers.of(s.Tier).record(&s)
+	m.labels.of(m.organisations.label(s.Organisation)).record(&s)
 }
 
 // Gauge sets a gauge.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -26,6 +26,7 @@
 		}
 		now = now.Add(time.Second)
 		d.Decision(entry.Decision{Event: entry.EventMember, Detail: "peer up"})
+		d.Close()
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 		Expect(lines).To(HaveLen(3))
 		var first, last map[string]any
@@ -35,6 +36,35 @@
 		Expect(last).To(And(HaveKeyWithValue("left_out", 3.0), Not(HaveKey("id"))))
 	})
 
+	// Whoever reads the log stands still. The core must go on deciding; what does
+	// not fit is counted on the next line that does, not lost unsaid.
+	It("never hold the core up", func() {
+		var out bytes.Buffer
+		stuck := make(chan struct{})
+		logger, err := NewLogger(&gate{open: stuck, out: &out}, "info")
+		Expect(err).NotTo(HaveOccurred())
+		const sent = 3 * decisionsWaiting
+		d := NewDecisions(logger, func() time.Time { return time.Unix(1000, 0) }, 2*sent)
+		for range sent {
+			d.Decision(entry.Decision{Event: entry.EventMember})
+		}
+		close(stuck)
+		Eventually(func() int { return len(d.lines) }).Should(BeZero())
+		d.Decision(entry.Decision{Event: entry.EventFloor})
+		d.Close()
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		left := 0
+		for _, line := range lines {
+			var said struct {
+				Left int `json:"left_out"`
+			}
+			Expect(json.Unmarshal([]byte(line), &said)).To(Succeed())
+			left += said.Left
+		}
+		Expect(left).To(BeNumerically(">=", sent-decisionsWaiting-1))
+		Expect(left + len(lines)).To(Equal(sent + 1))
+	})
+
 	It("follow the level while the process runs", func() {
 		var out bytes.Buffer
 		logger, err := NewLogger(&out, "info")
@@ -47,6 +77,17 @@
 	})
 })
 
+// gate writes nothing until it is open.
+type gate struct {
+	open chan struct{}
+	out  *bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	return g.out.Write(p)
+}
+
 var _ = Describe("metrics", func() {
 	text := func(m *Metrics) string {
 		Expect(m.Close()).To(Succeed())
@@ -77,6 +118,19 @@
 		}
 	})
 
+	// A caller makes up a tier for each request. It is refused, and counted, and the
+	// page must not grow by a series each time.
+	It("bound the series of tiers, whatever callers write", func() {
+		m := NewMetrics("e", "z")
+		for i := range 10_000 {
+			m.Settled(Settled{Tier: fmt.Sprint("tier-", i), Status: outcome.Refused(outcome.ReasonTierNotAllowed, 0, "")})
+		}
+		page := text(m)
+		Expect(strings.Count(page, "sycamoretrail_requests_total{")).To(Equal(MaxTierSeries + 1))
+		Expect(strings.Count(page, "sycamoretrail_by_tier_tokens_total{")).To(Equal(MaxTierSeries + 1))
+		Expect(page).To(ContainSubstring(fmt.Sprintf("tier=\"other\",zone=\"z\"} %d\n", 10_000-MaxTierSeries)))
+	})
+
 	// 38,000 organisations send requests, three of them most of the traffic. The
 	// page must not grow by a series for each, and must show the three.
 	It("give series to the largest organisations only", func() {
