--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -175,6 +175,7 @@
 	if err := p.metrics.Close(); err != nil {
 		p.logger.WithError(err).Warn("metrics did not close")
 	}
+	p.decisions.Close()
 }
 
 type listeners struct {
