--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -66,6 +66,8 @@
 	turn    int
 	giveUp  time.Time
 	open    *attempt
+	// sent: some entry may have got the request under its id.
+	sent bool
 	// target is named by the stream's token, once an entry gave it.
 	target string
 	next   int
@@ -159,6 +161,7 @@
 		return
 	}
 	h.attempts = append(h.attempts, a)
+	c.sent = true
 	// The headers tell what is left at the sending; the entry counts from when
 	// it reads them, as the live one does.
 	target, left := c.target, c.timeLeft()
@@ -179,6 +182,13 @@
 // elsewhere turns to the next entry.
 func (c *call) elsewhere() {
 	c.caller.until = time.Time{}
+	if !c.sent && c.line.Resend == nil {
+		// The connection was refused, so the id never left: it is dropped with its
+		// prefix, whose owner is likely gone.
+		c.seen.ID = ""
+		c.find()
+		return
+	}
 	c.turn++
 	if c.turn%len(c.entries) == 0 {
 		c.world.after(restAfterRound, c.find)
