Tell the core of answers that have not left while it drains

Cause: nothing sent entry.Answering, so the drain was over as soon as the run had ended, with the answer of a slow reader still in memory.

--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -30,6 +30,7 @@
 	}
 	s.cfg.Arrived(&req, c.tier, f.Method, f.Path)
 	f = standing
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	f.Submitting()
 	if !s.cfg.Core.Submit(entry.Submit{Request: req}) && f.SubmitFailed() {
--- /dev/null
+++ b/internal/callers/answering_test.go
@@ -0,0 +1,71 @@
+package callers_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/document"
+	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
+)
+
+var _ = Describe("a caller that reads slowly during a drain", func() {
+	// beyondBuffers is more than the sockets' buffers of both sides take.
+	const beyondBuffers = 32 << 20
+
+	// lastTold is the count that the core was told last; -1: none.
+	lastTold := func(n *node) int {
+		told := all[entry.Answering](n.core)
+		if len(told) == 0 {
+			return -1
+		}
+		return told[len(told)-1].Open
+	}
+
+	// The caller gets every byte. The run ends and the core holds nothing of the
+	// request any more, but the answer still stands in the entry's memory: until
+	// its last byte has left, the core was last told of an open answer, for which
+	// its drain waits. Before the drain the core is told nothing.
+	DescribeTable("is counted until the last byte has left", func(path, request string, handler fasthttp.RequestHandler) {
+		target := serve(handler)
+		n := newNode(target, target, func(d *document.Document) { d.Limits.StreamBytes = 2 * beyondBuffers })
+		resp := n.open("POST", path, request, nil)
+		defer func() { _ = resp.Body.Close() }()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Eventually(func() []entry.RunEnded { return all[entry.RunEnded](n.core) }, "10s").Should(HaveLen(1))
+		Expect(lastTold(n)).To(Equal(-1))
+		n.inState(message.Draining)
+		Eventually(func() int { return lastTold(n) }).Should(Equal(1))
+		Consistently(func() int { return lastTold(n) }, "300ms").Should(Equal(1))
+		read, err := io.Copy(io.Discard, resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(BeNumerically(">=", beyondBuffers))
+		Eventually(func() int { return lastTold(n) }).Should(BeZero())
+	},
+		Entry("whole answer", "/v1/services/slots/reserve", "", func(ctx *fasthttp.RequestCtx) {
+			ctx.SetBodyString(strings.Repeat("x", beyondBuffers))
+		}),
+		Entry("stream", "/v1/chat/completions", chatBody, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/event-stream")
+			ctx.SetBodyString(strings.Repeat("data: "+strings.Repeat("x", 1<<18)+"\n\n", beyondBuffers>>18) + doneEvent)
+		}),
+	)
+
+	// The request comes in mid-drain. The core hears of its answer before it gets
+	// the request: told later, it could be drained in between.
+	It("is counted before its request is submitted", func() {
+		target := serve(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") })
+		n := newNode(target, target)
+		n.inState(message.Draining)
+		n.call("POST", "/v1/services/slots/reserve", "", nil)
+		n.core.mu.Lock()
+		defer n.core.mu.Unlock()
+		Expect(n.core.inputs[0]).To(Equal(entry.Answering{Open: 1}))
+		Expect(n.core.inputs[1]).To(BeAssignableToTypeOf(entry.Submit{}))
+	})
+})
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -126,6 +126,8 @@
 	cfg   Config
 	http  *fasthttp.Server
 	index atomic.Pointer[index]
+	// answering counts what a drain waits for.
+	answering answering
 }
 
 // streamsPath is where answers are read again, by token.
@@ -134,11 +136,12 @@
 // New readies a server; Serve runs it.
 func New(cfg Config) *Server {
 	cfg.setDefaults()
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, answering: answering{core: cfg.Core, view: cfg.View}}
 	s.http = &fasthttp.Server{
 		Handler:               s.routes(),
 		ErrorHandler:          s.unreadable,
 		HeaderReceived:        s.bounds,
+		ConnState:             s.answering.left,
 		ReadBufferSize:        cfg.MaxHeaderBytes,
 		ReadTimeout:           cfg.ReadTimeout,
 		WriteTimeout:          cfg.WriteTimeout,
@@ -161,6 +164,9 @@
 
 // Serve answers callers on a listener until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
+	done := make(chan struct{})
+	defer close(done)
+	go s.answering.report(done)
 	return s.http.Serve(&limitedListener{Listener: ln, server: s})
 }
 
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -53,6 +53,8 @@
 	open      *atomic.Int64
 	once      sync.Once
 	lingering atomic.Bool
+	// owed: the answer to the connection's present request has not left yet.
+	owed atomic.Bool
 }
 
 const (
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -63,6 +63,7 @@
 			return
 		}
 	}
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	now := s.cfg.Now()
 	longest := document.Milliseconds(c.view.Document.Limits.DeadlineMS)
