Name the answering entry first within its zone

Cause: an answer's id prefix is the answering entry's, yet the list began with any entry, so each first request cost a question to the owner. The caller's zone still goes first. Tested for the entry's zone, another and none.

--- a/internal/callers/entries.go
+++ b/internal/callers/entries.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 )
 
@@ -40,16 +42,20 @@
 	ctx.SetBody(body)
 }
 
-// entriesFor puts the entries of the caller's availability zone first; apart
-// from that the view's order stays, by which entries spread their callers.
+// entriesFor puts the entries of the caller's availability zone first, and within
+// its zone the entry that answers: the prefix is its own, so that at any other
+// entry each request would cost a question to it. It names itself only while it
+// is ready. Apart from that the view's order stays, by which entries spread
+// their callers.
 func entriesFor(view *entry.View, zone string) EntriesAnswer {
 	answer := EntriesAnswer{
 		Entries:   make([]EntryRow, 0, len(view.Entries)),
 		GoodForMS: view.GoodFor.Milliseconds(),
 		IDPrefix:  string(view.Prefix),
 	}
+	members := ownerFirst(view)
 	for _, near := range []bool{true, false} {
-		for _, m := range view.Entries {
+		for _, m := range members {
 			if (m.Zone == zone) == near {
 				answer.Entries = append(answer.Entries, EntryRow{Name: m.Name, Address: m.CallerAddress, Zone: m.Zone})
 			}
@@ -57,3 +63,20 @@
 	}
 	return answer
 }
+
+// ownerFirst lists the view's entries, the owner of its prefix first.
+func ownerFirst(view *entry.View) []message.Member {
+	members := make([]message.Member, 0, len(view.Entries))
+	owner, _, _ := strings.Cut(string(view.Prefix), ".")
+	for _, m := range view.Entries {
+		if string(m.Incarnation) == owner {
+			members = append(members, m)
+		}
+	}
+	for _, m := range view.Entries {
+		if string(m.Incarnation) != owner {
+			members = append(members, m)
+		}
+	}
+	return members
+}
--- a/internal/callers/pass_test.go
+++ b/internal/callers/pass_test.go
@@ -14,6 +14,7 @@
 
 	"sycamoretrail/internal/callers"
 	"sycamoretrail/internal/core/entry"
+	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/request"
 )
 
@@ -216,6 +217,30 @@
 		}))
 	})
 
+	// A caller forms ids with the answer's prefix. Sent to the entry that answered
+	// they cost no question between entries, so it comes first of its zone; the
+	// caller's zone still goes before it.
+	DescribeTable("names itself first within its zone", func(zone string, names ...string) {
+		n := newNode("", "")
+		view := *n.view.Load()
+		view.Entries = []message.Member{
+			{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z2"}, {Name: "self", Zone: "z1", Incarnation: "0123456789abcdef-1"}, {Name: "c", Zone: "z1"},
+		}
+		n.view.Store(&view)
+		_, body := n.call("GET", "/v1/entries?zone="+zone, "", nil)
+		var answer callers.EntriesAnswer
+		Expect(json.Unmarshal(body, &answer)).To(Succeed())
+		var found []string
+		for _, row := range answer.Entries {
+			found = append(found, row.Name)
+		}
+		Expect(found).To(Equal(names))
+	},
+		Entry("its own", "z1", "self", "a", "c", "b"),
+		Entry("another", "z2", "b", "self", "a", "c"),
+		Entry("none", "", "self", "a", "b", "c"),
+	)
+
 	It("tells its health", func() {
 		n := newNode("", "")
 		resp, _ := n.call("GET", "/healthz", "", nil)
