Hash a service call's method, path and body without joining them

Cause: the fingerprint copied the body behind method and path. Measured with go test ./internal/callers -run xxx -bench ServiceFingerprint -count 3, body of 64 KiB, on a shared machine: before 57.6 to 64.8 us and 73728 bytes a call, after 5.9 to 7.0 us and none. The hash is of the same bytes.

--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -99,8 +99,9 @@
 	return c, nil
 }
 
-// describe forms the part of a request that its header determines.
-func (c *call) describe(now time.Time, body []byte, model string) (request.Request, error) {
+// describe forms the part of a request that its header determines; model is the
+// name of a model or a service.
+func (c *call) describe(now time.Time, model string) (request.Request, error) {
 	req := request.Request{Organisation: c.org.name, Model: model, Idempotent: true, Arrived: now}
 	var err error
 	if req.ID, err = c.requestID(); err != nil {
@@ -114,7 +115,6 @@
 		return req, err
 	}
 	req.Key = c.keyHash()
-	req.Fingerprint = fingerprint(c.org.name, model, body)
 	return req, nil
 }
 
@@ -212,13 +212,17 @@
 	return false, refused(outcome.ReasonMalformed, "X-Idempotent is neither true nor false")
 }
 
-func fingerprint(organisation, model string, body []byte) request.Fingerprint {
+// fingerprint hashes what a request asks for, its body in one or more parts, none
+// of which is copied.
+func fingerprint(organisation, model string, body ...[]byte) request.Fingerprint {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(organisation)
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.WriteString(model)
 	_, _ = digest.Write([]byte{0})
-	_, _ = digest.Write(body)
+	for _, part := range body {
+		_, _ = digest.Write(part)
+	}
 	return request.Fingerprint(digest.Sum64())
 }
--- a/internal/callers/completion.go
+++ b/internal/callers/completion.go
@@ -73,10 +73,11 @@
 	if err != nil {
 		return request.Request{}, nil, err
 	}
-	req, err := c.describe(s.cfg.Now(), body, in.Model)
+	req, err := c.describe(s.cfg.Now(), in.Model)
 	if err != nil {
 		return req, nil, err
 	}
+	req.Fingerprint = fingerprint(c.org.name, in.Model, body)
 	if req.Idempotent, err = c.idempotentMark(true); err != nil {
 		return req, nil, err
 	}
--- a/internal/callers/path_test.go
+++ b/internal/callers/path_test.go
@@ -1,6 +1,7 @@
 package callers_test
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,8 +9,6 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
-	"fmt"
-
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/message"
 )
--- a/internal/callers/service.go
+++ b/internal/callers/service.go
@@ -34,10 +34,11 @@
 	body := append([]byte(nil), c.ctx.PostBody()...)
 	path := servicePath(c.ctx.Request.Header.RequestURI())
 	method := string(c.ctx.Method())
-	req, err := c.describe(s.cfg.Now(), append([]byte(method+" "+path+"\n"), body...), name)
+	req, err := c.describe(s.cfg.Now(), name)
 	if err != nil {
 		return req, nil, err
 	}
+	req.Fingerprint = serviceFingerprint(c.org.name, name, method, path, body)
 	// The header may only make a call stricter: what the document says may not
 	// be repeated stays so, whatever a caller believes.
 	mark, err := c.idempotentMark(true)
@@ -82,3 +83,8 @@
 	}
 	return fields
 }
+
+// serviceFingerprint tells calls apart by method and path, too.
+func serviceFingerprint(organisation, service, method, path string, body []byte) request.Fingerprint {
+	return fingerprint(organisation, service, []byte(method+" "+path+"\n"), body)
+}
