--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -30,6 +30,7 @@
 	}
 	s.cfg.Arrived(&req, c.tier, f.Method, f.Path)
 	f = standing
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	f.Submitting()
 	if !s.cfg.Core.Submit(entry.Submit{Request: req}) && f.SubmitFailed() {
@@ -237,6 +238,11 @@
 	}
 	w.leave()
 	w.observe(p.End.Status)
+	w.giveWhole(chunks, p)
+}
+
+// giveWhole forms the response of an answer that is there whole.
+func (w *waiting) giveWhole(chunks [][]byte, p flight.Progress) {
 	w.setToken()
 	header := &w.ctx.Response.Header
 	header.Set(headerOutcome, string(p.End.Status.Outcome))
