Find the runs of a dead owner; begin with the owner of the prefix

Callers began with an entry that did not own their prefix, so each first request cost a question to the owner, which failed while those two were cut from each other; and a caller that lost its entry before it had a stream token could learn nothing, although the engine went on. Done: an answer to "which entry" names its owner first, also in the virtual replay; an entry that is asked for an id whose owner is gone or silent asks the schedulers, which know the run, and attaches its caller to the stream. Abandoning a question about another's id says "unknown", no longer "not run".

--- a/internal/callers/entries.go
+++ b/internal/callers/entries.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/entry"
-	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 )
 
@@ -53,7 +51,7 @@
 		GoodForMS: view.GoodFor.Milliseconds(),
 		IDPrefix:  string(view.Prefix),
 	}
-	members := ownerFirst(view)
+	members := view.OwnerFirst()
 	for _, near := range []bool{true, false} {
 		for _, m := range members {
 			if (m.Zone == zone) == near {
@@ -63,20 +61,3 @@
 	}
 	return answer
 }
-
-// ownerFirst lists the view's entries, the owner of its prefix first.
-func ownerFirst(view *entry.View) []message.Member {
-	members := make([]message.Member, 0, len(view.Entries))
-	owner, _, _ := strings.Cut(string(view.Prefix), ".")
-	for _, m := range view.Entries {
-		if string(m.Incarnation) == owner {
-			members = append(members, m)
-		}
-	}
-	for _, m := range view.Entries {
-		if string(m.Incarnation) != owner {
-			members = append(members, m)
-		}
-	}
-	return members
-}
--- a/internal/core/entry/flight.go
+++ b/internal/core/entry/flight.go
@@ -16,6 +16,8 @@
 const (
 	// stageAsking: the id's owner is another entry, which is being asked.
 	stageAsking stage = iota
+	// stageSeeking: the owner is gone, and its run is being looked for.
+	stageSeeking
 	// stageClaiming: the idempotency key is being claimed on the log.
 	stageClaiming
 	// stageWaiting: no offer is out; the next attempt is due at wake.
@@ -48,6 +50,8 @@
 	asked ident.Incarnation
 	// keyRead: the log told whether another request of the key came first.
 	keyRead bool
+	// doubt is what the caller is told if its run is not found in stageSeeking.
+	doubt outcome.Status
 	// giveUp ends stageAsking and stageClaiming.
 	giveUp time.Time
 
--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -20,16 +20,11 @@
 	e.ask(f, holder)
 }
 
-// ask puts the question to an entry. An owner that no live member is has been
-// replaced or cannot be reached; whether it dispatched is then not known, and
-// saying "not run" could turn one release into two charges.
+// ask puts the question to an entry. An owner to which no link stands has been
+// replaced or cannot be reached; then only its run may still be found.
 func (e *Entry) ask(f *flight, holder ident.Incarnation) {
 	if holder == e.cfg.Self.Incarnation || !e.members.Reachable(holder) {
-		status := outcome.Undetermined(outcome.ReasonOwnerReplaced, "the entry that owns the id is gone")
-		if !e.on(guardOwnerGone) {
-			status.Outcome = outcome.NotRun
-		}
-		e.settleForeign(f, status)
+		e.seek(f, e.ownerGone())
 		return
 	}
 	f.asked = holder
@@ -40,7 +35,7 @@
 
 func (e *Entry) attendAsking(f *flight) {
 	if !e.now.Before(f.giveUp) && e.on(guardGiveUp) {
-		e.settleForeign(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
+		e.seek(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
 		return
 	}
 	e.ask(f, f.asked)
@@ -48,6 +43,10 @@
 
 // ownerAsked answers a peer's question about an id that is owned here.
 func (e *Entry) ownerAsked(from ident.Incarnation, q message.OwnerAsk) {
+	if q.Orphan {
+		e.orphanAsked(from, q)
+		return
+	}
 	reply := e.standingFor(from, q)
 	reply.Seq = q.Seq
 	e.send(from, reply)
@@ -89,21 +88,25 @@
 
 // ownerTold acts on what the owner said.
 func (e *Entry) ownerTold(from ident.Incarnation, r message.OwnerReply) {
-	for _, f := range e.askingAbout(r.ID) {
+	for _, f := range e.waitingFor(r.ID, stageAsking) {
 		if f.asked == from {
 			e.followStanding(f, from, r)
 		}
 	}
+	if r.Standing == message.StandingRunning {
+		e.orphanFound(from, r)
+	}
 }
 
-// askingAbout lists the flights that wait for word on an id, in order of id.
-func (e *Entry) askingAbout(subject ident.RequestID) []*flight {
-	if f := e.flights[subject]; f != nil && f.stage == stageAsking && f.subject == subject {
+// waitingFor lists the flights that wait for word on an id, in the order in
+// which they came.
+func (e *Entry) waitingFor(subject ident.RequestID, at stage) []*flight {
+	if f := e.flights[subject]; f != nil && f.stage == at && f.subject == subject {
 		return []*flight{f}
 	}
 	var found []*flight
 	for _, id := range e.asking[subject] {
-		if f := e.flights[id]; f != nil && f.stage == stageAsking {
+		if f := e.flights[id]; f != nil && f.stage == at {
 			found = append(found, f)
 		}
 	}
--- a/internal/core/entry/keys.go
+++ b/internal/core/entry/keys.go
@@ -71,7 +71,7 @@
 
 // releaseClaim gives up the claim of a request that did not and will not run.
 func (e *Entry) releaseClaim(f *flight) {
-	if f.stage != stageAsking {
+	if f.stage != stageAsking && f.stage != stageSeeking {
 		e.releaseKey(&f.req)
 	}
 }
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -165,6 +165,8 @@
 	switch f.stage {
 	case stageAsking:
 		e.attendAsking(f)
+	case stageSeeking:
+		e.settleForeign(f, f.doubt)
 	case stageClaiming:
 		e.attendClaiming(f)
 	case stageWaiting:
@@ -207,6 +209,12 @@
 
 // abandon settles a flight that is not running, and takes its offer back.
 func (e *Entry) abandon(f *flight, status outcome.Status) {
+	if f.stage == stageAsking || f.stage == stageSeeking {
+		// The id is another entry's, where it may run: only the owner could say
+		// that it does not.
+		e.settleForeign(f, outcome.Undetermined(status.Reason, status.Detail))
+		return
+	}
 	e.withdraw(f)
 	e.releaseClaim(f)
 	e.finish(f, status)
--- a/internal/core/entry/view.go
+++ b/internal/core/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"sycamoretrail/internal/core/document"
@@ -30,6 +31,24 @@
 	GoodFor time.Duration
 }
 
+// OwnerFirst lists the entries, the owner of the prefix first: at any other entry
+// each request with the prefix would cost a question to the owner.
+func (v *View) OwnerFirst() []message.Member {
+	members := make([]message.Member, 0, len(v.Entries))
+	holder, _, _ := strings.Cut(string(v.Prefix), ".")
+	for _, m := range v.Entries {
+		if string(m.Incarnation) == holder {
+			members = append(members, m)
+		}
+	}
+	for _, m := range v.Entries {
+		if string(m.Incarnation) != holder {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // Decision is a line for the operators' log and for explain.
 type Decision struct {
 	ID     ident.RequestID
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -252,6 +252,8 @@
 	ID  ident.RequestID `cbor:"2,keyasint"`
 	// Known: the asker only wants to know what became of it, and never to run it.
 	Known bool `cbor:"3,keyasint,omitempty"`
+	// Orphan: the owner is gone; whoever schedules the target of its run answers.
+	Orphan bool `cbor:"5,keyasint,omitempty"`
 	// Tag tells which organisation brought the id to the asker; see owner.Tag.
 	Tag uint32 `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/core/scheduler/lookup.go
+++ b/internal/core/scheduler/lookup.go
@@ -5,6 +5,19 @@
 	"sycamoretrail/internal/core/request"
 )
 
+// RunOf finds the target at which a request runs, and the organisation that
+// sent it.
+func (s *Scheduler) RunOf(id ident.RequestID) (target, organisation string, found bool) {
+	for name, t := range s.targets {
+		// A report of before a change of schedulers may name a second target; the
+		// choice must not depend on the order of a map.
+		if r := t.runs[id]; r != nil && (!found || name < target) {
+			target, organisation, found = name, r.offer.Organisation, true
+		}
+	}
+	return target, organisation, found
+}
+
 // Fingerprint identifies the request that runs at a target under an id.
 func (s *Scheduler) Fingerprint(target string, id ident.RequestID) (request.Fingerprint, bool) {
 	t := s.targets[target]
--- a/internal/replay/live/directory.go
+++ b/internal/replay/live/directory.go
@@ -69,12 +69,17 @@
 	}
 }
 
-// candidates are the entries last heard of, then the seeds.
+// candidates are the entries last heard of, then the seeds. An entry names itself
+// first, so the second is asked before it: a caller that kept to the first would
+// never come back to an entry that was restarted.
 func (d *directory) candidates() []string {
 	var addresses []string
 	for _, e := range d.answer.Entries {
 		addresses = append(addresses, e.Address)
 	}
+	if len(addresses) > 1 {
+		addresses = append(addresses[1:], addresses[0])
+	}
 	return append(addresses, d.seeds...)
 }
 
--- a/internal/replay/virtual/caller.go
+++ b/internal/replay/virtual/caller.go
@@ -46,7 +46,7 @@
 		if !h.up || v == nil || v.Prefix == "" || len(v.Entries) == 0 {
 			continue
 		}
-		c.entries, c.prefix, c.until = slices.Clone(v.Entries), v.Prefix, w.now.Add(spent+v.GoodFor)
+		c.entries, c.prefix, c.until = v.OwnerFirst(), v.Prefix, w.now.Add(spent+v.GoodFor)
 		return spent, true
 	}
 	return spent, false
