--- a/internal/core/scheduler/room.go
+++ b/internal/core/scheduler/room.go
@@ -58,7 +58,7 @@
 	if best, cost := s.room(o.target.desc.Pool, o.current(s.now), o.target, roomByPreemption); best != nil {
 		own = floors.Candidate{Room: best.desc.Name, Cost: cost}
 	}
-	if r := s.victimFor(o); r != nil {
+	if r := s.victimFor(o); r != nil && s.mayPreemptHere(o) {
 		if cost := 1 + o.target.computed(r); own.Room == "" || cost <= own.Cost {
 			own = floors.Candidate{Room: o.target.desc.Name, Cost: cost}
 		}
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -83,6 +83,8 @@
 	again time.Time
 	// cut: the exchange had lower runs cancelled.
 	cut bool
+	// asking: with nobody else to ask, an exchange is over within the ask.
+	asking bool
 }
 
 func (h *holding) here(t *target) []*offer {
@@ -212,9 +214,13 @@
 
 // ask begins an exchange for a holding, unless one runs or it is too soon.
 func (s *Scheduler) ask(h *holding) {
-	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
+	if len(h.offers) == 0 || h.asking || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
 		return
 	}
+	// Failure: an exchange that ends within the ask and does not settle the offer
+	// asks again, without end. The next tick does.
+	h.asking = true
+	defer func() { h.asking = false }()
 	h.need = h.pick(s.now, s.set.tripTime())
 	h.cut = h.last()
 	own := s.ownCandidate(h.need)
@@ -307,12 +313,17 @@
 	}
 }
 
+// mayPreemptHere: where a floor was promised meanwhile, nothing below it may join
+// a queue.
+func (s *Scheduler) mayPreemptHere(o *offer) bool {
+	return !o.doomed && (o.Waiting() || s.admissible(o))
+}
+
 // preemptHere cancels a run at the target where a held offer is, and lets the
 // offer wait for its place.
 func (s *Scheduler) preemptHere(o *offer) {
 	t := o.target
-	if o.doomed || !o.Waiting() && !s.admissible(o) {
-		// A floor was promised meanwhile: nothing below it may join a queue.
+	if !s.mayPreemptHere(o) {
 		return
 	}
 	s.release(o)
