--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,4 +1,4 @@
-# Starts and stops a deployment on loopback; sourced by run.sh and faults.sh,
+# Starts and stops a deployment on loopback; sourced by run.sh, up.sh and faults.sh,
 # which set: deployment, entries (their number), policy, dir (for settings, logs
 # and process ids). What is started is stopped by its id.
 
