--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -21,8 +21,7 @@
 func (s *Server) run(c *call, req request.Request, f *flight.Flight) {
 	standing, added := s.cfg.Flights.Put(f)
 	if standing == nil {
-		s.refuseError(c.ctx, c, &refusalError{
-			outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry holds as many requests as it can")})
+		s.refuseError(c.ctx, c, refusedUnasked(c.ctx, outcome.ReasonEntryFull, "this entry holds as many requests as it can"))
 		return
 	}
 	if !added && (standing.Organisation != f.Organisation || standing.Fingerprint != f.Fingerprint) {
@@ -31,13 +30,12 @@
 	}
 	s.cfg.Arrived(&req, c.tier, f.Method, f.Path)
 	f = standing
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	f.Submitting()
 	if !s.cfg.Core.Submit(entry.Submit{Request: req}) && f.SubmitFailed() {
-		// The core never got the request: nobody can have run it.
-		status := outcome.Refused(outcome.ReasonEntryFull, notReadyRetry, "this entry takes no more requests for a moment")
 		s.cfg.Flights.Remove(f)
-		f.Finish(status)
+		f.Finish(statusOf(refusedUnasked(c.ctx, outcome.ReasonEntryFull, "this entry takes no more requests for a moment")))
 	}
 	w := &waiting{s: s, ctx: c.ctx, f: f, stream: f.Stream, tier: c.tier, model: req.Model,
 		began: req.Arrived, until: req.Deadline.Add(s.cfg.Grace)}
@@ -240,6 +238,11 @@
 	}
 	w.leave()
 	w.observe(p.End.Status)
+	w.giveWhole(chunks, p)
+}
+
+// giveWhole forms the response of an answer that is there whole.
+func (w *waiting) giveWhole(chunks [][]byte, p flight.Progress) {
 	w.setToken()
 	header := &w.ctx.Response.Header
 	header.Set(headerOutcome, string(p.End.Status.Outcome))
--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -56,26 +56,23 @@
 // rereadRefused turns a refusal of identify into one that claims nothing about
 // the request.
 func (s *Server) rereadRefused(ctx *fasthttp.RequestCtx, err error) {
-	var r *refusalError
-	if !errors.As(err, &r) {
-		s.refuseError(ctx, nil, err)
-		return
-	}
-	status := r.status
+	status := statusOf(err)
 	code := statusCode(status)
 	status.Outcome = outcome.Unknown
 	s.refuse(ctx, code, "", status)
 }
 
-// attach follows the stream: its flight, when this entry has it, else at its target.
+// attach follows the stream: its flight, when this entry has it, else at its
+// target. A flight in doubt knows less than the target may.
 func (s *Server) attach(c *call, token streamToken, from int) {
 	f := s.cfg.Flights.Get(token.ID)
-	remote := f == nil || f.Organisation != token.Organisation
+	remote := f == nil || f.Organisation != token.Organisation || f.InDoubt()
 	if remote {
 		if f = s.remote(c, token); f == nil {
 			return
 		}
 	}
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	now := s.cfg.Now()
 	longest := document.Milliseconds(c.view.Document.Limits.DeadlineMS)
