--- a/internal/callers/streams_test.go
+++ b/internal/callers/streams_test.go
@@ -65,7 +65,8 @@
 		close(release)
 		all.Wait()
 		Expect(whole.Load()).To(Equal(int32(manyStreams)))
-		Expect(n.flights.Stats().Open).To(BeZero())
+		// The last byte reaches a caller before its flight is counted out.
+		Eventually(func() int { return n.flights.Stats().Open }).Should(BeZero())
 	})
 })
 
--- a/internal/operators/operatorstest/fake.go
+++ b/internal/operators/operatorstest/fake.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -79,8 +80,16 @@
 	return f, nil
 }
 
+// ownLoopback is a loopback address that only this process uses. A port given
+// back on the common one may be taken at once by a server of another test, which
+// would then answer for an entry that was stopped.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16%254, pid>>8%256, 1+pid%254)
+}
+
 func (f *Fake) startEntry(i int) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", ownLoopback()+":0")
 	if err != nil {
 		return err
 	}
