--- a/internal/replay/plot/plot.go
+++ b/internal/replay/plot/plot.go
@@ -127,6 +127,7 @@
 func drawGoodput(points []Point, tier, path string) error {
 	p := newPlot("Goodput, "+tier, "answered whole and in time / sent")
 	p.Y.Min, p.Y.Max = 0, 1.02
+	p.Legend.Top, p.Legend.Left = false, true
 	for i, label := range distinct(points, func(p Point) string { return p.Label }) {
 		line := along(points, label, func(p Point) float64 { return p.Goodput })
 		if err := addLine(p, label, i, 0, line); err != nil {
--- a/internal/replay/plot/scenarios.go
+++ b/internal/replay/plot/scenarios.go
@@ -39,7 +39,8 @@
 func drawScenarios(points [][]Point, names []string, tier, path string) error {
 	p := newPlot("Goodput by scenario, "+tier, "answered whole and in time / sent")
 	p.X.Label.Text = ""
-	p.Y.Min, p.Y.Max = 0, 1.2
+	// The legend stands above the bars.
+	p.Y.Min, p.Y.Max = 0, 1.4
 	labels := distinct(slices.Concat(points...), func(p Point) string { return p.Label })
 	for i, label := range labels {
 		var values plotter.Values
