--- a/internal/telemetry/tiers.go
+++ b/internal/telemetry/tiers.go
@@ -6,9 +6,9 @@
 // most 16, and a few documents may follow each other.
 const MaxTierSeries = 64
 
-// tierNames bounds the tiers' names. A refused request is counted under the tier
-// that its caller wrote, which may be any text: without a bound one caller could
-// fill the memory with series.
+// tierNames bounds the tiers' names. Each document may name others, and the
+// reporter takes no series back. The edge gives only names that the document has;
+// should a text of a caller's own get here, it could not fill the memory.
 type tierNames struct {
 	mutex sync.RWMutex
 	known map[string]bool
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -2,7 +2,7 @@
 # Starts the stand-ins, 6 entries and the console of a deployment on loopback and
 # leaves them running: settings, logs and process ids are under out/<deployment>.
 # Publishes the deployment's document and waits until the entries are ready.
-# scripts/down.sh stops all of it.
+# scripts/down.sh stops all of it. With TRACE_DIR each entry records its traffic there.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source scripts/lib.sh
@@ -17,7 +17,7 @@
   exit 1
 fi
 rm -rf "$dir"
-mkdir -p "$dir"
+mkdir -p "$dir" ${TRACE_DIR:+"$TRACE_DIR"}
 
 # start runs a program apart from this shell and notes its name and id.
 start() {
@@ -27,7 +27,8 @@
   echo "$name $!" >>"$dir/pids"
 }
 
-bin/sycamore-standin layout --document "examples/$deployment.json" --entries "$entries" --policy "$policy" --out "$dir"
+bin/sycamore-standin layout --document "examples/$deployment.json" --entries "$entries" --policy "$policy" --out "$dir" \
+  ${TRACE_DIR:+--trace-dir "$TRACE_DIR"}
 start standin bin/sycamore-standin run --settings "$dir/standin.json"
 for i in $(seq "$entries"); do
   start "entry-$i" bin/sycamore-entry run --settings "$dir/entry-$i.json"
