--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -83,8 +83,8 @@
 	again time.Time
 	// cut: the exchange had lower runs cancelled.
 	cut bool
-	// alone: the last exchange had nobody to ask, so it ended at once.
-	alone bool
+	// asking: with nobody else to ask, an exchange is over within the ask.
+	asking bool
 }
 
 func (h *holding) here(t *target) []*offer {
@@ -214,15 +214,18 @@
 
 // ask begins an exchange for a holding, unless one runs or it is too soon.
 func (s *Scheduler) ask(h *holding) {
-	if len(h.offers) == 0 || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
+	if len(h.offers) == 0 || h.asking || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
 		return
 	}
+	// Failure: an exchange that ends within the ask and does not settle the offer
+	// asks again, without end. The next tick does.
+	h.asking = true
+	defer func() { h.asking = false }()
 	h.need = h.pick(s.now, s.set.tripTime())
 	h.cut = h.last()
 	own := s.ownCandidate(h.need)
 	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
 	m.Last = h.cut
-	h.alone = len(others) == 0
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -310,12 +313,17 @@
 	}
 }
 
+// mayPreemptHere: where a floor was promised meanwhile, nothing below it may join
+// a queue.
+func (s *Scheduler) mayPreemptHere(o *offer) bool {
+	return !o.doomed && (o.Waiting() || s.admissible(o))
+}
+
 // preemptHere cancels a run at the target where a held offer is, and lets the
 // offer wait for its place.
 func (s *Scheduler) preemptHere(o *offer) {
 	t := o.target
-	if o.doomed || !o.Waiting() && !s.admissible(o) {
-		// A floor was promised meanwhile: nothing below it may join a queue.
+	if !s.mayPreemptHere(o) {
 		return
 	}
 	s.release(o)
@@ -333,11 +341,7 @@
 // left; else the offers go on waiting, or ask again.
 func (s *Scheduler) exchangeOver(h *holding, v verdict) {
 	if !v.Stands {
-		// With nobody to ask the next exchange would end within this call, and so
-		// on without end; it begins at the next Tick.
-		if !h.alone {
-			s.ask(h)
-		}
+		s.ask(h)
 		s.fillPool(h.key.pool)
 		return
 	}
