--- a/internal/peers/links_test.go
+++ b/internal/peers/links_test.go
@@ -1,8 +1,10 @@
 package peers
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -51,10 +53,13 @@
 	return n.links[other.options.Self.Incarnation]
 }
 
-// listenAt opens an address; "" chooses one.
+// listenAt opens an address; "" chooses one on a loopback address that only this
+// process uses. On the common one a port that a spec gives back may be taken by a
+// server of another test, which would answer where the spec wants a refusal.
 func listenAt(address string) net.Listener {
 	if address == "" {
-		address = "127.0.0.1:0"
+		pid := os.Getpid()
+		address = fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%254, pid>>8%256, 1+pid%254)
 	}
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
