Cut a dear run only at an offer's last moment, if a place may come free

Without the exception for a target where nothing ends in time a test failed that asks for preemption at once there.

--- a/internal/core/floors/floors.go
+++ b/internal/core/floors/floors.go
@@ -93,8 +93,10 @@
 type Verdict struct {
 	Pool string
 	Tier request.Tier
-	// Room is a target that can take the request; the exchange may go on.
+	// Room is a target that can take the request; the exchange may go on. Cost is
+	// what the run has cost that must be cancelled there, 0 if none must.
 	Room string
+	Cost int
 	// Over: all have answered or were silent. Stands: all promised.
 	Over   bool
 	Stands bool
@@ -180,7 +182,7 @@
 	}
 	p.endExchange(e)
 	if e.least.Room != "" && !e.free {
-		verdicts = append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Room: e.least.Room})
+		verdicts = append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Room: e.least.Room, Cost: e.least.Cost})
 	}
 	until := e.sent.Add(e.valid)
 	stands := !e.room && p.stillAsked(e)
--- a/internal/core/scheduler/load_test.go
+++ b/internal/core/scheduler/load_test.go
@@ -48,6 +48,21 @@
 a done r1 t => grant r2`)
 	})
 
+	// The only run that may be cut has cost much more than the request brings, and
+	// another's end is near. The request waits for that; at its last moment the
+	// run would be cut.
+	It("does not cut a dear run where a place may come free", func() {
+		script := `
+a offer r1 t tier=2 prompt=3000 => grant r1
+a running r1 t tier=2 prompt=3000 started =>
+a offer r0 t tier=0 prompt=50 => grant r0
+a running r0 t tier=0 prompt=50 started =>
+a offer r2 t tier=0 final first=900ms from=a => queued r2
+`
+		newCluster(testSettings(), "a: t/2").run(script + "a done r0 t => grant r2")
+		newCluster(testSettings(), "a: t/2").run(script + "wait 600ms =>\nwait 200ms => preempt r1")
+	})
+
 	// A short answer runs, and a brief would take the engine for 2.7 s beside it.
 	// With 2 s left the answer would come late, so the brief waits for its end.
 	It("holds a brief back while a running answer would come late", func() {
--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -282,6 +282,12 @@
 	return end.Add(-min(s.set.Grant, end.Sub(o.arrived)/2))
 }
 
+// costlyAt is when a run that has cost more than the offer brings is cancelled.
+func (o *offer) costlyAt(s *Scheduler) time.Time {
+	end := o.giveUp(s)
+	return end.Add(-max(s.set.tripTime(), min(s.set.Grant, end.Sub(o.arrived)/8)))
+}
+
 func (o *offer) nextTime(s *Scheduler) time.Time {
 	next := o.giveUp(s)
 	if o.stage < stagePreempted {
@@ -363,7 +369,7 @@
 // sent round instead, its time could end before anyone had asked whether lower
 // work is served elsewhere.
 func (s *Scheduler) preemptOrAsk(o *offer) {
-	if !o.Waiting() || o.preempting || o.holding != nil && s.preempt(o) {
+	if !o.Waiting() || o.preempting || o.holding != nil && s.preemptWorth(o) {
 		return
 	}
 	o.lastWord = true
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -362,6 +362,12 @@
 	return true
 }
 
+// preemptWorth preempts for an offer unless that is too dear yet.
+func (s *Scheduler) preemptWorth(o *offer) bool {
+	r := s.victimFor(o)
+	return r != nil && s.worth(o, o.target.computed(r)) && s.preempt(o)
+}
+
 // victimFor is the run whose end would let an offer be in time where it is.
 func (s *Scheduler) victimFor(o *offer) *run {
 	t := o.target
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -83,6 +83,9 @@
 	again time.Time
 	// cut: the exchange had lower runs cancelled.
 	cut bool
+	// rest: no exchange before that, since the last one found only room that is
+	// too dear yet.
+	rest time.Time
 	// asking: with nobody else to ask, an exchange is over within the ask.
 	asking bool
 }
@@ -238,6 +241,9 @@
 	if !h.cut && h.last() {
 		return false
 	}
+	if s.now.Before(h.rest) {
+		return true
+	}
 	_, covered := s.floors.Covered(s.now, h.key.pool, h.key.tier)
 	return covered && s.now.Before(h.again)
 }
@@ -294,7 +300,7 @@
 			continue
 		}
 		if v.Room != "" {
-			s.sendElsewhere(h, v.Room)
+			s.sendElsewhere(h, v)
 		}
 		if v.Over {
 			s.exchangeOver(h, v)
@@ -302,15 +308,35 @@
 	}
 }
 
-func (s *Scheduler) sendElsewhere(h *holding, room string) {
+func (s *Scheduler) sendElsewhere(h *holding, v verdict) {
 	o := h.pick(s.now, s.set.tripTime())
 	switch {
 	case o == nil:
-	case o.target.desc.Name == room:
+	case !s.worth(o, v.Cost):
+		h.rest = earliest(o.costlyAt(s), s.now.Add(s.set.tripTime()))
+	case o.target.desc.Name == v.Room:
 		s.preemptHere(o)
 	default:
-		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
+		s.refuse(o, refusal{reason: o.reason, elsewhere: v.Room})
+	}
+}
+
+// worth reports whether a run that has cost so much, in tokens, is cancelled for
+// an offer now: one that has cost more than the offer brings only at the last
+// moment, if a place may come free by itself before.
+func (s *Scheduler) worth(o *offer, cost int) bool {
+	last := o.costlyAt(s)
+	return cost <= o.Cost || !s.now.Before(last) || !o.target.freesBy(last)
+}
+
+// freesBy reports whether a run will probably end by then.
+func (t *target) freesBy(end time.Time) bool {
+	for _, r := range t.runs {
+		if r.end.Before(end) {
+			return true
+		}
 	}
+	return false
 }
 
 // mayPreemptHere: where a floor was promised meanwhile, nothing below it may join
