Answer a request late rather than cut dear lower runs for its refusal

Where only its first token is late and some lower run has cost more than four times what it brings, it now waits on without that bound, behind all that can be in time (FloorAsk.Late, FloorReply.Dear).

--- a/internal/core/floors/floors.go
+++ b/internal/core/floors/floors.go
@@ -102,6 +102,8 @@
 	Stands bool
 	// Cutting: some who promised are cancelling lower runs.
 	Cutting bool
+	// Dear: some spared lower runs that have cost far more than the request.
+	Dear bool
 }
 
 // Candidate is a target that could take a request if a run there were cancelled,
@@ -156,6 +158,7 @@
 		e.valid = min(e.valid, r.Valid)
 		e.lower = e.lower || r.Lower
 		e.cutting = e.cutting || r.Cutting
+		e.dear = e.dear || r.Dear
 	}
 	return f.conclude(now, p, e, verdicts)
 }
@@ -190,7 +193,7 @@
 		p.stand(standing{tier: e.tier, until: until, lower: e.lower})
 		p.promise(e.tier, until)
 	}
-	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands, Cutting: e.cutting})
+	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands, Cutting: e.cutting, Dear: e.dear})
 }
 
 // Promise records a floor that this scheduler has promised to another, and
--- a/internal/core/floors/pool.go
+++ b/internal/core/floors/pool.go
@@ -47,6 +47,7 @@
 	room    bool
 	lower   bool
 	cutting bool
+	dear    bool
 	// least is the room that costs least of those that cost something; it is
 	// taken at the end, if there was none for nothing.
 	least Candidate
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -224,6 +224,9 @@
 	// Last: the asker will refuse as soon as the floor stands, so lower runs that
 	// may be cancelled must be.
 	Last bool `cbor:"6,keyasint,omitempty"`
+	// Late: the asker's request can still have a whole answer, only its first
+	// token would be late, so runs that have cost far more are spared.
+	Late bool `cbor:"7,keyasint,omitempty"`
 }
 
 // FloorReply answers a FloorAsk: either Room names a target that can take the
@@ -243,6 +246,8 @@
 	Cost int `cbor:"7,keyasint,omitempty"`
 	// Cutting: lower runs are being cancelled there; they are gone in a moment.
 	Cutting bool `cbor:"8,keyasint,omitempty"`
+	// Dear: lower runs were spared there for an ask that is Late.
+	Dear bool `cbor:"9,keyasint,omitempty"`
 }
 
 // OwnerAsk asks the owner of an id what became of it; if the owner has never
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -83,6 +83,8 @@
 	again time.Time
 	// cut: the exchange had lower runs cancelled.
 	cut bool
+	// late: none of the offers whose time is over has to be refused yet.
+	late bool
 	// rest: no exchange before that, since the last one found only room that is
 	// too dear yet.
 	rest time.Time
@@ -134,6 +136,43 @@
 	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed })
 }
 
+// mayBeLate reports whether all offers whose time is over could still have a
+// whole answer by their deadline.
+func (h *holding) mayBeLate(s *Scheduler) bool {
+	return !slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed && !o.mayBeLate(s) })
+}
+
+func (o *offer) mayBeLate(s *Scheduler) bool {
+	return !o.firstBy.IsZero() && o.dueWhole().After(s.now.Add(s.set.Grant))
+}
+
+// dueWhole is the latest start for a whole answer by the deadline.
+func (o *offer) dueWhole() time.Time {
+	return o.deadline.Add(-o.target.est.Total(o.Prompt, 0, o.msg.MaxTokens, 0, 0))
+}
+
+// serveLate lets an offer wait on without its first token's bound.
+//
+// Failure: one short request is refused, so every lower run must be cancelled.
+// Symptom: twenty briefs are computed in vain. Answered late instead of refused
+// it costs its own tokens, and as its start may come later now, it stands behind
+// all that can still be in time.
+func (s *Scheduler) serveLate(o *offer) bool {
+	t := o.target
+	if !o.mayBeLate(s) || !t.available || t.queue.Len() >= max(1, s.set.QueuePerTarget) {
+		return false
+	}
+	s.release(o)
+	o.doomed, o.preempting = false, false
+	o.firstBy, o.msg.FirstToken = time.Time{}, 0
+	o.Due = o.dueWhole()
+	o.stage = stageWaiting
+	t.queue.Push(&o.Item)
+	s.timers.set(o, o.nextTime(s))
+	s.fill(t)
+	return true
+}
+
 const (
 	// cutTrips bound how long the end of cancelled runs is waited for, cutLooks is
 	// how often a trip's time it is asked for.
@@ -226,9 +265,10 @@
 	defer func() { h.asking = false }()
 	h.need = h.pick(s.now, s.set.tripTime())
 	h.cut = h.last()
+	h.late = h.cut && h.mayBeLate(s)
 	own := s.ownCandidate(h.need)
 	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
-	m.Last = h.cut
+	m.Last, m.Late = h.cut, h.late
 	for _, who := range others {
 		s.send(who, m)
 	}
@@ -278,7 +318,7 @@
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
 	if a.Last {
-		reply.Cutting = s.yield(a.Pool, a.Tier)
+		reply.Cutting, reply.Dear = s.yield(a.Pool, a.Tier, spared(a.Late, a.Need))
 	}
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
@@ -371,9 +411,10 @@
 		s.fillPool(h.key.pool)
 		return
 	}
-	cutting := v.Cutting
-	if h.cut && s.yield(h.key.pool, h.key.tier) {
-		cutting = true
+	cutting, dear := v.Cutting, v.Dear
+	if h.cut && h.need != nil {
+		own, spares := s.yield(h.key.pool, h.key.tier, spared(h.late, h.need.msg))
+		cutting, dear = cutting || own, dear || spares
 	}
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
@@ -391,6 +432,7 @@
 	for _, o := range slices.Clone(h.offers) {
 		switch {
 		case o.gone || o.Waiting():
+		case o.doomed && dear && s.serveLate(o):
 		case o.doomed && h.cut && !cutting:
 			// What is left can't be cancelled; it was waited for.
 			s.refuse(o, refusal{reason: o.reason, settled: true})
@@ -433,15 +475,18 @@
 }
 
 // yield cuts the lower runs that may be cancelled, before a request of a tier is
-// refused, and reports whether some are on their way out.
+// refused, and reports whether some are on their way out. Runs are spared, and
+// nothing is cut, if one has cost more than spare tokens; 0 spares none.
 //
 // Failure: the asker's request could not be in time at this target, so no room
 // was named. Symptom: it is refused while the lower runs here go on. Also a run
 // in its last moments is cut: how long those last is an estimate.
-func (s *Scheduler) yield(pool string, tier request.Tier) bool {
-	cutting := false
+func (s *Scheduler) yield(pool string, tier request.Tier, spare int) (cutting, dear bool) {
 	if !s.set.Preempt {
-		return false
+		return false, false
+	}
+	if spare > 0 && s.dearest(pool, tier) > spare {
+		return false, true
 	}
 	for _, t := range s.pools[pool] {
 		for _, r := range t.sortedRuns() {
@@ -451,7 +496,31 @@
 		}
 		cutting = cutting || t.preempting() > 0
 	}
-	return cutting
+	return cutting, false
+}
+
+// dearest is what the dearest lower run has cost, in tokens.
+func (s *Scheduler) dearest(pool string, tier request.Tier) int {
+	most := 0
+	for _, t := range s.pools[pool] {
+		for _, r := range t.runs {
+			if tier.Above(r.offer.Tier) && r.repeatable() && !r.preempting {
+				most = max(most, t.computed(r))
+			}
+		}
+	}
+	return most
+}
+
+// dearFactor times what a request brings is what a lower run may have cost to be
+// cancelled for it, if the request's first token alone would be late.
+const dearFactor = 4
+
+func spared(late bool, need message.Offer) int {
+	if !late {
+		return 0
+	}
+	return dearFactor * (need.PromptTokens + need.MaxTokens)
 }
 
 // preempting counts the runs that are being cut.
