--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -38,6 +38,7 @@
 	m.Gauge("process_resident_bytes", float64(usage.Resident))
 	m.Gauge("process_heap_bytes", float64(usage.Heap))
 	m.Gauge("process_goroutines", float64(usage.Goroutines))
+	m.Gauge("log_appends", float64(p.log.Appends()))
 	p.reportTraffic("log", p.log.Traffic())
 	p.reportTraffic("instances", p.instances.Traffic())
 	stats := p.links.Stats()
--- a/cmd/sycamore-replay/main.go
+++ b/cmd/sycamore-replay/main.go
@@ -26,6 +26,6 @@
 (--mode virtual). It exits with 1 when a stated outcome does not hold.`
 	command.SilenceUsage = true
 	command.SilenceErrors = true
-	command.AddCommand(generateCommand(), generateDocumentCommand(), hopCommand(), streamsCommand(), runCommand(), sweepCommand(), plotCommand())
+	command.AddCommand(generateCommand(), generateDocumentCommand(), hopCommand(), streamsCommand(), slopesCommand(), runCommand(), sweepCommand(), plotCommand())
 	return command
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -27,6 +27,7 @@
 // Log is the client of the append-only log.
 type Log struct {
 	urls    []string
+	made    atomic.Int64 // appends that took effect, as far as known
 	current atomic.Int64
 	client  *fasthttp.Client
 	traffic Traffic
@@ -60,6 +61,9 @@
 	return l
 }
 
+// Appends is the number of appends that the log has confirmed.
+func (l *Log) Appends() int64 { return l.made.Load() }
+
 // Traffic counts what this client sent and received.
 func (l *Log) Traffic() *Traffic { return &l.traffic }
 
@@ -103,6 +107,7 @@
 		url := fmt.Sprintf("%s/logs/%s/records", base, stream)
 		err = call(l.client, fasthttp.MethodPost, url, data, appendTimeout, &answer)
 		if err == nil && answer.Offset > 0 {
+			l.made.Add(1)
 			return answer.Offset, nil
 		}
 		if err == nil {
--- a/internal/replay/capacity/load.go
+++ b/internal/replay/capacity/load.go
@@ -30,6 +30,8 @@
 	// KeyedCall is a POST of the plain service with an idempotency key, which
 	// is claimed on the log before it runs.
 	KeyedCall Kind = "keyed"
+	// Resolve asks which entry to use.
+	Resolve Kind = "resolve"
 )
 
 // Errors of sending a load.
@@ -142,6 +144,9 @@
 	}
 	err = c.do(s.http, func(resp *fasthttp.Response) error {
 		defer func() { _ = resp.Body() }()
+		if s.load.Kind == Resolve && resp.StatusCode() == fasthttp.StatusOK {
+			return nil
+		}
 		if string(resp.Header.Peek("X-Outcome")) != string(outcome.Answered) {
 			return fmt.Errorf("%w: status %d, %s", errStatus, resp.StatusCode(), resp.Header.Peek("X-Reason"))
 		}
@@ -220,6 +225,9 @@
 	case ServiceCall:
 		c.path = servicePath(i)
 		return c, nil
+	case Resolve:
+		c.path = "/v1/entries?zone=" + s.load.Document.Targets[0].Zone
+		return c, nil
 	case KeyedCall:
 		c.path = servicePath(i)
 		c.method = fasthttp.MethodPost
--- a/internal/replay/capacity/process.go
+++ b/internal/replay/capacity/process.go
@@ -105,6 +105,17 @@
 	return values
 }
 
+// Sum adds the series of a name up whose label has the value.
+func (s Series) Sum(name, label, value string) float64 {
+	sum := 0.0
+	for key, reading := range s {
+		if strings.HasPrefix(key, metricsPrefix+name+"{") && strings.Contains(key, label+`="`+value+`"`) {
+			sum += reading
+		}
+	}
+	return sum
+}
+
 // ReadMetrics reads the /metrics page at an entry's callers' address.
 func ReadMetrics(client *fasthttp.Client, address string) (Series, error) {
 	status, body, err := client.GetTimeout(nil, "http://"+address+"/metrics", patience)
