--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # make run    builds all, starts stand-ins and 6 entries on loopback, replays a trace
 # make faults brings failures about between processes, live; see docs/operators/failures.md
+# make slopes measures what a daemon costs at growing sizes; see docs/CAPACITY.md
+# make policy runs the sweeps of docs/MEASUREMENTS.md on the virtual clock
 # make test   runs what CI runs
 
 SHELL := /bin/bash
-BINARIES := sycamore-entry sycamorectl sycamore-standin sycamore-replay sycamore-console
 
-.PHONY: build run test format lint faults slopes clean
+.PHONY: build run test format lint faults slopes policy clean
 
 build:
 	@mkdir -p bin
@@ -17,6 +18,12 @@
 faults: build
 	scripts/faults.sh
 
+slopes: build
+	scripts/slopes.sh
+
+policy: build
+	scripts/policy.sh
+
 test: lint
 	go test ./...
 
