--- a/internal/core/floors/floors.go
+++ b/internal/core/floors/floors.go
@@ -93,13 +93,17 @@
 type Verdict struct {
 	Pool string
 	Tier request.Tier
-	// Room is a target that can take the request; the exchange may go on.
+	// Room is a target that can take the request; the exchange may go on. Cost is
+	// what the run has cost that must be cancelled there, 0 if none must.
 	Room string
+	Cost int
 	// Over: all have answered or were silent. Stands: all promised.
 	Over   bool
 	Stands bool
 	// Cutting: some who promised are cancelling lower runs.
 	Cutting bool
+	// Dear: some spared lower runs that have cost far more than the request.
+	Dear bool
 }
 
 // Candidate is a target that could take a request if a run there were cancelled,
@@ -154,6 +158,7 @@
 		e.valid = min(e.valid, r.Valid)
 		e.lower = e.lower || r.Lower
 		e.cutting = e.cutting || r.Cutting
+		e.dear = e.dear || r.Dear
 	}
 	return f.conclude(now, p, e, verdicts)
 }
@@ -180,7 +185,7 @@
 	}
 	p.endExchange(e)
 	if e.least.Room != "" && !e.free {
-		verdicts = append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Room: e.least.Room})
+		verdicts = append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Room: e.least.Room, Cost: e.least.Cost})
 	}
 	until := e.sent.Add(e.valid)
 	stands := !e.room && p.stillAsked(e)
@@ -188,7 +193,7 @@
 		p.stand(standing{tier: e.tier, until: until, lower: e.lower})
 		p.promise(e.tier, until)
 	}
-	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands, Cutting: e.cutting})
+	return append(verdicts, Verdict{Pool: p.name, Tier: e.tier, Over: true, Stands: stands, Cutting: e.cutting, Dear: e.dear})
 }
 
 // Promise records a floor that this scheduler has promised to another, and
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -81,6 +81,7 @@
 	ProcessResident       = declare(KindGauge, "process_resident_bytes", "Memory held, as the system counts it.")
 	ProcessHeap           = declare(KindGauge, "process_heap_bytes", "Memory of live and not yet collected objects.")
 	ProcessGoroutines     = declare(KindGauge, "process_goroutines", "Goroutines.")
+	LogAppends            = declare(KindGauge, "log_appends", "Appends sent to the log since the start.")
 	PlatformSentBytes     = declare(KindGauge, "platform_sent_bytes", "Bytes sent to a part of the platform: log, instances.", "part")
 	PlatformReceivedBytes = declare(KindGauge, "platform_received_bytes", "Bytes received from it.", "part")
 )
