--- a/internal/peers/tls_test.go
+++ b/internal/peers/tls_test.go
@@ -107,8 +107,8 @@
 
 	It("stand and carry messages between entries of one authority", func() {
 		ca := newAuthority("ca")
-		a := begin("1", listenAt(loopback + ":0"), protected(ca.issue(loopback, ca)))
-		b := begin("2", listenAt(loopback + ":0"), protected(ca.issue(loopback, ca), a.address))
+		a := begin("1", listenAt(loopback+":0"), protected(ca.issue(loopback, ca)))
+		b := begin("2", listenAt(loopback+":0"), protected(ca.issue(loopback, ca), a.address))
 		Eventually(a.seen).Should(HaveLen(1))
 		Eventually(b.seen).Should(HaveLen(1))
 		a.Send("2", message.DocumentAsk{})
@@ -120,22 +120,22 @@
 	// entries would fall apart in two halves; ca_file holds both meanwhile.
 	It("stand between the old and the new authority's entries while both are trusted", func() {
 		old, fresh := newAuthority("old"), newAuthority("new")
-		a := begin("1", listenAt(loopback + ":0"), protected(old.issue(loopback, old, fresh)))
-		b := begin("2", listenAt(loopback + ":0"), protected(fresh.issue(loopback, old, fresh), a.address))
+		a := begin("1", listenAt(loopback+":0"), protected(old.issue(loopback, old, fresh)))
+		b := begin("2", listenAt(loopback+":0"), protected(fresh.issue(loopback, old, fresh), a.address))
 		Eventually(a.seen).Should(Equal([]entry.Input{a.up(b)}))
 		Eventually(b.seen).Should(Equal([]entry.Input{b.up(a)}))
 	})
 
 	It("are refused to who has no certificate of the authority, whatever it trusts", func() {
 		ca, other := newAuthority("ca"), newAuthority("other")
-		a := begin("1", listenAt(loopback + ":0"), protected(ca.issue(loopback, ca)))
+		a := begin("1", listenAt(loopback+":0"), protected(ca.issue(loopback, ca)))
 		err := shown(a.address, other.issue(loopback, ca))
 		Expect(err).To(MatchError(ContainSubstring("remote error: tls")))
 		Expect(certificateRefused(err)).To(BeTrue(), "operators must see it")
 		bare := ca.issue(loopback, ca)
 		bare.Certificates = nil
 		Expect(shown(a.address, bare)).To(MatchError(ContainSubstring("remote error: tls: certificate required")))
-		plain := begin("2", listenAt(loopback + ":0"), nil)
+		plain := begin("2", listenAt(loopback+":0"), nil)
 		_, err = plain.dial(a.address)
 		Expect(err).To(HaveOccurred())
 		Expect(a.seen()).To(BeEmpty())
@@ -143,15 +143,15 @@
 
 	It("are not made to an entry whose certificate names another address or authority", func() {
 		ca, other := newAuthority("ca"), newAuthority("other")
-		a := begin("1", listenAt(loopback + ":0"), protected(ca.issue(loopback, ca)))
-		elsewhere := begin("2", listenAt(loopback + ":0"), protected(ca.issue("127.0.0.2", ca)))
+		a := begin("1", listenAt(loopback+":0"), protected(ca.issue(loopback, ca)))
+		elsewhere := begin("2", listenAt(loopback+":0"), protected(ca.issue("127.0.0.2", ca)))
 		_, err := a.dial(elsewhere.address)
 		Expect(err).To(MatchError(ContainSubstring("127.0.0.2")))
 		Expect(certificateRefused(err)).To(BeTrue(), "operators must see it")
-		stranger := begin("3", listenAt(loopback + ":0"), protected(other.issue(loopback, ca)))
+		stranger := begin("3", listenAt(loopback+":0"), protected(other.issue(loopback, ca)))
 		_, err = a.dial(stranger.address)
 		Expect(err).To(MatchError(ContainSubstring("unknown authority")))
-		open := begin("4", listenAt(loopback + ":0"), nil)
+		open := begin("4", listenAt(loopback+":0"), nil)
 		_, err = a.dial(open.address)
 		Expect(err).To(HaveOccurred())
 	})
