Hold a brief back while higher work waits at any target scheduled here

Cause: in a burst briefs began at engines where no call waited, beside others where calls ran out of time.

--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -51,9 +51,12 @@
 	// shortSeen is when a short request of each tier was last offered.
 	shortSeen []time.Time
 	// rooms are requests that were told of room here and have not come yet.
-	rooms  map[ident.RequestID]expectation
-	timers *timers
-	past   lateReports
+	rooms map[ident.RequestID]expectation
+	// higherWaits reports whether work above a tier waits at a target of the pool
+	// that is scheduled here.
+	higherWaits func(request.Tier) bool
+	timers      *timers
+	past        lateReports
 }
 
 // expectation is a request that was told of room, until when it must come.
@@ -100,6 +103,14 @@
 		return t.set.Weights(org)
 	})
 	t.may = t.mayStart
+	t.higherWaits = func(tier request.Tier) bool {
+		for _, other := range s.pools[desc.Pool] {
+			if other.queue.Above(tier) > 0 {
+				return true
+			}
+		}
+		return false
+	}
 	return t
 }
 
@@ -164,6 +175,9 @@
 		if t.prefillLong > 0 && t.shortCome(it.Tier) {
 			return false
 		}
+		if t.higherWaits(it.Tier) {
+			return false
+		}
 		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
 	}
 	return t.fitsPrefill(it)
