--- a/internal/core/scheduler/offer.go
+++ b/internal/core/scheduler/offer.go
@@ -229,37 +229,6 @@
 	}
 }
 
-// easeQueue cuts a lower run for a newcomer that makes the queue of its tier and
-// above too long for the last in it, if the run has cost less than the newcomer
-// brings. The newcomer may be in time by fairness; then it is another who isn't.
-func (s *Scheduler) easeQueue(o *offer) {
-	t := o.target
-	if o.gone || !o.Waiting() || !t.late(o, t.waitBehind(t.queue.Above(o.Tier+1)-1, o.service)) {
-		return
-	}
-	if r := s.victimFor(o); r != nil && t.computed(r) <= o.Cost {
-		s.preempt(o)
-	}
-}
-
-// shedOne refuses one offer of a queue that a newcomer has made too long: the
-// lowest tier's last, which would have been served last; were it the oldest,
-// work nearest to being served would be lost. Within the newcomer's own tier
-// only another organisation's goes, or else one that floods the tier would
-// keep the others out of the queue, where fairness could not reach them.
-func (s *Scheduler) shedOne(newcomer *offer) {
-	last := newcomer.target.offers[newcomer.target.queue.Last().ID]
-	switch {
-	case newcomer.Tier.Above(last.Tier):
-		s.refuseForLoad(last, outcome.ReasonDisplaced)
-	case newcomer.preempting || s.preemptFor(newcomer):
-	case last.Tier == newcomer.Tier && last.Organisation != newcomer.Organisation:
-		s.refuseForLoad(last, outcome.ReasonOverload)
-	default:
-		s.refuseForLoad(newcomer, outcome.ReasonOverload)
-	}
-}
-
 // giveUp is when the offer cannot be met any more.
 func (o *offer) giveUp(s *Scheduler) time.Time {
 	if o.doomed {
--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -2,12 +2,10 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
-	"sycamoretrail/internal/core/request"
 )
 
 // minHeld is the least number of offers that may be held per pool and tier.
@@ -58,253 +56,6 @@
 	}
 }
 
-// holdKey names a holding.
-type holdKey struct {
-	pool string
-	tier request.Tier
-}
-
-func (k holdKey) compare(other holdKey) int {
-	if k.tier != other.tier {
-		return int(k.tier) - int(other.tier)
-	}
-	return strings.Compare(k.pool, other.pool)
-}
-
-// holding is the offers that wait for the end of one exchange, so that many
-// refusals cost one.
-type holding struct {
-	key    holdKey
-	offers []*offer
-	// need is the offer that the exchange asks room for.
-	need *offer
-	// again is the earliest next exchange: lower work that can't be cancelled
-	// was left running, and its end is waited for.
-	again time.Time
-	// cut: the exchange had lower runs cancelled.
-	cut bool
-	// late: none of the offers whose time is over has to be refused yet.
-	late bool
-	// rest: no exchange before that, since the last one found only room that is
-	// too dear yet.
-	rest time.Time
-	// asking: with nobody else to ask, an exchange is over within the ask.
-	asking bool
-}
-
-func (h *holding) here(t *target) []*offer {
-	var list []*offer
-	for _, o := range h.offers {
-		if o.target == t {
-			list = append(list, o)
-		}
-	}
-	return list
-}
-
-// pick is the offer that the next room goes to: the most urgent of those that
-// have time for the trip and for a run to be cancelled there.
-//
-// Failure: the exchange asks for an offer whose time is all but over, finds no
-// room for it, and a floor is promised with lower work left. Symptom: offers
-// that had the time to take that work's place are refused under the floor.
-func (h *holding) pick(now time.Time, trip time.Duration) *offer {
-	if slices.Contains(h.offers, h.need) {
-		return h.need
-	}
-	var first *offer
-	for _, o := range h.offers {
-		if first == nil || o.moreUrgent(first, now.Add(trip)) {
-			first = o
-		}
-	}
-	return first
-}
-
-// moreUrgent: of two that can still be helped the one due first, else the one
-// that has more time.
-func (o *offer) moreUrgent(than *offer, after time.Time) bool {
-	if than.Due.Before(after) {
-		return o.Due.After(than.Due)
-	}
-	return o.Due.Before(than.Due) && !o.Due.Before(after)
-}
-
-// last reports whether an offer's time is over, so that it is refused as soon as
-// nothing lower runs any more.
-func (h *holding) last() bool {
-	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed })
-}
-
-// mayBeLate reports whether all offers whose time is over could still have a
-// whole answer by their deadline.
-func (h *holding) mayBeLate(s *Scheduler) bool {
-	return !slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed && !o.mayBeLate(s) })
-}
-
-func (o *offer) mayBeLate(s *Scheduler) bool {
-	return !o.firstBy.IsZero() && o.dueWhole().After(s.now.Add(s.set.Grant))
-}
-
-// dueWhole is the latest start for a whole answer by the deadline.
-func (o *offer) dueWhole() time.Time {
-	return o.deadline.Add(-o.target.est.Total(o.Prompt, 0, o.msg.MaxTokens, 0, 0))
-}
-
-// serveLate lets an offer wait on without its first token's bound.
-//
-// Failure: one short request is refused, so every lower run must be cancelled.
-// Symptom: twenty briefs are computed in vain. Answered late instead of refused
-// it costs its own tokens, and as its start may come later now, it stands behind
-// all that can still be in time.
-func (s *Scheduler) serveLate(o *offer) bool {
-	t := o.target
-	if !o.mayBeLate(s) || !t.available || t.queue.Len() >= max(1, s.set.QueuePerTarget) {
-		return false
-	}
-	s.release(o)
-	o.doomed, o.preempting = false, false
-	o.firstBy, o.msg.FirstToken = time.Time{}, 0
-	o.Due = o.dueWhole()
-	o.stage = stageWaiting
-	t.queue.Push(&o.Item)
-	s.timers.set(o, o.nextTime(s))
-	s.fill(t)
-	return true
-}
-
-const (
-	// cutTrips bound how long the end of cancelled runs is waited for, cutLooks is
-	// how often a trip's time it is asked for.
-	cutTrips = 2
-	cutLooks = 4
-)
-
-// doom keeps an offer whose time is over for the moment in which the lower runs
-// of the pool are cancelled.
-//
-// Failure: it is refused while such runs go on; or they are cancelled earlier,
-// for an offer that then gets a place in time.
-func (s *Scheduler) doom(o *offer) {
-	o.doomed = true
-	o.doomedBy = earliest(o.deadline, s.now.Add(cutTrips*s.set.tripTime()))
-	o.target.queue.Remove(&o.Item)
-	if o.holding == nil {
-		s.keep(o)
-	}
-	h := o.holding
-	h.again = s.now
-	s.ask(h)
-}
-
-func (s *Scheduler) holdingFor(key holdKey) *holding {
-	h := s.holdings[key]
-	if h == nil {
-		h = &holding{key: key}
-		s.holdings[key] = h
-		at, _ := slices.BinarySearchFunc(s.holdKeys, key, holdKey.compare)
-		s.holdKeys = slices.Insert(s.holdKeys, at, key)
-	}
-	return h
-}
-
-// hold keeps an offer until the exchange for its tier ends. Own targets with
-// room come first, since they cost no message.
-func (s *Scheduler) hold(o *offer) {
-	if o.holding != nil {
-		return
-	}
-	pool := o.target.desc.Pool
-	if room, _ := s.room(pool, o.current(s.now), o.target, roomByDisplacement); room != nil {
-		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
-		return
-	}
-	h := s.holdingFor(holdKey{pool: pool, tier: o.Tier})
-	if len(h.offers) >= max(minHeld, s.set.QueuePerTarget) {
-		s.refuse(o, refusal{reason: o.reason})
-		return
-	}
-	s.keep(o)
-	s.ask(h)
-}
-
-// keep puts an offer into its tier's holding.
-func (s *Scheduler) keep(o *offer) {
-	o.holding = s.holdingFor(holdKey{pool: o.target.desc.Pool, tier: o.Tier})
-	o.holding.offers = append(o.holding.offers, o)
-}
-
-// tripTime is allowed for an offer's way to another target and for the end of a
-// run that is cancelled there for it.
-func (s *Settings) tripTime() time.Duration { return s.Grant / tripPart }
-
-// tripPart of the grant time, which is several trips.
-const tripPart = 4
-
-// release takes an offer out of its holding.
-func (s *Scheduler) release(o *offer) {
-	h := o.holding
-	if h == nil {
-		return
-	}
-	o.holding = nil
-	h.offers = slices.DeleteFunc(h.offers, func(x *offer) bool { return x == o })
-	if h.need == o {
-		h.need = nil
-	}
-}
-
-// ask begins an exchange for a holding, unless one runs or it is too soon.
-func (s *Scheduler) ask(h *holding) {
-	if len(h.offers) == 0 || h.asking || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
-		return
-	}
-	// Failure: an exchange that ends within the ask and does not settle the offer
-	// asks again, without end. The next tick does.
-	h.asking = true
-	defer func() { h.asking = false }()
-	h.need = h.pick(s.now, s.set.tripTime())
-	h.cut = h.last()
-	h.late = h.cut && h.mayBeLate(s)
-	own := s.ownCandidate(h.need)
-	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
-	m.Last, m.Late = h.cut, h.late
-	for _, who := range others {
-		s.send(who, m)
-	}
-	s.verdicts(verdicts)
-}
-
-// tooSoon: the floor that the last exchange obtained still stands, so another
-// would bring nothing yet.
-func (s *Scheduler) tooSoon(h *holding) bool {
-	if !h.cut && h.last() {
-		return false
-	}
-	if s.now.Before(h.rest) {
-		return true
-	}
-	_, covered := s.floors.Covered(s.now, h.key.pool, h.key.tier)
-	return covered && s.now.Before(h.again)
-}
-
-// retryHoldings begins the exchanges whose time has come, and forgets holdings
-// that nobody waits in.
-func (s *Scheduler) retryHoldings() {
-	for _, key := range slices.Clone(s.holdKeys) {
-		h := s.holdings[key]
-		if len(h.offers) > 0 {
-			s.ask(h)
-			continue
-		}
-		if s.tooSoon(h) || s.floors.Running(key.pool, key.tier) {
-			continue
-		}
-		delete(s.holdings, key)
-		s.holdKeys = slices.DeleteFunc(s.holdKeys, func(x holdKey) bool { return x == key })
-	}
-}
-
 // FloorAsk answers another scheduler that must refuse tier t: by a target of
 // ours that can take the request, or by the promise to admit nothing lower.
 func (s *Scheduler) FloorAsk(now time.Time, from identity, a message.FloorAsk) []Effect {
@@ -361,48 +112,6 @@
 	}
 }
 
-// worth reports whether a run that has cost so much, in tokens, is cancelled for
-// an offer now: one that has cost more than the offer brings only at the last
-// moment, if a place may come free by itself before.
-func (s *Scheduler) worth(o *offer, cost int) bool {
-	last := o.costlyAt(s)
-	return cost <= o.Cost || !s.now.Before(last) || !o.target.freesBy(last)
-}
-
-// freesBy reports whether a run will probably end by then.
-func (t *target) freesBy(end time.Time) bool {
-	for _, r := range t.runs {
-		if r.end.Before(end) {
-			return true
-		}
-	}
-	return false
-}
-
-// mayPreemptHere: where a floor was promised meanwhile, nothing below it may join
-// a queue.
-func (s *Scheduler) mayPreemptHere(o *offer) bool {
-	return !o.doomed && (o.Waiting() || s.admissible(o))
-}
-
-// preemptHere cancels a run at the target where a held offer is, and lets the
-// offer wait for its place.
-func (s *Scheduler) preemptHere(o *offer) {
-	t := o.target
-	if !s.mayPreemptHere(o) {
-		return
-	}
-	s.release(o)
-	if !o.Waiting() {
-		t.queue.Push(&o.Item)
-	}
-	s.preempt(o)
-	s.fill(t)
-	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
-		s.shedOne(o)
-	}
-}
-
 // exchangeOver refuses what was held if the floor stands and nothing lower is
 // left; else the offers go on waiting, or ask again.
 func (s *Scheduler) exchangeOver(h *holding, v verdict) {
@@ -474,68 +183,39 @@
 	}
 }
 
-// yield cuts the lower runs that may be cancelled, before a request of a tier is
-// refused, and reports whether some are on their way out. Runs are spared, and
-// nothing is cut, if one has cost more than spare tokens; 0 spares none.
-//
-// Failure: the asker's request could not be in time at this target, so no room
-// was named. Symptom: it is refused while the lower runs here go on. Also a run
-// in its last moments is cut: how long those last is an estimate.
-func (s *Scheduler) yield(pool string, tier request.Tier, spare int) (cutting, dear bool) {
-	if !s.set.Preempt {
-		return false, false
-	}
-	if spare > 0 && s.dearest(pool, tier) > spare {
-		return false, true
-	}
-	for _, t := range s.pools[pool] {
-		for _, r := range t.sortedRuns() {
-			if tier.Above(r.offer.Tier) && r.repeatable() && !r.preempting {
-				s.sendPreempt(r)
-			}
-		}
-		cutting = cutting || t.preempting() > 0
-	}
-	return cutting, false
-}
-
-// dearest is what the dearest lower run has cost, in tokens.
-func (s *Scheduler) dearest(pool string, tier request.Tier) int {
-	most := 0
+func (s *Scheduler) fillPool(pool string) {
 	for _, t := range s.pools[pool] {
-		for _, r := range t.runs {
-			if tier.Above(r.offer.Tier) && r.repeatable() && !r.preempting {
-				most = max(most, t.computed(r))
-			}
-		}
+		s.fill(t)
 	}
-	return most
 }
 
-// dearFactor times what a request brings is what a lower run may have cost to be
-// cancelled for it, if the request's first token alone would be late.
-const dearFactor = 4
-
-func spared(late bool, need message.Offer) int {
-	if !late {
-		return 0
+// easeQueue cuts a lower run for a newcomer that makes the queue of its tier and
+// above too long for the last in it, if the run has cost less than the newcomer
+// brings. The newcomer may be in time by fairness; then it is another who isn't.
+func (s *Scheduler) easeQueue(o *offer) {
+	t := o.target
+	if o.gone || !o.Waiting() || !t.late(o, t.waitBehind(t.queue.Above(o.Tier+1)-1, o.service)) {
+		return
 	}
-	return dearFactor * (need.PromptTokens + need.MaxTokens)
-}
-
-// preempting counts the runs that are being cut.
-func (t *target) preempting() int {
-	n := 0
-	for _, r := range t.runs {
-		if r.preempting {
-			n++
-		}
+	if r := s.victimFor(o); r != nil && t.computed(r) <= o.Cost {
+		s.preempt(o)
 	}
-	return n
 }
 
-func (s *Scheduler) fillPool(pool string) {
-	for _, t := range s.pools[pool] {
-		s.fill(t)
+// shedOne refuses one offer of a queue that a newcomer has made too long: the
+// lowest tier's last, which would have been served last; were it the oldest,
+// work nearest to being served would be lost. Within the newcomer's own tier
+// only another organisation's goes, or else one that floods the tier would
+// keep the others out of the queue, where fairness could not reach them.
+func (s *Scheduler) shedOne(newcomer *offer) {
+	last := newcomer.target.offers[newcomer.target.queue.Last().ID]
+	switch {
+	case newcomer.Tier.Above(last.Tier):
+		s.refuseForLoad(last, outcome.ReasonDisplaced)
+	case newcomer.preempting || s.preemptFor(newcomer):
+	case last.Tier == newcomer.Tier && last.Organisation != newcomer.Organisation:
+		s.refuseForLoad(last, outcome.ReasonOverload)
+	default:
+		s.refuseForLoad(newcomer, outcome.ReasonOverload)
 	}
 }
