--- a/internal/core/scheduler/load_test.go
+++ b/internal/core/scheduler/load_test.go
@@ -73,6 +73,18 @@
 a done s1 t                            => grant l1`)
 	})
 
+	// A call waits at a full target. A brief that began at the scheduler's other
+	// target would close that to calls as well, so it waits for the call's start.
+	It("holds a brief back while higher work waits at another target", func() {
+		newCluster(testSettings(), "a: t/1 u/2").run(`
+a offer s1 t tier=0 => grant s1
+a running s1 t tier=0 started =>
+a offer s2 t tier=0 => queued s2
+a offer l1 u tier=1 prompt=9000 for=60s from=a => queued l1
+a done s1 t => grant s2
+wait 20ms => grant l1`)
+	})
+
 	// Two briefs at once win nothing by each other, and a short request that comes
 	// meanwhile would wait for both.
 	It("computes one brief at a time where short requests come", func() {
@@ -83,4 +95,37 @@
 a offer l2 t tier=1 prompt=1400 for=30s => queued l2
 a running l1 t tier=1 prompt=1400 for=30s started => grant l2`)
 	})
+
+	// The target's one place is held by top work for longer than the request's
+	// first token allows. The neighbour computes top work too, so the request could
+	// not be in time there; beside it runs a brief that has cost far more than the
+	// request brings. A refusal would have to cut that brief, so the request waits
+	// on without its first token's bound and is answered late.
+	It("answers late rather than cut a dear brief for a refusal", func() {
+		newCluster(testSettings(), "a: t/1", "b: u/2").run(`
+a offer q0 t tier=0 once for=60s => grant q0
+a running q0 t tier=0 once for=60s started =>
+b offer l1 u tier=1 prompt=9000 for=60s from=b => grant l1
+b running l1 u tier=1 prompt=9000 for=60s from=b started =>
+b offer q1 u tier=0 once prompt=9000 for=60s from=b => grant q1
+b running q1 u tier=0 once prompt=9000 for=60s from=b =>
+a offer r1 t tier=0 prompt=2000 first=2050ms for=30s final from=a => queued r1
+wait 300ms =>
+a done q0 t => grant r1`)
+	})
+
+	// The same beside a run that has cost little: it is cut before the refusal.
+	It("cuts a cheap run before it refuses", func() {
+		newCluster(testSettings(), "a: t/1", "b: u/2").run(`
+a offer q0 t tier=0 once for=60s => grant q0
+a running q0 t tier=0 once for=60s started =>
+b offer l1 u tier=1 for=60s from=b => grant l1
+b running l1 u tier=1 for=60s from=b started =>
+b offer q1 u tier=0 once prompt=9000 for=60s from=b => grant q1
+b running q1 u tier=0 once prompt=9000 for=60s from=b =>
+a offer r1 t tier=0 prompt=2000 first=2050ms for=30s final from=a => queued r1
+wait 60ms => preempt l1
+b done l1 u from=b =>
+wait 60ms => refuse r1 overload settled`)
+	})
 })
