Spread callers over the entries of their zone

An answer to "which entry" names its owner first and callers keep to the first, and the order of the others was the same in every answer between two changes of members, so all callers of a zone met the same entry first and kept to it. Done: the others of a zone are rotated by one place on each answer. Seen: the new spec's six answers name three entries twice each; before, one entry six times.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -126,6 +126,8 @@
 	cfg   Config
 	http  *fasthttp.Server
 	index atomic.Pointer[index]
+	// answers counts the answers to "which entry", to spread callers.
+	answers atomic.Uint32
 	// answering counts what a drain waits for.
 	answering answering
 }
--- a/internal/callers/entries.go
+++ b/internal/callers/entries.go
@@ -31,7 +31,7 @@
 			outcome.Refused(outcome.ReasonNotReady, notReadyRetry, "this entry knows of none that is ready"))
 		return
 	}
-	body, err := json.Marshal(entriesFor(view, string(ctx.QueryArgs().Peek("zone"))))
+	body, err := json.Marshal(entriesFor(view, string(ctx.QueryArgs().Peek("zone")), int(s.answers.Add(1)-1)))
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -43,21 +43,36 @@
 // entriesFor puts the entries of the caller's availability zone first, and within
 // its zone the entry that answers: the prefix is its own, so that at any other
 // entry each request would cost a question to it. It names itself only while it
-// is ready. Apart from that the view's order stays, by which entries spread
-// their callers.
-func entriesFor(view *entry.View, zone string) EntriesAnswer {
+// is ready. The others of a zone are rotated by one more place on each answer:
+// callers keep to the entry that is named first, and would all keep to the same.
+func entriesFor(view *entry.View, zone string, turn int) EntriesAnswer {
 	answer := EntriesAnswer{
 		Entries:   make([]EntryRow, 0, len(view.Entries)),
 		GoodForMS: view.GoodFor.Milliseconds(),
 		IDPrefix:  string(view.Prefix),
 	}
-	members := view.OwnerFirst()
 	for _, near := range []bool{true, false} {
-		for _, m := range members {
-			if (m.Zone == zone) == near {
-				answer.Entries = append(answer.Entries, EntryRow{Name: m.Name, Address: m.CallerAddress, Zone: m.Zone})
+		var others []EntryRow
+		for _, m := range view.Entries {
+			row := EntryRow{Name: m.Name, Address: m.CallerAddress, Zone: m.Zone}
+			switch {
+			case (m.Zone == zone) != near:
+			case view.Owns(m):
+				answer.Entries = append(answer.Entries, row)
+			default:
+				others = append(others, row)
 			}
 		}
+		answer.Entries = append(answer.Entries, rotated(others, turn)...)
 	}
 	return answer
 }
+
+// rotated is the list begun at another place for each turn.
+func rotated(list []EntryRow, turn int) []EntryRow {
+	if len(list) == 0 {
+		return nil
+	}
+	at := turn % len(list)
+	return append(append([]EntryRow(nil), list[at:]...), list[:at]...)
+}
--- a/internal/callers/pass_test.go
+++ b/internal/callers/pass_test.go
@@ -241,6 +241,23 @@
 		Entry("none", "", "self", "a", "b", "c"),
 	)
 
+	// Callers keep to the entry that is named first. Were the order the same in each
+	// answer, all callers of another zone would keep to one entry of it.
+	It("spreads callers over the others of a zone", func() {
+		n := newNode("", "")
+		view := *n.view.Load()
+		view.Entries = []message.Member{{Name: "a", Zone: "z2"}, {Name: "b", Zone: "z2"}, {Name: "c", Zone: "z2"}}
+		n.view.Store(&view)
+		first := make(map[string]int)
+		for range 6 {
+			_, body := n.call("GET", "/v1/entries?zone=z2", "", nil)
+			var answer callers.EntriesAnswer
+			Expect(json.Unmarshal(body, &answer)).To(Succeed())
+			first[answer.Entries[0].Name]++
+		}
+		Expect(first).To(Equal(map[string]int{"a": 2, "b": 2, "c": 2}))
+	})
+
 	It("tells its health", func() {
 		n := newNode("", "")
 		resp, _ := n.call("GET", "/healthz", "", nil)
--- a/internal/core/entry/view.go
+++ b/internal/core/entry/view.go
@@ -31,19 +31,21 @@
 	GoodFor time.Duration
 }
 
+// Owns reports whether a member is the owner of the prefix.
+func (v *View) Owns(m message.Member) bool {
+	holder, _, _ := strings.Cut(string(v.Prefix), ".")
+	return string(m.Incarnation) == holder
+}
+
 // OwnerFirst lists the entries, the owner of the prefix first: at any other entry
 // each request with the prefix would cost a question to the owner.
 func (v *View) OwnerFirst() []message.Member {
 	members := make([]message.Member, 0, len(v.Entries))
-	holder, _, _ := strings.Cut(string(v.Prefix), ".")
-	for _, m := range v.Entries {
-		if string(m.Incarnation) == holder {
-			members = append(members, m)
-		}
-	}
-	for _, m := range v.Entries {
-		if string(m.Incarnation) != holder {
-			members = append(members, m)
+	for _, owner := range []bool{true, false} {
+		for _, m := range v.Entries {
+			if v.Owns(m) == owner {
+				members = append(members, m)
+			}
 		}
 	}
 	return members
