--- a/internal/core/scheduler/shed.go
+++ b/internal/core/scheduler/shed.go
@@ -2,12 +2,10 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
-	"sycamoretrail/internal/core/request"
 )
 
 // minHeld is the least number of offers that may be held per pool and tier.
@@ -58,207 +56,6 @@
 	}
 }
 
-// holdKey names a holding.
-type holdKey struct {
-	pool string
-	tier request.Tier
-}
-
-func (k holdKey) compare(other holdKey) int {
-	if k.tier != other.tier {
-		return int(k.tier) - int(other.tier)
-	}
-	return strings.Compare(k.pool, other.pool)
-}
-
-// holding is the offers that wait for the end of one exchange, so that many
-// refusals cost one.
-type holding struct {
-	key    holdKey
-	offers []*offer
-	// need is the offer that the exchange asks room for.
-	need *offer
-	// again is the earliest next exchange: lower work that can't be cancelled
-	// was left running, and its end is waited for.
-	again time.Time
-	// cut: the exchange had lower runs cancelled.
-	cut bool
-	// asking: with nobody else to ask, an exchange is over within the ask.
-	asking bool
-}
-
-func (h *holding) here(t *target) []*offer {
-	var list []*offer
-	for _, o := range h.offers {
-		if o.target == t {
-			list = append(list, o)
-		}
-	}
-	return list
-}
-
-// pick is the offer that the next room goes to: the most urgent of those that
-// have time for the trip and for a run to be cancelled there.
-//
-// Failure: the exchange asks for an offer whose time is all but over, finds no
-// room for it, and a floor is promised with lower work left. Symptom: offers
-// that had the time to take that work's place are refused under the floor.
-func (h *holding) pick(now time.Time, trip time.Duration) *offer {
-	if slices.Contains(h.offers, h.need) {
-		return h.need
-	}
-	var first *offer
-	for _, o := range h.offers {
-		if first == nil || o.moreUrgent(first, now.Add(trip)) {
-			first = o
-		}
-	}
-	return first
-}
-
-// moreUrgent: of two that can still be helped the one due first, else the one
-// that has more time.
-func (o *offer) moreUrgent(than *offer, after time.Time) bool {
-	if than.Due.Before(after) {
-		return o.Due.After(than.Due)
-	}
-	return o.Due.Before(than.Due) && !o.Due.Before(after)
-}
-
-// last reports whether an offer's time is over, so that it is refused as soon as
-// nothing lower runs any more.
-func (h *holding) last() bool {
-	return slices.ContainsFunc(h.offers, func(o *offer) bool { return o.doomed })
-}
-
-const (
-	// cutTrips bound how long the end of cancelled runs is waited for, cutLooks is
-	// how often a trip's time it is asked for.
-	cutTrips = 2
-	cutLooks = 4
-)
-
-// doom keeps an offer whose time is over for the moment in which the lower runs
-// of the pool are cancelled.
-//
-// Failure: it is refused while such runs go on; or they are cancelled earlier,
-// for an offer that then gets a place in time.
-func (s *Scheduler) doom(o *offer) {
-	o.doomed = true
-	o.doomedBy = earliest(o.deadline, s.now.Add(cutTrips*s.set.tripTime()))
-	o.target.queue.Remove(&o.Item)
-	if o.holding == nil {
-		s.keep(o)
-	}
-	h := o.holding
-	h.again = s.now
-	s.ask(h)
-}
-
-func (s *Scheduler) holdingFor(key holdKey) *holding {
-	h := s.holdings[key]
-	if h == nil {
-		h = &holding{key: key}
-		s.holdings[key] = h
-		at, _ := slices.BinarySearchFunc(s.holdKeys, key, holdKey.compare)
-		s.holdKeys = slices.Insert(s.holdKeys, at, key)
-	}
-	return h
-}
-
-// hold keeps an offer until the exchange for its tier ends. Own targets with
-// room come first, since they cost no message.
-func (s *Scheduler) hold(o *offer) {
-	if o.holding != nil {
-		return
-	}
-	pool := o.target.desc.Pool
-	if room, _ := s.room(pool, o.current(s.now), o.target, roomByDisplacement); room != nil {
-		s.refuse(o, refusal{reason: o.reason, elsewhere: room.desc.Name})
-		return
-	}
-	h := s.holdingFor(holdKey{pool: pool, tier: o.Tier})
-	if len(h.offers) >= max(minHeld, s.set.QueuePerTarget) {
-		s.refuse(o, refusal{reason: o.reason})
-		return
-	}
-	s.keep(o)
-	s.ask(h)
-}
-
-// keep puts an offer into its tier's holding.
-func (s *Scheduler) keep(o *offer) {
-	o.holding = s.holdingFor(holdKey{pool: o.target.desc.Pool, tier: o.Tier})
-	o.holding.offers = append(o.holding.offers, o)
-}
-
-// tripTime is allowed for an offer's way to another target and for the end of a
-// run that is cancelled there for it.
-func (s *Settings) tripTime() time.Duration { return s.Grant / tripPart }
-
-// tripPart of the grant time, which is several trips.
-const tripPart = 4
-
-// release takes an offer out of its holding.
-func (s *Scheduler) release(o *offer) {
-	h := o.holding
-	if h == nil {
-		return
-	}
-	o.holding = nil
-	h.offers = slices.DeleteFunc(h.offers, func(x *offer) bool { return x == o })
-	if h.need == o {
-		h.need = nil
-	}
-}
-
-// ask begins an exchange for a holding, unless one runs or it is too soon.
-func (s *Scheduler) ask(h *holding) {
-	if len(h.offers) == 0 || h.asking || s.tooSoon(h) || s.floors.Running(h.key.pool, h.key.tier) {
-		return
-	}
-	// Failure: an exchange that ends within the ask and does not settle the offer
-	// asks again, without end. The next tick does.
-	h.asking = true
-	defer func() { h.asking = false }()
-	h.need = h.pick(s.now, s.set.tripTime())
-	h.cut = h.last()
-	own := s.ownCandidate(h.need)
-	m, others, verdicts := s.floors.BeginWith(s.now, h.key.pool, h.key.tier, h.need.current(s.now), own)
-	m.Last = h.cut
-	for _, who := range others {
-		s.send(who, m)
-	}
-	s.verdicts(verdicts)
-}
-
-// tooSoon: the floor that the last exchange obtained still stands, so another
-// would bring nothing yet.
-func (s *Scheduler) tooSoon(h *holding) bool {
-	if !h.cut && h.last() {
-		return false
-	}
-	_, covered := s.floors.Covered(s.now, h.key.pool, h.key.tier)
-	return covered && s.now.Before(h.again)
-}
-
-// retryHoldings begins the exchanges whose time has come, and forgets holdings
-// that nobody waits in.
-func (s *Scheduler) retryHoldings() {
-	for _, key := range slices.Clone(s.holdKeys) {
-		h := s.holdings[key]
-		if len(h.offers) > 0 {
-			s.ask(h)
-			continue
-		}
-		if s.tooSoon(h) || s.floors.Running(key.pool, key.tier) {
-			continue
-		}
-		delete(s.holdings, key)
-		s.holdKeys = slices.DeleteFunc(s.holdKeys, func(x holdKey) bool { return x == key })
-	}
-}
-
 // FloorAsk answers another scheduler that must refuse tier t: by a target of
 // ours that can take the request, or by the promise to admit nothing lower.
 func (s *Scheduler) FloorAsk(now time.Time, from identity, a message.FloorAsk) []Effect {
@@ -272,7 +69,7 @@
 	}
 	reply.Valid = s.floors.Promise(s.now, a.Pool, a.Tier, a.For)
 	if a.Last {
-		reply.Cutting = s.yield(a.Pool, a.Tier)
+		reply.Cutting, reply.Dear = s.yield(a.Pool, a.Tier, spared(a.Late, a.Need))
 	}
 	reply.Lower = s.lowerLeft(a.Pool, a.Tier)
 	s.send(from, reply)
@@ -294,7 +91,7 @@
 			continue
 		}
 		if v.Room != "" {
-			s.sendElsewhere(h, v.Room)
+			s.sendElsewhere(h, v)
 		}
 		if v.Over {
 			s.exchangeOver(h, v)
@@ -302,38 +99,16 @@
 	}
 }
 
-func (s *Scheduler) sendElsewhere(h *holding, room string) {
+func (s *Scheduler) sendElsewhere(h *holding, v verdict) {
 	o := h.pick(s.now, s.set.tripTime())
 	switch {
 	case o == nil:
-	case o.target.desc.Name == room:
+	case !s.worth(o, v.Cost):
+		h.rest = earliest(o.costlyAt(s), s.now.Add(s.set.tripTime()))
+	case o.target.desc.Name == v.Room:
 		s.preemptHere(o)
 	default:
-		s.refuse(o, refusal{reason: o.reason, elsewhere: room})
-	}
-}
-
-// mayPreemptHere: where a floor was promised meanwhile, nothing below it may join
-// a queue.
-func (s *Scheduler) mayPreemptHere(o *offer) bool {
-	return !o.doomed && (o.Waiting() || s.admissible(o))
-}
-
-// preemptHere cancels a run at the target where a held offer is, and lets the
-// offer wait for its place.
-func (s *Scheduler) preemptHere(o *offer) {
-	t := o.target
-	if !s.mayPreemptHere(o) {
-		return
-	}
-	s.release(o)
-	if !o.Waiting() {
-		t.queue.Push(&o.Item)
-	}
-	s.preempt(o)
-	s.fill(t)
-	if !o.gone && t.queue.Len() > max(1, s.set.QueuePerTarget) {
-		s.shedOne(o)
+		s.refuse(o, refusal{reason: o.reason, elsewhere: v.Room})
 	}
 }
 
@@ -345,9 +120,10 @@
 		s.fillPool(h.key.pool)
 		return
 	}
-	cutting := v.Cutting
-	if h.cut && s.yield(h.key.pool, h.key.tier) {
-		cutting = true
+	cutting, dear := v.Cutting, v.Dear
+	if h.cut && h.need != nil {
+		own, spares := s.yield(h.key.pool, h.key.tier, spared(h.late, h.need.msg))
+		cutting, dear = cutting || own, dear || spares
 	}
 	if s.lowerLeft(h.key.pool, h.key.tier) {
 		s.floors.LeaveLower(h.key.pool, h.key.tier)
@@ -365,6 +141,7 @@
 	for _, o := range slices.Clone(h.offers) {
 		switch {
 		case o.gone || o.Waiting():
+		case o.doomed && dear && s.serveLate(o):
 		case o.doomed && h.cut && !cutting:
 			// What is left can't be cancelled; it was waited for.
 			s.refuse(o, refusal{reason: o.reason, settled: true})
@@ -406,41 +183,39 @@
 	}
 }
 
-// yield cuts the lower runs that may be cancelled, before a request of a tier is
-// refused, and reports whether some are on their way out.
-//
-// Failure: the asker's request could not be in time at this target, so no room
-// was named. Symptom: it is refused while the lower runs here go on. Also a run
-// in its last moments is cut: how long those last is an estimate.
-func (s *Scheduler) yield(pool string, tier request.Tier) bool {
-	cutting := false
-	if !s.set.Preempt {
-		return false
-	}
+func (s *Scheduler) fillPool(pool string) {
 	for _, t := range s.pools[pool] {
-		for _, r := range t.sortedRuns() {
-			if tier.Above(r.offer.Tier) && r.repeatable() && !r.preempting {
-				s.sendPreempt(r)
-			}
-		}
-		cutting = cutting || t.preempting() > 0
+		s.fill(t)
 	}
-	return cutting
 }
 
-// preempting counts the runs that are being cut.
-func (t *target) preempting() int {
-	n := 0
-	for _, r := range t.runs {
-		if r.preempting {
-			n++
-		}
+// easeQueue cuts a lower run for a newcomer that makes the queue of its tier and
+// above too long for the last in it, if the run has cost less than the newcomer
+// brings. The newcomer may be in time by fairness; then it is another who isn't.
+func (s *Scheduler) easeQueue(o *offer) {
+	t := o.target
+	if o.gone || !o.Waiting() || !t.late(o, t.waitBehind(t.queue.Above(o.Tier+1)-1, o.service)) {
+		return
+	}
+	if r := s.victimFor(o); r != nil && t.computed(r) <= o.Cost {
+		s.preempt(o)
 	}
-	return n
 }
 
-func (s *Scheduler) fillPool(pool string) {
-	for _, t := range s.pools[pool] {
-		s.fill(t)
+// shedOne refuses one offer of a queue that a newcomer has made too long: the
+// lowest tier's last, which would have been served last; were it the oldest,
+// work nearest to being served would be lost. Within the newcomer's own tier
+// only another organisation's goes, or else one that floods the tier would
+// keep the others out of the queue, where fairness could not reach them.
+func (s *Scheduler) shedOne(newcomer *offer) {
+	last := newcomer.target.offers[newcomer.target.queue.Last().ID]
+	switch {
+	case newcomer.Tier.Above(last.Tier):
+		s.refuseForLoad(last, outcome.ReasonDisplaced)
+	case newcomer.preempting || s.preemptFor(newcomer):
+	case last.Tier == newcomer.Tier && last.Organisation != newcomer.Organisation:
+		s.refuseForLoad(last, outcome.ReasonOverload)
+	default:
+		s.refuseForLoad(newcomer, outcome.ReasonOverload)
 	}
 }
