--- a/internal/core/scheduler/load_test.go
+++ b/internal/core/scheduler/load_test.go
@@ -75,14 +75,21 @@
 
 	// A call waits at a full target. A brief that began at the scheduler's other
 	// target would close that to calls as well, so it waits for the call's start.
+	// Where nothing runs it is not held: no event would come to start it.
 	It("holds a brief back while higher work waits at another target", func() {
-		newCluster(testSettings(), "a: t/1 u/2").run(`
+		script := `
 a offer s1 t tier=0 => grant s1
 a running s1 t tier=0 started =>
 a offer s2 t tier=0 => queued s2
+`
+		newCluster(testSettings(), "a: t/1 u/2").run(script + `
+a offer q1 u tier=0 once for=60s => grant q1
+a running q1 u tier=0 once for=60s started =>
 a offer l1 u tier=1 prompt=9000 for=60s from=a => queued l1
 a done s1 t => grant s2
 wait 20ms => grant l1`)
+		newCluster(testSettings(), "a: t/1 u/2").run(script + `
+a offer l1 u tier=1 prompt=9000 for=60s => grant l1`)
 	})
 
 	// Two briefs at once win nothing by each other, and a short request that comes
--- a/internal/core/scheduler/target.go
+++ b/internal/core/scheduler/target.go
@@ -175,7 +175,8 @@
 		if t.prefillLong > 0 && t.shortCome(it.Tier) {
 			return false
 		}
-		if t.higherWaits(it.Tier) {
+		// Not where nothing runs: the next event there may be a long time off.
+		if len(t.runs) > 0 && t.higherWaits(it.Tier) {
 			return false
 		}
 		return t.fitsPrefill(it) && t.longRuns < t.longPlaces(it.Tier) && !t.delays(it)
