Take unknown for a repeated key while the log is out

The check wanted "not run" for each keyed call sent in the outage. For a call that repeats a key that is wrong: another request of the key may have run since the first was refused, and nobody can look; the core says unknown on purpose (schedules found the false "not run"). First sendings must still be told that they did not run, and no repeated one may run. Observed: log-down, one call of 116 (a repeated id) told unknown/log_unavailable.

--- a/internal/replay/faults/faults_test.go
+++ b/internal/replay/faults/faults_test.go
@@ -205,6 +205,38 @@
 	Entry("told it was answered", answered("s", 4, 5.1), "s ran on the target that died"),
 )
 
+// The log is out from 5 s to 10 s. A keyed call sent meanwhile is told that it did
+// not run; a repeated one may be told that nobody knows. All others are served.
+var _ = DescribeTable("an outage of the log",
+	func(keyed, other report.Call, problem string) {
+		keyed.Key, keyed.Idempotent, keyed.Line = "k", false, 1
+		back := answered("b", 10.5, 10.6)
+		back.Key, back.Idempotent = "l", false
+		r := judged(judgeLogDown, []report.Call{answered("a", 1, 2), keyed, other, back})
+		if problem == "" {
+			Expect(r.Problems).To(BeEmpty())
+			return
+		}
+		Expect(r.Problems).To(matching(problem))
+	},
+	Entry("refuses the keyed call", told("k", 7, 7.1, outOfLog), answered("o", 7, 7.5), ""),
+	Entry("runs it", answered("k", 7, 7.1), answered("o", 7, 7.5), "k was not refused"),
+	Entry("does not know of a first sending", told("k", 7, 7.1, lost), answered("o", 7, 7.5), "k was not refused"),
+	Entry("gives no advice", told("k", 7, 7.1, outcome.Refused(outcome.ReasonLogUnavailable, 0, "")), answered("o", 7, 7.5), "no advice"),
+	Entry("stops all else", told("k", 7, 7.1, outOfLog), told("o", 7, 7.5, outcome.Refused(outcome.ReasonNotReady, 0, "")), "only 0.000 were answered"),
+	Entry("needs a keyed call", told("k", 4, 4.1, outOfLog), answered("o", 7, 7.5), "no keyed call was sent"),
+)
+
+var outOfLog = outcome.Refused(outcome.ReasonLogUnavailable, time.Second, "")
+
+var _ = It("takes \"unknown\" for a repeated key in an outage", func() {
+	p := &play{trace: &trace.Trace{Lines: []trace.Line{{}, {Resend: &trace.Resend{Of: 0}}}}}
+	first, repeated := told("k", 7, 7.1, lost), told("k", 7, 7.1, lost)
+	repeated.Line = 1
+	Expect(p.refusedInOutage(&first)).To(BeFalse())
+	Expect(p.refusedInOutage(&repeated)).To(BeTrue())
+})
+
 var _ = Describe("when goodput is as before", func() {
 	// Twenty calls of the top tier in each half second; bad ones by half second.
 	calls := func(bad map[int]int) []*report.Call {
--- a/internal/replay/faults/platform.go
+++ b/internal/replay/faults/platform.go
@@ -74,7 +74,7 @@
 	var waits []time.Duration
 	refused := 0
 	for _, c := range p.calls(func(c *report.Call) bool { return sent(c) && c.Key != "" && !c.Idempotent }) {
-		p.require(c.Status.Outcome == outcome.NotRun, "keyed call %s was not refused in the outage: %s", c.ID, got(c))
+		p.require(p.refusedInOutage(c), "keyed call %s was not refused in the outage: %s", c.ID, got(c))
 		p.require(c.Status.RetryAfter > 0, "keyed call %s was refused with no advice when to come back", c.ID)
 		refused++
 		waits = append(waits, c.Ended-c.Sent)
@@ -99,6 +99,14 @@
 	p.judgeClaimsBack()
 }
 
+// refusedInOutage: a first sending did not run, since nothing could be claimed.
+// Where a caller repeats a key, an earlier sending may have run as far as anybody
+// can look while the log is out, and "unknown" is the truth.
+func (p *play) refusedInOutage(c *report.Call) bool {
+	repeated := p.line(c).Resend != nil
+	return c.Status.Outcome == outcome.NotRun || repeated && c.Status.Outcome == outcome.Unknown
+}
+
 // othersShare of the calls that need no log must be answered in time.
 const othersShare = 0.98
 
