--- a/internal/callers/reread.go
+++ b/internal/callers/reread.go
@@ -12,6 +12,15 @@
 	"sycamoretrail/internal/flight"
 )
 
+// notReread answers other methods than GET. A client that keeps POST when it
+// follows 303 to a stream comes here; "no such call, not run" would tell it that
+// its request did not run, when the answer is there to be read.
+func (s *Server) notReread(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(fasthttp.HeaderAllow, fasthttp.MethodGet)
+	s.refuse(ctx, fasthttp.StatusMethodNotAllowed, "",
+		outcome.Undetermined(outcome.ReasonMalformed, "streams are read with GET; nothing was run by this call"))
+}
+
 // reread answers /v1/streams/{token}: the answer again from a chunk on, at any
 // entry. Here "not run" is never said, since the request itself may have run.
 func (s *Server) reread(ctx *fasthttp.RequestCtx) {
@@ -47,26 +56,23 @@
 // rereadRefused turns a refusal of identify into one that claims nothing about
 // the request.
 func (s *Server) rereadRefused(ctx *fasthttp.RequestCtx, err error) {
-	var r *refusalError
-	if !errors.As(err, &r) {
-		s.refuseError(ctx, nil, err)
-		return
-	}
-	status := r.status
+	status := statusOf(err)
 	code := statusCode(status)
 	status.Outcome = outcome.Unknown
 	s.refuse(ctx, code, "", status)
 }
 
-// attach follows the stream: its flight, when this entry has it, else at its target.
+// attach follows the stream: its flight, when this entry has it, else at its
+// target. A flight in doubt knows less than the target may.
 func (s *Server) attach(c *call, token streamToken, from int) {
 	f := s.cfg.Flights.Get(token.ID)
-	remote := f == nil || f.Organisation != token.Organisation
+	remote := f == nil || f.Organisation != token.Organisation || f.InDoubt()
 	if remote {
 		if f = s.remote(c, token); f == nil {
 			return
 		}
 	}
+	s.answering.begin(c.ctx.Conn())
 	f.Enter()
 	now := s.cfg.Now()
 	longest := document.Milliseconds(c.view.Document.Limits.DeadlineMS)
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -340,7 +340,11 @@
 // caller could not send it again; nor is a plain service's, which may go on
 // there unseen.
 func (t *target) preemptible(r *run) bool {
-	return r.offer.Idempotent && r.offer.Kind == request.Engine && !r.preempting && !r.orphan && !t.lastMoments(r)
+	return r.repeatable() && !r.preempting && !t.lastMoments(r)
+}
+
+func (r *run) repeatable() bool {
+	return r.offer.Idempotent && r.offer.Kind == request.Engine && !r.orphan
 }
 
 // preemptFor preempts for an offer whose refusal would be the last word.
@@ -359,6 +363,12 @@
 	return true
 }
 
+// preemptWorth preempts for an offer unless that is too dear yet.
+func (s *Scheduler) preemptWorth(o *offer) bool {
+	r := s.victimFor(o)
+	return r != nil && s.worth(o, o.target.computed(r)) && s.preempt(o)
+}
+
 // victimFor is the run whose end would let an offer be in time where it is.
 func (s *Scheduler) victimFor(o *offer) *run {
 	t := o.target
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -59,6 +59,7 @@
 	closer        io.Closer
 	handler       fasthttp.RequestHandler
 	organisations *organisations
+	tiers         tierNames
 	// series holds what tally made, by requestsKey and groupKey; as many as the
 	// document has tiers and the bound allows organisations.
 	series sync.Map
@@ -82,7 +83,8 @@
 	}, reportInterval)
 	return &Metrics{
 		scope: scope, closer: closer, handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
-		organisations: newOrganisations(MaxOrganisationSeries), totals: make(map[string]int64),
+		organisations: newOrganisations(MaxOrganisationSeries), tiers: tierNames{known: make(map[string]bool)},
+		totals: make(map[string]int64),
 	}
 }
 
@@ -120,6 +122,7 @@
 // Settled counts a finished request: by tier and by organisation apart, not by
 // both, so that the number of series is a sum and not a product.
 func (m *Metrics) Settled(s Settled) {
+	s.Tier = m.tiers.label(s.Tier)
 	m.requests(s.Tier, s.Status).Inc(1)
 	m.group(s.Tier, TierAnswer, TierFirst, TierNotAnswered).record(s)
 	organisation := m.organisations.label(s.Organisation)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -28,6 +28,7 @@
 		}
 		now = now.Add(time.Second)
 		d.Decision(entry.Decision{Event: entry.EventMember, Detail: "peer up"})
+		d.Close()
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 		Expect(lines).To(HaveLen(3))
 		var first, last map[string]any
@@ -45,12 +46,42 @@
 		Expect(err).NotTo(HaveOccurred())
 		d := NewDecisions(logger, time.Now, 2, nil)
 		d.Refused("a.1.b", "acme", outcome.ReasonUnknownModel)
+		d.Close()
 		var line map[string]any
 		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
 		Expect(line).To(And(HaveKeyWithValue("event", EventRefused), HaveKeyWithValue("id", "a.1.b"), HaveKeyWithValue("organisation", "acme"),
 			HaveKeyWithValue("reason", "unknown_model"), HaveKeyWithValue("why", ContainSubstring("may not use this model"))))
 	})
 
+	// Whoever reads the log stands still. The core must go on deciding; what does
+	// not fit is counted on the next line that does, not lost unsaid.
+	It("never hold the core up", func() {
+		var out bytes.Buffer
+		stuck := make(chan struct{})
+		logger, err := NewLogger(&gate{open: stuck, out: &out}, "info")
+		Expect(err).NotTo(HaveOccurred())
+		const sent = 3 * decisionsWaiting
+		d := NewDecisions(logger, func() time.Time { return time.Unix(1000, 0) }, 2*sent, nil)
+		for range sent {
+			d.Decision(entry.Decision{Event: entry.EventMember})
+		}
+		close(stuck)
+		Eventually(func() int { return len(d.lines) }).Should(BeZero())
+		d.Decision(entry.Decision{Event: entry.EventFloor})
+		d.Close()
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		left := 0
+		for _, line := range lines {
+			var said struct {
+				Left int `json:"left_out"`
+			}
+			Expect(json.Unmarshal([]byte(line), &said)).To(Succeed())
+			left += said.Left
+		}
+		Expect(left).To(BeNumerically(">=", sent-decisionsWaiting-1))
+		Expect(left + len(lines)).To(Equal(sent + 1))
+	})
+
 	It("follow the level while the process runs", func() {
 		var out bytes.Buffer
 		logger, err := NewLogger(&out, "info")
@@ -63,6 +94,17 @@
 	})
 })
 
+// gate writes nothing until it is open.
+type gate struct {
+	open chan struct{}
+	out  *bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	return g.out.Write(p)
+}
+
 // page is what /metrics answers.
 func page(m *Metrics) string {
 	var ctx fasthttp.RequestCtx
@@ -133,4 +175,17 @@
 		}
 		Expect(page).NotTo(ContainSubstring("small-"))
 	})
+
+	// A caller makes up a tier for each request. It is refused, and counted, and the
+	// page must not grow by a series each time.
+	It("bound the series of tiers, whatever callers write", func() {
+		m := NewMetrics("entry-1", "z")
+		for i := range 10_000 {
+			m.Settled(Settled{Tier: fmt.Sprint("tier-", i), Status: outcome.Refused(outcome.ReasonTierNotAllowed, 0, "")})
+		}
+		Expect(m.Close()).To(Succeed())
+		text := page(m)
+		Expect(strings.Count(text, "sycamoretrail_requests_total{")).To(Equal(MaxTierSeries + 1))
+		Expect(text).To(ContainSubstring(fmt.Sprintf("%d\n", 10_000-MaxTierSeries)))
+	})
 })
