Answer for a key's winner that was given up to this entry

Cause: a keyed call sent again under a new id got "unknown: the owner is gone" with nothing failed: its winner's owner had given the winner's id up to the very entry that asked, which then took itself for an unreachable owner. Now only a winner that this entry remembers is joined.

--- a/internal/core/entry/foreign.go
+++ b/internal/core/entry/foreign.go
@@ -23,7 +23,11 @@
 // ask puts the question to an entry. An owner to which no link stands has been
 // replaced or cannot be reached; then only its run may still be found.
 func (e *Entry) ask(f *flight, holder ident.Incarnation) {
-	if holder == e.cfg.Self.Incarnation || !e.members.Reachable(holder) {
+	if holder == e.cfg.Self.Incarnation {
+		e.askSelf(f)
+		return
+	}
+	if !e.members.Reachable(holder) {
 		e.seek(f, e.ownerGone())
 		return
 	}
@@ -33,6 +37,20 @@
 	e.wakeAt(f, e.now.Add(e.timing.grant))
 }
 
+// askSelf answers from this entry's own memory, where a key's winner was given up
+// to this entry. Of any other id that leads back here nothing is known.
+func (e *Entry) askSelf(f *flight) {
+	told := e.told(f.subject)
+	switch told.Standing {
+	case message.StandingWaiting, message.StandingRunning, message.StandingFinished:
+		if f.subject != f.req.ID {
+			e.joinWinner(f, f.subject, told)
+			return
+		}
+	}
+	e.seek(f, e.ownerGone())
+}
+
 func (e *Entry) attendAsking(f *flight) {
 	if !e.now.Before(f.giveUp) && e.on(guardGiveUp) {
 		e.seek(f, outcome.Undetermined(outcome.ReasonOwnerUnreachable, "the entry that owns the id does not answer"))
