--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -57,6 +57,7 @@
 	m.Set(telemetry.ProcessResident, float64(usage.Resident))
 	m.Set(telemetry.ProcessHeap, float64(usage.Heap))
 	m.Set(telemetry.ProcessGoroutines, float64(usage.Goroutines))
+	m.Set(telemetry.LogAppends, float64(p.log.Appends()))
 	p.reportTraffic("log", p.log.Traffic())
 	p.reportTraffic("instances", p.instances.Traffic())
 }
--- a/cmd/sycamore-replay/main.go
+++ b/cmd/sycamore-replay/main.go
@@ -28,7 +28,7 @@
 	command.SilenceErrors = true
 	command.AddCommand(
 		generateCommand(), generateDocumentCommand(), runCommand(), faultCommand(),
-		sweepCommand(), tableCommand(), plotCommand(), hopCommand(), streamsCommand(),
+		sweepCommand(), tableCommand(), plotCommand(), hopCommand(), streamsCommand(), slopesCommand(),
 	)
 	return command
 }
