Start a deployment in one place

Cause: scripts/loopback.sh and scripts/lib.sh both laid out, started, published and waited, with other names for the same things. lib.sh serves run, faults, up, hop, streams and slopes now; deploy_in keeps the measuring scripts' own folders.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -6,9 +6,9 @@
 cd "$(dirname "$0")/.."
 source scripts/lib.sh
 
-deployment=tanglaw
+document=examples/tanglaw.json
 entries=6
-policy=scheduler
+layout_flags=()
 trap 'stop_deployment KILL' EXIT
 
 # watch notes the exit code of each entry that ends while the checker runs, and
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,6 +1,9 @@
-# Starts and stops a deployment on loopback; sourced by run.sh, up.sh and faults.sh,
-# which set: deployment, entries (their number), policy, dir (for settings, logs
-# and process ids). What is started is stopped by its id.
+# Starts and stops a deployment on loopback; sourced by the scripts beside this
+# file. What is started is stopped by its id. start_deployment reads:
+#   dir            folder for settings, logs and process ids
+#   document       the configuration document
+#   entries        number of entries
+#   layout_flags   further flags of sycamore-standin layout (array; may be unset)
 
 standin=
 declare -A entry_pid=() # by the entry's number
@@ -17,7 +20,7 @@
 start_deployment() {
   rm -rf "$dir"
   mkdir -p "$dir"
-  bin/sycamore-standin layout --document "examples/$deployment.json" --entries "$entries" --policy "$policy" --out "$dir"
+  bin/sycamore-standin layout --document "$document" --entries "$entries" --out "$dir" "${layout_flags[@]}"
   bin/sycamore-standin run --settings "$dir/standin.json" >"$dir/standin.log" 2>&1 &
   standin=$!
   local i
@@ -26,14 +29,22 @@
   await_ready
 }
 
+# deploy_in DIR DOCUMENT ENTRIES [layout flags] starts a deployment in DIR/run.
+deploy_in() {
+  local dir=$1/run document=$2 entries=$3
+  shift 3
+  local layout_flags=("$@")
+  start_deployment
+}
+
 ctl() { bin/sycamorectl --settings "$dir/ctl.json" "$@"; }
 
 # The entries answer operators once they listen; publishing is repeated until
 # then, and is harmless when repeated since the document's id is its own.
 publish_document() {
   local attempt
-  for attempt in $(seq 50); do
-    if ctl publish "examples/$deployment.json" >"$dir/publish.txt" 2>&1; then return; fi
+  for attempt in $(seq 100); do
+    if ctl publish "$document" >"$dir/publish.txt" 2>&1; then return; fi
     sleep 0.2
   done
   echo "the document could not be published:"
@@ -43,7 +54,7 @@
 
 await_ready() {
   local attempt ready
-  for attempt in $(seq 50); do
+  for attempt in $(seq 150); do
     ready=$(ctl status --output json 2>/dev/null | grep -c '"state": *"ready"' || true)
     [ "$ready" -lt "$entries" ] || break
     sleep 0.2
@@ -51,6 +62,16 @@
   sleep "${SETTLE_SECONDS:-2}" # takeovers of the targets end
 }
 
+joined() {
+  local IFS=,
+  echo "$*"
+}
+
+# entry_ids prints the entries' process ids, entry_addresses where callers reach
+# them, by comma.
+entry_ids() { joined "${entry_pid[@]}"; }
+entry_addresses() { seq -s, -f '127.0.0.1:24%03.0f' "${#entry_pid[@]}"; }
+
 # stop_deployment SIGNAL ends what was started: TERM lets entries drain and waits
 # for it, KILL ends them at once.
 stop_deployment() {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -8,7 +8,8 @@
 
 deployment=${DEPLOYMENT:-tanglaw}
 entries=${ENTRIES:-6}
-policy=${POLICY:-scheduler}
+document=examples/$deployment.json
+layout_flags=(--policy "${POLICY:-scheduler}")
 trace=${TRACE:-traces/$deployment.jsonl}
 report=${REPORT:-out/run.json}
 dir=out/$deployment
@@ -18,9 +19,8 @@
 cat "$dir/publish.txt"
 ctl status
 
-addresses=$(seq -s, -f '127.0.0.1:240%02.0f' "$entries")
 code=0
-bin/sycamore-replay run --mode live --trace "$trace" --document "examples/$deployment.json" \
-  --entries "$addresses" --outcomes "${OUTCOMES:-traces/outcomes.json}" --report "$report" || code=$?
+bin/sycamore-replay run --mode live --trace "$trace" --document "$document" \
+  --entries "$(entry_addresses)" --outcomes "${OUTCOMES:-traces/outcomes.json}" --report "$report" || code=$?
 echo "report: $report"
 exit "$code"
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -6,7 +6,8 @@
 # series that is measured again are replaced.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-source scripts/loopback.sh
+source scripts/lib.sh
+trap 'stop_deployment TERM' EXIT
 
 dir=out/slopes
 points=$dir/points.jsonl
@@ -20,14 +21,14 @@
 
 # deploy ENTRIES [layout flags]
 deploy() {
-  start_deployment "$dir" "$dir/document.json" "$@"
+  deploy_in "$dir" "$dir/document.json" "$@"
   sleep "$settle"
 }
 
 # point SERIES X [flags]: reads the running entries for a while.
 point() {
   bin/sycamore-replay slopes measure --series "$1" --x "$2" --duration "$duration" --points "$points" \
-    --entries "$(joined "${entry_addresses[@]}")" --pids "$(joined "${entry_pids[@]}")" \
+    --entries "$(entry_addresses)" --pids "$(entry_ids)" \
     --document "$dir/document.json" --tokens "$dir/tokens.json" "${@:3}"
 }
 
@@ -50,7 +51,7 @@
     deploy "$n"
     point entries-idle "$n"
     point entries-load "$n" --rate $((5 * n))
-    stop_deployment
+    stop_deployment TERM
   done
 }
 
@@ -62,7 +63,7 @@
     document --targets "$n"
     deploy 12
     point targets-idle "$n"
-    stop_deployment
+    stop_deployment TERM
   done
 }
 
@@ -75,7 +76,7 @@
     document --targets 12 --organisations "$n"
     deploy 6
     point organisations "$n" --rate 6
-    stop_deployment
+    stop_deployment TERM
   done
 }
 
@@ -90,12 +91,12 @@
   point changes 0.5 --change-every 2s --operators "$operators" --operator-token "$token"
   point changes 1 --change-every 1s --operators "$operators" --operator-token "$token"
   point changes 2 --change-every 500ms --operators "$operators" --operator-token "$token"
-  stop_deployment
+  stop_deployment TERM
   for n in 5 1000 2500 4500; do
     document --targets 12 --organisations "$n"
     deploy 6
     point change-size "$(stat -c %s "$dir/document.json")" --change-every 1s --operators "$operators" --operator-token "$token"
-    stop_deployment
+    stop_deployment TERM
   done
 }
 
@@ -106,7 +107,7 @@
   deploy 6
   local n
   for n in 0 10 20 40; do point requests "$n" --rate $((6 * n)); done
-  stop_deployment
+  stop_deployment TERM
 }
 
 # Tokens a second and daemon, at 20 requests a second and daemon.
@@ -116,7 +117,7 @@
   deploy 6
   local n
   for n in 10 50 100; do point tokens $((20 * n)) --rate 120 --tokens-each "$n"; done
-  stop_deployment
+  stop_deployment TERM
 }
 
 # Requests that wait for a place, by daemon.
@@ -127,7 +128,7 @@
   for n in 0 10 20 40; do
     deploy 6
     point queued "$n" --count $((6 * n)) --tokens-each 1500
-    stop_deployment
+    stop_deployment TERM
   done
 }
 
@@ -138,7 +139,7 @@
   deploy 6
   local n
   for n in 0 5 10 20 40; do point claims "$n" --kind keyed --rate $((6 * n)); done
-  stop_deployment
+  stop_deployment TERM
 }
 
 # Answers to "which entry" a second and daemon, at 24 entries.
@@ -148,7 +149,7 @@
   deploy 24
   local n
   for n in 0 10 20 40; do point resolve "$n" --kind resolve --rate $((24 * n)); done
-  stop_deployment
+  stop_deployment TERM
 }
 
 # The core alone, at up to 410 members, 1,800 targets and 38,000 organisations.
--- a/scripts/streams.sh
+++ b/scripts/streams.sh
@@ -3,14 +3,15 @@
 # writes what the entry used to out/streams/streams.json.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-source scripts/loopback.sh
+source scripts/lib.sh
+trap 'stop_deployment TERM' EXIT
 
 dir=out/streams
 mkdir -p "$dir"
 bin/sycamore-replay generate-document --targets 64 --one-generation --models 1 --organisations 4 \
   --out "$dir/document.json" --tokens "$dir/tokens.json"
-start_deployment "$dir" "$dir/document.json" 1
+deploy_in "$dir" "$dir/document.json" 1
 sleep "${SETTLE_SECONDS:-3}"
-bin/sycamore-replay streams --entries "$(joined "${entry_addresses[@]}")" --pids "$(joined "${entry_pids[@]}")" \
+bin/sycamore-replay streams --entries "$(entry_addresses)" --pids "$(entry_ids)" \
   --document "$dir/document.json" --tokens "$dir/tokens.json" \
   --count "${COUNT:-1000}" --tokens-each "${TOKENS:-100}" --report "$dir/streams.json"
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -9,6 +9,7 @@
 
 deployment=${DEPLOYMENT:-tanglaw}
 entries=${ENTRIES:-6}
+document=examples/$deployment.json
 policy=${POLICY:-scheduler}
 dir=out/$deployment
 
@@ -27,7 +28,7 @@
   echo "$name $!" >>"$dir/pids"
 }
 
-bin/sycamore-standin layout --document "examples/$deployment.json" --entries "$entries" --policy "$policy" --out "$dir" \
+bin/sycamore-standin layout --document "$document" --entries "$entries" --policy "$policy" --out "$dir" \
   ${TRACE_DIR:+--trace-dir "$TRACE_DIR"}
 start standin bin/sycamore-standin run --settings "$dir/standin.json"
 for i in $(seq "$entries"); do
