Hold a broken run against its target's death at once

The core gathered the broken runs of a death for a second before it judged, and the request ran on meanwhile. Now each broken run is held against the death as it breaks; the second still only says which breaks are one death.

--- a/internal/core/entry/failures_test.go
+++ b/internal/core/entry/failures_test.go
@@ -177,4 +177,14 @@
 		Expect(w.runs()).To(Equal(2))
 		Expect(w.reasons()[outcome.ReasonConvicted]).To(Equal(2))
 	})
+
+	ginkgo.It("a poisonous request is sent again at once", func() {
+		// Its caller does not wait: each sending follows the death of the engine
+		// that the last one killed, well within the second in which broken runs
+		// count as one death. Two engines die; from then on it is refused.
+		w := play(step{0, poisonCall, 0, 0, 0, 0}, step{300, poisonCall, 1, 1, 0, 0}, step{600, poisonCall, 2, 2, 0, 0},
+			step{900, poisonCall, 3, 3, 0, 0})
+		Expect(w.runs()).To(Equal(2))
+		Expect(w.reasons()[outcome.ReasonConvicted]).To(Equal(2))
+	})
 })
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -11,14 +11,14 @@
 	"sycamoretrail/internal/core/scheduler"
 )
 
-// deathWindow gathers the broken runs of one target: all that were in flight
-// when it died break within moments of each other.
+// deathWindow is how long broken runs of one target count as the same death: all
+// that were in flight when it died break within moments of each other.
 const deathWindow = time.Second
 
-// death is a suspected death of a target, while its broken runs are gathered.
+// death is a suspected death of a target.
 type death struct {
-	since  time.Time
-	broken []request.Fingerprint
+	since time.Time
+	name  string
 }
 
 // targetWatch is what is known of a target's willingness, by source. It gets
@@ -96,36 +96,37 @@
 	return known && t.Leaving
 }
 
-// brokenAt gathers a run that broke at a target scheduled here.
+// brokenAt holds a run that broke against the death of its target, which is
+// scheduled here. One entry, the target's scheduler, names the death, so that it
+// is counted once however many owners saw their runs break.
+//
+// Failure: a request that kills its target is sent again at once. Symptom: were
+// the death judged only when all broken runs are gathered, the request would run
+// on target after target meanwhile. So each run is held against it as it breaks.
 func (e *Entry) brokenAt(d message.Done) {
 	fingerprint, known := e.places.Fingerprint(d.Target, d.ID)
 	if !known {
 		return
 	}
-	watch := e.deaths[d.Target]
-	if watch == nil {
-		watch = &death{since: e.now}
-		e.deaths[d.Target] = watch
+	died := e.deaths[d.Target]
+	if died == nil {
+		e.deathCount++
+		died = &death{since: e.now, name: fmt.Sprintf("%s/%d", e.cfg.Self.Incarnation, e.deathCount)}
+		e.deaths[d.Target] = died
 		e.deathOrder = append(e.deathOrder, d.Target)
 	}
-	watch.broken = append(watch.broken, fingerprint)
+	e.performSuspects(e.suspects.Death(e.now, d.Target, died.name, []request.Fingerprint{fingerprint}))
 }
 
-// closeDeaths judges the targets whose window is over. One entry, the target's
-// scheduler, names the death, so that it is counted once however many owners
-// saw their runs break.
+// closeDeaths ends the windows that are over; what breaks after is another death.
 func (e *Entry) closeDeaths() {
 	for len(e.deathOrder) > 0 {
 		target := e.deathOrder[0]
-		watch := e.deaths[target]
-		if e.now.Sub(watch.since) < deathWindow {
+		if e.now.Sub(e.deaths[target].since) < deathWindow {
 			return
 		}
 		e.deathOrder = e.deathOrder[1:]
 		delete(e.deaths, target)
-		e.deathCount++
-		name := fmt.Sprintf("%s/%s/%d", target, e.cfg.Self.Incarnation, e.deathCount)
-		e.performSuspects(e.suspects.Death(e.now, target, name, watch.broken))
 	}
 }
 
