--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make run    builds all, starts stand-ins and 6 entries on loopback, replays a trace
-# make faults brings failures about between processes, live; see docs/MEASUREMENTS.md and docs/OPERATORS.md
+# make faults brings failures about between processes, live; see docs/operators/failures.md
 # make slopes measures what a daemon costs at growing sizes; see docs/CAPACITY.md
 # make policy runs the sweeps of docs/MEASUREMENTS.md on the virtual clock
 # make test   runs what CI runs
