Let a running stream resume after its grant has ended

The check that voids a late dispatch stood in the sending that resumptions share, so a stream whose connection broke after the grant's end was told that nothing was sent. Now the grant's end bounds the first sending only. Seen: the new spec ends broken without the mend and whole with it.

--- a/internal/targets/run.go
+++ b/internal/targets/run.go
@@ -99,6 +99,9 @@
 	r.prepare(req)
 	resp.StreamBody = true
 	err := r.send(req, resp)
+	// The grant's end bounds the dispatch only. A stream that runs is resumed long
+	// after it, and must not be told that nothing was sent.
+	r.notAfter = time.Time{}
 	if err != nil {
 		return r.unanswered(err)
 	}
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -185,6 +185,39 @@
 		Eventually(core.seen).Should(ContainElement(HaveField("Result", message.ResultCancelled)))
 	})
 
+	// The grant ends while the stream runs, as it does for every long answer and
+	// after a pause of this process. The connection breaks then; the engine goes on
+	// and is asked for the rest, and the caller's run ends whole.
+	It("resumes a stream whose grant has lapsed since the dispatch", func() {
+		start(Config{ResumePause: time.Millisecond})
+		notAfter := time.Now().Add(200 * time.Millisecond)
+		address := serve(func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/event-stream")
+			if ctx.IsGet() {
+				ctx.SetBodyString(event("1") + "data: [DONE]\n\n")
+				return
+			}
+			ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+				_, _ = w.WriteString(event("0"))
+				_ = w.Flush()
+				time.Sleep(time.Until(notAfter) + time.Millisecond)
+			})
+		})
+		add("a", request.Engine)
+		t.Dispatch(entry.Dispatch{ID: "a", Target: "e1", Address: address, Deadline: time.Now().Add(time.Minute), NotAfter: notAfter})
+		var ended entry.RunEnded
+		Eventually(func() bool {
+			for _, in := range core.seen() {
+				if e, is := in.(entry.RunEnded); is {
+					ended = e
+					return true
+				}
+			}
+			return false
+		}).WithTimeout(10 * time.Second).Should(BeTrue())
+		Expect(ended.Result).To(Equal(message.ResultComplete))
+	})
+
 	// The caller gets the whole answer. The engine's connection falls silent
 	// after a token, without an end; the rest is read over another connection.
 	It("resumes a stream that fell silent", func() {
