Refund only what a quota counted

Requests refused for their quota were refunded although they had never been counted, so each refusal let another request in. Ruled out: stale totals of peers (26k tokens at most in 250 ms).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,8 +33,10 @@
 	organisation string
 	service      string
 	priority     int
-	cost         float64
-	fingerprint  crashes.Fingerprint
+	// cost counts against the organisation's quota; counted: it has been.
+	cost        float64
+	counted     bool
+	fingerprint crashes.Fingerprint
 
 	// gone is closed when the caller has left.
 	gone chan struct{}
@@ -182,6 +184,7 @@
 	}
 	verdict := c.gateway.state.admit(c.organisation, c.cost)
 	if verdict.Admitted {
+		c.counted = true
 		return nil
 	}
 	c.gateway.log.Write(eventlog.Failure, eventQuota, eventlog.Fields{
@@ -229,7 +232,7 @@
 	if c.conn != nil {
 		c.conn.Unwatch()
 	}
-	if c.sends == 0 && c.organisation != "" && c.cost > 0 && c.service != "" {
+	if c.counted && c.sends == 0 {
 		c.gateway.state.refund(c.organisation, c.cost)
 	}
 	c.gateway.settle(c, status, reason)
