Take drops for lapses only right after an own outage; wait at the store for changes

Ruled out: slow news (all entries knew within 2 ms). Now only who failed itself, and only for what is in the log when it comes back. Register entries are appended only when they change, so the reader waits for changes instead of polling.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -18,7 +18,8 @@
 	// Patience is how old an entry's knowledge may get before it reads for itself,
 	// although another entry is the reader.
 	Patience time.Duration
-	// Settle is how long after an outage dropped records may come back.
+	// Settle is how long after an outage records that were dropped during it may
+	// come back.
 	Settle time.Duration
 }
 
@@ -29,6 +30,11 @@
 	backoffMax   = 400 * time.Millisecond
 )
 
+// lapseDelay is how long after an outage drops are taken for lapses of that outage.
+// They are in the log when it comes back; later ones are as real as any, and keeping
+// those would send requests to targets that have left.
+const lapseDelay = 300 * time.Millisecond
+
 // Update is a step of the followed records.
 type Update struct {
 	Topic Topic
@@ -39,7 +45,8 @@
 	From, To int64
 	// AsOf is when the log was in this state.
 	AsOf time.Time
-	// UnsettledUntil is until when dropped records may come back; zero: not after an outage.
+	// UnsettledUntil is until when the records dropped by this step may come back;
+	// zero: they are gone.
 	UnsettledUntil time.Time
 	// Told: another entry read it.
 	Told bool
@@ -69,9 +76,10 @@
 	next int64
 	asOf time.Time
 	// failing is when the first of the failed calls in a row was made.
-	failing        time.Time
-	failures       int
-	unsettledUntil time.Time
+	failing  time.Time
+	failures int
+	// regained is when the last outage ended.
+	regained time.Time
 }
 
 // NewFollower makes a follower that knows nothing yet.
@@ -143,7 +151,11 @@
 // step makes one call; false: it failed.
 func (f *Follower) step() bool {
 	f.mutex.Lock()
-	from := f.next
+	from, wait := f.next, f.config.Wait
+	if f.failures > 0 {
+		// What is in the log when it comes back has to be told from what comes later.
+		wait = 0
+	}
 	f.mutex.Unlock()
 	began := time.Now()
 	var records []Record
@@ -152,7 +164,7 @@
 	if from < 0 {
 		records, to, err = f.log.Snapshot(f.config.Topic)
 	} else {
-		records, to, err = f.log.Read(f.config.Topic, from, f.config.Wait)
+		records, to, err = f.log.Read(f.config.Topic, from, wait)
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -167,7 +179,7 @@
 	f.succeeded()
 	asOf := began
 	if len(records) == 0 && from >= 0 {
-		asOf = began.Add(f.config.Wait)
+		asOf = began.Add(wait)
 	}
 	if from < 0 {
 		f.apply(Update{Reset: true, Records: records, From: from, To: to, AsOf: asOf})
@@ -205,7 +217,7 @@
 		return
 	}
 	f.failures = 0
-	f.unsettledUntil = time.Now().Add(f.config.Settle)
+	f.regained = time.Now()
 	f.duties.Regained(f.config.Topic, time.Since(f.failing))
 }
 
@@ -216,23 +228,22 @@
 	if u.AsOf.After(f.asOf) {
 		f.asOf = u.AsOf
 	}
-	if u.UnsettledUntil.IsZero() {
-		u.UnsettledUntil = f.unsettledUntil
+	if time.Since(f.regained) < lapseDelay {
+		u.UnsettledUntil = f.regained.Add(f.config.Settle)
 	}
 	f.duties.Apply(u)
 }
 
 // Told takes what another entry has read. News that leaves a gap is not applied:
-// this entry then reads for itself when its patience ends.
-func (f *Follower) Told(from, to int64, records []Record, asOf, unsettledUntil time.Time) {
+// this entry then reads for itself when its patience ends. What the other entry
+// suffered says nothing of the log: only who failed itself takes drops for lapses.
+func (f *Follower) Told(from, to int64, records []Record, asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.next < 0 || from > f.next {
 		return
 	}
-	if unsettledUntil.After(f.unsettledUntil) {
-		f.unsettledUntil = unsettledUntil
-	}
+	f.succeeded()
 	f.advance(records, to, asOf, true)
 }
 
--- /dev/null
+++ b/internal/feed/follower_test.go
@@ -0,0 +1,254 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/feed"
+)
+
+var errAway = errors.New("the log is away")
+
+// fakeLog keeps records in memory and fails to order.
+type fakeLog struct {
+	mutex   sync.Mutex
+	records []feed.Record
+	first   int64
+	away    bool
+	calls   int
+}
+
+func (l *fakeLog) append(key, value string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.records = append(l.records, feed.Record{Key: key, Value: []byte(value), Offset: l.first + int64(len(l.records))})
+}
+
+func (l *fakeLog) set(away bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.away = away
+}
+
+// forget drops all records from the history; the newest of each key can still be
+// had by Snapshot.
+func (l *fakeLog) forget() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.first += int64(len(l.records))
+	l.records = nil
+}
+
+func (l *fakeLog) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.calls
+}
+
+func (l *fakeLog) Snapshot(feed.Topic) ([]feed.Record, int64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.calls++
+	if l.away {
+		return nil, 0, errAway
+	}
+	return append([]feed.Record(nil), l.records...), l.first + int64(len(l.records)), nil
+}
+
+func (l *fakeLog) Read(_ feed.Topic, from int64, wait time.Duration) ([]feed.Record, int64, error) {
+	const step = 5 * time.Millisecond
+	l.mutex.Lock()
+	l.calls++
+	l.mutex.Unlock()
+	for waited := time.Duration(0); ; waited += step {
+		l.mutex.Lock()
+		end := l.first + int64(len(l.records))
+		switch {
+		case l.away:
+			l.mutex.Unlock()
+			return nil, 0, errAway
+		case from < l.first:
+			l.mutex.Unlock()
+			return nil, 0, feed.ErrTruncated
+		case from < end || waited >= wait:
+			found := append([]feed.Record(nil), l.records[from-l.first:]...)
+			l.mutex.Unlock()
+			return found, end, nil
+		}
+		l.mutex.Unlock()
+		time.Sleep(step)
+	}
+}
+
+func (l *fakeLog) Put(feed.Topic, string, []byte) error { return nil }
+
+// followed is a follower with what it has applied.
+type followed struct {
+	*feed.Follower
+	mutex   sync.Mutex
+	leads   bool
+	updates []feed.Update
+	lost    int
+}
+
+func (f *followed) last(key string) (feed.Update, feed.Record) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for i := len(f.updates) - 1; i >= 0; i-- {
+		for _, r := range f.updates[i].Records {
+			if r.Key == key {
+				return f.updates[i], r
+			}
+		}
+	}
+	return feed.Update{}, feed.Record{}
+}
+
+var config = feed.Config{Topic: feed.Targets, Interval: 50 * time.Millisecond, Wait: 800 * time.Millisecond, Patience: 1200 * time.Millisecond, Settle: 2300 * time.Millisecond}
+
+func follow(ctx context.Context, log feed.Log, leads bool) *followed {
+	f := &followed{leads: leads}
+	f.Follower = feed.NewFollower(config, log, feed.Duties{
+		Leads: func() bool { f.mutex.Lock(); defer f.mutex.Unlock(); return f.leads },
+		Apply: func(u feed.Update) { f.mutex.Lock(); defer f.mutex.Unlock(); f.updates = append(f.updates, u) },
+		Lost:  func(feed.Topic, error) { f.mutex.Lock(); defer f.mutex.Unlock(); f.lost++ },
+
+		Regained: func(feed.Topic, time.Duration) {},
+	})
+	go f.Run(ctx)
+	return f
+}
+
+// run plays a scenario on a fake clock.
+func run(t *testing.T, scenario func(g *WithT, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		scenario(NewWithT(t), ctx)
+		stop()
+		time.Sleep(2 * time.Second) // lets a read that waits at the log return
+	})
+}
+
+func TestChangeIsAppliedAtOnce(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		f := follow(ctx, log, true)
+		time.Sleep(3 * time.Second)
+		log.append("a", "1")
+		time.Sleep(60 * time.Millisecond)
+		_, record := f.last("a")
+		g.Expect(string(record.Value)).To(Equal("1"))
+	})
+}
+
+// A target lapses while the store is away, because nobody can renew its entry. The
+// entries that find its end in the log when the store is back must keep it: it
+// lives, and its entry is back within two seconds.
+func TestLapseDuringOutageIsKept(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, true)
+		time.Sleep(time.Second)
+		log.set(true)
+		time.Sleep(4 * time.Second)
+		log.append("a", "")
+		log.set(false)
+		time.Sleep(700 * time.Millisecond)
+		update, record := f.last("a")
+		g.Expect(record.Value).To(BeEmpty())
+		g.Expect(time.Until(update.UnsettledUntil)).To(BeNumerically(">", 1500*time.Millisecond))
+	})
+}
+
+// One entry is cut off from the store for seconds and comes back. Soon after, a
+// target ends its entry before it leaves. The drop is real: kept as a lapse, the
+// target would get requests for two seconds more, later than it may.
+func TestDropAfterOwnOutageIsReal(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, true)
+		time.Sleep(time.Second)
+		log.set(true)
+		time.Sleep(4 * time.Second)
+		log.set(false)
+		time.Sleep(1200 * time.Millisecond)
+		log.append("a", "")
+		time.Sleep(100 * time.Millisecond)
+		update, record := f.last("a")
+		g.Expect(record.Value).To(BeEmpty())
+		g.Expect(update.UnsettledUntil).To(BeZero())
+	})
+}
+
+// The reader was cut off from the store; the others were not. What it tells after
+// its return must not make the others take a real drop for a lapse.
+func TestOutageOfReaderDoesNotUnsettleOthers(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, false)
+		time.Sleep(time.Second)
+		f.Told(1, 2, []feed.Record{{Key: "a", Offset: 1}}, time.Now())
+		update, _ := f.last("a")
+		g.Expect(update.Told).To(BeTrue())
+		g.Expect(update.UnsettledUntil).To(BeZero())
+	})
+}
+
+// The reader dies without a word. The others notice that their knowledge ages and
+// read for themselves, well within the two seconds in which a change must count.
+func TestOthersReadForThemselvesWhenReaderDies(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		for range 5 {
+			f.Told(0, 0, nil, time.Now())
+			time.Sleep(800 * time.Millisecond)
+		}
+		calls := log.count()
+		log.append("a", "1")
+		time.Sleep(1300 * time.Millisecond)
+		_, record := f.last("a")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(calls).To(Equal(1), "while the reader told news, only the snapshot was read")
+	})
+}
+
+// The store drops its history while an entry follows it. The records asked for are
+// gone; the entry takes a snapshot and misses nothing.
+func TestTruncatedHistoryLeadsToSnapshot(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, true)
+		time.Sleep(100 * time.Millisecond)
+		log.append("b", "1")
+		log.forget()
+		log.append("c", "1")
+		time.Sleep(2 * time.Second)
+		update, record := f.last("c")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(update.Reset).To(BeTrue())
+	})
+}
+
+// News that leaves a gap is not applied: what lies between would be missed for good.
+func TestNewsWithGapIsNotApplied(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		f.Told(5, 6, []feed.Record{{Key: "z", Value: []byte("1"), Offset: 5}}, time.Now())
+		_, record := f.last("z")
+		g.Expect(record.Key).To(BeEmpty())
+	})
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -16,17 +16,19 @@
 	"sycamoretrail/internal/settings"
 )
 
-// Parts of the time that the operators allow for a change. The reader looks twice
-// as often as the patience of the others ends, and the patience leaves half of the
-// time for a reader that has just died and for an own read.
+// Parts of the time that the operators allow for a change to be in force. A read
+// waits at the store for the first change, so changes come at once; the end of the
+// wait only shows that the reader is alive. The patience of the others exceeds the
+// wait, and leaves a third of the time for an own read after the reader has died.
 const (
-	readShare     = 0.18
-	patienceShare = 0.45
 	waitShare     = 0.4
-	holdShare     = 0.6
+	patienceShare = 0.6
 )
 
 const (
+	// readPause is the least time between two reads of a topic: changes that come in
+	// quick succession are read together.
+	readPause = 50 * time.Millisecond
 	// settle is how long after an outage of the store a target that lives may take
 	// to come back, with a margin.
 	settle = 2300 * time.Millisecond
@@ -55,10 +57,10 @@
 	drain := settings.Milliseconds(g.settings.Bounds.DrainMS)
 	apply := settings.Milliseconds(g.settings.Bounds.ConfigurationMS)
 	f.operators = feed.NewFollower(feed.Config{
-		Topic: feed.Operators, Wait: part(apply, waitShare), Patience: part(apply, holdShare),
+		Topic: feed.Operators, Interval: readPause, Wait: part(apply, waitShare), Patience: part(apply, patienceShare),
 	}, g.platform, f.duties(f.applyOperators))
 	f.targets = feed.NewFollower(feed.Config{
-		Topic: feed.Targets, Interval: part(drain, readShare), Patience: part(drain, patienceShare), Settle: settle,
+		Topic: feed.Targets, Interval: readPause, Wait: part(drain, waitShare), Patience: part(drain, patienceShare), Settle: settle,
 	}, g.platform, f.duties(f.applyTargets))
 	return f
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -251,11 +251,7 @@
 		return
 	}
 	now := time.Now()
-	var unsettled time.Time
-	if n.UnsettledMS > 0 {
-		unsettled = now.Add(time.Duration(n.UnsettledMS) * time.Millisecond)
-	}
-	follower.Told(n.From, n.To, n.Records, now.Add(-time.Duration(n.AgeMS)*time.Millisecond), unsettled)
+	follower.Told(n.From, n.To, n.Records, now.Add(-time.Duration(n.AgeMS)*time.Millisecond))
 }
 
 func (l *links) takeCrash(c *gossip.Crash) {
@@ -313,7 +309,7 @@
 		m := l.message()
 		m.News = &gossip.News{
 			Topic: u.Topic, From: from, To: to, Records: records,
-			AgeMS: time.Since(u.AsOf).Milliseconds(), UnsettledMS: max(0, time.Until(u.UnsettledUntil).Milliseconds()),
+			AgeMS: time.Since(u.AsOf).Milliseconds(),
 		}
 		l.send(m, l.readFor(members))
 		changed = changed[len(records):]
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -65,10 +65,8 @@
 	Records []feed.Record `cbor:"4,keyasint,omitempty"`
 	// AgeMS is how long before sending the log was in this state.
 	AgeMS int64 `cbor:"5,keyasint"`
-	// UnsettledMS is how much longer dropped records may come back.
-	UnsettledMS int64 `cbor:"6,keyasint,omitempty"`
 	// ReadYourself: the topic has changed, and the records are too long to be sent.
-	ReadYourself bool `cbor:"7,keyasint,omitempty"`
+	ReadYourself bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Crash says that a run of a request ended with a broken connection.
