Choose targets by size: long work to targets fast enough for it

Requests declare their prompt and a guess of the output. Times per token are learned from answers, net of each target's speed; a target that should not finish in time, or not begin before the objective, is passed over while a faster one exists, and short work goes a little before long within a priority.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -33,6 +33,8 @@
 	Objective time.Time
 	// Expires is when the caller or the route stops waiting.
 	Expires time.Time
+	// Work is what it asks of a target.
+	Work Work
 	// Tried lists the targets that this request has been sent to.
 	Tried []string
 }
@@ -44,6 +46,8 @@
 	sequence uint64
 	target   *target
 	granted  time.Time
+	// rank is the arrival by which the queue is ordered.
+	rank time.Time
 }
 
 // Grant tells that a request may be sent to a target now.
@@ -106,6 +110,9 @@
 	// Pace is the mean time between events of a stream, or the time to the answer
 	// of another request; 0: not known.
 	Pace time.Duration
+	// First is the time to the first event of a stream, Rest the time from there to
+	// the end; 0: not known.
+	First, Rest time.Duration
 }
 
 // Effects are what a call leads to: requests to send and requests to end.
@@ -177,7 +184,7 @@
 func (s *Scheduler) pool(service string) *pool {
 	p, found := s.pools[service]
 	if !found {
-		p = &pool{service: service, holds: make(map[string]*mean)}
+		p = &pool{service: service, classes: make(map[string]*class)}
 		s.pools[service] = p
 	}
 	return p
@@ -210,9 +217,7 @@
 	ticket.target = nil
 	at.own--
 	at.learn(now, report)
-	if report.Outcome == Answered {
-		at.pool.hold(ticket.Class).add(float64(now.Sub(ticket.granted)))
-	}
+	at.pool.learn(ticket, at, now.Sub(ticket.granted), report)
 	return s.advance(now, at.pool)
 }
 
@@ -243,13 +248,10 @@
 	var effects Effects
 	p.order(now)
 	effects.Refusals = s.refuseHopeless(now, p)
-	for i := 0; i < len(p.waiting); {
+	for i := 0; i < len(p.waiting) && s.hasRoom(now, p); {
 		ticket := p.waiting[i]
 		chosen := s.choose(now, p, ticket)
 		if chosen == nil {
-			if len(ticket.Tried) == 0 {
-				break
-			}
 			i++
 			continue
 		}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -11,8 +11,8 @@
 	service string
 	targets []*target
 	waiting []*Ticket
-	// holds is the mean time that a request of a class keeps a place, in ns.
-	holds map[string]*mean
+	classes map[string]*class
+	rates   rates
 	// pace is the mean pace over all targets, in ns.
 	pace mean
 	// failures is the mean share of failures over all targets.
@@ -34,15 +34,6 @@
 	return true
 }
 
-func (p *pool) hold(class string) *mean {
-	m, found := p.holds[class]
-	if !found {
-		m = &mean{}
-		p.holds[class] = m
-	}
-	return m
-}
-
 // slots is what all usable targets run at once.
 func (p *pool) slots() int {
 	n := 0
@@ -55,19 +46,28 @@
 }
 
 // order sorts the queue: what can still be in time goes first, then by priority,
-// then by arrival. A request that is late has lost most of its worth, so it gets
-// only places that no timely one needs; otherwise each late answer would make the
-// next one late as well, and a short overload would last.
+// then by arrival, long work a little later. A request that is late has lost most of
+// its worth, so it gets only places that no timely one needs; otherwise each late
+// answer would make the next one late as well, and a short overload would last.
 func (p *pool) order(now time.Time) {
+	for _, ticket := range p.waiting {
+		ticket.rank = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(p.expected(ticket))))
+	}
 	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
 		return cmp.Or(
 			boolean(a.late(now))-boolean(b.late(now)),
 			a.Priority-b.Priority,
+			a.rank.Compare(b.rank),
 			cmp.Compare(a.sequence, b.sequence),
 		)
 	})
 }
 
+// longWorkDelay is how much later a request counts as arrived for each unit of
+// expected work. Short work first serves more requests in time under overload;
+// the bounded delay keeps long requests from starving.
+const longWorkDelay = 1.0
+
 func (t *Ticket) late(now time.Time) bool {
 	return !t.Objective.IsZero() && now.After(t.Objective)
 }
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -75,9 +75,9 @@
 // meanHold is the mean time at a target over all classes, in ns.
 func (p *pool) meanHold() float64 {
 	sum, n := 0.0, 0
-	for _, m := range p.holds {
-		if m.samples > 0 {
-			sum += m.value
+	for _, c := range p.classes {
+		if c.hold.samples > 0 {
+			sum += c.hold.value
 			n++
 		}
 	}
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -122,11 +122,26 @@
 	return true
 }
 
+// hasRoom reports whether any target could take a request.
+func (s *Scheduler) hasRoom(now time.Time, p *pool) bool {
+	for _, t := range p.targets {
+		if t.Leaving || now.Before(t.shunned) {
+			continue
+		}
+		if load, _ := s.load(now, t); load < t.limit() {
+			return true
+		}
+	}
+	return false
+}
+
 // choose picks the target that should answer soonest among those with room; nil:
-// none has any.
+// none that has room is fast enough, or none has any.
 func (s *Scheduler) choose(now time.Time, p *pool, ticket *Ticket) *target {
 	var best *target
 	var bestCost float64
+	expected, first := p.expected(ticket), p.first(ticket.Work)
+	fastest := p.fastest(now, ticket)
 	for _, t := range p.targets {
 		if !t.usable(now, ticket) {
 			continue
@@ -135,6 +150,9 @@
 		if load >= t.limit() {
 			continue
 		}
+		if t != fastest && !ticket.inTime(now, first, expected, t.slowness()) {
+			continue
+		}
 		if cost := s.cost(t, load, ticket); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -142,8 +160,37 @@
 	return best
 }
 
-// cost compares targets: the time for the work at that load, plus a hundredth at
-// most that differs by request, so that entries with the same view spread out.
+// fastest is the fastest target that the request may use, with room or not: it may
+// take what no target can finish in time.
+func (p *pool) fastest(now time.Time, ticket *Ticket) *target {
+	var fastest *target
+	for _, t := range p.targets {
+		if t.usable(now, ticket) && (fastest == nil || t.slowness() < fastest.slowness()) {
+			fastest = t
+		}
+	}
+	return fastest
+}
+
+// expectationSlack is the part of the expected time that must be left: callers'
+// guesses of the output are often twice too long.
+const expectationSlack = 0.6
+
+// inTime reports whether a target of the given slowness should finish the request
+// before it expires, and begin its answer before the objective if that still lies
+// ahead. Waiting for a faster target is better than a slow one that loses the work.
+func (t *Ticket) inTime(now time.Time, first, expected time.Duration, slowness float64) bool {
+	if now.Add(time.Duration(expectationSlack * slowness * float64(expected))).After(t.Expires) {
+		return false
+	}
+	if t.Objective.IsZero() || t.late(now) || first == 0 {
+		return true
+	}
+	return !now.Add(time.Duration(slowness * float64(first))).After(t.Objective)
+}
+
+// cost compares targets: the time for the work at that load, plus some hundredths
+// that differ by request, so that entries with the same view spread out.
 func (s *Scheduler) cost(t *target, load int, ticket *Ticket) float64 {
 	cost := t.slowness() * t.unreliability() * (1 + float64(load)/float64(t.Slots))
 	if t.Zone != s.config.Zone {
--- /dev/null
+++ b/internal/core/dispatch/work.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import "time"
+
+// Work is what a request asks of a target, as far as its caller declares it. Zero
+// fields say nothing.
+type Work struct {
+	// Prompt is the number of tokens to read, Output the expected number to generate.
+	Prompt, Output int
+}
+
+// class is what has been learned of requests of a class, for a target of mean speed.
+type class struct {
+	// hold is the mean time that a request keeps a place, in ns.
+	hold mean
+	// output is the mean declared output, for requests that declare none.
+	output mean
+}
+
+// rates are the times for a token at a target of mean speed, in ns.
+type rates struct{ prompt, output mean }
+
+func (p *pool) class(name string) *class {
+	c, found := p.classes[name]
+	if !found {
+		c = &class{}
+		p.classes[name] = c
+	}
+	return c
+}
+
+// learn takes what a whole answer took.
+func (p *pool) learn(ticket *Ticket, at *target, held time.Duration, report Report) {
+	if report.Outcome != Answered {
+		return
+	}
+	slowness := at.slowness()
+	p.class(ticket.Class).hold.add(float64(held) / slowness)
+	if report.First > 0 && ticket.Work.Prompt > 0 {
+		p.rates.prompt.add(float64(report.First) / slowness / float64(ticket.Work.Prompt+promptOverhead))
+	}
+	if report.Rest > 0 && ticket.Work.Output > 0 {
+		p.rates.output.add(float64(report.Rest) / slowness / float64(ticket.Work.Output))
+	}
+}
+
+// promptOverhead stands for what each prompt costs besides its tokens, so that short
+// prompts do not raise the time for a token.
+const promptOverhead = 500
+
+// first estimates the time to the first event at a target of mean speed.
+func (p *pool) first(work Work) time.Duration {
+	if work.Prompt == 0 || p.rates.prompt.samples == 0 {
+		return 0
+	}
+	return time.Duration(float64(work.Prompt+promptOverhead) * p.rates.prompt.value)
+}
+
+// expected estimates the whole time at a target of mean speed.
+func (p *pool) expected(ticket *Ticket) time.Duration {
+	work := ticket.Work
+	if work.Output > 0 && p.rates.output.samples > 0 {
+		return p.first(work) + time.Duration(float64(work.Output)*p.rates.output.value)
+	}
+	if c := p.class(ticket.Class); c.hold.samples > 0 {
+		return time.Duration(c.hold.value)
+	}
+	return unknownHold
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,8 +53,10 @@
 	failure *wholeAnswer
 	// lastEvent is the id of the last event that was handed on.
 	lastEvent string
-	first     time.Time
-	ended     bool
+	// events is the number of events that were handed on.
+	events int
+	first  time.Time
+	ended  bool
 }
 
 // seed makes draws from request ids, so that a request that comes again may be
@@ -147,7 +149,7 @@
 	case !organisation.CountsTokens:
 		return 1
 	case envelope.DeclaresTokens:
-		return float64(envelope.Tokens)
+		return float64(envelope.PromptTokens + envelope.OutputTokens)
 	default:
 		return organisation.PlainCost
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -47,6 +47,10 @@
 		"id": c.envelope.ID, "status": status, "reason": reason, "organisation": c.organisation, "service": c.service,
 		"priority": c.priority, "total_ms": now.Sub(c.arrived).Milliseconds(), "sends": c.sends, "runs": c.runs,
 	}
+	if c.envelope.DeclaresTokens {
+		fields["prompt"], fields["output"], fields["expected"] = c.envelope.PromptTokens, c.envelope.OutputTokens, c.envelope.ExpectedOutput
+		fields["events"] = c.events
+	}
 	if !c.first.IsZero() {
 		fields["first_ms"] = c.first.Sub(c.arrived).Milliseconds()
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -149,6 +149,7 @@
 	}
 	if u.Reset {
 		f.register.Retain(now, listed, u.UnsettledUntil)
+		f.expireLater(u.UnsettledUntil)
 	}
 	if u.Reset || len(changed) > 0 {
 		f.publish()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -21,9 +21,12 @@
 	Key string
 	// Patience is how long the caller waits; 0: it does not say.
 	Patience time.Duration
-	// Tokens is the sum of prompt tokens and the most output tokens, where declared.
-	Tokens         int
-	DeclaresTokens bool
+	// PromptTokens and OutputTokens are the length of the prompt and the most that
+	// may be generated, where declared.
+	PromptTokens, OutputTokens int
+	DeclaresTokens             bool
+	// ExpectedOutput is the caller's guess of what will be generated; 0: none.
+	ExpectedOutput int
 	// LastEvent is the last event that the caller has of an earlier stream.
 	LastEvent string
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,7 @@
 	ask := dispatch.Ask{
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix, Priority: c.priority,
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
+		Work: dispatch.Work{Prompt: c.envelope.PromptTokens, Output: c.envelope.ExpectedOutput},
 	}
 	if c.route.Objective > 0 {
 		ask.Objective = c.arrived.Add(c.route.Objective)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -164,6 +164,7 @@
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			s.call.lastEvent = string(bytes.TrimSpace(id))
 			s.events++
+			s.call.events++
 		}
 	}
 	s.lastAt = time.Now()
@@ -275,6 +276,10 @@
 	if s.events > 0 {
 		report.Pace = s.lastAt.Sub(s.firstAt) / time.Duration(s.events)
 	}
+	if outcome == dispatch.Answered {
+		report.First = s.firstAt.Sub(s.began)
+		report.Rest = s.lastAt.Sub(s.firstAt)
+	}
 	grant := s.grant
 	s.grant = nil
 	s.call.reportAs(grant, report, time.Since(s.began), s.answer.Status, cause)
