--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -137,6 +137,8 @@
 	peers    map[string]*peerLoad
 	// entries is the number of entries that share the targets, at least 1.
 	entries int
+	// cell is this entry's of so many cells; see SetCell.
+	cell, cells int
 }
 
 // New makes a scheduler without targets.
@@ -148,6 +150,7 @@
 		targets: make(map[string]*target),
 		peers:   make(map[string]*peerLoad),
 		entries: 1,
+		cells:   1,
 	}
 }
 
@@ -174,6 +177,7 @@
 	}
 	for _, p := range s.pools {
 		slices.SortFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+		p.divide(s.cell, s.cells)
 	}
 	return s.Tick(now)
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -13,6 +13,8 @@
 	waiting []*Ticket
 	classes map[string]*class
 	rates   rates
+	// sharing is the number of cells that share all targets; 1: each has its own.
+	sharing int
 	// pace is the mean pace over all targets, in ns.
 	pace mean
 	// failures is the mean share of failures over all targets.
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -13,6 +13,8 @@
 	pool *pool
 	// own is the number of requests that this entry has there.
 	own int
+	// home: it is one of the targets of this entry's cell.
+	home bool
 	// pace is the mean pace of its answers, in ns.
 	pace mean
 	// failures is the mean share of failures.
@@ -106,12 +108,18 @@
 	return 1 + failureWeight*max(0, t.failures.value-t.pool.failures.value-0.05)
 }
 
-// limit is the number of requests that the target should have at once.
-func (t *target) limit() int { return t.Slots }
+// limit is the number of requests that the target should have at once, as far as
+// this cell knows of them.
+func (t *target) limit() int {
+	if t.pool.sharing <= 1 {
+		return t.Slots
+	}
+	return int(sharedHeadroom*float64(t.Slots)/float64(t.pool.sharing)) + 1
+}
 
 // usable reports whether the target may get this request now.
 func (t *target) usable(now time.Time, ticket *Ticket) bool {
-	if t.Leaving || now.Before(t.shunned) {
+	if t.Leaving || !t.home || now.Before(t.shunned) {
 		return false
 	}
 	for _, tried := range ticket.Tried {
@@ -125,7 +133,7 @@
 // hasRoom reports whether any target could take a request.
 func (s *Scheduler) hasRoom(now time.Time, p *pool) bool {
 	for _, t := range p.targets {
-		if t.Leaving || now.Before(t.shunned) {
+		if t.Leaving || !t.home || now.Before(t.shunned) {
 			continue
 		}
 		if load, _ := s.load(now, t); load < t.limit() {
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -54,8 +54,8 @@
 	State State
 	// Heard is when its last word came, Started when it began, both on this clock.
 	Heard, Started time.Time
-	// Version is the configuration that it has in force.
-	Version int64
+	// Blind: it cannot read the store.
+	Blind bool
 }
 
 // Set holds the other entries by name.
@@ -88,7 +88,7 @@
 // Heard takes an entry's word of itself; age is how long it has been running. It
 // reports whether the entry was not live before, and whether this is another
 // incarnation than the one known.
-func (s *Set) Heard(now time.Time, entry Entry, state State, age time.Duration, version int64) (joined, replaced bool) {
+func (s *Set) Heard(now time.Time, entry Entry, state State, age time.Duration, blind bool) (joined, replaced bool) {
 	if entry.Name == s.self.Name {
 		return false, false
 	}
@@ -104,7 +104,7 @@
 	}
 	joined = !found || !s.live(now, known)
 	replaced = found && known.Incarnation != entry.Incarnation
-	*known = Member{Entry: entry, State: state, Heard: now, Started: started, Version: version}
+	*known = Member{Entry: entry, State: state, Heard: now, Started: started, Blind: blind}
 	return joined, replaced
 }
 
@@ -156,6 +156,26 @@
 	return serving
 }
 
+// Readers returns the live entries among which the one is chosen that reads the
+// store for the others: those that serve and can read it; where there are none, all
+// that live.
+func (s *Set) Readers(now time.Time) []Member {
+	var able, live []Member
+	for _, m := range s.Members() {
+		if !s.live(now, &m) || m.State == Draining {
+			continue
+		}
+		live = append(live, m)
+		if m.State == Ready && !m.Blind {
+			able = append(able, m)
+		}
+	}
+	if len(able) > 0 {
+		return able
+	}
+	return live
+}
+
 // Size is the number of entries that may be serving, this one included.
 func (s *Set) Size() int { return len(s.members) + 1 }
 
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -27,7 +27,10 @@
 	// backoffFirst and backoffMax bound the pause after a failed call; the first is
 	// short, since a single lost answer is the most common failure.
 	backoffFirst = 100 * time.Millisecond
-	backoffMax   = 400 * time.Millisecond
+	backoffMax   = 800 * time.Millisecond
+	// backoffOther is the pause of entries that do not read for others: the reader
+	// tells them when the log is back.
+	backoffOther = 2500 * time.Millisecond
 )
 
 // lapseDelay is how long after an outage drops are taken for lapses of that outage.
@@ -145,7 +148,10 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
-	return pause/2 + rand.N(pause)
+	if f.failures > 1 && f.next >= 0 && !f.duties.Leads() {
+		pause = backoffOther
+	}
+	return pause*3/4 + rand.N(pause/2)
 }
 
 // step makes one call; false: it failed.
@@ -243,7 +249,10 @@
 	if f.next < 0 || from > f.next {
 		return
 	}
-	f.succeeded()
+	if f.failures > 0 {
+		f.succeeded()
+		f.nudge()
+	}
 	f.advance(records, to, asOf, true)
 }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -34,7 +34,7 @@
 	settle = 2300 * time.Millisecond
 	// entriesEvery is the pause between two looks at the register of entries, which
 	// only tells of entries that could not reach this one.
-	entriesEvery = 20 * time.Second
+	entriesEvery = 60 * time.Second
 	// registerRetry is the pause after a failed attempt to register this entry.
 	registerRetry = 500 * time.Millisecond
 )
@@ -46,7 +46,9 @@
 	targets   *feed.Follower
 
 	// known is set once the targets' register has been read.
-	known     atomic.Bool
+	known atomic.Bool
+	// blind holds, by topic, that the store cannot be read.
+	blind     [feed.Entries]atomic.Bool
 	mutex     sync.Mutex
 	register  *register.Register
 	addresses map[string]bool
@@ -74,9 +76,13 @@
 		Leads: f.gateway.leads,
 		Apply: apply,
 		Lost: func(topic feed.Topic, err error) {
+			f.blind[topic].Store(true)
+			f.gateway.links.heartbeatNow()
 			f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": topic.String(), "error": err.Error()})
 		},
 		Regained: func(topic feed.Topic, after time.Duration) {
+			f.blind[topic].Store(false)
+			f.gateway.links.heartbeatNow()
 			f.gateway.log.Write(eventlog.Belief, eventStoreRegained, eventlog.Fields{"topic": topic.String(), "after_ms": after.Milliseconds()})
 		},
 	}
@@ -113,11 +119,7 @@
 			f.gateway.apply(configuration, record.Offset)
 		}
 	}
-	if len(u.Records) > 0 && !u.Told {
-		f.gateway.links.tellRead(u.Topic)
-		return
-	}
-	f.tell(u, nil)
+	f.tell(u, u.Records)
 }
 
 func (g *Gateway) apply(configuration *catalog.Configuration, offset int64) {
@@ -225,6 +227,11 @@
 	return f.addresses[address]
 }
 
+// isBlind reports whether this entry cannot read the store.
+func (f *feeds) isBlind() bool {
+	return f.blind[feed.Operators].Load() || f.blind[feed.Targets].Load()
+}
+
 func (f *feeds) knowsTargets() bool { return f.known.Load() }
 
 // tell passes on what this entry has read as the reader.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"net"
-	"strings"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
@@ -22,11 +21,12 @@
 	// loadPause is the least time between two reports of load: changes within it
 	// go together. Callers' requests come some milliseconds apart at each entry.
 	loadPause = 10 * time.Millisecond
+	// loadAgain is the time after which an unchanged load is told again; reports
+	// count for three seconds.
+	loadAgain = time.Second
 	// crashCopies is how often news of a broken run is sent: a datagram may be lost,
 	// and the next broken run would count one too few.
 	crashCopies = 2
-	// newsRecords is the number of targets' records that fit into a datagram.
-	newsRecords = 4
 	// zoneReaders is the number of entries from which each zone has its own reader.
 	zoneReaders = peerset.ScaleMembers
 )
@@ -43,6 +43,9 @@
 	// latest is the last sequence number by entry and incarnation.
 	latest map[string]sender
 	reader string
+	// fragmented numbers messages in fragments; assembler joins those of others.
+	fragmented atomic.Uint64
+	assembler  *gossip.Assembler
 }
 
 type sender struct{ incarnation, sequence uint64 }
@@ -51,6 +54,7 @@
 	return &links{
 		gateway: g, conn: conn, beat: make(chan struct{}, 1),
 		resolved: make(map[string]*net.UDPAddr), latest: make(map[string]sender),
+		assembler: gossip.NewAssembler(),
 	}
 }
 
@@ -97,6 +101,7 @@
 	m := l.message()
 	m.Heartbeat = &gossip.Heartbeat{
 		Zone: g.self.Zone, Callers: g.self.Callers, Links: g.self.Links, State: uint8(g.ownState()),
+		Blind: g.feeds.isBlind(),
 	}
 	if c := g.configuration.Load(); c != nil {
 		m.Heartbeat.Version = c.Version
@@ -118,18 +123,27 @@
 	return l.gateway.state.peers.Members()
 }
 
-// reportLoad tells the others what this entry has at targets, soon after it changed.
+// reportLoad tells the cell what this entry has at targets, soon after it changed,
+// and now and then while it does not change, since reports lapse.
 func (l *links) reportLoad(ctx context.Context) {
+	again := time.NewTicker(loadAgain)
+	defer again.Stop()
+	idle := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.gateway.state.loadChanged:
+		case <-again.C:
+			if idle {
+				continue
+			}
 		}
 		l.gateway.state.mutex.Lock()
 		load := l.gateway.state.sched.OwnLoad()
-		members := l.gateway.state.peers.Serving(time.Now())
+		members := cellmates(l.gateway.state.peers.Serving(time.Now()), l.gateway.self.Name)
 		l.gateway.state.mutex.Unlock()
+		idle = len(load.InFlight) == 0
 		m := l.message()
 		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting}
 		l.send(m, members)
@@ -137,6 +151,36 @@
 	}
 }
 
+// place returns the place of an entry among all that serve, in the order on which
+// they agree, and their number.
+func place(serving []peerset.Member, self string) (place, entries int) {
+	for _, m := range serving {
+		if dispatch.Rank(m.Name, self) < 0 {
+			place++
+		}
+	}
+	return place, len(serving) + 1
+}
+
+// cellmates returns the entries of the same cell.
+func cellmates(serving []peerset.Member, self string) []peerset.Member {
+	if dispatch.Cells(len(serving)+1) == 1 {
+		return serving
+	}
+	own, entries := place(serving, self)
+	slices.SortFunc(serving, func(a, b peerset.Member) int { return dispatch.Rank(a.Name, b.Name) })
+	var mates []peerset.Member
+	for i, m := range serving {
+		if i >= own {
+			i++
+		}
+		if dispatch.CellOf(i, entries) == dispatch.CellOf(own, entries) {
+			mates = append(mates, m)
+		}
+	}
+	return mates
+}
+
 // send sends one message to entries. What cannot be sent is replaced by the next.
 func (l *links) send(m *gossip.Message, members []peerset.Member) {
 	if len(members) == 0 {
@@ -185,6 +229,9 @@
 	if m.News != nil {
 		l.takeNews(m.News)
 	}
+	if m.Fragment != nil {
+		l.takeFragment(m)
+	}
 	if !l.newest(m) {
 		return
 	}
@@ -216,7 +263,7 @@
 	age := time.Duration(m.AgeMS) * time.Millisecond
 	entry := peerset.Entry{Name: m.From, Incarnation: m.Incarnation, Zone: h.Zone, Callers: h.Callers, Links: h.Links}
 	g.state.mutex.Lock()
-	joined, replaced := g.state.peers.Heard(now, entry, peerset.State(h.State), age, h.Version)
+	joined, replaced := g.state.peers.Heard(now, entry, peerset.State(h.State), age, h.Blind)
 	if replaced {
 		g.state.deliver(g.state.sched.PeerGone(now, m.From))
 	}
@@ -246,14 +293,22 @@
 	if n.Topic == feed.Operators {
 		follower = l.gateway.feeds.operators
 	}
-	if n.ReadYourself {
-		follower.Refresh()
-		return
-	}
 	now := time.Now()
 	follower.Told(n.From, n.To, n.Records, now.Add(-time.Duration(n.AgeMS)*time.Millisecond))
 }
 
+// takeFragment joins news that came in pieces. Only the receiving goroutine calls it.
+func (l *links) takeFragment(m *gossip.Message) {
+	news, err := l.assembler.Add(time.Now(), m.Incarnation, m.Fragment)
+	if err != nil {
+		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"entry": m.From, "error": err.Error()})
+		return
+	}
+	if news != nil {
+		l.takeNews(news)
+	}
+}
+
 func (l *links) takeCrash(c *gossip.Crash) {
 	news, count := l.gateway.state.broken(crashes.Fingerprint(c.Fingerprint), c.ID)
 	if news {
@@ -273,7 +328,9 @@
 		peers = append(peers, quota.Peer{Name: m.Name, Started: m.Started, Silent: !g.state.peers.Live(now, m.Name)})
 	}
 	g.state.quota.SetPeers(peers)
-	g.state.sched.SetEntries(len(g.state.peers.Serving(now)) + 1)
+	own, entries := place(g.state.peers.Serving(now), g.self.Name)
+	g.state.sched.SetEntries(entries)
+	g.state.deliver(g.state.sched.SetCell(now, dispatch.CellOf(own, entries), dispatch.Cells(entries)))
 }
 
 // registered takes the register of entries and greets those that are new.
@@ -298,37 +355,24 @@
 
 // tellNews passes on what this entry has read of a log.
 func (l *links) tellNews(u feed.Update, changed []feed.Record) {
-	members := l.members()
-	from := u.From
-	for {
-		to, records := u.To, changed
-		if len(changed) > newsRecords {
-			records = changed[:newsRecords]
-			to = records[newsRecords-1].Offset + 1
-		}
+	news := &gossip.News{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds()}
+	members := l.readFor(l.members())
+	if len(changed) == 0 {
 		m := l.message()
-		m.News = &gossip.News{
-			Topic: u.Topic, From: from, To: to, Records: records,
-			AgeMS: time.Since(u.AsOf).Milliseconds(),
-		}
-		l.send(m, l.readFor(members))
-		changed = changed[len(records):]
-		from = to
-		if to == u.To {
-			return
-		}
+		m.News = news
+		l.send(m, members)
+		return
 	}
-}
-
-// tellRead has the others read a topic for themselves: its records are too long
-// for a datagram.
-func (l *links) tellRead(topic feed.Topic) {
-	if !l.gateway.leads() {
+	fragments, err := gossip.Split(l.fragmented.Add(1), news)
+	if err != nil {
+		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "error": err.Error()})
 		return
 	}
-	m := l.message()
-	m.News = &gossip.News{Topic: topic, ReadYourself: true}
-	l.send(m, l.readFor(l.members()))
+	for i := range fragments {
+		m := l.message()
+		m.Fragment = &fragments[i]
+		l.send(m, members)
+	}
 }
 
 // readFor returns the entries for which this one reads.
@@ -354,19 +398,26 @@
 	}
 }
 
-// leads reports whether this entry reads the store for the others: the first by
-// hash among those that serve, in all or, from zoneReaders on, in its zone. Two at
-// once, or none, cost a few calls or some patience, no more.
+// leads reports whether this entry reads the store for the others: the first in rank
+// of those that can, in all or, from zoneReaders on, in its zone. Two at once, or
+// none, cost a few calls or some patience, no more.
 func (g *Gateway) leads() bool {
+	now := time.Now()
 	g.state.mutex.Lock()
-	serving := g.state.peers.Serving(time.Now())
+	readers := g.state.peers.Readers(now)
 	g.state.mutex.Unlock()
-	if !g.ready() {
-		return len(serving) == 0
+	able := len(readers) > 0 && readers[0].State == peerset.Ready && !readers[0].Blind
+	if able && (!g.ready() || g.feeds.isBlind()) {
+		g.links.noteReader("another")
+		return false
+	}
+	if !able && g.ready() && !g.feeds.isBlind() {
+		g.links.noteReader(g.self.Name)
+		return true
 	}
 	reader := g.self.Name
-	for _, m := range g.links.readFor(serving) {
-		if precedes(m.Name, reader) {
+	for _, m := range g.links.readFor(readers) {
+		if dispatch.Rank(m.Name, reader) < 0 {
 			reader = m.Name
 		}
 	}
@@ -374,11 +425,6 @@
 	return reader == g.self.Name
 }
 
-func precedes(a, b string) bool {
-	x, y := xxhash.Sum64String(a), xxhash.Sum64String(b)
-	return x < y || x == y && strings.Compare(a, b) < 0
-}
-
 func (l *links) noteReader(reader string) {
 	l.mutex.Lock()
 	changed := l.reader != reader
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,7 @@
 	Load      *Load      `cbor:"6,keyasint,omitempty"`
 	News      *News      `cbor:"7,keyasint,omitempty"`
 	Crash     *Crash     `cbor:"8,keyasint,omitempty"`
+	Fragment  *Fragment  `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is what the sender says of itself to every other entry.
@@ -47,6 +48,8 @@
 	Version int64 `cbor:"5,keyasint"`
 	// Totals is the cost admitted since the start, by organisation.
 	Totals map[string]float64 `cbor:"6,keyasint,omitempty"`
+	// Blind: the sender cannot read the store, so it should not read for others.
+	Blind bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Load is what the sender has at targets and in its queues.
@@ -65,8 +68,6 @@
 	Records []feed.Record `cbor:"4,keyasint,omitempty"`
 	// AgeMS is how long before sending the log was in this state.
 	AgeMS int64 `cbor:"5,keyasint"`
-	// ReadYourself: the topic has changed, and the records are too long to be sent.
-	ReadYourself bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Crash says that a run of a request ended with a broken connection.
