Quota: tell totals with each load report, keep usage near a limit in the store

What is refused below a limit is lost; the slack was left unused because totals were up to 250 ms old and forgotten when all entries restart.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -3,11 +3,11 @@
 // and adds up what it knows of a sliding window.
 //
 // What it does not know counts as used, so that the sum over all entries stays
-// below the limit also when they lose each other:
+// below the limit also when they lose each other or restart together:
 //
 //   - a silent entry counts with its even share, since it goes on admitting that much;
-//   - an entry that is younger than the window counts with its even share of the
-//     time before it started, since its former incarnation's counter is lost;
+//   - the part of the window before this entry heard of another, or began to count
+//     itself, counts as History says, with that entry's even share;
 //   - what the others have admitted since their last word is taken to be what this
 //     entry has admitted in the same time, since callers pick entries at random.
 //
@@ -24,11 +24,24 @@
 type Config struct {
 	// Window is the length of the sliding window over which a rate is kept.
 	Window time.Duration
-	// Margin is what an organisation may use beyond rate x window + burst, in units
-	// of cost, so that a request within the quota is not refused for rounding.
-	Margin float64
+	// Slack is what an organisation may use beyond rate x window + burst, in units
+	// of cost, before the limit counts as broken.
+	Slack float64
 }
 
+const (
+	// slackUsed is the part of the slack that is used on purpose: what is refused
+	// below the limit is lost to the organisation. The rest covers what entries have
+	// admitted since their last word, some 20 ms at the rate of the largest
+	// organisation.
+	slackUsed = 0.6
+	// cautiousSlack is the part that is used while a part of the window is not known.
+	cautiousSlack = 0.25
+	// usualUse is the part of its limit that an organisation is taken to have used
+	// where nothing is recorded; more than that is recorded, see Record.
+	usualUse = 0.7
+)
+
 // Limiter counts what organisations use.
 type Limiter struct {
 	config  Config
@@ -36,16 +49,25 @@
 	limits  map[string]limit
 	own     map[string]*series
 	peers   map[string]*peer
+	history map[string]History
 }
 
 type limit struct{ rate, burst float64 }
 
+// History is what an organisation had used in the window before this entry began,
+// over all entries.
+type History struct {
+	// Older and Recent are the halves of the window.
+	Older, Recent float64
+}
+
 // peer is another entry's usage, by the name that survives restarts.
 type peer struct {
-	started time.Time
-	heard   time.Time
-	silent  bool
-	usage   map[string]*series
+	// started is when its present incarnation began, since from when on its usage is
+	// known, heard when its last totals came.
+	started, since, heard time.Time
+	silent                bool
+	usage                 map[string]*series
 	// former is what an earlier incarnation had used when it was replaced.
 	former map[string]*series
 }
@@ -64,6 +86,7 @@
 	return &Limiter{
 		config: config, started: started,
 		limits: make(map[string]limit), own: make(map[string]*series), peers: make(map[string]*peer),
+		history: make(map[string]History),
 	}
 }
 
@@ -84,8 +107,9 @@
 		l.use(now, organisation, cost)
 		return Verdict{Admitted: true}
 	}
-	bound := limited.rate*l.config.Window.Seconds() + limited.burst + l.config.Margin
-	verdict := Verdict{Used: l.used(now, organisation, bound), Limit: bound}
+	base := l.base(limited)
+	bound := base + l.config.Slack*l.slackShare(now)
+	verdict := Verdict{Used: l.used(now, organisation, base, bound), Limit: bound}
 	if verdict.Used+cost > bound {
 		missing := verdict.Used + cost - bound
 		verdict.RetryAfter = min(l.config.Window/2, time.Duration(missing/limited.rate*float64(time.Second)))
@@ -96,6 +120,24 @@
 	return verdict
 }
 
+// base is what an organisation may use in a window without any slack.
+func (l *Limiter) base(limited limit) float64 {
+	return limited.rate*l.config.Window.Seconds() + limited.burst
+}
+
+// slackShare is the part of the slack that may be used now.
+func (l *Limiter) slackShare(now time.Time) float64 {
+	if now.Sub(l.started) < l.config.Window {
+		return cautiousSlack
+	}
+	for _, p := range l.peers {
+		if p.silent || now.Sub(p.since) < l.config.Window {
+			return cautiousSlack
+		}
+	}
+	return slackUsed
+}
+
 // Refund takes back what was admitted and never ran.
 func (l *Limiter) Refund(now time.Time, organisation string, cost float64) {
 	l.use(now, organisation, -cost)
@@ -111,32 +153,74 @@
 }
 
 // used estimates what all entries have admitted within the window.
-func (l *Limiter) used(now time.Time, organisation string, bound float64) float64 {
+func (l *Limiter) used(now time.Time, organisation string, base, bound float64) float64 {
 	since := now.Add(-l.config.Window)
-	even := bound / float64(len(l.peers)+1)
+	share := 1 / float64(len(l.peers)+1)
+	before := l.before(organisation, base)
 	own := l.own[organisation]
-	total := own.since(since) + l.unknownBefore(now, l.started, even)
+	total := own.since(since) + share*l.unknown(now, l.started, before)
 	for _, p := range l.peers {
 		known := p.usage[organisation].since(since) + p.former[organisation].since(since)
 		if p.silent {
-			total += max(known, even)
+			total += max(known, bound*share)
 			continue
 		}
-		if p.former == nil {
-			known += l.unknownBefore(now, p.started, even)
-		}
-		total += known + max(0, own.since(p.heard))
+		total += known + share*l.unknown(now, p.since, before) + max(0, own.since(p.heard))
 	}
 	return total
 }
 
-// unknownBefore is the even share of the part of the window before an entry started.
-func (l *Limiter) unknownBefore(now, started time.Time, even float64) float64 {
-	age := now.Sub(started)
-	if age >= l.config.Window {
+// before is what the organisation had used in the window before this entry began.
+func (l *Limiter) before(organisation string, base float64) History {
+	if known, found := l.history[organisation]; found {
+		return known
+	}
+	return History{Older: base * usualUse / 2, Recent: base * usualUse / 2}
+}
+
+// unknown is what of the history is still in the window, where usage is known since
+// a moment.
+func (l *Limiter) unknown(now, since time.Time, before History) float64 {
+	half := l.config.Window / 2
+	age := now.Sub(since)
+	switch {
+	case age >= l.config.Window:
 		return 0
+	case age >= half:
+		return before.Recent * float64(l.config.Window-age) / float64(half)
+	default:
+		return before.Recent + before.Older*float64(half-age)/float64(half)
 	}
-	return even * float64(l.config.Window-age) / float64(l.config.Window)
+}
+
+// Restore takes what was recorded before this entry began.
+func (l *Limiter) Restore(organisation string, history History) { l.history[organisation] = history }
+
+// Records returns what has to be recorded, so that entries which restart together
+// do not let an organisation use its quota twice: the usage of those that have used
+// more than is taken for granted.
+func (l *Limiter) Records(now time.Time) map[string]History {
+	records := make(map[string]History)
+	for organisation, limited := range l.limits {
+		base := l.base(limited)
+		used := l.used(now, organisation, base, base)
+		if used < base*usualUse {
+			continue
+		}
+		recent := l.recent(now, organisation)
+		records[organisation] = History{Older: max(0, used-recent), Recent: recent}
+	}
+	return records
+}
+
+// recent is the known usage in the later half of the window.
+func (l *Limiter) recent(now time.Time, organisation string) float64 {
+	since := now.Add(-l.config.Window / 2)
+	total := l.own[organisation].since(since)
+	for _, p := range l.peers {
+		total += p.usage[organisation].since(since)
+	}
+	return total
 }
 
 // Totals is what this entry has admitted since it started, by organisation.
@@ -158,12 +242,12 @@
 }
 
 // SetPeers replaces the other entries that may be admitting requests.
-func (l *Limiter) SetPeers(peers []Peer) {
+func (l *Limiter) SetPeers(now time.Time, peers []Peer) {
 	kept := make(map[string]*peer, len(peers))
 	for _, each := range peers {
 		p := l.peers[each.Name]
 		if p == nil {
-			p = &peer{started: each.Started, heard: each.Started, usage: make(map[string]*series)}
+			p = &peer{started: each.Started, since: now, heard: now, usage: make(map[string]*series)}
 		}
 		p.silent = each.Silent
 		kept[each.Name] = p
@@ -188,59 +272,22 @@
 		if !found {
 			s = &series{}
 			p.usage[organisation] = s
-			s.set(p.started, 0, l.config.Window)
+			l.begin(now, p, s, total)
 		}
 		s.set(now, total, l.config.Window)
 	}
 }
 
-// restartSlack is the error in a peer's start, which it gives as its age in each
-// message: the message's delay.
-const restartSlack = time.Second
-
-// series is a running total over time.
-type series struct{ points []point }
-
-type point struct {
-	at    time.Time
-	total float64
-}
-
-// step is the resolution of a series; finer points are merged.
-const step = 50 * time.Millisecond
-
-func (s *series) last() float64 {
-	if s == nil || len(s.points) == 0 {
-		return 0
+// begin makes the first point of a peer's series. A peer that was heard before, or
+// has just begun, started this series from zero; of another's total it is not known
+// when it was used, which History covers.
+func (l *Limiter) begin(now time.Time, p *peer, s *series, total float64) {
+	if now.Sub(p.since) > restartSlack || now.Sub(p.started) < l.config.Window {
+		total = 0
 	}
-	return s.points[len(s.points)-1].total
+	s.begin(now, total)
 }
 
-func (s *series) set(now time.Time, total float64, window time.Duration) {
-	if n := len(s.points); n > 1 && now.Sub(s.points[n-2].at) < step {
-		s.points[n-1] = point{at: now, total: total}
-		return
-	}
-	if len(s.points) == 0 {
-		s.points = append(s.points, point{at: now})
-	}
-	s.points = append(s.points, point{at: now, total: total})
-	old := 0
-	for old+1 < len(s.points) && now.Sub(s.points[old+1].at) > window {
-		old++
-	}
-	s.points = s.points[old:]
-}
-
-// since is what was added after a moment, rounded up to whole points.
-func (s *series) since(moment time.Time) float64 {
-	if s == nil || len(s.points) == 0 {
-		return 0
-	}
-	for i := len(s.points) - 1; i >= 0; i-- {
-		if !s.points[i].at.After(moment) {
-			return s.last() - s.points[i].total
-		}
-	}
-	return s.last() - s.points[0].total
-}
+// restartSlack is the error in a peer's start, which it gives as its age in each
+// message: the message's delay.
+const restartSlack = time.Second
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -19,9 +19,11 @@
 	Targets
 	// Entries holds what each entry says of itself.
 	Entries
+	// Usage holds what organisations close to their quota have used.
+	Usage
 )
 
-func (t Topic) String() string { return [...]string{"operators", "targets", "entries"}[t] }
+func (t Topic) String() string { return [...]string{"operators", "targets", "entries", "usage"}[t] }
 
 // ErrTruncated says that the records asked for are no longer retained: the
 // reader has to start again from a snapshot.
@@ -41,6 +43,7 @@
 	// Read returns the records from an offset, and the offset of the next ones. It
 	// waits up to wait for the first. ErrTruncated: take a Snapshot.
 	Read(topic Topic, from int64, wait time.Duration) ([]Record, int64, error)
-	// Put sets the value of a key. After an error it may have been set all the same.
-	Put(topic Topic, key string, value []byte) error
+	// Put sets the values of keys; an empty one drops the key. After an error they may
+	// have been set all the same.
+	Put(topic Topic, records ...Record) error
 }
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-func (l *fakeLog) Put(feed.Topic, string, []byte) error { return nil }
+func (l *fakeLog) Put(feed.Topic, ...feed.Record) error { return nil }
 
 // followed is a follower with what it has applied.
 type followed struct {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -91,6 +91,7 @@
 func (f *feeds) run(ctx context.Context) {
 	go f.operators.Run(ctx)
 	go f.targets.Run(ctx)
+	go f.recordUsage(ctx)
 	f.followEntries(ctx)
 }
 
@@ -283,7 +284,7 @@
 	self := f.gateway.self
 	value, err := json.Marshal(entryRecord{Incarnation: self.Incarnation, Zone: self.Zone, Callers: self.Callers, Links: self.Links})
 	if err == nil {
-		err = f.gateway.platform.Put(feed.Entries, self.Name, value)
+		err = f.gateway.platform.Put(feed.Entries, feed.Record{Key: self.Name, Value: value})
 	}
 	if err != nil {
 		f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Entries.String(), "error": err.Error()})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,6 @@
 	heartbeat = 250 * time.Millisecond
 	silence   = 900 * time.Millisecond
 	removal   = 20 * time.Second
-	// quotaMargin is the part of the allowed excess that is used on purpose.
-	quotaMargin = 0.3
 	// listLife is how long callers may keep a list of entries: a stopped entry is
 	// still asked for that long.
 	listLife = time.Second
@@ -96,7 +94,7 @@
 	b := s.Bounds
 	g.state = &state{
 		sched: dispatch.New(dispatch.Config{Zone: s.Zone}),
-		quota: quota.New(quota.Config{Window: settings.Seconds(b.QuotaWindowS), Margin: b.QuotaSlack * quotaMargin}, now),
+		quota: quota.New(quota.Config{Window: settings.Seconds(b.QuotaWindowS), Slack: b.QuotaSlack}, now),
 		budget: budget.New(budget.Config{
 			Window: settings.Seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra,
 		}),
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -141,11 +141,12 @@
 		}
 		l.gateway.state.mutex.Lock()
 		load := l.gateway.state.sched.OwnLoad()
+		totals := l.gateway.state.quota.Totals()
 		members := cellmates(l.gateway.state.peers.Serving(time.Now()), l.gateway.self.Name)
 		l.gateway.state.mutex.Unlock()
 		idle = len(load.InFlight) == 0
 		m := l.message()
-		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting}
+		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, Totals: totals}
 		l.send(m, members)
 		time.Sleep(loadPause)
 	}
@@ -285,7 +286,9 @@
 	g := l.gateway
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
-	g.state.deliver(g.state.sched.PeerLoad(time.Now(), m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
+	now := time.Now()
+	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), m.Load.Totals)
+	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
 }
 
 func (l *links) takeNews(n *gossip.News) {
@@ -327,7 +330,7 @@
 	for _, m := range members {
 		peers = append(peers, quota.Peer{Name: m.Name, Started: m.Started, Silent: !g.state.peers.Live(now, m.Name)})
 	}
-	g.state.quota.SetPeers(peers)
+	g.state.quota.SetPeers(now, peers)
 	own, entries := place(g.state.peers.Serving(now), g.self.Name)
 	g.state.sched.SetEntries(entries)
 	g.state.deliver(g.state.sched.SetCell(now, dispatch.CellOf(own, entries), dispatch.Cells(entries)))
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+	"sycamoretrail/internal/settings"
+)
+
+// usageEvery is the pause between two records of usage. An organisation that uses
+// its whole quota within a second or two is recorded a few times on the way.
+const usageEvery = 400 * time.Millisecond
+
+// usageRecord is what is kept of an organisation close to its quota.
+type usageRecord struct {
+	Older  float64 `json:"older"`
+	Recent float64 `json:"recent"`
+}
+
+// recordUsage keeps in the store what organisations close to their quota have used.
+// Entries know this only from each other; when all restart at once it would be
+// forgotten, and such an organisation could use its quota twice.
+func (f *feeds) recordUsage(ctx context.Context) {
+	f.restoreUsage(ctx)
+	ticker := time.NewTicker(usageEvery)
+	defer ticker.Stop()
+	recorded := make(map[string]quota.History)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if f.gateway.leads() {
+			recorded = f.record(recorded)
+		}
+	}
+}
+
+// record writes what has changed since the last time, and drops what is no longer
+// close to its quota.
+func (f *feeds) record(recorded map[string]quota.History) map[string]quota.History {
+	g := f.gateway
+	g.state.mutex.Lock()
+	records := g.state.quota.Records(time.Now())
+	g.state.mutex.Unlock()
+	var changed []feed.Record
+	for organisation, history := range records {
+		value, err := json.Marshal(usageRecord(history))
+		if err == nil && history != recorded[organisation] {
+			changed = append(changed, feed.Record{Key: organisation, Value: value})
+		}
+	}
+	for organisation := range recorded {
+		if _, found := records[organisation]; !found {
+			changed = append(changed, feed.Record{Key: organisation})
+		}
+	}
+	if len(changed) == 0 {
+		return recorded
+	}
+	if err := g.platform.Put(feed.Usage, changed...); err != nil {
+		g.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Usage.String(), "error": err.Error()})
+		return recorded
+	}
+	return records
+}
+
+// restoreUsage reads what had been used before this entry began. Without an answer
+// within the window there is nothing left to restore.
+func (f *feeds) restoreUsage(ctx context.Context) {
+	g := f.gateway
+	window := settings.Seconds(g.settings.Bounds.QuotaWindowS)
+	for ctx.Err() == nil && time.Since(g.started) < window {
+		records, _, err := g.platform.Snapshot(feed.Usage)
+		if err != nil {
+			time.Sleep(registerRetry)
+			continue
+		}
+		g.state.mutex.Lock()
+		for _, record := range records {
+			var usage usageRecord
+			if json.Unmarshal(record.Value, &usage) == nil {
+				g.state.quota.Restore(record.Key, quota.History(usage))
+			}
+		}
+		g.state.mutex.Unlock()
+		return
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -57,6 +57,8 @@
 	InFlight map[string]int `cbor:"1,keyasint,omitempty"`
 	// Waiting is the number of queued requests by priority.
 	Waiting []int `cbor:"2,keyasint,omitempty"`
+	// Totals are those of Heartbeat, for entries that are told each change.
+	Totals map[string]float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // News is a part of a log that the sender has read.
