--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -42,6 +42,9 @@
 	// Objective is the latency up to which an answer has its full worth, for
 	// streams up to the first event; 0: none declared.
 	Objective time.Duration
+	// Gap is the longest pause between two events of a stream up to which an answer
+	// has its full worth; 0: none declared.
+	Gap time.Duration
 	// Attempts is the number of targets that one request may be sent to, at least 1.
 	Attempts int
 	// Priority is the rank of importance; 0 is the highest.
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -31,8 +31,9 @@
 	// Objective is when the answer, or its first event, should be there for its
 	// full worth; zero: none.
 	Objective time.Time
-	// Expires is when the caller or the route stops waiting.
-	Expires time.Time
+	// Expires is when the caller or the route stops waiting, BeginBy when the answer
+	// must have begun for the caller not to leave before that.
+	Expires, BeginBy time.Time
 	// Work is what it asks of a target.
 	Work Work
 	// Tried lists the targets that this request has been sent to.
@@ -48,6 +49,8 @@
 	granted  time.Time
 	// rank is the arrival by which the queue is ordered.
 	rank time.Time
+	// timely is the last moment at which sending it should meet the objective.
+	timely time.Time
 }
 
 // Grant tells that a request may be sent to a target now.
@@ -200,6 +203,7 @@
 	s.sequence++
 	ticket := &Ticket{Ask: ask, sequence: s.sequence}
 	p := s.pool(ask.Service)
+	p.schedule(ticket)
 	if refusal, refused := s.refuseAtOnce(now, p, ticket); refused {
 		return ticket, Effects{Refusals: []Refusal{refusal}}
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -52,9 +52,6 @@
 // its worth, so it gets only places that no timely one needs; otherwise each late
 // answer would make the next one late as well, and a short overload would last.
 func (p *pool) order(now time.Time) {
-	for _, ticket := range p.waiting {
-		ticket.rank = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(p.expected(ticket))))
-	}
 	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
 		return cmp.Or(
 			boolean(a.late(now))-boolean(b.late(now)),
@@ -70,8 +67,23 @@
 // the bounded delay keeps long requests from starving.
 const longWorkDelay = 1.0
 
+// schedule sets the times by which a request is ordered.
+func (p *pool) schedule(ticket *Ticket) {
+	expected := p.expected(ticket)
+	ticket.rank = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
+	if ticket.Objective.IsZero() {
+		return
+	}
+	begin := p.first(ticket.Work)
+	if begin == 0 {
+		begin = expected
+	}
+	ticket.timely = ticket.Objective.Add(-begin)
+}
+
+// late reports whether sending the request now should miss its objective.
 func (t *Ticket) late(now time.Time) bool {
-	return !t.Objective.IsZero() && now.After(t.Objective)
+	return !t.Objective.IsZero() && now.After(t.timely)
 }
 
 func boolean(b bool) int {
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -50,10 +50,18 @@
 	return refusals
 }
 
-// lastStart is the latest time at which sending the request still makes sense: a
-// third of its whole time must be left for the work.
+// startShare is the part of its time that a request may spend in the queue. Refused
+// then, it can still come back and be served late; held longer, it would most likely
+// be left by its caller, and a place at a target be wasted on it.
+const startShare = 0.6
+
+// lastStart is the latest time at which sending the request still makes sense.
 func (t *Ticket) lastStart() time.Time {
-	return t.Expires.Add(-t.Expires.Sub(t.Arrived) / 3)
+	by := t.Expires
+	if !t.BeginBy.IsZero() && t.BeginBy.Before(by) {
+		by = t.BeginBy
+	}
+	return t.Arrived.Add(time.Duration(startShare * float64(by.Sub(t.Arrived))))
 }
 
 // wait estimates how long a request waits behind others: the places that this
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -8,8 +8,7 @@
 //   - a silent entry counts with its even share, since it goes on admitting that much;
 //   - the part of the window before this entry heard of another, or began to count
 //     itself, counts as History says, with that entry's even share;
-//   - what the others have admitted since their last word is taken to be what this
-//     entry has admitted in the same time, since callers pick entries at random.
+//   - another entry goes on, since its last word, as fast as just before it.
 //
 // Time is an argument. A Limiter is not safe for concurrent use.
 package quota
@@ -24,9 +23,9 @@
 type Config struct {
 	// Window is the length of the sliding window over which a rate is kept.
 	Window time.Duration
-	// Slack is what an organisation may use beyond rate x window + burst, in units
-	// of cost, before the limit counts as broken.
-	Slack float64
+	// Overshoot and Slack are what an organisation may use beyond rate x window +
+	// burst before the limit counts as broken: a part of it, and units of cost besides.
+	Overshoot, Slack float64
 }
 
 const (
@@ -108,7 +107,7 @@
 		return Verdict{Admitted: true}
 	}
 	base := l.base(limited)
-	bound := base + l.config.Slack*l.slackShare(now)
+	bound := base + (base*l.config.Overshoot+l.config.Slack)*l.slackShare(now)
 	verdict := Verdict{Used: l.used(now, organisation, base, bound), Limit: bound}
 	if verdict.Used+cost > bound {
 		missing := verdict.Used + cost - bound
@@ -165,11 +164,20 @@
 			total += max(known, bound*share)
 			continue
 		}
-		total += known + share*l.unknown(now, p.since, before) + max(0, own.since(p.heard))
+		total += known + share*l.unknown(now, p.since, before) + p.untold(now, organisation)
 	}
 	return total
 }
 
+// rateOver is the time over which a peer's present rate is taken.
+const rateOver = 2 * time.Second
+
+// untold estimates what a peer has admitted since its last totals.
+func (p *peer) untold(now time.Time, organisation string) float64 {
+	recent := p.usage[organisation].since(p.heard.Add(-rateOver))
+	return max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
+}
+
 // before is what the organisation had used in the window before this entry began.
 func (l *Limiter) before(organisation string, base float64) History {
 	if known, found := l.history[organisation]; found {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -33,6 +33,7 @@
 	eventStoreLost     = "store_lost"
 	eventStoreRegained = "store_regained"
 	eventReader        = "reader"
+	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
 )
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -246,6 +246,8 @@
 	source := "own"
 	if u.Told {
 		source = "told"
+	} else if !f.gateway.leads() {
+		f.gateway.log.Write(eventlog.Routine, eventOwnRead, eventlog.Fields{"topic": u.Topic.String(), "reset": u.Reset, "from": u.From, "to": u.To})
 	}
 	f.gateway.counters.news.add(u.Topic.String() + "_" + source)
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -24,6 +24,9 @@
 	// loadAgain is the time after which an unchanged load is told again; reports
 	// count for three seconds.
 	loadAgain = time.Second
+	// catchUpAfter is how long the reader's news may take after another entry's word
+	// that it has a later configuration.
+	catchUpAfter = 250 * time.Millisecond
 	// crashCopies is how often news of a broken run is sent: a datagram may be lost,
 	// and the next broken run would count one too few.
 	crashCopies = 2
@@ -45,7 +48,9 @@
 	reader string
 	// fragmented numbers messages in fragments; assembler joins those of others.
 	fragmented atomic.Uint64
-	assembler  *gossip.Assembler
+	// catching: a look at whether the configuration has caught up is due.
+	catching  atomic.Bool
+	assembler *gossip.Assembler
 }
 
 type sender struct{ incarnation, sequence uint64 }
@@ -277,9 +282,28 @@
 		l.updatePeers()
 		l.send(l.heartbeat(), []peerset.Member{{Entry: entry}})
 	}
-	if c := g.configuration.Load(); c != nil && h.Version > c.Version {
-		g.feeds.operators.Refresh()
+	l.catchUp(h.Version)
+}
+
+// catchUp reads the configuration anew if another entry has a later version and the
+// reader's news of it does not come.
+func (l *links) catchUp(version int64) {
+	g := l.gateway
+	if !g.isOlder(version) || !l.catching.CompareAndSwap(false, true) {
+		return
 	}
+	time.AfterFunc(catchUpAfter, func() {
+		l.catching.Store(false)
+		if g.isOlder(version) {
+			g.feeds.operators.Refresh()
+		}
+	})
+}
+
+// isOlder reports whether the configuration in force is older than a version.
+func (g *Gateway) isOlder(version int64) bool {
+	c := g.configuration.Load()
+	return c != nil && c.Version < version
 }
 
 func (l *links) takeLoad(m *gossip.Message) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,9 +74,20 @@
 	if c.route.Objective > 0 {
 		ask.Objective = c.arrived.Add(c.route.Objective)
 	}
+	if c.route.Kind == catalog.Stream {
+		ask.BeginBy = c.arrived.Add(max(leastPatience, objectivePatience*c.route.Objective, gapPatience*c.route.Gap))
+	}
 	return ask
 }
 
+// Callers leave a stream that has not begun, or pauses, after the longest of these:
+// a fixed time, and multiples of the route's objective and of its longest gap.
+const (
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
 func (c *call) placed(v verdict) (*dispatch.Grant, *reply) {
 	if r := v.refusal; r != nil {
 		c.gateway.log.Write(eventlog.Failure, eventRefused, eventlog.Fields{
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -44,10 +44,11 @@
 	RetryRatio   float64 `json:"retry_ratio"`
 	RetryExtra   float64 `json:"retry_extra"`
 	RetryWindowS float64 `json:"retry_window_s"`
-	// QuotaWindowS is the sliding window of quotas, QuotaSlack what an organisation
-	// may exceed its quota by in it.
-	QuotaWindowS float64 `json:"quota_window_s"`
-	QuotaSlack   float64 `json:"quota_slack"`
+	// QuotaWindowS is the sliding window of quotas. An organisation may exceed its
+	// quota in it by the part QuotaOvershoot and by QuotaSlack units of cost.
+	QuotaWindowS   float64 `json:"quota_window_s"`
+	QuotaOvershoot float64 `json:"quota_overshoot"`
+	QuotaSlack     float64 `json:"quota_slack"`
 }
 
 // DefaultGateway is what fields that a file leaves out are.
@@ -90,5 +91,6 @@
 	checkPositive("bounds.quota_window_s", b.QuotaWindowS, faults)
 	checkNotNegative("bounds.retry_ratio", b.RetryRatio, faults)
 	checkNotNegative("bounds.retry_extra", b.RetryExtra, faults)
+	checkNotNegative("bounds.quota_overshoot", b.QuotaOvershoot, faults)
 	checkNotNegative("bounds.quota_slack", b.QuotaSlack, faults)
 }
