Order equal priorities by route, and keep a part of a quota for important routes

Cause: organisations' priorities are mostly equal, so under overload all kinds of request were served alike, and a tenant over its quota got whatever came first.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -25,9 +25,11 @@
 	ID      string
 	Service string
 	// Class groups requests of alike duration, such as those of one route.
-	Class    string
-	Priority int
-	Arrived  time.Time
+	Class string
+	// Priority is the organisation's or, where that has none, the route's; Rank is
+	// the route's and decides among equal priorities. 0 is the highest.
+	Priority, Rank int
+	Arrived        time.Time
 	// Objective is when the answer, or its first event, should be there for its
 	// full worth; zero: none.
 	Objective time.Time
@@ -47,8 +49,8 @@
 	sequence uint64
 	target   *target
 	granted  time.Time
-	// rank is the arrival by which the queue is ordered.
-	rank time.Time
+	// turn is the arrival by which the queue is ordered.
+	turn time.Time
 	// timely is the last moment at which sending it should meet the objective.
 	timely time.Time
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -47,8 +47,8 @@
 	return n
 }
 
-// order sorts the queue: what can still be in time goes first, then by priority,
-// then by arrival, long work a little later. A request that is late has lost most of
+// order sorts the queue: what can still be in time goes first, then by priority and
+// rank, then by arrival, long work a little later. A request that is late has lost most of
 // its worth, so it gets only places that no timely one needs; otherwise each late
 // answer would make the next one late as well, and a short overload would last.
 func (p *pool) order(now time.Time) {
@@ -56,7 +56,8 @@
 		return cmp.Or(
 			boolean(a.late(now))-boolean(b.late(now)),
 			a.Priority-b.Priority,
-			a.rank.Compare(b.rank),
+			a.Rank-b.Rank,
+			a.turn.Compare(b.turn),
 			cmp.Compare(a.sequence, b.sequence),
 		)
 	})
@@ -70,7 +71,7 @@
 // schedule sets the times by which a request is ordered.
 func (p *pool) schedule(ticket *Ticket) {
 	expected := p.expected(ticket)
-	ticket.rank = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
+	ticket.turn = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
 	if ticket.Objective.IsZero() {
 		return
 	}
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -20,7 +20,7 @@
 	}
 	ahead := 0
 	for _, other := range p.waiting {
-		if other.Priority <= ticket.Priority && !other.late(now) {
+		if !other.late(now) && !ticket.before(other) {
 			ahead++
 		}
 	}
@@ -34,6 +34,11 @@
 	return s.refusal(p, ticket, ReasonOverload, wait), true
 }
 
+// before reports whether a request is more important than another.
+func (t *Ticket) before(other *Ticket) bool {
+	return t.Priority < other.Priority || t.Priority == other.Priority && t.Rank < other.Rank
+}
+
 // refuseHopeless ends what waits past the time in which it could be answered.
 func (s *Scheduler) refuseHopeless(now time.Time, p *pool) []Refusal {
 	var refusals []Refusal
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -39,8 +39,14 @@
 	// usualUse is the part of its limit that an organisation is taken to have used
 	// where nothing is recorded; more than that is recorded, see Record.
 	usualUse = 0.7
+	// smallCost is the part of a quota below which a request is let in whatever its
+	// rank: it takes nothing from the others.
+	smallCost = 0.001
 )
 
+// reserved is the part of a quota that is kept for requests above a rank.
+var reserved = [...]float64{0, 0.1, 0.2}
+
 // Limiter counts what organisations use.
 type Limiter struct {
 	config  Config
@@ -99,8 +105,10 @@
 	}
 }
 
-// Admit counts a request of an organisation, unless it exceeds the quota.
-func (l *Limiter) Admit(now time.Time, organisation string, cost float64) Verdict {
+// Admit counts a request of an organisation, unless it exceeds the quota. rank is
+// the importance of its route, 0 the highest: an organisation that asks for more
+// than its quota gets its important requests served, not whatever comes first.
+func (l *Limiter) Admit(now time.Time, organisation string, cost float64, rank int) Verdict {
 	limited, found := l.limits[organisation]
 	if !found {
 		l.use(now, organisation, cost)
@@ -108,6 +116,9 @@
 	}
 	base := l.base(limited)
 	bound := base + (base*l.config.Overshoot+l.config.Slack)*l.slackShare(now)
+	if cost > bound*smallCost {
+		bound -= base * reserved[min(rank, len(reserved)-1)]
+	}
 	verdict := Verdict{Used: l.used(now, organisation, base, bound), Limit: bound}
 	if verdict.Used+cost > bound {
 		missing := verdict.Used + cost - bound
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -184,7 +184,7 @@
 	if c.organisation == "" {
 		return nil
 	}
-	verdict := c.gateway.state.admit(c.organisation, c.cost)
+	verdict := c.gateway.state.admit(c.organisation, c.cost, c.route.Priority)
 	if verdict.Admitted {
 		c.counted = true
 		return nil
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -67,7 +67,8 @@
 
 func (c *call) ask() dispatch.Ask {
 	ask := dispatch.Ask{
-		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix, Priority: c.priority,
+		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
+		Priority: c.priority, Rank: c.route.Priority,
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
 		Work: dispatch.Work{Prompt: c.envelope.PromptTokens, Output: c.envelope.ExpectedOutput},
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -114,10 +114,10 @@
 }
 
 // admit checks a request against its organisation's quota.
-func (s *state) admit(organisation string, cost float64) quota.Verdict {
+func (s *state) admit(organisation string, cost float64, rank int) quota.Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.quota.Admit(time.Now(), organisation, cost)
+	return s.quota.Admit(time.Now(), organisation, cost, rank)
 }
 
 func (s *state) refund(organisation string, cost float64) {
