--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -175,18 +175,54 @@
 			total += max(known, bound*share)
 			continue
 		}
-		total += known + share*l.unknown(now, p.since, before) + p.untold(now, organisation)
+		total += known + share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
 	}
 	return total
 }
 
-// rateOver is the time over which a peer's present rate is taken.
-const rateOver = 2 * time.Second
+const (
+	// rateOver is the time over which a peer's present rate is taken.
+	rateOver = time.Second
+	// freshFor is how old totals may be to show what happens now, freshGroup the least
+	// number of entries whose mean speaks for the others: with fewer, a single large
+	// request would count for all.
+	freshFor   = 150 * time.Millisecond
+	freshGroup = 6
+)
 
-// untold estimates what a peer has admitted since its last totals.
-func (p *peer) untold(now time.Time, organisation string) float64 {
+// untold estimates what a peer has admitted since its last totals: what the entries
+// whose totals are fresh have admitted since then in the mean, as callers pick entries
+// at random. A peer's own rate alone would lag behind an organisation that suddenly
+// sends many times its usual, and let it exceed its quota by what is sent in a second.
+func (l *Limiter) untold(now time.Time, p *peer, organisation string) float64 {
+	if now.Sub(p.heard) < freshFor {
+		return 0
+	}
 	recent := p.usage[organisation].since(p.heard.Add(-rateOver))
-	return max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
+	estimate := max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
+	sum, n := l.own[organisation].since(p.heard), 1
+	for _, other := range l.peers {
+		if now.Sub(other.heard) < freshFor {
+			sum += other.usage[organisation].since(p.heard)
+			n++
+		}
+	}
+	if n < freshGroup {
+		return estimate
+	}
+	return max(estimate, sum/float64(n))
+}
+
+// Pressing reports whether an organisation is so close to its quota that the entries
+// should tell each other their totals more often.
+func (l *Limiter) Pressing(now time.Time) bool {
+	for organisation, limited := range l.limits {
+		base := l.base(limited)
+		if l.used(now, organisation, base, base) > base*usualUse {
+			return true
+		}
+	}
+	return false
 }
 
 // before is what the organisation had used in the window before this entry began.
--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -14,6 +14,11 @@
 	"sycamoretrail/internal/core/catalog"
 )
 
+// lapseShare is the share of all targets that is dropped at once when entries lapse
+// in an outage. Fewer are real: a few targets that left while this entry was cut off
+// must not be kept.
+const lapseShare = 2.0 / 3
+
 // Register holds targets by id.
 type Register struct {
 	targets map[string]catalog.Target
@@ -52,13 +57,20 @@
 	return true
 }
 
-// Retain drops all targets that are not among the ids.
-func (r *Register) Retain(now time.Time, ids map[string]bool, keepUntil time.Time) {
+// Missing returns the known targets that are not among the ids.
+func (r *Register) Missing(ids map[string]bool) []string {
+	var missing []string
 	for id := range r.targets {
 		if !ids[id] {
-			r.Drop(now, id, keepUntil)
+			missing = append(missing, id)
 		}
 	}
+	return missing
+}
+
+// Lapse reports whether so many targets dropped at once have most likely lapsed.
+func (r *Register) Lapse(dropped int) bool {
+	return dropped > 1 && float64(dropped) >= lapseShare*float64(len(r.targets))
 }
 
 // Expire removes dropped targets that have not come back; next is when to call
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -241,12 +241,18 @@
 }
 
 // Told takes what another entry has read. News that leaves a gap is not applied:
-// this entry then reads for itself when its patience ends. What the other entry
-// suffered says nothing of the log: only who failed itself takes drops for lapses.
+// this entry missed some, such as while it was cut off, and reads for itself at once.
+// What the other entry suffered says nothing of the log: only who failed itself takes
+// drops for lapses.
 func (f *Follower) Told(from, to int64, records []Record, asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next < 0 || from > f.next {
+	if f.next < 0 {
+		return
+	}
+	if from > f.next {
+		f.asOf = time.Time{}
+		f.nudge()
 		return
 	}
 	if f.failures > 0 {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -142,17 +142,18 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
+	if u.Reset {
+		u.Records = append(u.Records, f.missing(u.Records)...)
+	}
+	keepUntil := time.Time{}
+	if f.register.Lapse(drops(u.Records)) {
+		keepUntil = u.UnsettledUntil
+	}
 	var changed []feed.Record
-	listed := make(map[string]bool, len(u.Records))
 	for _, record := range u.Records {
-		if f.applyTarget(now, u, record) {
+		if f.applyTarget(now, u, record, keepUntil) {
 			changed = append(changed, record)
 		}
-		listed[record.Key] = true
-	}
-	if u.Reset {
-		f.register.Retain(now, listed, u.UnsettledUntil)
-		f.expireLater(u.UnsettledUntil)
 	}
 	if u.Reset || len(changed) > 0 {
 		f.publish()
@@ -161,15 +162,38 @@
 	f.tell(u, changed)
 }
 
+// missing forms drops of the known targets that a snapshot does not have.
+func (f *feeds) missing(records []feed.Record) []feed.Record {
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		listed[record.Key] = true
+	}
+	var dropped []feed.Record
+	for _, id := range f.register.Missing(listed) {
+		dropped = append(dropped, feed.Record{Key: id})
+	}
+	return dropped
+}
+
+func drops(records []feed.Record) int {
+	n := 0
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // applyTarget reports whether the record changes anything that matters.
-func (f *feeds) applyTarget(now time.Time, u feed.Update, record feed.Record) bool {
+func (f *feeds) applyTarget(now time.Time, u feed.Update, record feed.Record, keepUntil time.Time) bool {
 	if len(record.Value) == 0 {
-		known := f.register.Drop(now, record.Key, u.UnsettledUntil)
+		known := f.register.Drop(now, record.Key, keepUntil)
 		if known {
 			f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-				"target": record.Key, "state": "dropped", "offset": record.Offset, "kept_ms": max(0, u.UnsettledUntil.Sub(now).Milliseconds()),
+				"target": record.Key, "state": "dropped", "offset": record.Offset, "kept_ms": max(0, keepUntil.Sub(now).Milliseconds()),
 			})
-			f.expireLater(u.UnsettledUntil)
+			f.expireLater(keepUntil)
 		}
 		return known
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -27,6 +27,9 @@
 	// catchUpAfter is how long the reader's news may take after another entry's word
 	// that it has a later configuration.
 	catchUpAfter = 250 * time.Millisecond
+	// pressingPause is the pause between heartbeats while an organisation is close to
+	// its quota: one that sends six times its usual uses a twentieth of it meanwhile.
+	pressingPause = 300 * time.Millisecond
 	// crashCopies is how often news of a broken run is sent: a datagram may be lost,
 	// and the next broken run would count one too few.
 	crashCopies = 2
@@ -83,7 +86,11 @@
 func (l *links) heartbeatPause() time.Duration {
 	l.gateway.state.mutex.Lock()
 	defer l.gateway.state.mutex.Unlock()
-	return l.gateway.state.peers.Heartbeat()
+	usual := l.gateway.state.peers.Heartbeat()
+	if usual > pressingPause && l.gateway.state.quota.Pressing(time.Now()) {
+		return pressingPause
+	}
+	return usual
 }
 
 // heartbeatNow sends a heartbeat without waiting for its time.
