--- /dev/null
+++ b/internal/core/dispatch/dispatch_test.go
@@ -0,0 +1,211 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/dispatch"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const service = "assistant"
+
+func targets(n, slots int) []catalog.Target {
+	list := make([]catalog.Target, 0, n)
+	for i := range n {
+		list = append(list, catalog.Target{ID: fmt.Sprintf("t-%02d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Slots: slots})
+	}
+	return list
+}
+
+func ask(id string) dispatch.Ask {
+	return dispatch.Ask{ID: id, Service: service, Class: "c", Arrived: start, Objective: start.Add(800 * time.Millisecond), Expires: start.Add(8 * time.Second)}
+}
+
+func newScheduler(list []catalog.Target) *dispatch.Scheduler {
+	s := dispatch.New(dispatch.Config{Zone: "a"})
+	s.SetTargets(start, list)
+	return s
+}
+
+func TestFullTargetsMakeRequestsWait(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 2))
+	first, effects := s.Submit(start, ask("1"))
+	g.Expect(effects.Grants).To(HaveLen(1))
+	_, effects = s.Submit(start, ask("2"))
+	g.Expect(effects.Grants).To(HaveLen(1))
+	third, effects := s.Submit(start, ask("3"))
+	g.Expect(effects.Grants).To(BeEmpty())
+	effects = s.Done(start.Add(50*time.Millisecond), first, dispatch.Report{Outcome: dispatch.Answered})
+	g.Expect(effects.Grants).To(HaveLen(1))
+	g.Expect(effects.Grants[0].Ticket).To(Equal(third))
+}
+
+// A target is full of another entry's requests. Sent there all the same, a request
+// would wait in the target's own queue, behind whatever comes, without any choice.
+func TestLoadOfPeersCounts(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 2))
+	s.PeerLoad(start, "other", dispatch.Load{InFlight: map[string]int{"t-00": 2}})
+	_, effects := s.Submit(start, ask("1"))
+	g.Expect(effects.Grants).To(BeEmpty())
+	effects = s.PeerLoad(start.Add(20*time.Millisecond), "other", dispatch.Load{})
+	g.Expect(effects.Grants).To(HaveLen(1))
+}
+
+// An entry dies with requests at the targets. Its last report must not hold their
+// places for good.
+func TestReportOfSilentPeerLapses(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 1))
+	s.PeerLoad(start, "other", dispatch.Load{InFlight: map[string]int{"t-00": 1}})
+	request := ask("1")
+	request.Expires = start.Add(30 * time.Second)
+	_, effects := s.Submit(start, request)
+	g.Expect(effects.Grants).To(BeEmpty())
+	g.Expect(s.Tick(start.Add(3500 * time.Millisecond)).Grants).To(HaveLen(1))
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	list := targets(2, 1)
+	s := newScheduler(list)
+	list[0].Leaving = true
+	s.SetTargets(start, list)
+	_, effects := s.Submit(start, ask("1"))
+	g.Expect(effects.Grants).To(HaveLen(1))
+	g.Expect(effects.Grants[0].Target.ID).To(Equal("t-01"))
+	_, effects = s.Submit(start, ask("2"))
+	g.Expect(effects.Grants).To(BeEmpty())
+}
+
+func TestQueueGoesByPriorityThenRank(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 1))
+	running, _ := s.Submit(start, ask("running"))
+	for _, each := range []struct {
+		id             string
+		priority, rank int
+	}{{"low", 1, 0}, {"high-route-2", 0, 2}, {"high-route-0", 0, 0}} {
+		request := ask(each.id)
+		request.Priority, request.Rank = each.priority, each.rank
+		s.Submit(start, request)
+	}
+	var order []string
+	now := start
+	for range 3 {
+		now = now.Add(10 * time.Millisecond)
+		effects := s.Done(now, running, dispatch.Report{Outcome: dispatch.Abandoned})
+		g.Expect(effects.Grants).To(HaveLen(1))
+		running = effects.Grants[0].Ticket
+		order = append(order, running.ID)
+	}
+	g.Expect(order).To(Equal([]string{"high-route-0", "high-route-2", "low"}))
+}
+
+// A short overload has made one request late; another can still be in time. The late
+// one has lost most of its worth, so the timely one goes first.
+func TestTimelyGoesBeforeLate(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 1))
+	running, _ := s.Submit(start, ask("running"))
+	s.Submit(start, ask("late"))
+	now := start.Add(time.Second)
+	timely := ask("timely")
+	timely.Arrived, timely.Objective = now, now.Add(800*time.Millisecond)
+	s.Submit(now, timely)
+	effects := s.Done(now, running, dispatch.Report{Outcome: dispatch.Abandoned})
+	g.Expect(effects.Grants[0].Ticket.ID).To(Equal("timely"))
+}
+
+// A request that waits too long is refused while its caller can still come back, and
+// it is out of the queue then: a place that comes free must not go to it.
+func TestExpiredInQueueIsRefusedAndNeverSent(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 1))
+	running, _ := s.Submit(start, ask("running"))
+	waiting, _ := s.Submit(start, ask("waiting"))
+	now := start.Add(6 * time.Second)
+	effects := s.Tick(now)
+	g.Expect(effects.Refusals).To(HaveLen(1))
+	g.Expect(effects.Refusals[0].Ticket).To(Equal(waiting))
+	g.Expect(effects.Refusals[0].RetryAfter).To(BeNumerically(">=", dispatch.MinRetryAfter))
+	g.Expect(s.Done(now, running, dispatch.Report{Outcome: dispatch.Answered}).Grants).To(BeEmpty())
+	g.Expect(s.Cancel(waiting)).To(BeFalse())
+}
+
+func TestNoTargetIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	_, effects := newScheduler(nil).Submit(start, ask("1"))
+	g.Expect(effects.Refusals).To(HaveLen(1))
+	g.Expect(effects.Refusals[0].Reason).To(Equal(dispatch.ReasonNoTarget))
+}
+
+// A target's connections break. It gets nothing for a while, then is tried again.
+func TestBrokenTargetIsShunnedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(2, 4))
+	ticket, effects := s.Submit(start, ask("1"))
+	broken := effects.Grants[0].Target.ID
+	s.Done(start, ticket, dispatch.Report{Outcome: dispatch.Broken})
+	for i := range 4 {
+		_, effects = s.Submit(start, ask(fmt.Sprint(i)))
+		g.Expect(effects.Grants[0].Target.ID).NotTo(Equal(broken))
+	}
+	_, effects = s.Submit(start.Add(time.Second), ask("again"))
+	g.Expect(effects.Grants[0].Target.ID).To(Equal(broken))
+}
+
+func TestTriedTargetIsNotChosenAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(2, 4))
+	request := ask("1")
+	request.Tried = []string{"t-00"}
+	_, effects := s.Submit(start, request)
+	g.Expect(effects.Grants[0].Target.ID).To(Equal("t-01"))
+}
+
+func TestCellsDivideTargetsEvenly(t *testing.T) {
+	g := NewWithT(t)
+	const cells = 6
+	seen := make(map[string]int)
+	for cell := range cells {
+		s := newScheduler(targets(60, 1))
+		s.SetCell(start, cell, cells)
+		for i := range 60 {
+			_, effects := s.Submit(start, ask(fmt.Sprint(i)))
+			for _, grant := range effects.Grants {
+				seen[grant.Target.ID]++
+			}
+		}
+	}
+	g.Expect(seen).To(HaveLen(60))
+	for id, n := range seen {
+		g.Expect(n).To(Equal(1), id)
+	}
+}
+
+// A service has too few targets for each cell to have its own. All cells use all of
+// them, each only for its part.
+func TestFewTargetsAreSharedByAllCells(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(5, 6))
+	s.SetCell(start, 2, 6)
+	granted := make(map[string]int)
+	for i := range 60 {
+		_, effects := s.Submit(start, ask(fmt.Sprint(i)))
+		for _, grant := range effects.Grants {
+			granted[grant.Target.ID]++
+		}
+	}
+	g.Expect(granted).To(HaveLen(5))
+	for id, n := range granted {
+		g.Expect(n).To(Equal(2), id)
+	}
+}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -16,6 +16,12 @@
 	retryAfter time.Duration
 }
 
+// promisesNotRun reports whether the caller may take the reply for the promise that
+// no target has run the request or will.
+func (r *reply) promisesNotRun() bool {
+	return r.status == fasthttp.StatusServiceUnavailable || r.status == fasthttp.StatusTooManyRequests
+}
+
 // Replies to requests that have not been sent to any target.
 var (
 	notReady       = &reply{fasthttp.StatusServiceUnavailable, "no_configuration", "no configuration is known yet; the request was not run", time.Second}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -110,7 +110,7 @@
 	switch {
 	case c.failure != nil:
 		c.answer(c.failure)
-	case c.runs > 0 && r.status != callerOff.status:
+	case c.runs > 0 && r.promisesNotRun():
 		c.refuse(brokenOff)
 	default:
 		c.refuse(r)
