--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,9 +21,14 @@
 	Entries
 	// Usage holds what organisations close to their quota have used.
 	Usage
+	// Copies holds a copy of the configuration in force, for entries that start while
+	// Operators cannot be read.
+	Copies
 )
 
-func (t Topic) String() string { return [...]string{"operators", "targets", "entries", "usage"}[t] }
+func (t Topic) String() string {
+	return [...]string{"operators", "targets", "entries", "usage", "copies"}[t]
+}
 
 // ErrTruncated says that the records asked for are no longer retained: the
 // reader has to start again from a snapshot.
--- /dev/null
+++ b/internal/gateway/copies.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+)
+
+const (
+	// copyAfter is how long an entry that starts waits for the operators' own record
+	// before it takes the copy; a sound store answers in some milliseconds.
+	copyAfter = 250 * time.Millisecond
+	copyRetry = 500 * time.Millisecond
+)
+
+// keepCopy writes a configuration that this entry has read for the others into a
+// topic of the entries' own. Parts of the store fail one by one: when all entries
+// start while the operators' part is away, none would know a configuration, and all
+// callers would be turned away until it is back.
+func (f *feeds) keepCopy(record feed.Record) {
+	if !f.gateway.leads() {
+		return
+	}
+	if err := f.gateway.platform.Put(feed.Copies, record); err != nil {
+		f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Copies.String(), "error": err.Error()})
+	}
+}
+
+// takeCopy puts the copy in force if the operators' record does not come. A version
+// that is older than the operators' newest holds only until that can be read, since
+// versions only rise.
+func (f *feeds) takeCopy(ctx context.Context) {
+	pause := copyAfter
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if f.gateway.configuration.Load() != nil {
+			return
+		}
+		pause = copyRetry
+		records, _, err := f.gateway.platform.Snapshot(feed.Copies)
+		if err != nil {
+			f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Copies.String(), "error": err.Error()})
+			continue
+		}
+		for _, record := range records {
+			configuration, err := f.gateway.platform.DecodeConfiguration(record)
+			if err == nil && configuration != nil {
+				f.gateway.apply(configuration, record.Offset, "copy")
+			}
+		}
+	}
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -38,4 +38,8 @@
 		time.Sleep(drainCheck)
 	}
 	time.Sleep(drainCheck)
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+	_ = g.links.conn.Close()
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -92,6 +92,7 @@
 	go f.operators.Run(ctx)
 	go f.targets.Run(ctx)
 	go f.recordUsage(ctx)
+	go f.takeCopy(ctx)
 	f.followEntries(ctx)
 }
 
@@ -116,24 +117,28 @@
 			f.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "offset": record.Offset, "error": err.Error()})
 			continue
 		}
-		if configuration != nil {
-			f.gateway.apply(configuration, record.Offset)
+		if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Told {
+			go f.keepCopy(record)
 		}
 	}
 	f.tell(u, u.Records)
 }
 
-func (g *Gateway) apply(configuration *catalog.Configuration, offset int64) {
+// apply puts a configuration in force; false: it is not newer than the one that is.
+func (g *Gateway) apply(configuration *catalog.Configuration, offset int64, from string) bool {
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	if now := g.configuration.Load(); now != nil && now.Version >= configuration.Version {
-		return
+		return false
 	}
 	g.state.mutex.Lock()
 	g.state.quota.SetOrganisations(configuration.Organisations)
 	g.state.mutex.Unlock()
 	g.configuration.Store(configuration)
 	g.log.Write(eventlog.Belief, eventConfiguration, eventlog.Fields{
-		"version": configuration.Version, "offset": offset, "routes": len(configuration.Routes), "organisations": len(configuration.Organisations),
+		"from": from, "version": configuration.Version, "offset": offset, "routes": len(configuration.Routes), "organisations": len(configuration.Organisations),
 	})
+	return true
 }
 
 // applyTargets takes a step of the targets' register.
@@ -267,13 +272,18 @@
 }
 
 func (f *feeds) count(u feed.Update) {
-	source := "own"
-	if u.Told {
-		source = "told"
-	} else if !f.gateway.leads() {
+	if !u.Told && !f.gateway.leads() {
 		f.gateway.log.Write(eventlog.Routine, eventOwnRead, eventlog.Fields{"topic": u.Topic.String(), "reset": u.Reset, "from": u.From, "to": u.To})
 	}
-	f.gateway.counters.news.add(u.Topic.String() + "_" + source)
+	f.gateway.counters.news.add(u.Topic.String() + "_" + source(u))
+}
+
+// source says who read a step.
+func source(u feed.Update) string {
+	if u.Told {
+		return "told"
+	}
+	return "own"
 }
 
 // entryRecord is what an entry registers of itself.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,8 @@
 	links *links
 	feeds *feeds
 
+	// applying keeps versions in order when two sources bring one at once.
+	applying      sync.Mutex
 	configuration atomic.Pointer[catalog.Configuration]
 	running       atomic.Int64
 	draining      atomic.Bool
