Let callers wait a little for an entry that starts; ask a silent store anew sooner

After a loss of all entries while the store is away, callers used up their one retry on refusals. Now a request waits up to a fifth of its caller's time for the first configuration.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -26,6 +26,8 @@
 const (
 	// backoffFirst and backoffMax bound the pause after a failed call; the first is
 	// short, since a single lost answer is the most common failure.
+	// An entry that has read nothing yet keeps the first pause: it can serve nobody
+	// before it has.
 	backoffFirst = 100 * time.Millisecond
 	backoffMax   = 800 * time.Millisecond
 	// backoffOther is the pause of entries that do not read for others: the reader
@@ -148,6 +150,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
+	if f.next < 0 {
+		pause = backoffFirst
+	}
 	if f.failures > 1 && f.next >= 0 && !f.duties.Leads() {
 		pause = backoffOther
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,10 +89,10 @@
 	if err != nil {
 		return badRequest(err.Error())
 	}
-	c.config = c.gateway.configuration.Load()
-	if c.config == nil {
+	if !c.gateway.awaitInformed(part(c.patience(), startPatience)) {
 		return notReady
 	}
+	c.config = c.gateway.configuration.Load()
 	host, path := target(header)
 	route, found := c.config.Match(host, path)
 	if !found {
@@ -155,14 +155,25 @@
 	}
 }
 
-// defaultPatience holds where neither the caller nor the route sets a limit.
-const defaultPatience = 30 * time.Second
+const (
+	// defaultPatience holds where neither the caller nor the route sets a limit.
+	defaultPatience = 30 * time.Second
+	// startPatience is the part of a caller's time that it is kept while this entry
+	// learns what is in force. After a loss of all entries most callers are served
+	// then, late, instead of spending their few tries on refusals.
+	startPatience = 0.2
+)
 
-func (c *call) setExpiry() {
-	patience := c.envelope.Patience
-	if patience == 0 {
-		patience = defaultPatience
+// patience is how long the caller waits.
+func (c *call) patience() time.Duration {
+	if c.envelope.Patience == 0 {
+		return defaultPatience
 	}
+	return c.envelope.Patience
+}
+
+func (c *call) setExpiry() {
+	patience := c.patience()
 	if c.route.Timeout > 0 {
 		patience = min(patience, c.route.Timeout)
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -12,7 +12,7 @@
 	// copyAfter is how long an entry that starts waits for the operators' own record
 	// before it takes the copy; a sound store answers in some milliseconds.
 	copyAfter = 250 * time.Millisecond
-	copyRetry = 500 * time.Millisecond
+	copyRetry = 300 * time.Millisecond
 )
 
 // keepCopy writes a configuration that this entry has read for the others into a
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -135,6 +135,7 @@
 	g.state.quota.SetOrganisations(configuration.Organisations)
 	g.state.mutex.Unlock()
 	g.configuration.Store(configuration)
+	g.noteInformed()
 	g.log.Write(eventlog.Belief, eventConfiguration, eventlog.Fields{
 		"from": from, "version": configuration.Version, "offset": offset, "routes": len(configuration.Routes), "organisations": len(configuration.Organisations),
 	})
@@ -164,6 +165,7 @@
 		f.publish()
 	}
 	f.known.Store(true)
+	f.gateway.noteInformed()
 	f.tell(u, changed)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,15 +78,18 @@
 	// applying keeps versions in order when two sources bring one at once.
 	applying      sync.Mutex
 	configuration atomic.Pointer[catalog.Configuration]
-	running       atomic.Int64
-	draining      atomic.Bool
+	// known is closed, once, when this entry is informed.
+	known    chan struct{}
+	once     sync.Once
+	running  atomic.Int64
+	draining atomic.Bool
 }
 
 // New makes an entry that does not listen yet.
 func New(s settings.Gateway, platform Platform, logger *logrus.Logger) *Gateway {
 	now := time.Now()
 	g := &Gateway{
-		settings: s, platform: platform, started: now, logger: logger,
+		settings: s, platform: platform, started: now, logger: logger, known: make(chan struct{}),
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
@@ -197,9 +200,32 @@
 	}
 }
 
+// informed reports whether this entry knows what is in force.
+func (g *Gateway) informed() bool {
+	return g.configuration.Load() != nil && g.feeds.knowsTargets()
+}
+
 // ready reports whether this entry takes callers.
-func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.configuration.Load() != nil && g.feeds.knowsTargets()
+func (g *Gateway) ready() bool { return !g.draining.Load() && g.informed() }
+
+// noteInformed ends the wait of callers that came before this entry was informed.
+func (g *Gateway) noteInformed() {
+	if g.informed() {
+		g.once.Do(func() { close(g.known) })
+	}
+}
+
+// awaitInformed waits until this entry knows what is in force; false: it does not
+// within the limit.
+func (g *Gateway) awaitInformed(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-g.known:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 func (g *Gateway) ownState() peerset.State {
