--- a/internal/core/crashes/crashes.go
+++ b/internal/core/crashes/crashes.go
@@ -6,11 +6,17 @@
 // so often within the memory.
 package crashes
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Fingerprint stands for organisation, path and body of a request.
 type Fingerprint uint64
 
+// String forms the word by which logs name it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 const (
 	// Limit is the number of broken runs from which a request is refused.
 	Limit = 3
--- /dev/null
+++ b/internal/ctl/follow_test.go
@@ -0,0 +1,31 @@
+package ctl
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("follow", func() {
+	// Two entries tried the request, and their logs were collected out of order, with
+	// a collector's prefix and with other requests between.
+	const log = `  3.2 entry-2 {"entry":"entry-2","id":"r1","msg":"settled","reason":"answered","time":"2026-01-01T00:00:03Z"}
+not json, but r1
+{"entry":"entry-1","id":"r2","msg":"granted","time":"2026-01-01T00:00:01Z"}
+{"entry":"entry-1","id":"r1","msg":"granted","load":2,"target":"t","time":"2026-01-01T00:00:02Z"}
+`
+
+	It("shows the request's lines in order of time", func() {
+		lines, err := followIn(strings.NewReader(log), "r1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0].String()).To(Equal("2026-01-01T00:00:02Z entry-1 granted load=2 target=t"))
+		Expect(lines[1].String()).To(Equal("2026-01-01T00:00:03Z entry-2 settled reason=answered"))
+	})
+
+	It("says which file cannot be read", func() {
+		_, err := followIn(strings.NewReader(""), "r1", []string{"no-such-file"})
+		Expect(err).To(MatchError(ContainSubstring("no-such-file")))
+	})
+})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -346,7 +346,7 @@
 func (l *links) takeCrash(c *gossip.Crash) {
 	news, count := l.gateway.state.broken(crashes.Fingerprint(c.Fingerprint), c.ID)
 	if news {
-		l.gateway.log.Write(eventlog.Belief, eventSuspect, eventlog.Fields{"id": c.ID, "fingerprint": c.Fingerprint, "count": count})
+		l.gateway.log.Write(eventlog.Belief, eventSuspect, eventlog.Fields{"id": c.ID, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count})
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,17 +70,40 @@
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
 		Priority: c.priority, Rank: c.route.Priority,
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
-		Work: dispatch.Work{Prompt: c.envelope.PromptTokens, Output: c.envelope.ExpectedOutput},
+		Work: c.work(),
+	}
+	if c.events > 0 {
+		// The stream has begun: what counts is its next event, not the time since the
+		// request came. Taken for a request that waits since then, it would be refused.
+		ask.Arrived = time.Now()
+		ask.BeginBy = ask.Arrived.Add(c.leavesAfter())
+		return ask
 	}
 	if c.route.Objective > 0 {
 		ask.Objective = c.arrived.Add(c.route.Objective)
 	}
 	if c.route.Kind == catalog.Stream {
-		ask.BeginBy = c.arrived.Add(max(leastPatience, objectivePatience*c.route.Objective, gapPatience*c.route.Gap))
+		ask.BeginBy = c.arrived.Add(c.leavesAfter())
 	}
 	return ask
 }
 
+// work is what the request asks of a target. Callers' guesses may exceed the most
+// that is generated.
+func (c *call) work() dispatch.Work {
+	output := c.envelope.ExpectedOutput
+	if c.envelope.OutputTokens > 0 {
+		output = min(output, c.envelope.OutputTokens)
+	}
+	return dispatch.Work{Prompt: c.envelope.PromptTokens, Output: output}
+}
+
+// leavesAfter is the pause in a stream, also before its first event, after which its
+// caller leaves.
+func (c *call) leavesAfter() time.Duration {
+	return max(leastPatience, objectivePatience*c.route.Objective, gapPatience*c.route.Gap)
+}
+
 // Callers leave a stream that has not begun, or pauses, after the longest of these:
 // a fixed time, and multiples of the route's objective and of its longest gap.
 const (
@@ -333,6 +356,6 @@
 	if !news {
 		return
 	}
-	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{"id": c.envelope.ID, "fingerprint": uint64(c.fingerprint), "count": count})
+	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{"id": c.envelope.ID, "fingerprint": c.fingerprint.String(), "count": count})
 	c.gateway.links.tellCrash(c.fingerprint, c.envelope.ID)
 }
