--- /dev/null
+++ b/internal/core/register/register_test.go
@@ -0,0 +1,72 @@
+package register_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/register"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func filled(n int) *register.Register {
+	r := register.New()
+	for i := range n {
+		r.Put(catalog.Target{ID: fmt.Sprintf("t-%d", i), Address: "10.0.0.1:80"})
+	}
+	return r
+}
+
+func TestPutReportsOnlyWhatMatters(t *testing.T) {
+	g := NewWithT(t)
+	r := filled(1)
+	target := catalog.Target{ID: "t-0", Address: "10.0.0.1:80"}
+	g.Expect(r.Put(target)).To(BeFalse())
+	target.Leaving = true
+	g.Expect(r.Put(target)).To(BeTrue())
+}
+
+func TestDropWithoutOutageIsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := filled(2)
+	g.Expect(r.Drop(now, "t-0", time.Time{})).To(BeTrue())
+	g.Expect(r.Targets()).To(HaveLen(1))
+	g.Expect(r.Drop(now, "t-0", time.Time{})).To(BeFalse())
+}
+
+// The store was away for longer than entries live, so all of them lapsed. Targets
+// that live come back within two seconds; the others are gone then.
+func TestLapsedTargetsAreKeptUntilTheyAreBackOrGone(t *testing.T) {
+	g := NewWithT(t)
+	r := filled(3)
+	until := now.Add(2 * time.Second)
+	for i := range 3 {
+		r.Drop(now, fmt.Sprintf("t-%d", i), until)
+	}
+	g.Expect(r.Targets()).To(HaveLen(3))
+	g.Expect(r.Put(catalog.Target{ID: "t-1", Address: "10.0.0.1:80"})).To(BeTrue())
+	removed, next := r.Expire(now.Add(time.Second))
+	g.Expect(removed).To(BeEmpty())
+	g.Expect(next).To(Equal(until))
+	removed, _ = r.Expire(until)
+	g.Expect(removed).To(Equal([]string{"t-0", "t-2"}))
+	g.Expect(r.Targets()).To(HaveLen(1))
+}
+
+// An entry was cut off while a few of many targets left. Taken for lapses, they would
+// get requests for seconds after their notice.
+func TestFewDropsAreReal(t *testing.T) {
+	g := NewWithT(t)
+	r := filled(9)
+	g.Expect(r.Lapse(4)).To(BeFalse())
+	g.Expect(r.Lapse(6)).To(BeTrue())
+	g.Expect(filled(1).Lapse(1)).To(BeFalse(), "a single target that leaves is no outage")
+}
+
+func TestMissing(t *testing.T) {
+	NewWithT(t).Expect(filled(2).Missing(map[string]bool{"t-1": true})).To(Equal([]string{"t-0"}))
+}
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -101,9 +101,10 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for i := len(f.updates) - 1; i >= 0; i-- {
-		for _, r := range f.updates[i].Records {
-			if r.Key == key {
-				return f.updates[i], r
+		records := f.updates[i].Records
+		for j := len(records) - 1; j >= 0; j-- {
+			if records[j].Key == key {
+				return f.updates[i], records[j]
 			}
 		}
 	}
@@ -252,3 +253,22 @@
 		g.Expect(record.Key).To(BeEmpty())
 	})
 }
+
+// An entry was cut off and missed news. When the reader's next news comes, the gap
+// shows that the store can be reached; waiting for the next own try would leave the
+// entry seconds behind, and send requests to targets that have left.
+func TestGapInNewsIsReadAtOnce(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		for range 3 {
+			log.append("a", "1")
+		}
+		f.Told(2, 3, nil, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		_, record := f.last("a")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(record.Offset).To(Equal(int64(2)))
+	})
+}
