--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -180,7 +180,8 @@
 		log.set(true)
 		time.Sleep(4 * time.Second)
 		log.set(false)
-		time.Sleep(1200 * time.Millisecond)
+		// The longest pause between two tries, and the time in which drops count as lapses.
+		time.Sleep(1500 * time.Millisecond)
 		log.append("a", "")
 		time.Sleep(100 * time.Millisecond)
 		update, record := f.last("a")
