--- a/internal/core/dispatch/work.go
+++ b/internal/core/dispatch/work.go
@@ -13,8 +13,6 @@
 type class struct {
 	// hold is the mean time that a request keeps a place, in ns.
 	hold mean
-	// output is the mean declared output, for requests that declare none.
-	output mean
 }
 
 // rates are the times for a token at a target of mean speed, in ns.
