--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -236,8 +236,7 @@
 	taken := 0
 	for now := start.Add(time.Millisecond); now.Before(start.Add(100 * time.Millisecond)); now = now.Add(time.Millisecond) {
 		for i, s := range cell {
-			s.PeerLoad(now, "fifth", dispatch.Load{})
-			if grants := s.Tick(now).Grants; len(grants) > 0 {
+			if grants := s.PeerLoad(now, "fifth", dispatch.Load{}).Grants; len(grants) > 0 {
 				taken += len(grants)
 				for j, other := range cell {
 					if j != i {
