--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -233,16 +233,19 @@
 			g.Expect(effects.Grants).To(BeEmpty())
 		}
 	}
+	const report = 5 * time.Millisecond // the way of a report to the others
 	taken := 0
+	heard := make(map[string]time.Time)
 	for now := start.Add(time.Millisecond); now.Before(start.Add(100 * time.Millisecond)); now = now.Add(time.Millisecond) {
 		for i, s := range cell {
+			for name, at := range heard {
+				if name != names[i] && !now.Before(at) {
+					s.PeerLoad(now, name, full)
+				}
+			}
 			if grants := s.PeerLoad(now, "fifth", dispatch.Load{}).Grants; len(grants) > 0 {
 				taken += len(grants)
-				for j, other := range cell {
-					if j != i {
-						other.PeerLoad(now, names[i], full)
-					}
-				}
+				heard[names[i]] = now.Add(report)
 			}
 		}
 	}
