--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -267,6 +267,20 @@
 	f.advance(records, to, asOf, true)
 }
 
+// ToldAll takes a whole snapshot that another entry has read.
+func (f *Follower) ToldAll(to int64, records []Record, asOf time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.next < 0 || to < f.next {
+		return
+	}
+	if f.failures > 0 {
+		f.succeeded()
+		f.nudge()
+	}
+	f.apply(Update{Reset: true, Records: records, From: f.next, To: to, AsOf: asOf, Told: true})
+}
+
 // AsOf is when the log was last known to be in the state that has been applied.
 func (f *Follower) AsOf() time.Time {
 	f.mutex.Lock()
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -273,3 +273,23 @@
 		g.Expect(record.Offset).To(Equal(int64(2)))
 	})
 }
+
+// The store drops its history while an entry is not the reader. The reader takes a
+// snapshot and tells it whole; the entry applies it without a call of its own.
+func TestToldSnapshotIsApplied(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		calls := log.count()
+		f.ToldAll(9, []feed.Record{{Key: "b", Value: []byte("1"), Offset: 8}}, time.Now())
+		update, record := f.last("b")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(update.Reset).To(BeTrue())
+		f.ToldAll(4, []feed.Record{{Key: "old", Value: []byte("1"), Offset: 3}}, time.Now())
+		_, old := f.last("old")
+		g.Expect(old.Key).To(BeEmpty(), "an older snapshot changes nothing")
+		g.Expect(log.count()).To(Equal(calls))
+	})
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -43,6 +43,9 @@
 			return
 		}
 		pause = copyRetry
+		if !f.blind[feed.Operators].Load() {
+			continue // the store answers; there is no configuration yet
+		}
 		records, _, err := f.gateway.platform.Snapshot(feed.Copies)
 		if err != nil {
 			f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Copies.String(), "error": err.Error()})
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -268,9 +268,15 @@
 
 // tell passes on what this entry has read as the reader.
 func (f *feeds) tell(u feed.Update, changed []feed.Record) {
-	if !u.Told && !u.Reset && f.gateway.leads() {
-		f.gateway.links.tellNews(u, changed)
+	if u.Told || !f.gateway.leads() {
+		return
 	}
+	if u.Reset {
+		// The others lack what this entry had to read anew, such as after the store
+		// dropped its history.
+		changed = u.Records
+	}
+	f.gateway.links.tellNews(u, changed)
 }
 
 func (f *feeds) count(u feed.Update) {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -327,8 +327,12 @@
 	if n.Topic == feed.Operators {
 		follower = l.gateway.feeds.operators
 	}
-	now := time.Now()
-	follower.Told(n.From, n.To, n.Records, now.Add(-time.Duration(n.AgeMS)*time.Millisecond))
+	asOf := time.Now().Add(-time.Duration(n.AgeMS) * time.Millisecond)
+	if n.Whole {
+		follower.ToldAll(n.To, n.Records, asOf)
+		return
+	}
+	follower.Told(n.From, n.To, n.Records, asOf)
 }
 
 // takeFragment joins news that came in pieces. Only the receiving goroutine calls it.
@@ -389,7 +393,7 @@
 
 // tellNews passes on what this entry has read of a log.
 func (l *links) tellNews(u feed.Update, changed []feed.Record) {
-	news := &gossip.News{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds()}
+	news := &gossip.News{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds(), Whole: u.Reset}
 	members := l.readFor(l.members())
 	if len(changed) == 0 {
 		m := l.message()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -70,6 +70,8 @@
 	Records []feed.Record `cbor:"4,keyasint,omitempty"`
 	// AgeMS is how long before sending the log was in this state.
 	AgeMS int64 `cbor:"5,keyasint"`
+	// Whole: Records are the newest of all keys, not changes.
+	Whole bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Crash says that a run of a request ended with a broken connection.
