--- a/cmd/sycamore-gateway/main.go
+++ b/cmd/sycamore-gateway/main.go
@@ -22,6 +22,7 @@
 const about = `Routes callers' requests by host and path to targets that registered themselves
 in the platform's metadata store. What governs it is the configuration in that
 store; the settings file only says who this process is and where the store is.
+A changed settings file is taken on SIGHUP, or by itself within some seconds.
 See docs/SETTINGS.md.`
 
 // memoryShare is the part of the process' memory that the runtime may use; the
@@ -29,18 +30,20 @@
 const memoryShare = 0.6
 
 func main() {
+	var file watchedFile
 	cli.Daemon[settings.Gateway]{
 		Name:     "sycamore-gateway",
 		Short:    "Entry for routed traffic",
 		Long:     about,
 		RunShort: "Run until drained (SIGTERM), then exit with 0",
 		Version:  version,
-		Load:     settings.LoadGateway,
-		Run:      run,
+		Load:     file.load,
+		Run:      file.run,
 	}.Main()
 }
 
-func run(ctx context.Context, s settings.Gateway) error {
+// run serves until SIGTERM.
+func (f *watchedFile) run(ctx context.Context, s settings.Gateway) error {
 	logger, err := telemetry.NewLogger(os.Stdout, s.LogLevel)
 	if err != nil {
 		return err
@@ -50,10 +53,9 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	adapter := platform.New(s.StoreAddress, gateway.StoreDial)
-	if err := gateway.New(s, adapter, logger).Run(ctx); err != nil {
+	g := gateway.New(s, platform.New(s.StoreAddress, gateway.StoreDial), logger)
+	go f.watch(ctx, g)
+	if err := g.Run(ctx); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -33,6 +33,9 @@
 	return &Budget{config: config, services: make(map[string]*usage)}
 }
 
+// SetConfig replaces the allowance. What has been used stays counted.
+func (b *Budget) SetConfig(config Config) { b.config = config }
+
 // Request counts a request for a service.
 func (b *Budget) Request(now time.Time, service string) {
 	u := b.of(service)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// SetConfig replaces the bounds. What has been used stays counted.
+func (l *Limiter) SetConfig(config Config) { l.config = config }
+
 // SetOrganisations replaces the limits. What has been used stays counted.
 func (l *Limiter) SetOrganisations(organisations []catalog.Organisation) {
 	l.limits = make(map[string]limit, len(organisations))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,13 +97,10 @@
 		},
 		pool: upstream.NewPool(upstream.Options{Dial: targetConn, KeepIdle: 4 * time.Second, IdleMargin: 700 * time.Millisecond, MaxIdle: 16}),
 	}
-	b := s.Bounds
 	g.state = &state{
-		sched: dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
-		quota: quota.New(quota.Config{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}, now),
-		budget: budget.New(budget.Config{
-			Window: settings.Seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra,
-		}),
+		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
+		quota:       quota.New(quotaConfig(s.Bounds), now),
+		budget:      budget.New(budgetConfig(s.Bounds)),
 		crashes:     crashes.New(),
 		peers:       peerset.New(peerset.Config{Heartbeat: heartbeat, Silence: silence, Removal: removal}, g.self),
 		waiters:     make(map[*dispatch.Ticket]chan verdict),
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"reflect"
+
+	"sycamoretrail/internal/core/budget"
+	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/settings"
+	"sycamoretrail/internal/telemetry"
+)
+
+// Reload takes changed settings without a cut: the log level, the retry budget and
+// the quota's window and slack are in force at once. Addresses, names and the spacing
+// of reads hold until the process starts anew; the line says so.
+func (g *Gateway) Reload(s settings.Gateway) {
+	err := telemetry.SetLevel(g.logger, s.LogLevel)
+	g.state.mutex.Lock()
+	g.state.quota.SetConfig(quotaConfig(s.Bounds))
+	g.state.budget.SetConfig(budgetConfig(s.Bounds))
+	g.state.mutex.Unlock()
+	kept := g.settings
+	kept.LogLevel, kept.Bounds = s.LogLevel, s.Bounds
+	fields := eventlog.Fields{"accepted": true, "restart_needed": !reflect.DeepEqual(kept, s)}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	g.log.Write(eventlog.Belief, eventReload, fields)
+}
+
+// RejectReload says that a changed settings file is faulty; the old settings hold.
+func (g *Gateway) RejectReload(err error) {
+	g.log.Write(eventlog.Belief, eventReload, eventlog.Fields{"accepted": false, "error": err.Error()})
+}
+
+func quotaConfig(b settings.GatewayBounds) quota.Config {
+	return quota.Config{Window: settings.Seconds(b.QuotaWindowS), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
+}
+
+func budgetConfig(b settings.GatewayBounds) budget.Config {
+	return budget.Config{Window: settings.Seconds(b.RetryWindowS), Ratio: b.RetryRatio, Extra: b.RetryExtra}
+}
