--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 
 SHELL := /bin/bash
 
-.PHONY: build run test format lint faults slopes policy clean
+# make soak   plays seeds of faults against real gateways; SEEDS=1-50 SECONDS_EACH=8 by default
+
+.PHONY: build run test format lint faults slopes policy soak clean
 
 build:
 	@mkdir -p bin
@@ -24,6 +26,12 @@
 policy: build
 	scripts/policy.sh
 
+SEEDS ?= 1-50
+SECONDS_EACH ?= 8
+soak:
+	mkdir -p out/soak
+	go test -count=1 -timeout 60m ./platform/soak -args -seeds $(SEEDS) -seconds $(SECONDS_EACH) -keep $(CURDIR)/out/soak
+
 test: lint
 	go test ./...
 
