--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
-	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/gossip"
 )
 
@@ -164,36 +162,6 @@
 	}
 }
 
-// place returns the place of an entry among all that serve, in the order on which
-// they agree, and their number.
-func place(serving []peerset.Member, self string) (place, entries int) {
-	for _, m := range serving {
-		if dispatch.Rank(m.Name, self) < 0 {
-			place++
-		}
-	}
-	return place, len(serving) + 1
-}
-
-// cellmates returns the entries of the same cell.
-func cellmates(serving []peerset.Member, self string) []peerset.Member {
-	if dispatch.Cells(len(serving)+1) == 1 {
-		return serving
-	}
-	own, entries := place(serving, self)
-	slices.SortFunc(serving, func(a, b peerset.Member) int { return dispatch.Rank(a.Name, b.Name) })
-	var mates []peerset.Member
-	for i, m := range serving {
-		if i >= own {
-			i++
-		}
-		if dispatch.CellOf(i, entries) == dispatch.CellOf(own, entries) {
-			mates = append(mates, m)
-		}
-	}
-	return mates
-}
-
 // send sends one message to entries. What cannot be sent is replaced by the next.
 func (l *links) send(m *gossip.Message, members []peerset.Member) {
 	if len(members) == 0 {
@@ -225,135 +193,6 @@
 	return address
 }
 
-// receive takes the others' messages until the socket is closed.
-func (l *links) receive() {
-	if err := l.conn.Receive(l.take); err != nil {
-		l.gateway.logger.WithError(err).Error("links ended")
-	}
-}
-
-func (l *links) take(m *gossip.Message) {
-	if m.From == l.gateway.self.Name {
-		return
-	}
-	if m.Crash != nil {
-		l.takeCrash(m.Crash)
-	}
-	if m.News != nil {
-		l.takeNews(m.News)
-	}
-	if m.Fragment != nil {
-		l.takeFragment(m)
-	}
-	if !l.newest(m) {
-		return
-	}
-	if m.Heartbeat != nil {
-		l.takeHeartbeat(m)
-	}
-	if m.Load != nil {
-		l.takeLoad(m)
-	}
-}
-
-// newest reports whether a message is later than those before from its sender, and
-// not from an incarnation that has been replaced.
-func (l *links) newest(m *gossip.Message) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	known := l.latest[m.From]
-	if known.incarnation == m.Incarnation && m.Sequence <= known.sequence {
-		return false
-	}
-	l.latest[m.From] = sender{m.Incarnation, m.Sequence}
-	return true
-}
-
-func (l *links) takeHeartbeat(m *gossip.Message) {
-	g := l.gateway
-	h := m.Heartbeat
-	now := time.Now()
-	age := time.Duration(m.AgeMS) * time.Millisecond
-	entry := peerset.Entry{Name: m.From, Incarnation: m.Incarnation, Zone: h.Zone, Callers: h.Callers, Links: h.Links}
-	g.state.mutex.Lock()
-	joined, replaced := g.state.peers.Heard(now, entry, peerset.State(h.State), age, h.Blind)
-	if replaced {
-		g.state.deliver(g.state.sched.PeerGone(now, m.From))
-	}
-	g.state.quota.PeerTotals(now, m.From, now.Add(-age), h.Totals)
-	g.state.mutex.Unlock()
-	if joined || replaced {
-		g.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{
-			"entry": m.From, "incarnation": m.Incarnation, "state": peerset.State(h.State).String(), "joined": joined, "replaced": replaced,
-		})
-		l.updatePeers()
-		l.send(l.heartbeat(), []peerset.Member{{Entry: entry}})
-	}
-	l.catchUp(h.Version)
-}
-
-// catchUp reads the configuration anew if another entry has a later version and the
-// reader's news of it does not come.
-func (l *links) catchUp(version int64) {
-	g := l.gateway
-	if !g.isOlder(version) || !l.catching.CompareAndSwap(false, true) {
-		return
-	}
-	time.AfterFunc(catchUpAfter, func() {
-		l.catching.Store(false)
-		if g.isOlder(version) {
-			g.feeds.operators.Refresh()
-		}
-	})
-}
-
-// isOlder reports whether the configuration in force is older than a version.
-func (g *Gateway) isOlder(version int64) bool {
-	c := g.configuration.Load()
-	return c != nil && c.Version < version
-}
-
-func (l *links) takeLoad(m *gossip.Message) {
-	g := l.gateway
-	g.state.mutex.Lock()
-	defer g.state.mutex.Unlock()
-	now := time.Now()
-	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), m.Load.Totals)
-	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
-}
-
-func (l *links) takeNews(n *gossip.News) {
-	follower := l.gateway.feeds.targets
-	if n.Topic == feed.Operators {
-		follower = l.gateway.feeds.operators
-	}
-	asOf := time.Now().Add(-time.Duration(n.AgeMS) * time.Millisecond)
-	if n.Whole {
-		follower.ToldAll(n.To, n.Records, asOf)
-		return
-	}
-	follower.Told(n.From, n.To, n.Records, asOf)
-}
-
-// takeFragment joins news that came in pieces. Only the receiving goroutine calls it.
-func (l *links) takeFragment(m *gossip.Message) {
-	news, err := l.assembler.Add(time.Now(), m.Incarnation, m.Fragment)
-	if err != nil {
-		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"entry": m.From, "error": err.Error()})
-		return
-	}
-	if news != nil {
-		l.takeNews(news)
-	}
-}
-
-func (l *links) takeCrash(c *gossip.Crash) {
-	news, count := l.gateway.state.broken(crashes.Fingerprint(c.Fingerprint), c.ID)
-	if news {
-		l.gateway.log.Write(eventlog.Belief, eventSuspect, eventlog.Fields{"id": c.ID, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count})
-	}
-}
-
 // updatePeers tells the quota and the scheduler who shares with this entry.
 func (l *links) updatePeers() {
 	g := l.gateway
@@ -391,42 +230,6 @@
 	}
 }
 
-// tellNews passes on what this entry has read of a log.
-func (l *links) tellNews(u feed.Update, changed []feed.Record) {
-	news := &gossip.News{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds(), Whole: u.Reset}
-	members := l.readFor(l.members())
-	if len(changed) == 0 {
-		m := l.message()
-		m.News = news
-		l.send(m, members)
-		return
-	}
-	fragments, err := gossip.Split(l.fragmented.Add(1), news)
-	if err != nil {
-		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "error": err.Error()})
-		return
-	}
-	for i := range fragments {
-		m := l.message()
-		m.Fragment = &fragments[i]
-		l.send(m, members)
-	}
-}
-
-// readFor returns the entries for which this one reads.
-func (l *links) readFor(members []peerset.Member) []peerset.Member {
-	if len(members) < zoneReaders {
-		return members
-	}
-	var same []peerset.Member
-	for _, m := range members {
-		if m.Zone == l.gateway.self.Zone {
-			same = append(same, m)
-		}
-	}
-	return same
-}
-
 func (l *links) tellCrash(fingerprint crashes.Fingerprint, id string) {
 	m := l.message()
 	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id}
@@ -435,40 +238,3 @@
 		l.send(m, members)
 	}
 }
-
-// leads reports whether this entry reads the store for the others: the first in rank
-// of those that can, in all or, from zoneReaders on, in its zone. Two at once, or
-// none, cost a few calls or some patience, no more.
-func (g *Gateway) leads() bool {
-	now := time.Now()
-	g.state.mutex.Lock()
-	readers := g.state.peers.Readers(now)
-	g.state.mutex.Unlock()
-	able := len(readers) > 0 && readers[0].State == peerset.Ready && !readers[0].Blind
-	if able && (!g.ready() || g.feeds.isBlind()) {
-		g.links.noteReader("another")
-		return false
-	}
-	if !able && g.ready() && !g.feeds.isBlind() {
-		g.links.noteReader(g.self.Name)
-		return true
-	}
-	reader := g.self.Name
-	for _, m := range g.links.readFor(readers) {
-		if dispatch.Rank(m.Name, reader) < 0 {
-			reader = m.Name
-		}
-	}
-	g.links.noteReader(reader)
-	return reader == g.self.Name
-}
-
-func (l *links) noteReader(reader string) {
-	l.mutex.Lock()
-	changed := l.reader != reader
-	l.reader = reader
-	l.mutex.Unlock()
-	if changed {
-		l.gateway.log.Write(eventlog.Belief, eventReader, eventlog.Fields{"entry": reader})
-	}
-}
--- /dev/null
+++ b/internal/gateway/reader.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+	"sycamoretrail/internal/gossip"
+)
+
+// leads reports whether this entry reads the store for the others: the first in rank
+// of those that can, in all or, from zoneReaders on, in its zone. Two at once, or
+// none, cost a few calls or some patience, no more.
+func (g *Gateway) leads() bool {
+	now := time.Now()
+	g.state.mutex.Lock()
+	readers := g.state.peers.Readers(now)
+	g.state.mutex.Unlock()
+	able := len(readers) > 0 && readers[0].State == peerset.Ready && !readers[0].Blind
+	if able && (!g.ready() || g.feeds.isBlind()) {
+		g.links.noteReader("another")
+		return false
+	}
+	if !able && g.ready() && !g.feeds.isBlind() {
+		g.links.noteReader(g.self.Name)
+		return true
+	}
+	reader := g.self.Name
+	for _, m := range g.links.readFor(readers) {
+		if dispatch.Rank(m.Name, reader) < 0 {
+			reader = m.Name
+		}
+	}
+	g.links.noteReader(reader)
+	return reader == g.self.Name
+}
+
+func (l *links) noteReader(reader string) {
+	l.mutex.Lock()
+	changed := l.reader != reader
+	l.reader = reader
+	l.mutex.Unlock()
+	if changed {
+		l.gateway.log.Write(eventlog.Belief, eventReader, eventlog.Fields{"entry": reader})
+	}
+}
+
+// tellNews passes on what this entry has read of a log.
+func (l *links) tellNews(u feed.Update, changed []feed.Record) {
+	news := &gossip.News{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds(), Whole: u.Reset}
+	members := l.readFor(l.members())
+	if len(changed) == 0 {
+		m := l.message()
+		m.News = news
+		l.send(m, members)
+		return
+	}
+	fragments, err := gossip.Split(l.fragmented.Add(1), news)
+	if err != nil {
+		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "error": err.Error()})
+		return
+	}
+	for i := range fragments {
+		m := l.message()
+		m.Fragment = &fragments[i]
+		l.send(m, members)
+	}
+}
+
+// readFor returns the entries for which this one reads.
+func (l *links) readFor(members []peerset.Member) []peerset.Member {
+	if len(members) < zoneReaders {
+		return members
+	}
+	var same []peerset.Member
+	for _, m := range members {
+		if m.Zone == l.gateway.self.Zone {
+			same = append(same, m)
+		}
+	}
+	return same
+}
--- /dev/null
+++ b/internal/gateway/receive.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/crashes"
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+	"sycamoretrail/internal/gossip"
+)
+
+// receive takes the others' messages until the socket is closed.
+func (l *links) receive() {
+	if err := l.conn.Receive(l.take); err != nil {
+		l.gateway.logger.WithError(err).Error("links ended")
+	}
+}
+
+func (l *links) take(m *gossip.Message) {
+	if m.From == l.gateway.self.Name {
+		return
+	}
+	if m.Crash != nil {
+		l.takeCrash(m.Crash)
+	}
+	if m.News != nil {
+		l.takeNews(m.News)
+	}
+	if m.Fragment != nil {
+		l.takeFragment(m)
+	}
+	if !l.newest(m) {
+		return
+	}
+	if m.Heartbeat != nil {
+		l.takeHeartbeat(m)
+	}
+	if m.Load != nil {
+		l.takeLoad(m)
+	}
+}
+
+// newest reports whether a message is later than those before from its sender, and
+// not from an incarnation that has been replaced.
+func (l *links) newest(m *gossip.Message) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.latest[m.From]
+	if known.incarnation == m.Incarnation && m.Sequence <= known.sequence {
+		return false
+	}
+	l.latest[m.From] = sender{m.Incarnation, m.Sequence}
+	return true
+}
+
+func (l *links) takeHeartbeat(m *gossip.Message) {
+	g := l.gateway
+	h := m.Heartbeat
+	now := time.Now()
+	age := time.Duration(m.AgeMS) * time.Millisecond
+	entry := peerset.Entry{Name: m.From, Incarnation: m.Incarnation, Zone: h.Zone, Callers: h.Callers, Links: h.Links}
+	g.state.mutex.Lock()
+	joined, replaced := g.state.peers.Heard(now, entry, peerset.State(h.State), age, h.Blind)
+	if replaced {
+		g.state.deliver(g.state.sched.PeerGone(now, m.From))
+	}
+	g.state.quota.PeerTotals(now, m.From, now.Add(-age), h.Totals)
+	g.state.mutex.Unlock()
+	if joined || replaced {
+		g.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{
+			"entry": m.From, "incarnation": m.Incarnation, "state": peerset.State(h.State).String(), "joined": joined, "replaced": replaced,
+		})
+		l.updatePeers()
+		l.send(l.heartbeat(), []peerset.Member{{Entry: entry}})
+	}
+	l.catchUp(h.Version)
+}
+
+// catchUp reads the configuration anew if another entry has a later version and the
+// reader's news of it does not come.
+func (l *links) catchUp(version int64) {
+	g := l.gateway
+	if !g.isOlder(version) || !l.catching.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(catchUpAfter, func() {
+		l.catching.Store(false)
+		if g.isOlder(version) {
+			g.feeds.operators.Refresh()
+		}
+	})
+}
+
+// isOlder reports whether the configuration in force is older than a version.
+func (g *Gateway) isOlder(version int64) bool {
+	c := g.configuration.Load()
+	return c != nil && c.Version < version
+}
+
+func (l *links) takeLoad(m *gossip.Message) {
+	g := l.gateway
+	g.state.mutex.Lock()
+	defer g.state.mutex.Unlock()
+	now := time.Now()
+	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), m.Load.Totals)
+	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
+}
+
+func (l *links) takeNews(n *gossip.News) {
+	follower := l.gateway.feeds.targets
+	if n.Topic == feed.Operators {
+		follower = l.gateway.feeds.operators
+	}
+	asOf := time.Now().Add(-time.Duration(n.AgeMS) * time.Millisecond)
+	if n.Whole {
+		follower.ToldAll(n.To, n.Records, asOf)
+		return
+	}
+	follower.Told(n.From, n.To, n.Records, asOf)
+}
+
+// takeFragment joins news that came in pieces. Only the receiving goroutine calls it.
+func (l *links) takeFragment(m *gossip.Message) {
+	news, err := l.assembler.Add(time.Now(), m.Incarnation, m.Fragment)
+	if err != nil {
+		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"entry": m.From, "error": err.Error()})
+		return
+	}
+	if news != nil {
+		l.takeNews(news)
+	}
+}
+
+func (l *links) takeCrash(c *gossip.Crash) {
+	news, count := l.gateway.state.broken(crashes.Fingerprint(c.Fingerprint), c.ID)
+	if news {
+		l.gateway.log.Write(eventlog.Belief, eventSuspect, eventlog.Fields{"id": c.ID, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -145,6 +145,9 @@
 	began := time.Now()
 	answer, err := c.send(grant)
 	if err != nil {
+		if !errors.Is(err, upstream.ErrNotSent) {
+			c.runs++
+		}
 		return c.failed(grant, began, err)
 	}
 	mark := c.gateway.platform.ReadMark(answer.Status, answer.Header)
@@ -214,7 +217,7 @@
 	return c.expires
 }
 
-// failed handles a try that brought no head of an answer.
+// failed handles a try that brought no whole answer; for streams, no first event.
 func (c *call) failed(grant *dispatch.Grant, began time.Time, err error) bool {
 	if c.hasLeft() {
 		c.report(grant, began, dispatch.Abandoned, 0, err)
@@ -225,7 +228,6 @@
 		c.report(grant, began, dispatch.Unreachable, 0, err)
 		return c.outOfTime()
 	}
-	c.runs++
 	c.tried = append(c.tried, grant.Target.ID)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.report(grant, began, dispatch.Failed, 0, err)
@@ -295,7 +297,6 @@
 		err = upstream.ErrBroken
 	}
 	if err != nil {
-		c.runs--
 		return c.failed(grant, began, err)
 	}
 	if c.hasLeft() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,6 @@
 	first, err := s.next()
 	if err != nil && !errors.Is(err, io.EOF) {
 		c.closeAnswer(answer)
-		c.runs--
 		return c.failed(grant, began, err)
 	}
 	c.first = time.Now()
--- a/internal/targets/conn.go
+++ b/internal/targets/conn.go
@@ -6,9 +6,10 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"sycamoretrail/internal/netconn"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -44,7 +45,7 @@
 	if c.writing {
 		return c.Conn.Write(p)
 	}
-	if stale(c.Conn) {
+	if netconn.Stale(c.Conn) {
 		return 0, errStale
 	}
 	// The silence allowed in the last answer on this connection is over.
@@ -96,26 +97,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// stale reports whether the peer has closed the connection, or sent what nobody
-// asked for.
-func stale(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	gone := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = err != syscall.EAGAIN
-	})
-	return gone || err != nil
-}
-
 // newClient forms the client of one target address. A fasthttp client sends an
 // idempotent request again by itself when the connection breaks; that would be
 // a second dispatch behind the core's back, so every kind of retry is off.
