--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,14 +166,21 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errListen, w.name, err)
 		}
-		servers = append(servers, &server{name: w.name, listener: ingress.Listener{Listener: listener}, http: newServer(w.handler)})
+		servers = append(servers, &server{name: w.name, listener: ingress.Listener{Listener: listener}, http: newServer(w.handler, g.settings.MaxDescriptors)})
 	}
 	return servers, nil
 }
 
-func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+// connectionShare is the part of the process' descriptors that one listener's
+// connections may take; targets, the store and files need the rest. Beyond it a
+// connection is answered 503 and closed, where a failed accept would leave callers
+// waiting.
+const connectionShare = 0.5
+
+func newServer(handler fasthttp.RequestHandler, descriptors int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                       handler,
+		Concurrency:                   int(float64(descriptors) * connectionShare),
 		ReadBufferSize:                maxHeader,
 		MaxRequestBodySize:            maxBody,
 		IdleTimeout:                   idleCaller,
