Ignore records of usage that have left the window

Cause: the reader drops a record when an organisation is no longer near its quota, but after it restarted it did not know what it had recorded. Ruled out: slow start (configuration after 50 ms), targets (no queue).

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -15,10 +15,23 @@
 // its whole quota within a second or two is recorded a few times on the way.
 const usageEvery = 400 * time.Millisecond
 
+// usageClockSlack is how far the instances' times of day may be apart, jumps included.
+const usageClockSlack = 4 * time.Second
+
 // usageRecord is what is kept of an organisation close to its quota.
 type usageRecord struct {
 	Older  float64 `json:"older"`
 	Recent float64 `json:"recent"`
+	// AtMS is when it was written, in Unix milliseconds. A record whose writer ended
+	// before it could drop it would otherwise hold an organisation to a quota that it
+	// used up long ago: after a loss of all entries nearly all requests were refused
+	// for seconds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// stale reports whether what was used then has left the window.
+func (r usageRecord) stale(now time.Time, window time.Duration) bool {
+	return now.Sub(time.UnixMilli(r.AtMS)) > window+usageClockSlack
 }
 
 // recordUsage keeps in the store what organisations close to their quota have used.
@@ -50,7 +63,7 @@
 	g.state.mutex.Unlock()
 	var changed []feed.Record
 	for organisation, history := range records {
-		value, err := json.Marshal(usageRecord(history))
+		value, err := json.Marshal(usageRecord{Older: history.Older, Recent: history.Recent, AtMS: time.Now().UnixMilli()})
 		if err == nil && history != recorded[organisation] {
 			changed = append(changed, feed.Record{Key: organisation, Value: value})
 		}
@@ -84,8 +97,12 @@
 		g.state.mutex.Lock()
 		for _, record := range records {
 			var usage usageRecord
-			if json.Unmarshal(record.Value, &usage) == nil {
-				g.state.quota.Restore(record.Key, quota.History(usage))
+			if err := json.Unmarshal(record.Value, &usage); err != nil {
+				g.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": feed.Usage.String(), "offset": record.Offset, "error": err.Error()})
+				continue
+			}
+			if !usage.stale(time.Now(), window) {
+				g.state.quota.Restore(record.Key, quota.History{Older: usage.Older, Recent: usage.Recent})
 			}
 		}
 		g.state.mutex.Unlock()
