Record only usage that is known

Cause: an entry that has just started counts silent entries with their even share of the quota, and recorded that estimate as usage; entries that started next restored it. After a loss of all 69 entries used was 2.1 times the limit from the first request on, and nearly everybody was refused for 4 s. The test fails without the change.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -256,27 +256,30 @@
 
 // Records returns what has to be recorded, so that entries which restart together
 // do not let an organisation use its quota twice: the usage of those that have used
-// more than is taken for granted.
+// more than is taken for granted. Only what is known counts. Estimates for entries
+// that are silent or have just begun, once recorded, would be restored as usage by
+// those that start next, and refuse everybody.
 func (l *Limiter) Records(now time.Time) map[string]History {
 	records := make(map[string]History)
 	for organisation, limited := range l.limits {
-		base := l.base(limited)
-		used := l.used(now, organisation, base, base)
-		if used < base*usualUse {
+		used := l.known(now.Add(-l.config.Window), organisation)
+		if restored, found := l.history[organisation]; found {
+			used += l.unknown(now, l.started, restored)
+		}
+		if used < l.base(limited)*usualUse {
 			continue
 		}
-		recent := l.recent(now, organisation)
+		recent := l.known(now.Add(-l.config.Window/2), organisation)
 		records[organisation] = History{Older: max(0, used-recent), Recent: recent}
 	}
 	return records
 }
 
-// recent is the known usage in the later half of the window.
-func (l *Limiter) recent(now time.Time, organisation string) float64 {
-	since := now.Add(-l.config.Window / 2)
+// known is what all entries have said that they admitted since a moment.
+func (l *Limiter) known(since time.Time, organisation string) float64 {
 	total := l.own[organisation].since(since)
 	for _, p := range l.peers {
-		total += p.usage[organisation].since(since)
+		total += p.usage[organisation].since(since) + p.former[organisation].since(since)
 	}
 	return total
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -266,3 +266,19 @@
 	l.Refund(now, organisation, 800)
 	g.Expect(l.Admit(now, organisation, 800, 0).Admitted).To(BeTrue())
 }
+
+// All entries of a fleet have just started and none has heard another. What each
+// assumes of the others must not be recorded: restored by those that start a moment
+// later, it would stand for usage, and nearly all requests be refused for seconds.
+func TestAssumptionsAreNotRecorded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
+	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	var peers []quota.Peer
+	for i := range 68 {
+		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: now, Silent: true})
+	}
+	l.SetPeers(now, peers)
+	g.Expect(l.Records(now.Add(time.Second))).To(BeEmpty())
+}
