Remove what nothing read; one place for the lines on a failing store

Found on reading the change again: services, header and idle limits were decoded and never used; the setting for the life of a callers' list was checked and not read (the entry's own, shorter, still holds); the line on a failed call stood six times.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -90,18 +90,9 @@
 	Priority *int
 }
 
-// Service is a group of interchangeable targets.
-type Service struct {
-	Name string
-	// MaxConns is the number of connections that each target accepts from all
-	// entries together; 0: no limit.
-	MaxConns int
-}
-
 // Limits bounds what a caller may send. Zero fields set no limit.
 type Limits struct {
-	HeaderBytes, BodyBytes int
-	IdleTimeout            time.Duration
+	BodyBytes int
 }
 
 // Configuration is one version of the operators' intent.
@@ -109,12 +100,10 @@
 	Version       int64
 	Routes        []Route
 	Organisations []Organisation
-	Services      []Service
 	Limits        Limits
 
-	byHost   map[string][]*Route
-	byKey    map[string]*Organisation
-	services map[string]*Service
+	byHost map[string][]*Route
+	byKey  map[string]*Organisation
 }
 
 // Index prepares the look-ups; call it once before the snapshot is shared.
@@ -133,10 +122,6 @@
 			c.byKey[key] = &c.Organisations[i]
 		}
 	}
-	c.services = make(map[string]*Service)
-	for i := range c.Services {
-		c.services[c.Services[i].Name] = &c.Services[i]
-	}
 }
 
 // Match returns the route of the host with the longest prefix of the path.
@@ -158,12 +143,6 @@
 // HasOrganisations reports whether callers have to show keys at all.
 func (c *Configuration) HasOrganisations() bool { return len(c.Organisations) > 0 }
 
-// Service returns a declared service.
-func (c *Configuration) Service(name string) (*Service, bool) {
-	service, found := c.services[name]
-	return service, found
-}
-
 // Target is one running server of a service, as it registered itself.
 type Target struct {
 	// ID names the incarnation: a restarted server has another.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
 )
 
@@ -24,7 +23,7 @@
 		return
 	}
 	if err := f.gateway.platform.Put(feed.Copies, record); err != nil {
-		f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Copies.String(), "error": err.Error()})
+		f.noteLost(feed.Copies, err)
 	}
 }
 
@@ -48,7 +47,7 @@
 		}
 		records, _, err := f.gateway.platform.Snapshot(feed.Copies)
 		if err != nil {
-			f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Copies.String(), "error": err.Error()})
+			f.noteLost(feed.Copies, err)
 			continue
 		}
 		for _, record := range records {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -78,7 +78,7 @@
 		Lost: func(topic feed.Topic, err error) {
 			f.blind[topic].Store(true)
 			f.gateway.links.heartbeatNow()
-			f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": topic.String(), "error": err.Error()})
+			f.noteLost(topic, err)
 		},
 		Regained: func(topic feed.Topic, after time.Duration) {
 			f.blind[topic].Store(false)
@@ -88,6 +88,16 @@
 	}
 }
 
+// noteLost says that a call to the store failed.
+func (f *feeds) noteLost(topic feed.Topic, err error) {
+	f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": topic.String(), "error": err.Error()})
+}
+
+// noteUndecodable says that a record is passed over.
+func (f *feeds) noteUndecodable(topic feed.Topic, record feed.Record, err error) {
+	f.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": topic.String(), "offset": record.Offset, "error": err.Error()})
+}
+
 func (f *feeds) run(ctx context.Context) {
 	go f.operators.Run(ctx)
 	go f.targets.Run(ctx)
@@ -114,7 +124,7 @@
 		}
 		configuration, err := f.gateway.platform.DecodeConfiguration(record)
 		if err != nil {
-			f.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "offset": record.Offset, "error": err.Error()})
+			f.noteUndecodable(u.Topic, record, err)
 			continue
 		}
 		if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Told {
@@ -206,7 +216,7 @@
 	}
 	target, err := f.gateway.platform.DecodeTarget(record)
 	if err != nil {
-		f.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": u.Topic.String(), "offset": record.Offset, "error": err.Error()})
+		f.noteUndecodable(u.Topic, record, err)
 		return false
 	}
 	if !f.register.Put(target) {
@@ -331,7 +341,7 @@
 		err = f.gateway.platform.Put(feed.Entries, feed.Record{Key: self.Name, Value: value})
 	}
 	if err != nil {
-		f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Entries.String(), "error": err.Error()})
+		f.noteLost(feed.Entries, err)
 		return false
 	}
 	return true
@@ -340,14 +350,14 @@
 func (f *feeds) readEntries() bool {
 	records, _, err := f.gateway.platform.Snapshot(feed.Entries)
 	if err != nil {
-		f.gateway.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Entries.String(), "error": err.Error()})
+		f.noteLost(feed.Entries, err)
 		return false
 	}
 	var entries []peerset.Entry
 	for _, record := range records {
 		var entry entryRecord
 		if err := json.Unmarshal(record.Value, &entry); err != nil {
-			f.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": feed.Entries.String(), "offset": record.Offset, "error": err.Error()})
+			f.noteUndecodable(feed.Entries, record, err)
 			continue
 		}
 		entries = append(entries, peerset.Entry{Name: record.Key, Incarnation: entry.Incarnation, Zone: entry.Zone, Callers: entry.Callers, Links: entry.Links})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 		handler       fasthttp.RequestHandler
 	}{
 		{"callers", g.settings.CallersAddress, g.serve},
-		{"directory", g.settings.DirectoryAddress, g.platform.Directory(g.serving, listLife)},
+		{"directory", g.settings.DirectoryAddress, g.platform.Directory(g.serving, min(listLife, settings.Seconds(g.settings.Bounds.ListLifeS)))},
 		{"ready", g.settings.ReadyAddress, g.platform.Ready(g.ready)},
 		{"metrics", g.settings.MetricsAddress, g.metrics.Handler},
 	}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"sycamoretrail/internal/core/quota"
-	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/settings"
 )
@@ -77,7 +76,7 @@
 		return recorded
 	}
 	if err := g.platform.Put(feed.Usage, changed...); err != nil {
-		g.log.Write(eventlog.Belief, eventStoreLost, eventlog.Fields{"topic": feed.Usage.String(), "error": err.Error()})
+		f.noteLost(feed.Usage, err)
 		return recorded
 	}
 	return records
@@ -98,7 +97,7 @@
 		for _, record := range records {
 			var usage usageRecord
 			if err := json.Unmarshal(record.Value, &usage); err != nil {
-				g.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"topic": feed.Usage.String(), "offset": record.Offset, "error": err.Error()})
+				f.noteUndecodable(feed.Usage, record, err)
 				continue
 			}
 			if !usage.stale(time.Now(), window) {
