Count usage when a request is sent; totals first heard late are not usage

Cause, of two faults found in one reading of the quota: 1. A request counted at its admission and was sent seconds later when it waited. What waited ran in the same window as what was admitted after it, so an organisation could exceed its quota; and a refund, dated at the refusal, made room for more once the admission had left the window. 2. A peer first heard more than a second after this entry began (usual from 24 entries on, where heartbeats are 0.5 to 1 s apart) had its totals since its own start counted as used now. Restarted entries refused everybody for a window; the one that records usage recorded it, and after a loss of all entries all took it for usage.

Ruled out: silent entries' shares (they are replaced as entries are heard; the sum stays at the limit), histories of lost entries.

Each account now has what was admitted and what was sent; what waits counts as now. Three tests, seen to fail before.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -1,6 +1,10 @@
 // Package quota keeps each organisation within its rate over all entries, with no
-// shared counter: every entry tells the others how much it has admitted in total,
-// and adds up what it knows of a sliding window.
+// shared counter: every entry tells the others how much it has admitted and sent in
+// total, and adds up what it knows of a sliding window.
+//
+// What counts is when a request is sent to a target. Until then it counts as sent
+// now, however long it waits: counted at its admission, requests that waited would be
+// sent beside those admitted later, and together exceed the quota.
 //
 // What it does not know counts as used, so that the sum over all entries stays
 // below the limit also when they lose each other or restart together:
@@ -52,7 +56,7 @@
 	config  Config
 	started time.Time
 	limits  map[string]limit
-	own     map[string]*series
+	own     map[string]*account
 	peers   map[string]*peer
 	history map[string]History
 }
@@ -71,10 +75,11 @@
 	// started is when its present incarnation began, since from when on its usage is
 	// known, heard when its last totals came.
 	started, since, heard time.Time
-	silent                bool
-	usage                 map[string]*series
+	// told: it has told its totals, so that one that is new among them began at zero.
+	told, silent bool
+	usage        map[string]*account
 	// former is what an earlier incarnation had used when it was replaced.
-	former map[string]*series
+	former map[string]*account
 }
 
 // Verdict says whether a request is within the quota, and why.
@@ -82,6 +87,9 @@
 	Admitted bool
 	// Used is the window's estimated usage before this request, Limit its bound.
 	Used, Limit float64
+	// Assumed is the part of Used that nobody has told: what silent entries may use,
+	// and what others may have used before they were heard or since.
+	Assumed float64
 	// RetryAfter is when enough of the window has passed.
 	RetryAfter time.Duration
 }
@@ -90,7 +98,7 @@
 func New(config Config, started time.Time) *Limiter {
 	return &Limiter{
 		config: config, started: started,
-		limits: make(map[string]limit), own: make(map[string]*series), peers: make(map[string]*peer),
+		limits: make(map[string]limit), own: make(map[string]*account), peers: make(map[string]*peer),
 		history: make(map[string]History),
 	}
 }
@@ -108,13 +116,14 @@
 	}
 }
 
-// Admit counts a request of an organisation, unless it exceeds the quota. rank is
+// Admit counts a request of an organisation, unless it exceeds the quota; Sent or
+// Withdraw has to follow. rank is
 // the importance of its route, 0 the highest: an organisation that asks for more
 // than its quota gets its important requests served, not whatever comes first.
 func (l *Limiter) Admit(now time.Time, organisation string, cost float64, rank int) Verdict {
 	limited, found := l.limits[organisation]
 	if !found {
-		l.use(now, organisation, cost)
+		l.Reserve(now, organisation, cost)
 		return Verdict{Admitted: true}
 	}
 	base := l.base(limited)
@@ -122,13 +131,14 @@
 	if cost > bound*smallCost {
 		bound -= base * reserved[min(rank, len(reserved)-1)]
 	}
-	verdict := Verdict{Used: l.used(now, organisation, base, bound), Limit: bound}
+	told, assumed := l.used(now, organisation, base, bound)
+	verdict := Verdict{Used: told + assumed, Limit: bound, Assumed: assumed}
 	if verdict.Used+cost > bound {
 		missing := verdict.Used + cost - bound
 		verdict.RetryAfter = min(l.config.Window/2, time.Duration(missing/limited.rate*float64(time.Second)))
 		return verdict
 	}
-	l.use(now, organisation, cost)
+	l.Reserve(now, organisation, cost)
 	verdict.Admitted = true
 	return verdict
 }
@@ -151,36 +161,59 @@
 	return slackUsed
 }
 
-// Refund takes back what was admitted and never ran.
-func (l *Limiter) Refund(now time.Time, organisation string, cost float64) {
-	l.use(now, organisation, -cost)
+// Reserve counts a request whether or not it exceeds the quota, as Admit does: one
+// that may have run and is sent again.
+func (l *Limiter) Reserve(now time.Time, organisation string, cost float64) {
+	l.account(organisation).reserve(now, cost, l.config.Window)
+}
+
+// Withdraw takes back what was admitted and never ran.
+func (l *Limiter) Withdraw(now time.Time, organisation string, cost float64) {
+	l.account(organisation).reserve(now, -cost, l.config.Window)
+}
+
+// Sent counts an admitted request as sent to a target now.
+func (l *Limiter) Sent(now time.Time, organisation string, cost float64) {
+	l.account(organisation).send(now, cost, l.config.Window)
+}
+
+// Unsent makes a sent request one that waits again: its target did not run it.
+func (l *Limiter) Unsent(now time.Time, organisation string, cost float64) {
+	l.account(organisation).send(now, -cost, l.config.Window)
 }
 
-func (l *Limiter) use(now time.Time, organisation string, cost float64) {
-	s, found := l.own[organisation]
+func (l *Limiter) account(organisation string) *account {
+	a, found := l.own[organisation]
 	if !found {
-		s = &series{}
-		l.own[organisation] = s
+		a = &account{}
+		l.own[organisation] = a
 	}
-	s.set(now, s.last()+cost, l.config.Window)
+	return a
 }
 
-// used estimates what all entries have admitted within the window.
-func (l *Limiter) used(now time.Time, organisation string, base, bound float64) float64 {
+// used estimates what all entries have sent within the window or are about to send:
+// what has been told, and what has to be assumed.
+func (l *Limiter) used(now time.Time, organisation string, base, bound float64) (told, assumed float64) {
 	since := now.Add(-l.config.Window)
 	share := 1 / float64(len(l.peers)+1)
 	before := l.before(organisation, base)
-	own := l.own[organisation]
-	total := own.since(since) + share*l.unknown(now, l.started, before)
+	told = l.own[organisation].since(since)
+	assumed = share * l.unknown(now, l.started, before)
 	for _, p := range l.peers {
-		known := p.usage[organisation].since(since) + p.former[organisation].since(since)
+		known := p.known(organisation, since)
+		told += known
 		if p.silent {
-			total += max(known, bound*share)
+			assumed += max(0, bound*share-known)
 			continue
 		}
-		total += known + share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
+		assumed += share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
 	}
-	return total
+	return told, assumed
+}
+
+// known is what a peer has told of its usage since a moment.
+func (p *peer) known(organisation string, moment time.Time) float64 {
+	return p.usage[organisation].since(moment) + p.former[organisation].since(moment)
 }
 
 const (
@@ -201,12 +234,12 @@
 	if now.Sub(p.heard) < freshFor {
 		return 0
 	}
-	recent := p.usage[organisation].since(p.heard.Add(-rateOver))
+	recent := p.usage[organisation].admittedSince(p.heard.Add(-rateOver))
 	estimate := max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
-	sum, n := l.own[organisation].since(p.heard), 1
+	sum, n := l.own[organisation].admittedSince(p.heard), 1
 	for _, other := range l.peers {
 		if now.Sub(other.heard) < freshFor {
-			sum += other.usage[organisation].since(p.heard)
+			sum += other.usage[organisation].admittedSince(p.heard)
 			n++
 		}
 	}
@@ -221,7 +254,7 @@
 func (l *Limiter) Pressing(now time.Time) bool {
 	for organisation, limited := range l.limits {
 		base := l.base(limited)
-		if l.used(now, organisation, base, base) > base*usualUse {
+		if told, assumed := l.used(now, organisation, base, base); told+assumed > base*usualUse {
 			return true
 		}
 	}
@@ -275,20 +308,26 @@
 	return records
 }
 
-// known is what all entries have said that they admitted since a moment.
+// known is what all entries have told of their usage since a moment.
 func (l *Limiter) known(since time.Time, organisation string) float64 {
 	total := l.own[organisation].since(since)
 	for _, p := range l.peers {
-		total += p.usage[organisation].since(since) + p.former[organisation].since(since)
+		total += p.known(organisation, since)
 	}
 	return total
 }
 
-// Totals is what this entry has admitted since it started, by organisation.
-func (l *Limiter) Totals() map[string]float64 {
-	totals := make(map[string]float64, len(l.own))
-	for organisation, s := range l.own {
-		totals[organisation] = s.last()
+// Total is what an entry has counted for an organisation since it started.
+type Total struct {
+	// Admitted includes what still waits, Sent does not.
+	Admitted, Sent float64
+}
+
+// Totals is what this entry has counted since it started, by organisation.
+func (l *Limiter) Totals() map[string]Total {
+	totals := make(map[string]Total, len(l.own))
+	for organisation, a := range l.own {
+		totals[organisation] = a.total()
 	}
 	return totals
 }
@@ -308,7 +347,7 @@
 	for _, each := range peers {
 		p := l.peers[each.Name]
 		if p == nil {
-			p = &peer{started: each.Started, since: now, heard: now, usage: make(map[string]*series)}
+			p = &peer{started: each.Started, since: now, heard: now, usage: make(map[string]*account)}
 		}
 		p.silent = each.Silent
 		kept[each.Name] = p
@@ -318,35 +357,44 @@
 
 // PeerTotals takes a peer's totals. A later start than the one known means
 // another incarnation, whose totals begin at zero.
-func (l *Limiter) PeerTotals(now time.Time, name string, started time.Time, totals map[string]float64) {
+func (l *Limiter) PeerTotals(now time.Time, name string, started time.Time, totals map[string]Total) {
 	p, found := l.peers[name]
 	if !found {
 		return
 	}
 	if started.Sub(p.started) > restartSlack {
-		p.former, p.usage = p.usage, make(map[string]*series)
-		p.started = started
+		p.replaced(now, l.config.Window)
+	}
+	p.started = started
+	fromZero := p.told || now.Sub(p.started) < l.config.Window
+	if !p.told {
+		p.told, p.since = true, now
+		if fromZero {
+			p.since = started
+		}
 	}
 	p.heard = now
 	for organisation, total := range totals {
-		s, found := p.usage[organisation]
+		a, found := p.usage[organisation]
 		if !found {
-			s = &series{}
-			p.usage[organisation] = s
-			l.begin(now, p, s, total)
+			a = &account{}
+			p.usage[organisation] = a
+			if !fromZero {
+				// When this was used is not known; History stands for it.
+				a.begin(now, total)
+			}
 		}
-		s.set(now, total, l.config.Window)
+		a.set(now, total, l.config.Window)
 	}
 }
 
-// begin makes the first point of a peer's series. A peer that was heard before, or
-// has just begun, started this series from zero; of another's total it is not known
-// when it was used, which History covers.
-func (l *Limiter) begin(now time.Time, p *peer, s *series, total float64) {
-	if now.Sub(p.since) > restartSlack || now.Sub(p.started) < l.config.Window {
-		total = 0
+// replaced keeps what the former incarnation had counted. What waited there may have
+// been sent since its last word.
+func (p *peer) replaced(now time.Time, window time.Duration) {
+	for _, a := range p.usage {
+		a.sent.set(now, a.admitted.last(), window)
 	}
-	s.begin(now, total)
+	p.former, p.usage = p.usage, make(map[string]*account)
 }
 
 // restartSlack is the error in a peer's start, which it gives as its age in each
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -43,6 +43,8 @@
 	refused   float64
 	records   map[string]quota.History
 	recording bool
+	// holding: what is admitted waits, in held of each, instead of running at once.
+	holding bool
 }
 
 type member struct {
@@ -52,6 +54,7 @@
 	spoke   time.Time
 	cut     bool
 	down    bool
+	held    float64
 }
 
 func newFleet(n int, every time.Duration, cell int, seed uint64) *fleet {
@@ -91,16 +94,32 @@
 			if m.down {
 				continue
 			}
-			if m.limiter.Admit(f.now, organisation, cost, 0).Admitted {
-				sum += cost
-			} else {
+			switch {
+			case !m.limiter.Admit(f.now, organisation, cost, 0).Admitted:
 				f.refused += cost
+			case f.holding:
+				m.held += cost
+			default:
+				m.limiter.Sent(f.now, organisation, cost)
+				sum += cost
 			}
 		}
 		f.admitted = append(f.admitted, sum)
 	}
 }
 
+// release runs all that waited.
+func (f *fleet) release() {
+	f.holding = false
+	sum := 0.0
+	for _, m := range f.entries {
+		m.limiter.Sent(f.now, organisation, m.held)
+		sum += m.held
+		m.held = 0
+	}
+	f.admitted = append(f.admitted, sum)
+}
+
 // tell passes totals on between entries that are not cut off.
 func (f *fleet) tell() {
 	for i, m := range f.entries {
@@ -263,7 +282,7 @@
 	now = now.Add(2 * window)
 	g.Expect(l.Admit(now, organisation, 800, 0).Admitted).To(BeTrue())
 	g.Expect(l.Admit(now, organisation, 1, 0).Admitted).To(BeFalse())
-	l.Refund(now, organisation, 800)
+	l.Withdraw(now, organisation, 800)
 	g.Expect(l.Admit(now, organisation, 800, 0).Admitted).To(BeTrue())
 }
 
@@ -282,3 +301,62 @@
 	l.SetPeers(now, peers)
 	g.Expect(l.Records(now.Add(time.Second))).To(BeEmpty())
 }
+
+// An entry begins beside others that have been at work for a minute, and first hears
+// them two heartbeats later. Their totals since their own start are not usage of this
+// window: counted as such, every organisation would be refused for a whole window.
+func TestTotalsOfOthersHeardLateAreNotUsage(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
+	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	started := now.Add(-time.Minute)
+	var peers []quota.Peer
+	for i := range 68 {
+		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: now, Silent: true})
+	}
+	l.SetPeers(now, peers)
+	now = now.Add(1500 * time.Millisecond)
+	for i := range peers {
+		peers[i].Silent = false
+		l.PeerTotals(now, peers[i].Name, started, map[string]quota.Total{organisation: {Admitted: usual * 60 / 69, Sent: usual * 60 / 69}})
+	}
+	l.SetPeers(now, peers)
+	g.Expect(l.Admit(now, organisation, 4000, 0).Admitted).To(BeTrue())
+	g.Expect(l.Records(now)).To(BeEmpty(), "nor may they be recorded as usage")
+}
+
+// An organisation sends many times its usual while its requests wait in a queue, and
+// then all that waited are sent at once. What counts against the quota is when targets
+// are sent to: with those that are admitted afterwards they must not exceed it.
+func TestRequestsThatWaitedCountWhenSent(t *testing.T) {
+	for seed := range uint64(2) {
+		g := NewWithT(t)
+		f := newFleet(6, 250*time.Millisecond, 6, seed)
+		f.run(12*time.Second, usual)
+		f.holding = true
+		f.run(15*time.Second, usual*3)
+		f.release()
+		f.run(30*time.Second, usual*3)
+		g.Expect(f.worst()).To(BeNumerically("<=", allowed()))
+		g.Expect(f.worst()).To(BeNumerically(">=", base()))
+	}
+}
+
+// Half of what is admitted waits for a second and is then refused for want of a place.
+// What is given back must not make room for more than the quota later, when the
+// moment of the admission has left the window and that of the refusal has not.
+func TestWhatNeverRanDoesNotMakeRoomLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := quota.New(quota.Config{Window: window}, now)
+	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: 100}})
+	now = now.Add(2 * window)
+	g.Expect(l.Admit(now, organisation, 400, 0).Admitted).To(BeTrue())
+	now = now.Add(time.Second)
+	l.Withdraw(now, organisation, 400)
+	now = now.Add(time.Second)
+	g.Expect(l.Admit(now, organisation, 800, 0).Admitted).To(BeTrue())
+	now = now.Add(window - 1500*time.Millisecond)
+	g.Expect(l.Admit(now, organisation, 100, 0).Admitted).To(BeFalse())
+}
--- a/internal/core/quota/series.go
+++ b/internal/core/quota/series.go
@@ -54,3 +54,45 @@
 	}
 	return s.last() - s.points[0].total
 }
+
+// account is an organisation's usage at one entry. A nil account is empty.
+type account struct{ admitted, sent series }
+
+// reserve counts what is admitted; a negative cost takes it back.
+func (a *account) reserve(now time.Time, cost float64, window time.Duration) {
+	a.admitted.set(now, a.admitted.last()+cost, window)
+}
+
+// send counts what is sent; a negative cost makes it wait again.
+func (a *account) send(now time.Time, cost float64, window time.Duration) {
+	a.sent.set(now, a.sent.last()+cost, window)
+}
+
+func (a *account) total() Total { return Total{Admitted: a.admitted.last(), Sent: a.sent.last()} }
+
+// begin starts an account whose totals were used at unknown times.
+func (a *account) begin(now time.Time, total Total) {
+	a.admitted.begin(now, total.Admitted)
+	a.sent.begin(now, total.Sent)
+}
+
+func (a *account) set(now time.Time, total Total, window time.Duration) {
+	a.admitted.set(now, total.Admitted, window)
+	a.sent.set(now, total.Sent, window)
+}
+
+// since is what was sent after a moment and what waits.
+func (a *account) since(moment time.Time) float64 {
+	if a == nil {
+		return 0
+	}
+	return a.sent.since(moment) + a.admitted.last() - a.sent.last()
+}
+
+// admittedSince is what was admitted after a moment.
+func (a *account) admittedSince(moment time.Time) float64 {
+	if a == nil {
+		return 0
+	}
+	return a.admitted.since(moment)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/upstream"
@@ -33,10 +34,11 @@
 	organisation string
 	service      string
 	priority     int
-	// cost counts against the organisation's quota; counted: it has been.
-	cost        float64
-	counted     bool
-	fingerprint crashes.Fingerprint
+	// cost counts against the organisation's quota; metered: it does, reserved: it
+	// counts as a request that waits.
+	cost              float64
+	metered, reserved bool
+	fingerprint       crashes.Fingerprint
 
 	// gone is closed when the caller has left.
 	gone chan struct{}
@@ -197,16 +199,42 @@
 	}
 	verdict := c.gateway.state.admit(c.organisation, c.cost, c.route.Priority)
 	if verdict.Admitted {
-		c.counted = true
+		c.metered, c.reserved = true, true
 		return nil
 	}
 	c.gateway.log.Write(eventlog.Failure, eventQuota, eventlog.Fields{
 		"id": c.envelope.ID, "organisation": c.organisation, "cost": c.cost,
-		"used": int64(verdict.Used), "limit": int64(verdict.Limit),
+		"used": int64(verdict.Used), "assumed": int64(verdict.Assumed), "limit": int64(verdict.Limit),
 	})
 	return overQuota(max(dispatch.MinRetryAfter, verdict.RetryAfter))
 }
 
+// countSent counts the request against the quota as it is sent to a target. One that
+// may have run before counts again.
+func (c *call) countSent() {
+	if !c.metered {
+		return
+	}
+	if !c.reserved {
+		c.charge((*quota.Limiter).Reserve)
+	}
+	c.charge((*quota.Limiter).Sent)
+	c.reserved = false
+}
+
+// countUnsent takes back that the request was sent: the target did not run it.
+func (c *call) countUnsent() {
+	if !c.metered || c.reserved {
+		return
+	}
+	c.charge((*quota.Limiter).Unsent)
+	c.reserved = true
+}
+
+func (c *call) charge(step func(*quota.Limiter, time.Time, string, float64)) {
+	c.gateway.state.charge(step, c.organisation, c.cost)
+}
+
 // leave is called when the caller has closed its connection.
 func (c *call) leave() {
 	c.mutex.Lock()
@@ -245,8 +273,8 @@
 	if c.conn != nil {
 		c.conn.Unwatch()
 	}
-	if c.counted && c.sends == 0 {
-		c.gateway.state.refund(c.organisation, c.cost)
+	if c.reserved {
+		c.charge((*quota.Limiter).Withdraw)
 	}
 	c.gateway.settle(c, status, reason)
 	c.gateway.running.Add(-1)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -117,7 +117,7 @@
 		m.Heartbeat.Version = c.Version
 	}
 	g.state.mutex.Lock()
-	m.Heartbeat.Totals = g.state.quota.Totals()
+	m.Heartbeat.Totals = totalsMessage(g.state.quota.Totals())
 	g.state.mutex.Unlock()
 	return m
 }
@@ -156,7 +156,7 @@
 		l.gateway.state.mutex.Unlock()
 		idle = len(load.InFlight) == 0
 		m := l.message()
-		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, Totals: totals}
+		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, Totals: totalsMessage(totals)}
 		l.send(m, members)
 		time.Sleep(loadPause)
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -66,7 +66,7 @@
 	if replaced {
 		g.state.deliver(g.state.sched.PeerGone(now, m.From))
 	}
-	g.state.quota.PeerTotals(now, m.From, now.Add(-age), h.Totals)
+	g.state.quota.PeerTotals(now, m.From, now.Add(-age), totalsOf(h.Totals))
 	g.state.mutex.Unlock()
 	if joined || replaced {
 		g.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{
@@ -104,7 +104,7 @@
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
 	now := time.Now()
-	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), m.Load.Totals)
+	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), totalsOf(m.Load.Totals))
 	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -176,6 +176,7 @@
 		return nil, upstream.ErrNotSent
 	}
 	c.sends++
+	c.countSent()
 	request := &c.ctx.Request
 	body := request.Body()
 	left := time.Until(c.expires)
@@ -197,6 +198,7 @@
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		c.sends--
+		c.countUnsent()
 	}
 	return answer, err
 }
@@ -266,6 +268,7 @@
 
 // rejected handles an answer that says that the request was not run.
 func (c *call) rejected(grant *dispatch.Grant, began time.Time, answer *upstream.Answer, mark AnswerMark) bool {
+	c.countUnsent()
 	_, _ = io.CopyN(io.Discard, answer, maxWhole)
 	c.closeAnswer(answer)
 	if mark.Replaced {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -120,10 +120,11 @@
 	return s.quota.Admit(time.Now(), organisation, cost, rank)
 }
 
-func (s *state) refund(organisation string, cost float64) {
+// charge applies one of the limiter's steps after admission to a request's cost.
+func (s *state) charge(step func(*quota.Limiter, time.Time, string, float64), organisation string, cost float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.quota.Refund(time.Now(), organisation, cost)
+	step(s.quota, time.Now(), organisation, cost)
 }
 
 // countRequest adds to the retry budget, mayRepeat draws on it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -228,6 +228,9 @@
 	}
 	mark := c.gateway.platform.ReadMark(answer.Status, answer.Header)
 	if mark.NotRun || answer.Status != http.StatusOK {
+		if mark.NotRun {
+			c.countUnsent()
+		}
 		c.closeAnswer(answer)
 		c.tried = append(c.tried, grant.Target.ID)
 		outcome := dispatch.Rejected
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/feed"
+	"sycamoretrail/internal/gossip"
 	"sycamoretrail/internal/settings"
 )
 
@@ -108,3 +110,24 @@
 		return
 	}
 }
+
+// totalsMessage forms what others are told of usage. Rounding up tells the sum
+// too high by less than one unit for each organisation.
+func totalsMessage(totals map[string]quota.Total) map[string]gossip.Total {
+	message := make(map[string]gossip.Total, len(totals))
+	for organisation, total := range totals {
+		message[organisation] = gossip.Total{
+			Admitted: int64(math.Ceil(total.Admitted)),
+			Waiting:  int64(math.Ceil(max(0, total.Admitted-total.Sent))),
+		}
+	}
+	return message
+}
+
+func totalsOf(message map[string]gossip.Total) map[string]quota.Total {
+	totals := make(map[string]quota.Total, len(message))
+	for organisation, total := range message {
+		totals[organisation] = quota.Total{Admitted: float64(total.Admitted), Sent: float64(total.Admitted - total.Waiting)}
+	}
+	return totals
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,8 +46,8 @@
 	State   uint8  `cbor:"4,keyasint"`
 	// Version is the configuration in force.
 	Version int64 `cbor:"5,keyasint"`
-	// Totals is the cost admitted since the start, by organisation.
-	Totals map[string]float64 `cbor:"6,keyasint,omitempty"`
+	// Totals is what organisations have used since the start.
+	Totals map[string]Total `cbor:"6,keyasint,omitempty"`
 	// Blind: the sender cannot read the store, so it should not read for others.
 	Blind bool `cbor:"7,keyasint,omitempty"`
 }
@@ -58,7 +58,16 @@
 	// Waiting is the number of queued requests by priority.
 	Waiting []int `cbor:"2,keyasint,omitempty"`
 	// Totals are those of Heartbeat, for entries that are told each change.
-	Totals map[string]float64 `cbor:"3,keyasint,omitempty"`
+	Totals map[string]Total `cbor:"3,keyasint,omitempty"`
+}
+
+// Total is the cost of what an organisation's requests have used since the sender's
+// start, in whole units: of those admitted, and of these the part that still waits to
+// be sent to a target.
+type Total struct {
+	_        struct{} `cbor:",toarray"`
+	Admitted int64
+	Waiting  int64
 }
 
 // News is a part of a log that the sender has read.
