--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -284,8 +284,59 @@
 	}
 }
 
-// Restore takes what was recorded before this entry began.
-func (l *Limiter) Restore(organisation string, history History) { l.history[organisation] = history }
+// Restore takes what was recorded before this entry began. Of two that know
+// something the one that knows more counts.
+func (l *Limiter) Restore(organisation string, history History) {
+	known := l.history[organisation]
+	l.history[organisation] = History{Older: max(known.Older, history.Older), Recent: max(known.Recent, history.Recent)}
+}
+
+// historyFor is how long after an entry's start another's history of the time before
+// is taken: later it would count again what is known since the start.
+const historyFor = time.Second
+
+// History returns what organisations have used over all entries, for one that has
+// just begun: without it, that one would take an organisation that has just used its
+// whole quota for one with its usual use. An entry that has itself begun within the
+// window does not know.
+func (l *Limiter) History(now time.Time) map[string]History {
+	if now.Sub(l.started) < l.config.Window {
+		return nil
+	}
+	histories := make(map[string]History, len(l.limits))
+	for organisation := range l.limits {
+		histories[organisation] = l.historyOf(now, organisation)
+	}
+	return histories
+}
+
+// PeerHistory takes another entry's History.
+func (l *Limiter) PeerHistory(now time.Time, histories map[string]History) {
+	if now.Sub(l.started) > historyFor {
+		return
+	}
+	for organisation, history := range histories {
+		l.Restore(organisation, history)
+	}
+}
+
+// historyOf is the usage that has been told, by halves of the window.
+func (l *Limiter) historyOf(now time.Time, organisation string) History {
+	recent := l.known(now.Add(-l.config.Window/2), organisation)
+	return History{Older: max(0, l.known(now.Add(-l.config.Window), organisation)-recent), Recent: recent}
+}
+
+// Isolated reports whether this entry hears less than half of the others: what it
+// knows of usage is then no record for all.
+func (l *Limiter) Isolated() bool {
+	silent := 0
+	for _, p := range l.peers {
+		if p.silent {
+			silent++
+		}
+	}
+	return silent*2 > len(l.peers)
+}
 
 // Records returns what has to be recorded, so that entries which restart together
 // do not let an organisation use its quota twice: the usage of those that have used
@@ -295,19 +346,33 @@
 func (l *Limiter) Records(now time.Time) map[string]History {
 	records := make(map[string]History)
 	for organisation, limited := range l.limits {
-		used := l.known(now.Add(-l.config.Window), organisation)
+		record := l.historyOf(now, organisation)
 		if restored, found := l.history[organisation]; found {
-			used += l.unknown(now, l.started, restored)
+			record.Older += l.unknown(now, l.started, restored)
 		}
-		if used < l.base(limited)*usualUse {
+		base := l.base(limited)
+		if record.Older+record.Recent < base*usualUse {
 			continue
 		}
-		recent := l.known(now.Add(-l.config.Window/2), organisation)
-		records[organisation] = History{Older: max(0, used-recent), Recent: recent}
+		record.Recent += l.untoldBySilent(now, organisation, base)
+		records[organisation] = record
 	}
 	return records
 }
 
+// untoldBySilent is what entries that have fallen silent may have used of a quota, at
+// most their share, beyond what they have told.
+func (l *Limiter) untoldBySilent(now time.Time, organisation string, base float64) float64 {
+	share := base / float64(len(l.peers)+1)
+	total := 0.0
+	for _, p := range l.peers {
+		if p.silent && p.told {
+			total += max(0, share-p.known(organisation, now.Add(-l.config.Window)))
+		}
+	}
+	return total
+}
+
 // known is what all entries have told of their usage since a moment.
 func (l *Limiter) known(since time.Time, organisation string) float64 {
 	total := l.own[organisation].since(since)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -226,7 +226,7 @@
 	gone := l.gateway.state.peers.Prune(time.Now())
 	l.gateway.state.mutex.Unlock()
 	for _, entry := range gone {
-		l.gateway.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{"entry": entry.Name, "incarnation": entry.Incarnation, "state": "removed"})
+		l.gateway.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{"peer": entry.Name, "incarnation": entry.Incarnation, "state": "removed"})
 	}
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -14,10 +14,7 @@
 // of those that can, in all or, from zoneReaders on, in its zone. Two at once, or
 // none, cost a few calls or some patience, no more.
 func (g *Gateway) leads() bool {
-	now := time.Now()
-	g.state.mutex.Lock()
-	readers := g.state.peers.Readers(now)
-	g.state.mutex.Unlock()
+	readers := g.readers()
 	able := len(readers) > 0 && readers[0].State == peerset.Ready && !readers[0].Blind
 	if able && (!g.ready() || g.feeds.isBlind()) {
 		g.links.noteReader("another")
@@ -27,23 +24,47 @@
 		g.links.noteReader(g.self.Name)
 		return true
 	}
-	reader := g.self.Name
-	for _, m := range g.links.readFor(readers) {
-		if dispatch.Rank(m.Name, reader) < 0 {
-			reader = m.Name
-		}
-	}
+	reader := g.first(g.links.readFor(readers))
 	g.links.noteReader(reader)
 	return reader == g.self.Name
 }
 
+// records reports whether this entry records usage for all: one that reads, and of
+// these the first in rank. An isolated one knows too little of the others' usage; its
+// records would replace those of the entry that knows.
+func (g *Gateway) records() bool {
+	if !g.leads() || g.first(g.readers()) != g.self.Name {
+		return false
+	}
+	g.state.mutex.Lock()
+	defer g.state.mutex.Unlock()
+	return !g.state.quota.Isolated()
+}
+
+func (g *Gateway) readers() []peerset.Member {
+	g.state.mutex.Lock()
+	defer g.state.mutex.Unlock()
+	return g.state.peers.Readers(time.Now())
+}
+
+// first is the name of the first in rank of some entries and this one.
+func (g *Gateway) first(members []peerset.Member) string {
+	first := g.self.Name
+	for _, m := range members {
+		if dispatch.Rank(m.Name, first) < 0 {
+			first = m.Name
+		}
+	}
+	return first
+}
+
 func (l *links) noteReader(reader string) {
 	l.mutex.Lock()
 	changed := l.reader != reader
 	l.reader = reader
 	l.mutex.Unlock()
 	if changed {
-		l.gateway.log.Write(eventlog.Belief, eventReader, eventlog.Fields{"entry": reader})
+		l.gateway.log.Write(eventlog.Belief, eventReader, eventlog.Fields{"reader": reader})
 	}
 }
 
--- a/internal/gateway/reasons_test.go
+++ b/internal/gateway/reasons_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +101,19 @@
 	g.Expect(log.Omitted()[eventlog.Failure]).To(BeZero())
 	log.Close(time.Minute)
 }
+
+// The process puts its own name on each line as "entry". A line on a peer that uses
+// the same word loses the peer's name, and says of the process what holds of the peer.
+func TestNoFieldHidesTheProcessName(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob("*.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		source, err := os.ReadFile(name)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(source)).NotTo(ContainSubstring(`"entry":`), name)
+	}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -40,6 +40,9 @@
 	if m.Load != nil {
 		l.takeLoad(m)
 	}
+	if m.History != nil {
+		l.takeHistory(m)
+	}
 }
 
 // newest reports whether a message is later than those before from its sender, and
@@ -70,14 +73,33 @@
 	g.state.mutex.Unlock()
 	if joined || replaced {
 		g.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{
-			"entry": m.From, "incarnation": m.Incarnation, "state": peerset.State(h.State).String(), "joined": joined, "replaced": replaced,
+			"peer": m.From, "incarnation": m.Incarnation, "state": peerset.State(h.State).String(), "joined": joined, "replaced": replaced,
 		})
 		l.updatePeers()
-		l.send(l.heartbeat(), []peerset.Member{{Entry: entry}})
+		l.greet(peerset.Member{Entry: entry})
 	}
 	l.catchUp(h.Version)
 }
 
+// greet tells an entry that has joined what it needs before the next heartbeat.
+func (l *links) greet(entry peerset.Member) {
+	l.send(l.heartbeat(), []peerset.Member{entry})
+	l.gateway.state.mutex.Lock()
+	histories := l.gateway.state.quota.History(time.Now())
+	l.gateway.state.mutex.Unlock()
+	if len(histories) > 0 {
+		m := l.message()
+		m.History = historyMessage(histories)
+		l.send(m, []peerset.Member{entry})
+	}
+}
+
+func (l *links) takeHistory(m *gossip.Message) {
+	l.gateway.state.mutex.Lock()
+	defer l.gateway.state.mutex.Unlock()
+	l.gateway.state.quota.PeerHistory(time.Now(), historyOf(m.History))
+}
+
 // catchUp reads the configuration anew if another entry has a later version and the
 // reader's news of it does not come.
 func (l *links) catchUp(version int64) {
@@ -125,7 +147,7 @@
 func (l *links) takeFragment(m *gossip.Message) {
 	news, err := l.assembler.Add(time.Now(), m.Incarnation, m.Fragment)
 	if err != nil {
-		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"entry": m.From, "error": err.Error()})
+		l.gateway.log.Write(eventlog.Belief, eventBadNews, eventlog.Fields{"peer": m.From, "error": err.Error()})
 		return
 	}
 	if news != nil {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -49,7 +49,7 @@
 			return
 		case <-ticker.C:
 		}
-		if f.gateway.leads() {
+		if f.gateway.records() {
 			recorded = f.record(recorded)
 		}
 	}
@@ -131,3 +131,19 @@
 	}
 	return totals
 }
+
+func historyMessage(histories map[string]quota.History) map[string]gossip.History {
+	message := make(map[string]gossip.History, len(histories))
+	for organisation, history := range histories {
+		message[organisation] = gossip.History{Older: int64(math.Ceil(history.Older)), Recent: int64(math.Ceil(history.Recent))}
+	}
+	return message
+}
+
+func historyOf(message map[string]gossip.History) map[string]quota.History {
+	histories := make(map[string]quota.History, len(message))
+	for organisation, history := range message {
+		histories[organisation] = quota.History{Older: float64(history.Older), Recent: float64(history.Recent)}
+	}
+	return histories
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -36,6 +36,9 @@
 	News      *News      `cbor:"7,keyasint,omitempty"`
 	Crash     *Crash     `cbor:"8,keyasint,omitempty"`
 	Fragment  *Fragment  `cbor:"9,keyasint,omitempty"`
+	// History is what organisations have used over all entries, for an entry that has
+	// just begun.
+	History map[string]History `cbor:"10,keyasint,omitempty"`
 }
 
 // Heartbeat is what the sender says of itself to every other entry.
@@ -70,6 +73,12 @@
 	Waiting  int64
 }
 
+// History is an organisation's usage in the two halves of the window, in whole units.
+type History struct {
+	_             struct{} `cbor:",toarray"`
+	Older, Recent int64
+}
+
 // News is a part of a log that the sender has read.
 type News struct {
 	Topic feed.Topic `cbor:"1,keyasint"`
