Keep quotas over cuts, kills and restarts in any order

Entries that rejoin are told what was used, only one that hears half of the others records, lost incarnations are estimated, the slack grows only a window after a silence; growth over a silence is spread.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -59,6 +59,9 @@
 	own     map[string]*account
 	peers   map[string]*peer
 	history map[string]History
+	views   map[string]view
+	// isolated is when this entry last heard less than half of the others.
+	isolated time.Time
 }
 
 type limit struct{ rate, burst float64 }
@@ -77,9 +80,17 @@
 	started, since, heard time.Time
 	// told: it has told its totals, so that one that is new among them began at zero.
 	told, silent bool
-	usage        map[string]*account
-	// former is what an earlier incarnation had used when it was replaced.
-	former map[string]*account
+	// returned is when it was last heard again after a silence.
+	returned time.Time
+	usage    map[string]*account
+	// former is what earlier incarnations used, the latest last.
+	former []former
+}
+
+// former is the usage of an incarnation that was replaced.
+type former struct {
+	usage map[string]*account
+	at    time.Time
 }
 
 // Verdict says whether a request is within the quota, and why.
@@ -99,7 +110,7 @@
 	return &Limiter{
 		config: config, started: started,
 		limits: make(map[string]limit), own: make(map[string]*account), peers: make(map[string]*peer),
-		history: make(map[string]History),
+		history: make(map[string]History), views: make(map[string]view),
 	}
 }
 
@@ -154,7 +165,7 @@
 		return cautiousSlack
 	}
 	for _, p := range l.peers {
-		if p.silent || now.Sub(p.since) < l.config.Window {
+		if p.silent || now.Sub(p.since) < l.config.Window || now.Sub(p.returned) < l.config.Window {
 			return cautiousSlack
 		}
 	}
@@ -199,21 +210,27 @@
 	before := l.before(organisation, base)
 	told = l.own[organisation].since(since)
 	assumed = share * l.unknown(now, l.started, before)
+	silent := 0.0
 	for _, p := range l.peers {
 		known := p.known(organisation, since)
 		told += known
 		if p.silent {
-			assumed += max(0, bound*share-known)
+			silent += max(0, bound*share-known)
 			continue
 		}
 		assumed += share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
 	}
-	return told, assumed
+	assumed = max(assumed, l.viewed(now, organisation)-told)
+	return told, assumed + silent
 }
 
 // known is what a peer has told of its usage since a moment.
 func (p *peer) known(organisation string, moment time.Time) float64 {
-	return p.usage[organisation].since(moment) + p.former[organisation].since(moment)
+	known := p.usage[organisation].since(moment)
+	for _, f := range p.former {
+		known += f.usage[organisation].since(moment)
+	}
+	return known
 }
 
 const (
@@ -284,40 +301,49 @@
 	}
 }
 
-// Restore takes what was recorded before this entry began. Of two that know
-// something the one that knows more counts.
-func (l *Limiter) Restore(organisation string, history History) {
-	known := l.history[organisation]
-	l.history[organisation] = History{Older: max(known.Older, history.Older), Recent: max(known.Recent, history.Recent)}
-}
+// Restore takes what was recorded before this entry began.
+func (l *Limiter) Restore(organisation string, history History) { l.history[organisation] = history }
 
-// historyFor is how long after an entry's start another's history of the time before
-// is taken: later it would count again what is known since the start.
-const historyFor = time.Second
+// view is another entry's History of an organisation, and when it came.
+type view struct {
+	history History
+	at      time.Time
+}
 
-// History returns what organisations have used over all entries, for one that has
-// just begun: without it, that one would take an organisation that has just used its
-// whole quota for one with its usual use. An entry that has itself begun within the
-// window does not know.
+// History returns what organisations have used over all entries, for one that comes
+// back. Without it, an entry that was killed would take an organisation that has just
+// used its whole quota for one with its usual use; and one that was cut off would
+// never learn what others, killed meanwhile, had used. An entry that has itself begun
+// or been isolated within the window does not know.
 func (l *Limiter) History(now time.Time) map[string]History {
-	if now.Sub(l.started) < l.config.Window {
+	if now.Sub(l.started) < l.config.Window || now.Sub(l.isolated) < l.config.Window {
 		return nil
 	}
 	histories := make(map[string]History, len(l.limits))
 	for organisation := range l.limits {
-		histories[organisation] = l.historyOf(now, organisation)
+		if history := l.historyOf(now, organisation); history.Older+history.Recent > 0 {
+			histories[organisation] = history
+		}
 	}
 	return histories
 }
 
-// PeerHistory takes another entry's History.
+// PeerHistory takes another entry's History. Of several the one that knows more counts.
 func (l *Limiter) PeerHistory(now time.Time, histories map[string]History) {
-	if now.Sub(l.started) > historyFor {
-		return
-	}
 	for organisation, history := range histories {
-		l.Restore(organisation, history)
+		if history.Older+history.Recent > l.viewed(now, organisation) {
+			l.views[organisation] = view{history, now}
+		}
+	}
+}
+
+// viewed is what another entry's view and what has been told since then come to.
+func (l *Limiter) viewed(now time.Time, organisation string) float64 {
+	v, found := l.views[organisation]
+	if !found || now.Sub(v.at) >= l.config.Window {
+		return 0
 	}
+	return l.unknown(now, v.at, v.history) + l.known(v.at, organisation)
 }
 
 // historyOf is the usage that has been told, by halves of the window.
@@ -414,10 +440,16 @@
 		if p == nil {
 			p = &peer{started: each.Started, since: now, heard: now, usage: make(map[string]*account)}
 		}
+		if p.silent && !each.Silent {
+			p.returned = now
+		}
 		p.silent = each.Silent
 		kept[each.Name] = p
 	}
 	l.peers = kept
+	if l.Isolated() {
+		l.isolated = now
+	}
 }
 
 // PeerTotals takes a peer's totals. A later start than the one known means
@@ -428,7 +460,7 @@
 		return
 	}
 	if started.Sub(p.started) > restartSlack {
-		p.replaced(now, l.config.Window)
+		l.replaced(now, p, started)
 	}
 	p.started = started
 	fromZero := p.told || now.Sub(p.started) < l.config.Window
@@ -438,6 +470,7 @@
 			p.since = started
 		}
 	}
+	quiet := now.Sub(p.heard)
 	p.heard = now
 	for organisation, total := range totals {
 		a, found := p.usage[organisation]
@@ -449,17 +482,52 @@
 				a.begin(now, total)
 			}
 		}
+		if quiet > spreadFrom {
+			a.spread(now, quiet, total, l.config.Window)
+		}
 		a.set(now, total, l.config.Window)
 	}
 }
 
-// replaced keeps what the former incarnation had counted. What waited there may have
-// been sent since its last word.
-func (p *peer) replaced(now time.Time, window time.Duration) {
-	for _, a := range p.usage {
-		a.sent.set(now, a.admitted.last(), window)
+// spreadFrom is the pause since a peer's last totals from which on their growth is
+// spread over the pause. Taken as used at its end, the use of all others would count
+// for too long at an entry that has stood still or was cut off, and organisations
+// within their quotas be refused there.
+const spreadFrom = time.Second
+
+// replaced keeps what a peer's former incarnation had used. What waited there may have
+// been sent since its last word. If it was cut off before it ended, what it admitted
+// meanwhile has been told to nobody: it is taken for as much as others admitted in the
+// mean between its last word and the start of the next incarnation.
+func (l *Limiter) replaced(now time.Time, p *peer, started time.Time) {
+	var kept []former
+	for _, f := range p.former {
+		if now.Sub(f.at) < l.config.Window {
+			kept = append(kept, f)
+		}
+	}
+	for organisation, a := range p.usage {
+		a.admitted.set(now, a.admitted.last()+l.meanBetween(now, organisation, p.heard, started), l.config.Window)
+		a.sent.set(now, a.admitted.last(), l.config.Window)
+	}
+	p.former = append(kept, former{p.usage, now})
+	p.usage = make(map[string]*account)
+}
+
+// meanBetween is what this entry and those whose totals are fresh admitted in the mean.
+func (l *Limiter) meanBetween(now time.Time, organisation string, from, until time.Time) float64 {
+	if !from.Before(until) {
+		return 0
+	}
+	between := func(a *account) float64 { return a.admittedSince(from) - a.admittedSince(until) }
+	sum, n := between(l.own[organisation]), 1
+	for _, other := range l.peers {
+		if now.Sub(other.heard) < freshFor {
+			sum += between(other.usage[organisation])
+			n++
+		}
 	}
-	p.former, p.usage = p.usage, make(map[string]*account)
+	return max(0, sum/float64(n))
 }
 
 // restartSlack is the error in a peer's start, which it gives as its age in each
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -360,3 +360,17 @@
 	now = now.Add(window - 1500*time.Millisecond)
 	g.Expect(l.Admit(now, organisation, 100, 0).Admitted).To(BeFalse())
 }
+
+// One entry stands still for some seconds and goes on. It hears at once what the others
+// have used meanwhile, and they hear nothing new of it. Organisations within their
+// quotas are served by it and by the others as before.
+func TestEntryThatStoodStillRefusesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(6, 250*time.Millisecond, 6, 4)
+	f.run(12*time.Second, usual*1.75)
+	f.entries[2].down = true
+	f.run(15800*time.Millisecond, usual*1.75)
+	f.entries[2].down = false
+	f.run(30*time.Second, usual*1.75)
+	g.Expect(f.refused).To(BeZero())
+}
--- a/internal/core/quota/schedule_test.go
+++ b/internal/core/quota/schedule_test.go
@@ -143,7 +143,8 @@
 			continue
 		}
 		if beats {
-			if met := other.met[i]; met != r && !s.deaf[j][i] {
+			joined := other.met[i] != r || s.now.Sub(other.heard[i]) >= silenceLimit
+			if joined && !s.deaf[j][i] {
 				r.limiter.PeerHistory(s.now, other.limiter.History(s.now))
 			}
 			other.met[i] = r
@@ -247,8 +248,8 @@
 
 // keptSeeds are schedules in which more ran than is allowed: with the records of an
 // entry that is cut off; with entries that restarted and took the usual use for
-// granted; with the use of entries that are cut off left out of the records.
-var keptSeeds = []uint64{762, 769, 944, 981, 1220}
+// granted; with the use of entries that were cut off and then killed left out.
+var keptSeeds = []uint64{762, 769, 944, 981, 1220, 12951, 13390, 14532, 16080, 17140, 20929}
 
 // An organisation sends many times its usual while entries are cut off, hear each
 // other now and then or one way only, are killed and start again, and requests wait.
--- a/internal/core/quota/series.go
+++ b/internal/core/quota/series.go
@@ -55,6 +55,9 @@
 	return s.last() - s.points[0].total
 }
 
+// spreadStep is the resolution of what is spread.
+const spreadStep = 250 * time.Millisecond
+
 // account is an organisation's usage at one entry. A nil account is empty.
 type account struct{ admitted, sent series }
 
@@ -81,6 +84,20 @@
 	a.sent.set(now, total.Sent, window)
 }
 
+// spread adds points as if what was counted since the last ones, up to total, had
+// been counted evenly over the time before now.
+func (a *account) spread(now time.Time, over time.Duration, total Total, window time.Duration) {
+	from := a.total()
+	over = min(over, window)
+	for before := over - spreadStep; before > 0; before -= spreadStep {
+		part := 1 - float64(before)/float64(over)
+		a.set(now.Add(-before), Total{
+			Admitted: from.Admitted + part*(total.Admitted-from.Admitted),
+			Sent:     from.Sent + part*(total.Sent-from.Sent),
+		}, window)
+	}
+}
+
 // since is what was sent after a moment and what waits.
 func (a *account) since(moment time.Time) float64 {
 	if a == nil {
