--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 # make soak   plays seeds of faults against real gateways; SEEDS=1-50 SECONDS_EACH=8 by default
 
-.PHONY: build run test format lint faults slopes policy soak clean
+.PHONY: build run test format lint faults slopes policy soak soak-mutations clean
 
 build:
 	@mkdir -p bin
@@ -32,6 +32,11 @@
 	mkdir -p out/soak
 	go test -count=1 -timeout 60m ./platform/soak -args -seeds $(SEEDS) -seconds $(SECONDS_EACH) -keep $(CURDIR)/out/soak
 
+# soak-mutations breaks one promise after the other in a build of its own and wants
+# the soak to find each.
+soak-mutations:
+	go test -count=1 -timeout 60m ./platform/soak -run Mutations -v -args -mutations
+
 test: lint
 	go test ./...
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,14 @@
 	draining atomic.Bool
 }
 
+// linksTold is where the other entries send to.
+func linksTold(s settings.Gateway) string {
+	if s.LinksTold != "" {
+		return s.LinksTold
+	}
+	return s.LinksAddress
+}
+
 // New makes an entry that does not listen yet.
 func New(s settings.Gateway, platform Platform, logger *logrus.Logger) *Gateway {
 	now := time.Now()
@@ -93,7 +101,7 @@
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
-			Name: s.Name, Incarnation: rand.Uint64(), Zone: s.Zone, Callers: s.CallersAddress, Links: s.LinksAddress,
+			Name: s.Name, Incarnation: rand.Uint64(), Zone: s.Zone, Callers: s.CallersAddress, Links: linksTold(s),
 		},
 		pool: upstream.NewPool(upstream.Options{Dial: targetConn, KeepIdle: 4 * time.Second, IdleMargin: 700 * time.Millisecond, MaxIdle: 16}),
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,6 +17,9 @@
 	MetricsAddress   string `json:"metrics_address"`
 	// LinksAddress (UDP) is where the other entries send to.
 	LinksAddress string `json:"links_address"`
+	// LinksTold is the address that the others are told to send to, where it is not
+	// LinksAddress: behind an address translation.
+	LinksTold string `json:"links_told"`
 	// StoreAddress is where the platform's metadata store is.
 	StoreAddress string `json:"store_address"`
 	// MemoryMB is what the process may use.
@@ -75,6 +78,9 @@
 	checkOwnAddress("directory_address", s.DirectoryAddress, faults)
 	checkOwnAddress("ready_address", s.ReadyAddress, faults)
 	checkOwnAddress("links_address", s.LinksAddress, faults)
+	if s.LinksTold != "" {
+		checkAddress("links_told", s.LinksTold, faults)
+	}
 	if s.MetricsAddress != "" {
 		checkOwnAddress("metrics_address", s.MetricsAddress, faults)
 	}
