--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -22,12 +22,15 @@
 	// Usage holds what organisations close to their quota have used.
 	Usage
 	// Copies holds a copy of the configuration in force, for entries that start while
-	// Operators cannot be read.
+	// Operators cannot be read. SecondCopies and ThirdCopies hold the same, since topics
+	// fail one by one.
 	Copies
+	SecondCopies
+	ThirdCopies
 )
 
 func (t Topic) String() string {
-	return [...]string{"operators", "targets", "entries", "usage", "copies"}[t]
+	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies"}[t]
 }
 
 // ErrTruncated says that the records asked for are no longer retained: the
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -26,10 +26,13 @@
 const (
 	// backoffFirst and backoffMax bound the pause after a failed call; the first is
 	// short, since a single lost answer is the most common failure.
-	// An entry that has read nothing yet keeps the first pause: it can serve nobody
+	// A reader that has read nothing yet keeps the first pause: nobody can be served
 	// before it has.
 	backoffFirst = 100 * time.Millisecond
 	backoffMax   = 800 * time.Millisecond
+	// backoffStart is the pause before the first snapshot of entries that do not read
+	// for others. The reader, which tries more often, tells them what it gets.
+	backoffStart = 400 * time.Millisecond
 	// backoffOther is the pause of entries that do not read for others: the reader
 	// tells them when the log is back.
 	backoffOther = 2500 * time.Millisecond
@@ -150,8 +153,11 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
-	if f.next < 0 {
+	switch {
+	case f.next < 0 && f.duties.Leads():
 		pause = backoffFirst
+	case f.next < 0:
+		pause = backoffStart
 	}
 	if f.failures > 1 && f.next >= 0 && !f.duties.Leads() {
 		pause = backoffOther
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -148,6 +148,24 @@
 	})
 }
 
+// All entries start while the store is away. If each tried as often as the reader,
+// which tells the others what it gets, eighty of them would make some eight hundred
+// calls a second.
+func TestEntriesThatStartLeaveTheTriesToTheReader(t *testing.T) {
+	tries := func(leads bool) (count int) {
+		run(t, func(_ *WithT, ctx context.Context) {
+			log := &fakeLog{away: true}
+			follow(ctx, log, leads)
+			time.Sleep(2 * time.Second)
+			count = log.count()
+		})
+		return count
+	}
+	g := NewWithT(t)
+	g.Expect(tries(true)).To(BeNumerically(">=", 15))
+	g.Expect(tries(false)).To(BeNumerically("<=", 7))
+}
+
 // A target lapses while the store is away, because nobody can renew its entry. The
 // entries that find its end in the log when the store is back must keep it: it
 // lives, and its entry is back within two seconds.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -14,6 +14,9 @@
 	copyRetry = 300 * time.Millisecond
 )
 
+// copyTopics are where copies are kept.
+var copyTopics = [...]feed.Topic{feed.Copies, feed.SecondCopies, feed.ThirdCopies}
+
 // keepCopy writes a configuration that this entry has read for the others into a
 // topic of the entries' own. Parts of the store fail one by one: when all entries
 // start while the operators' part is away, none would know a configuration, and all
@@ -22,8 +25,10 @@
 	if !f.gateway.leads() {
 		return
 	}
-	if err := f.gateway.platform.Put(feed.Copies, record); err != nil {
-		f.noteLost(feed.Copies, err)
+	for _, topic := range copyTopics {
+		if err := f.gateway.platform.Put(topic, record); err != nil {
+			f.noteLost(topic, err)
+		}
 	}
 }
 
@@ -32,7 +37,7 @@
 // versions only rise.
 func (f *feeds) takeCopy(ctx context.Context) {
 	pause := copyAfter
-	for {
+	for try := 0; ; try++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -45,9 +50,10 @@
 		if !f.blind[feed.Operators].Load() {
 			continue // the store answers; there is no configuration yet
 		}
-		records, _, err := f.gateway.platform.Snapshot(feed.Copies)
+		topic := copyTopics[try%len(copyTopics)]
+		records, _, err := f.gateway.platform.Snapshot(topic)
 		if err != nil {
-			f.noteLost(feed.Copies, err)
+			f.noteLost(topic, err)
 			continue
 		}
 		for _, record := range records {
