--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -99,6 +99,8 @@
 	Failed
 	// Broken: the connection ended or fell silent before the answer was whole.
 	Broken
+	// TimedOut: it took the request and did not answer in the time of the try.
+	TimedOut
 	// Unreachable: no connection could be made, so nothing was sent.
 	Unreachable
 	// Rejected: the target said that it did not run the request.
@@ -284,5 +286,5 @@
 }
 
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "broken", "unreachable", "rejected", "replaced", "abandoned"}[o]
+	return [...]string{"answered", "failed", "broken", "timed_out", "unreachable", "rejected", "replaced", "abandoned"}[o]
 }
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -19,6 +19,9 @@
 	InFlight map[string]int
 	// Waiting is the number of queued requests by priority.
 	Waiting []int
+	// Silent is for how long yet targets get nothing from the sender, because they did
+	// not answer in time.
+	Silent map[string]time.Duration
 }
 
 // PeerLoad takes a peer's report, which replaces its last one.
@@ -27,6 +30,7 @@
 		s.reporting++
 	}
 	s.peers[peer] = &peerLoad{at: now, inFlight: load.InFlight, waiting: load.Waiting}
+	s.hearSilent(now, peer, load.Silent)
 	return s.Tick(now)
 }
 
@@ -38,12 +42,18 @@
 }
 
 // OwnLoad is the report to send to the others.
-func (s *Scheduler) OwnLoad() Load {
+func (s *Scheduler) OwnLoad(now time.Time) Load {
 	load := Load{InFlight: make(map[string]int)}
 	for id, t := range s.targets {
 		if t.own > 0 {
 			load.InFlight[id] = t.own
 		}
+		if left := t.silentUntil.Sub(now); left > 0 {
+			if load.Silent == nil {
+				load.Silent = make(map[string]time.Duration)
+			}
+			load.Silent[id] = left
+		}
 	}
 	for _, p := range s.pools {
 		for _, ticket := range p.waiting {
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -27,6 +27,13 @@
 	// shunned is until when it gets nothing; strikes is the number of times in a row.
 	shunned time.Time
 	strikes int
+	// silentUntil is until when it is told to the cell as silent; told is until when
+	// each other entry holds it to be silent.
+	silentUntil time.Time
+	told        map[string]time.Time
+	// doubtful: it has been silent and has not answered since. It gets one request at a
+	// time, or all entries would try it again at once.
+	doubtful bool
 }
 
 const (
@@ -58,16 +65,25 @@
 	case Answered:
 		t.failure(0)
 		t.strikes = 0
+		t.silentUntil = time.Time{}
+		t.doubtful = false
 	case Failed:
 		t.failure(1)
 		t.strikes = 0
+		t.doubtful = false
 	case Broken:
 		t.failure(1)
 		t.shun(now, shunBase)
+	case TimedOut:
+		t.failure(1)
+		t.shun(now, shunBase)
+		t.silentUntil = t.shunned
+		t.doubtful = true
 	case Unreachable:
 		t.shun(now, shunBase)
 	case Rejected:
 		t.shunned = later(t.shunned, now.Add(rejectionPause))
+		t.doubtful = false
 	case Replaced:
 		t.shunned = now.Add(replacedPause)
 	case Abandoned:
@@ -116,6 +132,9 @@
 // limit is the number of requests that the target should have at once, as far as
 // this cell knows of them.
 func (t *target) limit() int {
+	if t.doubtful {
+		return 1
+	}
 	if t.pool.sharing <= 1 {
 		return t.Slots
 	}
@@ -124,7 +143,7 @@
 
 // usable reports whether the target may get this request now.
 func (t *target) usable(now time.Time, ticket *Ticket) bool {
-	if t.Leaving || !t.home || now.Before(t.shunned) {
+	if t.Leaving || !t.home || now.Before(t.shunned) || t.toldSilent(now) {
 		return false
 	}
 	for _, tried := range ticket.Tried {
@@ -138,7 +157,7 @@
 // hasRoom reports whether any target could take a request.
 func (s *Scheduler) hasRoom(now time.Time, p *pool) bool {
 	for _, t := range p.targets {
-		if t.Leaving || !t.home || now.Before(t.shunned) {
+		if t.Leaving || !t.home || now.Before(t.shunned) || t.toldSilent(now) {
 			continue
 		}
 		load, _ := s.load(now, t)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -150,18 +150,34 @@
 			}
 		}
 		l.gateway.state.mutex.Lock()
-		load := l.gateway.state.sched.OwnLoad()
+		load := l.gateway.state.sched.OwnLoad(time.Now())
 		totals := l.gateway.state.quota.Totals()
 		members := cellmates(l.gateway.state.peers.Serving(time.Now()), l.gateway.self.Name)
 		l.gateway.state.mutex.Unlock()
-		idle = len(load.InFlight) == 0
+		idle = len(load.InFlight) == 0 && len(load.Silent) == 0
 		m := l.message()
-		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, Totals: totalsMessage(totals)}
+		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, SilentMS: silentMessage(load.Silent), Totals: totalsMessage(totals)}
 		l.send(m, members)
 		time.Sleep(loadPause)
 	}
 }
 
+func silentMessage(silent map[string]time.Duration) map[string]int64 {
+	message := make(map[string]int64, len(silent))
+	for id, left := range silent {
+		message[id] = left.Milliseconds()
+	}
+	return message
+}
+
+func silentOf(message map[string]int64) map[string]time.Duration {
+	silent := make(map[string]time.Duration, len(message))
+	for id, left := range message {
+		silent[id] = time.Duration(left) * time.Millisecond
+	}
+	return silent
+}
+
 // send sends one message to entries. What cannot be sent is replaced by the next.
 func (l *links) send(m *gossip.Message, members []peerset.Member) {
 	if len(members) == 0 {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -127,7 +127,7 @@
 	defer g.state.mutex.Unlock()
 	now := time.Now()
 	g.state.quota.PeerTotals(now, m.From, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), totalsOf(m.Load.Totals))
-	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting}))
+	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting, Silent: silentOf(m.Load.SilentMS)}))
 }
 
 func (l *links) takeNews(n *gossip.News) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -232,7 +232,7 @@
 	}
 	c.tried = append(c.tried, grant.Target.ID)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.report(grant, began, dispatch.Failed, 0, err)
+		c.report(grant, began, dispatch.TimedOut, 0, err)
 	} else {
 		c.report(grant, began, dispatch.Broken, 0, err)
 		c.countBroken()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,6 +62,9 @@
 	Waiting []int `cbor:"2,keyasint,omitempty"`
 	// Totals are those of Heartbeat, for entries that are told each change.
 	Totals map[string]Total `cbor:"3,keyasint,omitempty"`
+	// SilentMS is for how long yet targets get nothing from the sender, because they
+	// did not answer in time.
+	SilentMS map[string]int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Total is the cost of what an organisation's requests have used since the sender's
