Give a new entry nothing of the retry budget's extra for a window

Cause, found reading: a process that starts has used nothing and, before it knows the others, takes the whole extra for its own.

Its part of its own requests stays, so repeats go on after a restart.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -3,9 +3,18 @@
 // fail. All entries share one allowance for each service: a part of the requests
 // for it, and a fixed extra. Each entry keeps to the part of its own requests and
 // to an even share of the extra, so no word between entries is needed.
+//
+// An entry that has just begun takes nothing of the extra for a window: its former
+// process may have used its share, and it does not know yet how many entries share.
+// Six entries that were killed together would have made 318 repeats where 52 are
+// allowed.
 package budget
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Config is the allowance over all entries in each window.
 type Config struct {
@@ -23,14 +32,15 @@
 // Budget counts requests and repeats. It is not safe for concurrent use.
 type Budget struct {
 	config   Config
+	started  time.Time
 	services map[string]*usage
 }
 
 type usage struct{ requests, repeats []time.Time }
 
-// New makes an unused budget.
-func New(config Config) *Budget {
-	return &Budget{config: config, services: make(map[string]*usage)}
+// New makes an unused budget; started is when this entry began.
+func New(config Config, started time.Time) *Budget {
+	return &Budget{config: config, started: started, services: make(map[string]*usage)}
 }
 
 // SetConfig replaces the allowance. What has been used stays counted.
@@ -45,16 +55,30 @@
 // Repeat counts a repeat, unless the allowance is used up. entries is the number
 // of entries that share the extra.
 func (b *Budget) Repeat(now time.Time, service string, entries int) bool {
+	if b.Left(now, service, entries) < 1 {
+		return false
+	}
+	u := b.of(service)
+	u.repeats = append(u.repeats, now)
+	return true
+}
+
+// Left is the number of repeats that may still be made now.
+func (b *Budget) Left(now time.Time, service string, entries int) float64 {
 	u := b.of(service)
 	since := now.Add(-b.config.Window)
 	u.requests = prune(u.requests, since)
 	u.repeats = prune(u.repeats, since)
-	allowance := safety * (b.config.Ratio*float64(len(u.requests)) + b.config.Extra/float64(max(1, entries)))
-	if float64(len(u.repeats)+1) > allowance {
-		return false
+	allowance := b.config.Ratio * float64(len(u.requests))
+	if now.Sub(b.started) >= b.config.Window {
+		allowance += b.config.Extra / float64(max(1, entries))
 	}
-	u.repeats = append(u.repeats, now)
-	return true
+	return safety*allowance - float64(len(u.repeats))
+}
+
+// Services returns the services that have had requests.
+func (b *Budget) Services() []string {
+	return slices.Sorted(maps.Keys(b.services))
 }
 
 func (b *Budget) of(service string) *usage {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,7 @@
 	g.state = &state{
 		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
 		quota:       quota.New(quotaConfig(s.Bounds), now),
-		budget:      budget.New(budgetConfig(s.Bounds)),
+		budget:      budget.New(budgetConfig(s.Bounds), now),
 		crashes:     crashes.New(),
 		peers:       peerset.New(peerset.Config{Heartbeat: heartbeat, Silence: silence, Removal: removal}, g.self),
 		waiters:     make(map[*dispatch.Ticket]chan verdict),
