--- /dev/null
+++ b/internal/core/dispatch/services.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ServiceLoad is what a scheduler knows of one service's targets.
+type ServiceLoad struct {
+	Service string
+	// Targets is the number of targets that this entry's cell uses, Shunned of those
+	// that get nothing now.
+	Targets, Shunned int
+	// InFlight is the number of this entry's requests there, Load that of the cell,
+	// Limit the number that the cell may have there at once.
+	InFlight, Load, Limit int
+}
+
+// Services returns the load of each service, by name.
+func (s *Scheduler) Services(now time.Time) []ServiceLoad {
+	var services []ServiceLoad
+	for _, p := range s.pools {
+		sum := ServiceLoad{Service: p.service}
+		for _, t := range p.targets {
+			if !t.home || t.Leaving {
+				continue
+			}
+			load, _ := s.load(now, t)
+			sum.Targets++
+			sum.InFlight += t.own
+			sum.Load += load
+			sum.Limit += t.limit()
+			if now.Before(t.shunned) || t.toldSilent(now) {
+				sum.Shunned++
+			}
+		}
+		services = append(services, sum)
+	}
+	slices.SortFunc(services, func(a, b ServiceLoad) int { return cmp.Compare(a.Service, b.Service) })
+	return services
+}
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -154,6 +154,17 @@
 	return verdict
 }
 
+// Usage returns what organisations with a quota have used, without its slack.
+func (l *Limiter) Usage(now time.Time) map[string]Verdict {
+	usage := make(map[string]Verdict, len(l.limits))
+	for organisation, limited := range l.limits {
+		base := l.base(limited)
+		told, assumed := l.used(now, organisation, base, base)
+		usage[organisation] = Verdict{Used: told + assumed, Limit: base, Assumed: assumed}
+	}
+	return usage
+}
+
 // base is what an organisation may use in a window without any slack.
 func (l *Limiter) base(limited limit) float64 {
 	return limited.rate*l.config.Window.Seconds() + limited.burst
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/telemetry"
 )
 
@@ -28,7 +30,15 @@
 	waiting := g.state.sched.Waiting()
 	members := g.state.peers.Size()
 	serving := len(g.state.peers.Serving(time.Now()))
+	now := time.Now()
+	quotas := g.state.quota.Usage(now)
+	services := g.state.sched.Services(now)
+	repeats := make(map[string]float64)
+	for _, service := range g.state.budget.Services() {
+		repeats[service] = g.state.budget.Left(now, service, members)
+	}
 	g.state.mutex.Unlock()
+	g.reportShares(quotas, services, repeats)
 	m := g.metrics
 	ready := 0.0
 	if g.ready() {
@@ -51,3 +61,21 @@
 		m.Total(telemetry.GatewayLinesOmitted, n, importance.String())
 	}
 }
+
+// reportShares shows what this entry knows of what all share.
+func (g *Gateway) reportShares(quotas map[string]quota.Verdict, services []dispatch.ServiceLoad, repeats map[string]float64) {
+	m := g.metrics
+	for organisation, verdict := range quotas {
+		m.QuotaUsed(organisation, verdict.Used/verdict.Limit, verdict.Assumed/verdict.Limit)
+	}
+	for _, s := range services {
+		m.Set(telemetry.GatewayInFlight, float64(s.InFlight), s.Service)
+		m.Set(telemetry.GatewayLoad, float64(s.Load), s.Service)
+		m.Set(telemetry.GatewayLimit, float64(s.Limit), s.Service)
+		m.Set(telemetry.GatewayTargets, float64(s.Targets), s.Service)
+		m.Set(telemetry.GatewayShunned, float64(s.Shunned), s.Service)
+	}
+	for service, left := range repeats {
+		m.Set(telemetry.GatewayRepeatsLeft, left, service)
+	}
+}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -19,10 +19,30 @@
 	GatewayTargetConns       = declare(KindCounter, "gateway_target_connections_total", "Connections opened to targets.")
 	GatewayDatagramsSent     = declare(KindCounter, "gateway_datagrams_sent_total", "Datagrams to other entries.")
 	GatewayDatagramsReceived = declare(KindCounter, "gateway_datagrams_received_total", "Datagrams from other entries.")
-	GatewayLinesOmitted      = declare(KindCounter, "gateway_log_lines_omitted_total",
+	GatewayQuotaUsed         = declare(KindGauge, "gateway_quota_used_ratio",
+		"Part of an organisation's quota that is used in the window, over all entries as known here.", "organisation")
+	GatewayQuotaAssumed = declare(KindGauge, "gateway_quota_assumed_ratio",
+		"Part of the quota that is taken for used though nobody has told so.", "organisation")
+	GatewayInFlight = declare(KindGauge, "gateway_service_in_flight", "Requests of this entry at the targets of a service.", "service")
+	GatewayLoad     = declare(KindGauge, "gateway_service_load",
+		"Requests at the targets that this entry's cell uses, over all entries of the cell.", "service")
+	GatewayLimit   = declare(KindGauge, "gateway_service_limit", "Requests that the cell may have at these targets at once.", "service")
+	GatewayTargets = declare(KindGauge, "gateway_service_targets", "Targets that the cell uses.", "service")
+	GatewayShunned = declare(KindGauge, "gateway_service_targets_shunned",
+		"Of these, those that get nothing for now: not reached, broken off, silent.", "service")
+	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
+		"Repeats that this entry may still make in the window.", "service")
+	GatewayLinesOmitted = declare(KindCounter, "gateway_log_lines_omitted_total",
 		"Log lines left out, by importance.", "importance")
 )
 
+// QuotaUsed shows what of an organisation's quota is used and assumed, as parts of it.
+func (m *Metrics) QuotaUsed(organisation string, used, assumed float64) {
+	label := m.organisations.label(organisation)
+	m.Set(GatewayQuotaUsed, used, label)
+	m.Set(GatewayQuotaAssumed, assumed, label)
+}
+
 // RoutedRequest is what a request that the gateway ended shows in the metrics.
 type RoutedRequest struct {
 	Organisation string
