--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -4,10 +4,10 @@
 // for it, and a fixed extra. Each entry keeps to the part of its own requests and
 // to an even share of the extra, so no word between entries is needed.
 //
-// An entry that has just begun takes nothing of the extra for a window: its former
+// An entry that has just begun takes little of the extra for a window: its former
 // process may have used its share, and it does not know yet how many entries share.
 // Six entries that were killed together would have made 318 repeats where 52 are
-// allowed.
+// allowed. Taking nothing, it could not send its first requests a second time.
 package budget
 
 import (
@@ -29,6 +29,14 @@
 // targets differ by the time that requests are under way.
 const safety = 0.9
 
+// An entry that has just begun takes part youngShare of its share of the extra, as if
+// at least youngEntries entries shared it: of the usual extra of some 50 one or two
+// repeats, so that six entries that begin again together stay within what is allowed.
+const (
+	youngShare   = 0.5
+	youngEntries = 12
+)
+
 // Budget counts requests and repeats. It is not safe for concurrent use.
 type Budget struct {
 	config   Config
@@ -72,6 +80,8 @@
 	allowance := b.config.Ratio * float64(len(u.requests))
 	if now.Sub(b.started) >= b.config.Window {
 		allowance += b.config.Extra / float64(max(1, entries))
+	} else {
+		allowance += youngShare * b.config.Extra / float64(max(youngEntries, entries))
 	}
 	return safety*allowance - float64(len(u.repeats))
 }
