--- /dev/null
+++ b/internal/core/quota/estimate.go
@@ -0,0 +1,124 @@
+package quota
+
+import "time"
+
+// used estimates what all entries have sent within the window or are about to send:
+// what has been told, and what has to be assumed.
+func (l *Limiter) used(now time.Time, organisation string, base, bound float64) (told, assumed float64) {
+	since := now.Add(-l.config.Window)
+	share := 1 / float64(len(l.peers)+1)
+	before := l.before(organisation, base)
+	told = l.own[organisation].since(since)
+	assumed = share * l.unknown(now, l.started, before)
+	silent := 0.0
+	for _, p := range l.peers {
+		known := p.known(organisation, since)
+		told += known
+		if p.silent {
+			silent += max(0, bound*share-known)
+			continue
+		}
+		assumed += share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
+	}
+	assumed = max(assumed, l.viewed(now, organisation)-told)
+	return told, assumed + silent
+}
+
+// known is what a peer has told of its usage since a moment.
+func (p *peer) known(organisation string, moment time.Time) float64 {
+	known := p.usage[organisation].since(moment)
+	for _, f := range p.former {
+		known += f.usage[organisation].since(moment)
+	}
+	return known
+}
+
+const (
+	// rateOver is the time over which a peer's present rate is taken.
+	rateOver = time.Second
+	// freshFor is how old totals may be to show what happens now, freshGroup the least
+	// number of entries whose mean speaks for the others: with fewer, a single large
+	// request would count for all.
+	freshFor   = 150 * time.Millisecond
+	freshGroup = 6
+)
+
+// untold estimates what a peer has admitted since its last totals: what the entries
+// whose totals are fresh have admitted since then in the mean, as callers pick entries
+// at random. A peer's own rate alone would lag behind an organisation that suddenly
+// sends many times its usual, and let it exceed its quota by what is sent in a second.
+func (l *Limiter) untold(now time.Time, p *peer, organisation string) float64 {
+	if now.Sub(p.heard) < freshFor {
+		return 0
+	}
+	recent := p.usage[organisation].admittedSince(p.heard.Add(-rateOver))
+	estimate := max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
+	sum, n := l.own[organisation].admittedSince(p.heard), 1
+	for _, other := range l.peers {
+		if now.Sub(other.heard) < freshFor {
+			sum += other.usage[organisation].admittedSince(p.heard)
+			n++
+		}
+	}
+	if n < freshGroup {
+		return estimate
+	}
+	return max(estimate, sum/float64(n))
+}
+
+// Pressing reports whether an organisation is so close to its quota that the entries
+// should tell each other their totals more often.
+func (l *Limiter) Pressing(now time.Time) bool {
+	for organisation, limited := range l.limits {
+		base := l.base(limited)
+		if told, assumed := l.used(now, organisation, base, base); told+assumed > base*usualUse {
+			return true
+		}
+	}
+	return false
+}
+
+// before is what the organisation had used in the window before this entry began.
+func (l *Limiter) before(organisation string, base float64) History {
+	if known, found := l.history[organisation]; found {
+		return known
+	}
+	return History{Older: base * usualUse / 2, Recent: base * usualUse / 2}
+}
+
+// unknown is what of the history is still in the window, where usage is known since
+// a moment.
+func (l *Limiter) unknown(now, since time.Time, before History) float64 {
+	half := l.config.Window / 2
+	age := now.Sub(since)
+	switch {
+	case age >= l.config.Window:
+		return 0
+	case age >= half:
+		return before.Recent * float64(l.config.Window-age) / float64(half)
+	default:
+		return before.Recent + before.Older*float64(half-age)/float64(half)
+	}
+}
+
+// untoldBySilent is what entries that have fallen silent may have used of a quota, at
+// most their share, beyond what they have told.
+func (l *Limiter) untoldBySilent(now time.Time, organisation string, base float64) float64 {
+	share := base / float64(len(l.peers)+1)
+	total := 0.0
+	for _, p := range l.peers {
+		if p.silent && p.told {
+			total += max(0, share-p.known(organisation, now.Add(-l.config.Window)))
+		}
+	}
+	return total
+}
+
+// known is what all entries have told of their usage since a moment.
+func (l *Limiter) known(since time.Time, organisation string) float64 {
+	total := l.own[organisation].since(since)
+	for _, p := range l.peers {
+		total += p.known(organisation, since)
+	}
+	return total
+}
