--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -12,7 +12,10 @@
 //   - a silent entry counts with its even share, since it goes on admitting that much;
 //   - the part of the window before this entry heard of another, or began to count
 //     itself, counts as History says, with that entry's even share;
-//   - another entry goes on, since its last word, as fast as just before it.
+//   - another entry goes on, since its last word, as fast as just before it;
+//   - a process that ended unheard had admitted as much as the others in the mean;
+//   - what another entry knows of the window is the least that counts, when the two
+//     meet again.
 //
 // Time is an argument. A Limiter is not safe for concurrent use.
 package quota
@@ -41,7 +44,7 @@
 	// cautiousSlack is the part that is used while a part of the window is not known.
 	cautiousSlack = 0.25
 	// usualUse is the part of its limit that an organisation is taken to have used
-	// where nothing is recorded; more than that is recorded, see Record.
+	// where nothing is recorded; more than that is recorded, see Records.
 	usualUse = 0.7
 	// smallCost is the part of a quota below which a request is let in whatever its
 	// rank: it takes nothing from the others.
@@ -101,9 +104,9 @@
 }
 
 // Admit counts a request of an organisation, unless it exceeds the quota; Sent or
-// Withdraw has to follow. rank is
-// the importance of its route, 0 the highest: an organisation that asks for more
-// than its quota gets its important requests served, not whatever comes first.
+// Withdraw has to follow. rank is the importance of its route, 0 the highest: an
+// organisation that asks for more than its quota gets its important requests served,
+// not whatever comes first.
 func (l *Limiter) Admit(now time.Time, organisation string, cost float64, rank int) Verdict {
 	limited, found := l.limits[organisation]
 	if !found {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,7 +21,9 @@
 // errMessage is wrapped by errors of messages that cannot be sent.
 var errMessage = errors.New("gossip")
 
-// Message is one datagram. Parts that are absent say nothing.
+// Message is one datagram. Parts that are absent say nothing. The number of a field
+// whose meaning has changed is not used again: an entry of another release that could
+// not decode a heartbeat would take its sender for silent.
 type Message struct {
 	// From names the sender and its incarnation.
 	From        string `cbor:"1,keyasint"`
@@ -50,7 +52,7 @@
 	// Version is the configuration in force.
 	Version int64 `cbor:"5,keyasint"`
 	// Totals is what organisations have used since the start.
-	Totals map[string]Total `cbor:"6,keyasint,omitempty"`
+	Totals map[string]Total `cbor:"8,keyasint,omitempty"`
 	// Blind: the sender cannot read the store, so it should not read for others.
 	Blind bool `cbor:"7,keyasint,omitempty"`
 }
@@ -61,7 +63,7 @@
 	// Waiting is the number of queued requests by priority.
 	Waiting []int `cbor:"2,keyasint,omitempty"`
 	// Totals are those of Heartbeat, for entries that are told each change.
-	Totals map[string]Total `cbor:"3,keyasint,omitempty"`
+	Totals map[string]Total `cbor:"5,keyasint,omitempty"`
 	// SilentMS is for how long yet targets get nothing from the sender, because they
 	// did not answer in time.
 	SilentMS map[string]int64 `cbor:"4,keyasint,omitempty"`
