--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -6,11 +6,11 @@
 // what has been told, and what has to be assumed.
 func (l *Limiter) used(now time.Time, organisation string, base, bound float64) (told, assumed float64) {
 	since := now.Add(-l.config.Window)
-	share := 1 / float64(len(l.peers)+1)
+	share := 1 / float64(l.entries())
 	before := l.before(organisation, base)
 	told = l.own[organisation].since(since)
 	assumed = share * l.unknown(now, l.started, before)
-	silent := 0.0
+	silent := float64(l.entries()-len(l.peers)-1) * share * bound
 	for _, p := range l.peers {
 		known := p.known(organisation, since)
 		told += known
@@ -24,6 +24,14 @@
 	return told, assumed + silent
 }
 
+// entries is the number of entries that share quotas, this one included.
+func (l *Limiter) entries() int {
+	if l.unlisted {
+		return max(unlistedEntries, len(l.peers)+1)
+	}
+	return len(l.peers) + 1
+}
+
 // known is what a peer has told of its usage since a moment.
 func (p *peer) known(organisation string, moment time.Time) float64 {
 	known := p.usage[organisation].since(moment)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -49,6 +49,9 @@
 	// smallCost is the part of a quota below which a request is let in whatever its
 	// rank: it takes nothing from the others.
 	smallCost = 0.001
+	// unlistedEntries is twice the least number of entries in use: an organisation with
+	// its usual use of half its quota is still served in full.
+	unlistedEntries = 12
 )
 
 // reserved is the part of a quota that is kept for requests above a rank.
@@ -65,6 +68,8 @@
 	views   map[string]view
 	// isolated is when this entry last heard less than half of the others.
 	isolated time.Time
+	// unlisted: it has not been told yet who the other entries are.
+	unlisted bool
 }
 
 type limit struct{ rate, burst float64 }
@@ -93,6 +98,10 @@
 // SetConfig replaces the bounds. What has been used stays counted.
 func (l *Limiter) SetConfig(config Config) { l.config = config }
 
+// SetListed says whether SetPeers has named all other entries. Until then at least
+// unlistedEntries are taken to share the quotas.
+func (l *Limiter) SetListed(listed bool) { l.unlisted = !listed }
+
 // SetOrganisations replaces the limits. What has been used stays counted.
 func (l *Limiter) SetOrganisations(organisations []catalog.Organisation) {
 	l.limits = make(map[string]limit, len(organisations))
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -361,6 +361,26 @@
 	g.Expect(l.Admit(now, organisation, 100, 0).Admitted).To(BeFalse())
 }
 
+// All entries are killed and start while the register of entries cannot be read, and
+// an organisation sends many times its usual. None knows of another, and taking itself
+// for the only one each would let in the whole quota.
+func TestEntriesThatKnowNobodyShareTheQuota(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	admitted := 0.0
+	for range 6 {
+		l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
+		l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+		l.SetListed(false)
+		later := now.Add(3 * time.Second)
+		for l.Admit(later, organisation, 2000, 0).Admitted {
+			admitted += 2000
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", allowed()/2))
+	g.Expect(admitted).To(BeNumerically(">", 0))
+}
+
 // One entry stands still for some seconds and goes on. It hears at once what the others
 // have used meanwhile, and they hear nothing new of it. Organisations within their
 // quotas are served by it and by the others as before.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 		waiters:     make(map[*dispatch.Ticket]chan verdict),
 		loadChanged: make(chan struct{}, 1),
 	}
+	g.state.quota.SetListed(false)
 	g.feeds = newFeeds(g)
 	return g
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -233,6 +233,10 @@
 		l.gateway.state.peers.Registered(time.Now(), entry)
 	}
 	l.gateway.state.mutex.Unlock()
+	l.updatePeers()
+	l.gateway.state.mutex.Lock()
+	l.gateway.state.quota.SetListed(true)
+	l.gateway.state.mutex.Unlock()
 	l.heartbeatNow()
 }
 
