--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -422,3 +422,27 @@
 		g.Expect(f.worst()).To(BeNumerically("<=", allowed()))
 	}
 }
+
+// All entries are killed when an organisation has just used its whole quota, and the
+// record of it is lost. It gets a little more than its quota, not much of it again; and
+// one with its usual use is refused nothing after such a loss.
+func TestKilledTogetherWithoutRecord(t *testing.T) {
+	for _, factor := range []float64{1, 8} {
+		g := NewWithT(t)
+		f := newFleet(6, 250*time.Millisecond, 6, 5)
+		f.run(12*time.Second, usual)
+		f.run(14*time.Second, usual*factor)
+		for _, m := range f.entries {
+			m.down = true
+		}
+		f.run(14700*time.Millisecond, usual*factor)
+		for _, m := range f.entries {
+			f.restart(m)
+		}
+		f.run(30*time.Second, usual*factor)
+		if factor == 1 {
+			g.Expect(f.refused).To(BeZero())
+		}
+		g.Expect(f.worst()).To(BeNumerically("<=", allowed()))
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -29,11 +29,11 @@
 	return reader == g.self.Name
 }
 
-// records reports whether this entry records usage for all: one that reads, and of
-// these the first in rank. An isolated one knows too little of the others' usage; its
-// records would replace those of the entry that knows.
+// records reports whether this entry records usage for all: each that reads for
+// others, since one alone may be slow or about to be lost. An isolated one knows too
+// little of the others' usage; its records would replace those of the entries that know.
 func (g *Gateway) records() bool {
-	if !g.leads() || g.first(g.readers()) != g.self.Name {
+	if !g.leads() {
 		return false
 	}
 	g.state.mutex.Lock()
