--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -394,3 +394,55 @@
 	f.run(30*time.Second, usual*1.75)
 	g.Expect(f.refused).To(BeZero())
 }
+
+// All entries are killed three times within a window while an organisation sends many
+// times its usual. Each time they begin again, they know of what ran before what the
+// record says, which is as old as the pause between two records.
+func TestKilledAgainAndAgainDoNotExceedTheQuota(t *testing.T) {
+	for seed := range uint64(6) {
+		g := NewWithT(t)
+		f := newFleet(6, 250*time.Millisecond, 6, seed)
+		f.recording = true
+		f.run(12*time.Second, usual)
+		at := 13 * time.Second
+		f.run(at, usual*8)
+		for range 3 {
+			for _, m := range f.entries {
+				m.down = true
+			}
+			at += 600 * time.Millisecond
+			f.run(at, usual*8)
+			for _, m := range f.entries {
+				f.restart(m)
+			}
+			at += 1200 * time.Millisecond
+			f.run(at, usual*8)
+		}
+		f.run(30*time.Second, usual*8)
+		g.Expect(f.worst()).To(BeNumerically("<=", allowed()))
+	}
+}
+
+// All entries are killed when an organisation has just used its whole quota, and the
+// record of it is lost. It gets a little more than its quota, not much of it again; and
+// one with its usual use is refused nothing after such a loss.
+func TestKilledTogetherWithoutRecord(t *testing.T) {
+	for _, factor := range []float64{1, 8} {
+		g := NewWithT(t)
+		f := newFleet(6, 250*time.Millisecond, 6, 5)
+		f.run(12*time.Second, usual)
+		f.run(14*time.Second, usual*factor)
+		for _, m := range f.entries {
+			m.down = true
+		}
+		f.run(14700*time.Millisecond, usual*factor)
+		for _, m := range f.entries {
+			f.restart(m)
+		}
+		f.run(30*time.Second, usual*factor)
+		if factor == 1 {
+			g.Expect(f.refused).To(BeZero())
+		}
+		g.Expect(f.worst()).To(BeNumerically("<=", allowed()))
+	}
+}
