--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -27,6 +27,13 @@
 // allowed is what may run in any window before the quota counts as broken.
 func allowed() float64 { return base()*(1+overshoot) + slack }
 
+// newLimiter makes a limiter of the organisation's quota that begins now.
+func newLimiter(now time.Time) *quota.Limiter {
+	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
+	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	return l
+}
+
 // fleet plays entries that share a quota: callers pick an entry at random, totals
 // reach the others after a while, and entries are cut off or killed.
 type fleet struct {
@@ -71,8 +78,7 @@
 func (f *fleet) restart(m *member) {
 	m.down = false
 	m.started = f.now
-	m.limiter = quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, f.now)
-	m.limiter.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	m.limiter = newLimiter(f.now)
 	for name, history := range f.records {
 		m.limiter.Restore(name, history)
 	}
@@ -152,13 +158,16 @@
 }
 
 // worst is the most that ran in any window.
-func (f *fleet) worst() float64 {
+func (f *fleet) worst() float64 { return mostInWindow(f.admitted) }
+
+// mostInWindow is the most that ran in any window, of what ran in each tick.
+func mostInWindow(ran []float64) float64 {
 	n := int(window / tick)
 	sum, most := 0.0, 0.0
-	for i, cost := range f.admitted {
+	for i, cost := range ran {
 		sum += cost
 		if i >= n {
-			sum -= f.admitted[i-n]
+			sum -= ran[i-n]
 		}
 		most = max(most, sum)
 	}
@@ -258,8 +267,7 @@
 func TestQuotaIsKeptForImportantRoutes(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000_000, 0)
-	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
-	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	l := newLimiter(now)
 	now = now.Add(2 * window)
 	for l.Admit(now, organisation, 4000, 2).Admitted {
 	}
@@ -292,8 +300,7 @@
 func TestAssumptionsAreNotRecorded(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000_000, 0)
-	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
-	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	l := newLimiter(now)
 	var peers []quota.Peer
 	for i := range 68 {
 		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: now, Silent: true})
@@ -308,8 +315,7 @@
 func TestTotalsOfOthersHeardLateAreNotUsage(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000_000, 0)
-	l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
-	l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	l := newLimiter(now)
 	started := now.Add(-time.Minute)
 	var peers []quota.Peer
 	for i := range 68 {
@@ -369,8 +375,7 @@
 	now := time.Unix(1_000_000, 0)
 	admitted := 0.0
 	for range 6 {
-		l := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
-		l.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+		l := newLimiter(now)
 		l.SetListed(false)
 		later := now.Add(3 * time.Second)
 		for l.Admit(later, organisation, 2000, 0).Admitted {
--- a/internal/core/quota/schedule_test.go
+++ b/internal/core/quota/schedule_test.go
@@ -9,7 +9,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/quota"
 )
 
@@ -68,8 +67,7 @@
 
 func (s *schedule) restart(i int) {
 	r := &runner{started: s.now, heard: map[int]time.Time{}, met: map[int]*runner{}}
-	r.limiter = quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, s.now)
-	r.limiter.SetOrganisations([]catalog.Organisation{{Name: organisation, Rate: rate, Burst: burst}})
+	r.limiter = newLimiter(s.now)
 	for name, history := range s.records {
 		r.limiter.Restore(name, history)
 	}
@@ -183,7 +181,7 @@
 
 // play runs 40 seconds of random faults and demand, and returns the most that ran in
 // any window.
-func (s *schedule) play() (most float64) {
+func (s *schedule) play() float64 {
 	const length = 40 * time.Second
 	demand := usual
 	var hotUntil, hotFrom, flapAt time.Duration
@@ -234,16 +232,7 @@
 			}
 		}
 	}
-	n := int(window / tick)
-	sum := 0.0
-	for i, cost := range s.ran {
-		sum += cost
-		if i >= n {
-			sum -= s.ran[i-n]
-		}
-		most = max(most, sum)
-	}
-	return most
+	return mostInWindow(s.ran)
 }
 
 // keptSeeds are schedules in which more ran than is allowed: with the records of an
