Prompts go where they make no stream pause too long; targets' speeds are told in the cell

Second cause: each entry learns speeds from its own answers only; a slow target gives an entry two answers in half a minute.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	// Expires is when the caller or the route stops waiting, BeginBy when the answer
 	// must have begun for the caller not to leave before that.
 	Expires, BeginBy time.Time
+	// Gap is the longest pause between events of a stream that is still in time; 0:
+	// none declared.
+	Gap time.Duration
 	// Work is what it asks of a target.
 	Work Work
 	// Tried lists the targets that this request has been sent to.
@@ -53,6 +56,12 @@
 	turn time.Time
 	// timely is the last moment at which sending it should meet the objective.
 	timely time.Time
+	// ahead is the number of prompt tokens that the target had to read before this
+	// one's when it was granted; predicted is the estimated time to its first event.
+	ahead     int
+	predicted time.Duration
+	// begun: its first event has come.
+	begun bool
 }
 
 // Grant tells that a request may be sent to a target now.
@@ -120,6 +129,8 @@
 	// First is the time to the first event of a stream, Rest the time from there to
 	// the end; 0: not known.
 	First, Rest time.Duration
+	// Longest is the longest pause between two events of a stream.
+	Longest time.Duration
 }
 
 // Effects are what a call leads to: requests to send and requests to end.
@@ -146,6 +157,8 @@
 	reporting int
 	// entries is the number of entries that share the targets, at least 1.
 	entries int
+	// samples are own measurements that the cell has not been told.
+	samples []Sample
 	// cell is this entry's of so many cells; see SetCell.
 	cell, cells int
 }
@@ -229,9 +242,13 @@
 		return Effects{}
 	}
 	at := ticket.target
+	at.endReading(ticket)
 	ticket.target = nil
 	at.own--
 	at.learn(now, report)
+	if report.Pace > 0 || report.Longest > 0 {
+		s.measured(at, Sample{Target: at.ID, Pace: report.Pace, Longest: report.Longest})
+	}
 	at.pool.learn(ticket, at, now.Sub(ticket.granted), report)
 	at.freed = now
 	return s.advance(now, at.pool)
@@ -280,6 +297,7 @@
 func (s *Scheduler) grant(now time.Time, ticket *Ticket, at *target) Grant {
 	ticket.target = at
 	ticket.granted = now
+	s.beginReading(now, ticket, at)
 	at.own++
 	load, age := s.load(now, at)
 	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age}
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -6,6 +6,7 @@
 type peerLoad struct {
 	at       time.Time
 	inFlight map[string]int
+	reading  map[string]int
 	waiting  []int
 }
 
@@ -17,8 +18,13 @@
 type Load struct {
 	// InFlight is the number of requests by target id; targets without any are left out.
 	InFlight map[string]int
+	// Reading is the number of prompt tokens that targets still have to read for the
+	// sender, by target id; targets without any are left out.
+	Reading map[string]int
 	// Waiting is the number of queued requests by priority.
 	Waiting []int
+	// Samples are the sender's measurements since its last report.
+	Samples []Sample
 	// Silent is for how long yet targets get nothing from the sender, because they did
 	// not answer in time.
 	Silent map[string]time.Duration
@@ -29,8 +35,9 @@
 	if _, known := s.peers[peer]; !known {
 		s.reporting++
 	}
-	s.peers[peer] = &peerLoad{at: now, inFlight: load.InFlight, waiting: load.Waiting}
+	s.peers[peer] = &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting}
 	s.hearSilent(now, peer, load.Silent)
+	s.hearSamples(load.Samples)
 	return s.Tick(now)
 }
 
@@ -41,13 +48,17 @@
 	return s.Tick(now)
 }
 
-// OwnLoad is the report to send to the others.
+// OwnLoad is the report to send to the others; samples are in one report only.
 func (s *Scheduler) OwnLoad(now time.Time) Load {
-	load := Load{InFlight: make(map[string]int)}
+	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples}
+	s.samples = nil
 	for id, t := range s.targets {
 		if t.own > 0 {
 			load.InFlight[id] = t.own
 		}
+		if tokens := t.ownBacklog(now); tokens > 0 {
+			load.Reading[id] = tokens
+		}
 		if left := t.silentUntil.Sub(now); left > 0 {
 			if load.Silent == nil {
 				load.Silent = make(map[string]time.Duration)
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -17,6 +17,9 @@
 	sharing int
 	// pace is the mean pace over all targets, in ns.
 	pace mean
+	// pauseRatio is the longest pause of late in a stream, as a multiple of the mean pause
+	// at its target; 0: none seen.
+	pauseRatio float64
 	// failures is the mean share of failures over all targets.
 	failures mean
 }
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -17,6 +17,10 @@
 	home bool
 	// pace is the mean pace of its answers, in ns.
 	pace mean
+	// readTime is the mean time to read a token of a prompt, in ns.
+	readTime mean
+	// reading are this entry's requests there whose prompts are being read.
+	reading []*Ticket
 	// failures is the mean share of failures.
 	failures mean
 	// freed is when this entry last gave a place back, freeSince since when the target
@@ -88,10 +92,6 @@
 		t.shunned = now.Add(replacedPause)
 	case Abandoned:
 	}
-	if report.Pace > 0 {
-		t.pace.add(float64(report.Pace))
-		t.pool.pace.add(float64(report.Pace))
-	}
 }
 
 func (t *target) failure(share float64) {
@@ -180,8 +180,8 @@
 func (s *Scheduler) choose(now time.Time, p *pool, ticket *Ticket) *target {
 	var best *target
 	var bestCost float64
-	expected, first := p.expected(ticket), p.first(ticket.Work)
-	fastest := p.fastest(now, ticket)
+	expected := p.expected(ticket)
+	needed := s.bestFit(now, p, ticket, expected)
 	for _, t := range p.targets {
 		if !t.usable(now, ticket) {
 			continue
@@ -191,7 +191,7 @@
 		if load >= t.limit() || !s.mayTake(now, t) {
 			continue
 		}
-		if t != fastest && !ticket.inTime(now, first, expected, t.slowness()) {
+		if s.fitOf(now, t, load, ticket, expected) < needed {
 			continue
 		}
 		if cost := s.cost(t, load, ticket); best == nil || cost < bestCost {
@@ -201,33 +201,60 @@
 	return best
 }
 
-// fastest is the fastest target that the request may use, with room or not: it may
-// take what no target can finish in time.
-func (p *pool) fastest(now time.Time, ticket *Ticket) *target {
-	var fastest *target
+// fit tells how well a target suits a request.
+type fit uint8
+
+const (
+	// fitsLate: it would finish too late, or begin after the objective.
+	fitsLate fit = iota
+	// fitsPausing: in time, but other streams there would pause for too long.
+	fitsPausing
+	// fitsWell: neither.
+	fitsWell
+)
+
+// bestFit is the best fit among the targets that the request may use, with room or
+// not: it waits for one of those.
+func (s *Scheduler) bestFit(now time.Time, p *pool, ticket *Ticket, expected time.Duration) fit {
+	best := fitsLate
 	for _, t := range p.targets {
-		if t.usable(now, ticket) && (fastest == nil || t.slowness() < fastest.slowness()) {
-			fastest = t
+		if best == fitsWell {
+			break
 		}
+		if t.usable(now, ticket) {
+			load, _ := s.load(now, t)
+			best = max(best, s.fitOf(now, t, load, ticket, expected))
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) fitOf(now time.Time, t *target, load int, ticket *Ticket, expected time.Duration) fit {
+	switch {
+	case !s.inTime(now, t, ticket, expected):
+		return fitsLate
+	case s.pauses(now, t, load, ticket):
+		return fitsPausing
+	default:
+		return fitsWell
 	}
-	return fastest
 }
 
 // expectationSlack is the part of the expected time that must be left: callers'
 // guesses of the output are often twice too long.
 const expectationSlack = 0.6
 
-// inTime reports whether a target of the given slowness should finish the request
-// before it expires, and begin its answer before the objective if that still lies
-// ahead. Waiting for a faster target is better than a slow one that loses the work.
-func (t *Ticket) inTime(now time.Time, first, expected time.Duration, slowness float64) bool {
-	if now.Add(time.Duration(expectationSlack * slowness * float64(expected))).After(t.Expires) {
+// inTime reports whether a target should finish the request before it expires, and
+// begin its answer before the objective if that still lies ahead. Waiting for a faster
+// target is better than a slow one that loses the work.
+func (s *Scheduler) inTime(now time.Time, t *target, ticket *Ticket, expected time.Duration) bool {
+	if now.Add(time.Duration(expectationSlack * t.slowness() * float64(expected))).After(ticket.Expires) {
 		return false
 	}
-	if t.Objective.IsZero() || t.late(now) || first == 0 {
+	if ticket.Objective.IsZero() || ticket.Work.Prompt == 0 || ticket.late(now) {
 		return true
 	}
-	return !now.Add(time.Duration(slowness * float64(first))).After(t.Objective)
+	return !now.Add(t.first(ticket.Work.Prompt + s.backlog(now, t))).After(ticket.Objective)
 }
 
 // cost compares targets: the time for the work at that load, plus some hundredths
--- a/internal/core/dispatch/work.go
+++ b/internal/core/dispatch/work.go
@@ -34,18 +34,11 @@
 	}
 	slowness := at.slowness()
 	p.class(ticket.Class).hold.add(float64(held) / slowness)
-	if report.First > 0 && ticket.Work.Prompt > 0 {
-		p.rates.prompt.add(float64(report.First) / slowness / float64(ticket.Work.Prompt+promptOverhead))
-	}
 	if report.Rest > 0 && ticket.Work.Output > 0 {
 		p.rates.output.add(float64(report.Rest) / slowness / float64(ticket.Work.Output))
 	}
 }
 
-// promptOverhead stands for what each prompt costs besides its tokens, so that short
-// prompts do not raise the time for a token.
-const promptOverhead = 500
-
 // first estimates the time to the first event at a target of mean speed.
 func (p *pool) first(work Work) time.Duration {
 	if work.Prompt == 0 || p.rates.prompt.samples == 0 {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -156,12 +156,36 @@
 		l.gateway.state.mutex.Unlock()
 		idle = len(load.InFlight) == 0 && len(load.Silent) == 0
 		m := l.message()
-		m.Load = &gossip.Load{InFlight: load.InFlight, Waiting: load.Waiting, SilentMS: mapValues(load.Silent, time.Duration.Milliseconds), Totals: mapValues(totals, totalMessage)}
+		m.Load = loadMessage(load)
+		m.Load.Totals = mapValues(totals, totalMessage)
 		l.send(m, members)
 		time.Sleep(loadPause)
 	}
 }
 
+// loadMessage and loadOf translate between the scheduler's report and the datagram's.
+func loadMessage(load dispatch.Load) *gossip.Load {
+	samples := make([]gossip.Sample, 0, len(load.Samples))
+	for _, s := range load.Samples {
+		samples = append(samples, gossip.Sample{Target: s.Target, TokenTime: int64(s.TokenTime), Pace: int64(s.Pace), Longest: int64(s.Longest)})
+	}
+	return &gossip.Load{
+		InFlight: load.InFlight, Reading: load.Reading, Waiting: load.Waiting, Samples: samples,
+		SilentMS: mapValues(load.Silent, time.Duration.Milliseconds),
+	}
+}
+
+func loadOf(m *gossip.Load) dispatch.Load {
+	samples := make([]dispatch.Sample, 0, len(m.Samples))
+	for _, s := range m.Samples {
+		samples = append(samples, dispatch.Sample{Target: s.Target, TokenTime: time.Duration(s.TokenTime), Pace: time.Duration(s.Pace), Longest: time.Duration(s.Longest)})
+	}
+	return dispatch.Load{
+		InFlight: m.InFlight, Reading: m.Reading, Waiting: m.Waiting, Samples: samples,
+		Silent: mapValues(m.SilentMS, milliseconds),
+	}
+}
+
 // mapValues returns a map with the same keys and each value turned into another.
 func mapValues[A, B any](values map[string]A, turn func(A) B) map[string]B {
 	turned := make(map[string]B, len(values))
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sycamoretrail/internal/core/crashes"
-	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
@@ -127,7 +126,7 @@
 	defer g.state.mutex.Unlock()
 	now := time.Now()
 	g.state.quota.PeerTotals(now, m.From, now.Add(-milliseconds(m.AgeMS)), mapValues(m.Load.Totals, totalOf))
-	g.state.deliver(g.state.sched.PeerLoad(now, m.From, dispatch.Load{InFlight: m.Load.InFlight, Waiting: m.Load.Waiting, Silent: mapValues(m.Load.SilentMS, milliseconds)}))
+	g.state.deliver(g.state.sched.PeerLoad(now, m.From, loadOf(m.Load)))
 }
 
 func (l *links) takeNews(n *gossip.News) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,7 +70,7 @@
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
 		Priority: c.priority, Rank: c.route.Priority,
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
-		Work: c.work(),
+		Gap: c.route.Gap, Work: c.work(),
 	}
 	if c.events > 0 {
 		// The stream has begun: what counts is its next event, not the time since the
@@ -124,6 +124,7 @@
 	c.gateway.log.Write(eventlog.Routine, eventGranted, eventlog.Fields{
 		"id": c.envelope.ID, "target": g.Target.ID, "load": g.Load, "load_age_ms": g.LoadAge.Milliseconds(),
 		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
+		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix,
 	})
 	return g, nil
 }
@@ -346,6 +347,10 @@
 		"id": c.envelope.ID, "target": grant.Target.ID, "address": grant.Target.Address, "outcome": report.Outcome.String(),
 		"status": status, "took_ms": took.Milliseconds(), "send": c.sends, "run": c.runs,
 	}
+	if report.First > 0 {
+		fields["first_ms"] = report.First.Milliseconds()
+		fields["longest_pause_ms"] = report.Longest.Milliseconds()
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,6 +68,21 @@
 	s.changed()
 }
 
+// began tells that the first event of a stream has come.
+func (s *state) began(ticket *dispatch.Ticket) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sched.Began(time.Now(), ticket)
+	s.changed()
+}
+
+// paced tells the mean pause between the first events of a stream.
+func (s *state) paced(ticket *dispatch.Ticket, pace time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sched.Paced(ticket, pace)
+}
+
 // deliver hands effects to those who wait. The mutex is held.
 func (s *state) deliver(effects dispatch.Effects) {
 	for i := range effects.Grants {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -70,6 +70,10 @@
 	events  int
 	firstAt time.Time
 	lastAt  time.Time
+	// longest is the longest pause between its events.
+	longest time.Duration
+	// paced: the pace of its first events has been told.
+	paced bool
 }
 
 // Read hands on what is ready, or waits for the next event. It is called by the
@@ -151,13 +155,35 @@
 			s.call.events++
 		}
 	}
-	s.lastAt = time.Now()
-	if s.firstAt.IsZero() && len(events) > 0 {
-		s.firstAt = s.lastAt
-		s.events = 0
+	now := time.Now()
+	if s.firstAt.IsZero() {
+		if len(events) > 0 {
+			s.firstAt = now
+			s.events = 0
+			s.call.gateway.state.began(s.grant.Ticket)
+		}
+	} else {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	if s.events >= pacedEvents && !s.paced {
+		s.paced = true
+		s.call.gateway.state.paced(s.grant.Ticket, s.pace())
 	}
 }
 
+// pacedEvents is the number of events after which a stream's pace is first told:
+// enough that one prompt read beside it does not decide.
+const pacedEvents = 6
+
+// pace is the mean pause between events.
+func (s *eventStream) pace() time.Duration {
+	if s.events == 0 {
+		return 0
+	}
+	return s.lastAt.Sub(s.firstAt) / time.Duration(s.events)
+}
+
 // resume goes on at another target after the last event that was handed on.
 func (s *eventStream) resume(cause error) bool {
 	c := s.call
@@ -259,13 +285,11 @@
 	if s.grant == nil {
 		return
 	}
-	report := dispatch.Report{Outcome: outcome}
-	if s.events > 0 {
-		report.Pace = s.lastAt.Sub(s.firstAt) / time.Duration(s.events)
-	}
+	report := dispatch.Report{Outcome: outcome, Pace: s.pace()}
 	if outcome == dispatch.Answered {
 		report.First = s.firstAt.Sub(s.began)
 		report.Rest = s.lastAt.Sub(s.firstAt)
+		report.Longest = s.longest
 	}
 	grant := s.grant
 	s.grant = nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,6 +67,19 @@
 	// SilentMS is for how long yet targets get nothing from the sender, because they
 	// did not answer in time.
 	SilentMS map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// Reading is the number of prompt tokens that targets still have to read for the sender.
+	Reading map[string]int `cbor:"6,keyasint,omitempty"`
+	// Samples are the sender's measurements of targets since its last report.
+	Samples []Sample `cbor:"7,keyasint,omitempty"`
+}
+
+// Sample is what one answer showed of a target's speed, in nanoseconds; 0: not measured.
+type Sample struct {
+	_         struct{} `cbor:",toarray"`
+	Target    string
+	TokenTime int64
+	Pace      int64
+	Longest   int64
 }
 
 // Total is the cost of what an organisation's requests have used since the sender's
