Turns for a free place go by urgency over the whole cell

Entries now tell the most urgent request that waits, by service; those with more urgent ones go first. Entries with nothing waiting no longer count in the order.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -153,8 +153,6 @@
 	targets  map[string]*target
 	sequence uint64
 	peers    map[string]*peerLoad
-	// reporting counts the changes of who reports.
-	reporting int
 	// entries is the number of entries that share the targets, at least 1.
 	entries int
 	// samples are own measurements that the cell has not been told.
@@ -166,14 +164,13 @@
 // New makes a scheduler without targets.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		config:    config,
-		seed:      maphash.MakeSeed(),
-		pools:     make(map[string]*pool),
-		targets:   make(map[string]*target),
-		peers:     make(map[string]*peerLoad),
-		reporting: 1,
-		entries:   1,
-		cells:     1,
+		config:  config,
+		seed:    maphash.MakeSeed(),
+		pools:   make(map[string]*pool),
+		targets: make(map[string]*target),
+		peers:   make(map[string]*peerLoad),
+		entries: 1,
+		cells:   1,
 	}
 }
 
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -7,7 +7,7 @@
 	at       time.Time
 	inFlight map[string]int
 	reading  map[string]int
-	waiting  []int
+	waiting  map[string]Urgency
 }
 
 // reportLife is how long a peer's report counts. A peer that fell silent may still
@@ -21,8 +21,9 @@
 	// Reading is the number of prompt tokens that targets still have to read for the
 	// sender, by target id; targets without any are left out.
 	Reading map[string]int
-	// Waiting is the number of queued requests by priority.
-	Waiting []int
+	// Waiting is the urgency of the most urgent request that waits, by service; services
+	// for which none waits are left out.
+	Waiting map[string]Urgency
 	// Samples are the sender's measurements since its last report.
 	Samples []Sample
 	// Silent is for how long yet targets get nothing from the sender, because they did
@@ -32,9 +33,6 @@
 
 // PeerLoad takes a peer's report, which replaces its last one.
 func (s *Scheduler) PeerLoad(now time.Time, peer string, load Load) Effects {
-	if _, known := s.peers[peer]; !known {
-		s.reporting++
-	}
 	s.peers[peer] = &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting}
 	s.hearSilent(now, peer, load.Silent)
 	s.hearSamples(load.Samples)
@@ -44,13 +42,12 @@
 // PeerGone drops a peer's report: its process has ended, and its requests with it.
 func (s *Scheduler) PeerGone(now time.Time, peer string) Effects {
 	delete(s.peers, peer)
-	s.reporting++
 	return s.Tick(now)
 }
 
 // OwnLoad is the report to send to the others; samples are in one report only.
 func (s *Scheduler) OwnLoad(now time.Time) Load {
-	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples}
+	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples, Waiting: make(map[string]Urgency)}
 	s.samples = nil
 	for id, t := range s.targets {
 		if t.own > 0 {
@@ -67,11 +64,8 @@
 		}
 	}
 	for _, p := range s.pools {
-		for _, ticket := range p.waiting {
-			for len(load.Waiting) <= ticket.Priority {
-				load.Waiting = append(load.Waiting, 0)
-			}
-			load.Waiting[ticket.Priority]++
+		if urgency, waits := p.mostUrgent(now); waits {
+			load.Waiting[p.service] = urgency
 		}
 	}
 	return load
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -39,6 +39,16 @@
 	return true
 }
 
+// mostUrgent is the urgency of the most urgent request that waits; false: none does.
+func (p *pool) mostUrgent(now time.Time) (most Urgency, waits bool) {
+	for _, ticket := range p.waiting {
+		if u := ticket.urgency(now); !waits || u < most {
+			most, waits = u, true
+		}
+	}
+	return most, waits
+}
+
 // slots is what all usable targets run at once.
 func (p *pool) slots() int {
 	n := 0
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -26,8 +26,6 @@
 	// freed is when this entry last gave a place back, freeSince since when the target
 	// is known to have room; see mayTake.
 	freed, freeSince time.Time
-	// turn is this entry's for the target, computed for the reports numbered turnOf.
-	turn, turnOf int
 	// shunned is until when it gets nothing; strikes is the number of times in a row.
 	shunned time.Time
 	strikes int
@@ -168,7 +166,7 @@
 		}
 		load, _ := s.load(now, t)
 		t.observe(now, load)
-		if load < t.limit() && s.mayTake(now, t) {
+		if load < t.limit() {
 			return true
 		}
 	}
@@ -188,7 +186,7 @@
 		}
 		load, _ := s.load(now, t)
 		t.observe(now, load)
-		if load >= t.limit() || !s.mayTake(now, t) {
+		if load >= t.limit() || !s.mayTake(now, t, ticket) {
 			continue
 		}
 		if s.fitOf(now, t, load, ticket, expected) < needed {
--- a/internal/core/dispatch/turn.go
+++ b/internal/core/dispatch/turn.go
@@ -6,55 +6,66 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Urgency orders requests over the entries of a cell; the lowest goes first.
+type Urgency uint32
+
+// lateUrgency is added where a request has missed its objective; see pool.order.
+const lateUrgency Urgency = 1 << 16
+
+// UrgencyOf is the urgency of a request that can still be in time.
+func UrgencyOf(priority, rank int) Urgency {
+	return Urgency(min(priority, 0xff)<<8 | min(rank, 0xff))
+}
+
+func (t *Ticket) urgency(now time.Time) Urgency {
+	u := UrgencyOf(t.Priority, t.Rank)
+	if t.late(now) {
+		u += lateUrgency
+	}
+	return u
+}
+
 // turnStep is the time by which entries of a cell take turns for a place: longer than
 // a report takes to the others, so that who comes next sees that it is taken.
 const turnStep = 8 * time.Millisecond
 
-// mayTake reports whether it is this entry's turn for a free place. When an entry gives
-// a place back and has nothing to send there, all others of the cell that have requests
-// waiting see it at once. Taken by all of them, the target gets ten requests for one
-// place: measured at 78 entries under overload, targets held 1.4 requests for each
-// place, and those shared by all cells were filled to the end of their own queues. So
-// each entry waits its turn, in an order that differs by target. A place that it has
-// given back itself, and any place while nobody waits, it takes at once.
-func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if t.freed.Equal(now) || !s.contended(now, t.pool) {
-		return true
-	}
-	return !now.Before(t.freeSince.Add(time.Duration(s.turn(t)) * turnStep))
+// mayTake reports whether it is this entry's turn to send the ticket to a free place.
+// When an entry gives a place back, all others of the cell that have requests waiting
+// see it at once. Taken by all of them, the target gets ten requests for one place:
+// measured at 78 entries under overload, targets held 1.4 requests for each place, and
+// those shared by all cells were filled to the end of their own queues. So each entry
+// waits its turn: the entries with more urgent requests go first, or each would keep the
+// places that it frees itself for whatever it has; those with equally urgent ones follow
+// in an order that differs by target. A place that it has given back itself, an entry
+// takes at once for what is as urgent as the others' requests.
+func (s *Scheduler) mayTake(now time.Time, t *target, ticket *Ticket) bool {
+	turn := s.turn(now, t, ticket)
+	return turn == 0 || !now.Before(t.freeSince.Add(time.Duration(turn)*turnStep))
 }
 
-// contended reports whether requests wait for the pool, here or elsewhere.
-func (s *Scheduler) contended(now time.Time, p *pool) bool {
-	if len(p.waiting) > 1 {
-		return true
-	}
-	for _, peer := range s.peers {
+// turn is the number of entries that go before this one.
+func (s *Scheduler) turn(now time.Time, t *target, ticket *Ticket) int {
+	urgency := ticket.urgency(now)
+	freedHere := t.freed.Equal(now)
+	turn := 0
+	for name, peer := range s.peers {
 		if now.Sub(peer.at) > reportLife {
 			continue
 		}
-		for _, n := range peer.waiting {
-			if n > 0 {
-				return true
-			}
+		theirs, waits := peer.waiting[t.Service]
+		switch {
+		case !waits || theirs > urgency:
+		case theirs < urgency, !freedHere && s.before(name, t):
+			turn++
 		}
 	}
-	return false
+	return turn
 }
 
-// turn is this entry's place among those that report their load, for one target.
-func (s *Scheduler) turn(t *target) int {
-	if t.turnOf == s.reporting {
-		return t.turn
-	}
-	own := xxhash.Sum64String(t.ID + s.config.Name)
-	t.turn, t.turnOf = 0, s.reporting
-	for name := range s.peers {
-		if xxhash.Sum64String(t.ID+name) < own {
-			t.turn++
-		}
-	}
-	return t.turn
+// before reports whether a peer goes before this entry where both have equally urgent
+// requests.
+func (s *Scheduler) before(peer string, t *target) bool {
+	return xxhash.Sum64String(t.ID+peer) < xxhash.Sum64String(t.ID+s.config.Name)
 }
 
 // observe notes since when a target has room.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -170,7 +170,8 @@
 		samples = append(samples, gossip.Sample{Target: s.Target, TokenTime: int64(s.TokenTime), Pace: int64(s.Pace), Longest: int64(s.Longest)})
 	}
 	return &gossip.Load{
-		InFlight: load.InFlight, Reading: load.Reading, Waiting: load.Waiting, Samples: samples,
+		InFlight: load.InFlight, Reading: load.Reading, Samples: samples,
+		Waiting:  mapValues(load.Waiting, func(u dispatch.Urgency) uint32 { return uint32(u) }),
 		SilentMS: mapValues(load.Silent, time.Duration.Milliseconds),
 	}
 }
@@ -181,8 +182,9 @@
 		samples = append(samples, dispatch.Sample{Target: s.Target, TokenTime: time.Duration(s.TokenTime), Pace: time.Duration(s.Pace), Longest: time.Duration(s.Longest)})
 	}
 	return dispatch.Load{
-		InFlight: m.InFlight, Reading: m.Reading, Waiting: m.Waiting, Samples: samples,
-		Silent: mapValues(m.SilentMS, milliseconds),
+		InFlight: m.InFlight, Reading: m.Reading, Samples: samples,
+		Waiting: mapValues(m.Waiting, func(u uint32) dispatch.Urgency { return dispatch.Urgency(u) }),
+		Silent:  mapValues(m.SilentMS, milliseconds),
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -45,6 +45,9 @@
 	ticket, effects := s.sched.Submit(time.Now(), ask)
 	s.waiters[ticket] = wait
 	s.deliver(effects)
+	if s.sched.Waiting() > 0 {
+		s.changed()
+	}
 	return ticket, wait
 }
 
@@ -91,7 +94,7 @@
 	for i := range effects.Refusals {
 		s.tell(effects.Refusals[i].Ticket, verdict{refusal: &effects.Refusals[i]})
 	}
-	if len(effects.Grants) > 0 {
+	if len(effects.Grants) > 0 || len(effects.Refusals) > 0 {
 		s.changed()
 	}
 	if s.sched.Waiting() > 0 && !s.ticking {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -60,8 +60,8 @@
 // Load is what the sender has at targets and in its queues.
 type Load struct {
 	InFlight map[string]int `cbor:"1,keyasint,omitempty"`
-	// Waiting is the number of queued requests by priority.
-	Waiting []int `cbor:"2,keyasint,omitempty"`
+	// Waiting is the urgency of the most urgent request that waits, by service.
+	Waiting map[string]uint32 `cbor:"8,keyasint,omitempty"`
 	// Totals are those of Heartbeat, for entries that are told each change.
 	Totals map[string]Total `cbor:"5,keyasint,omitempty"`
 	// SilentMS is for how long yet targets get nothing from the sender, because they
