A server may start again under its id; entries of other writers name no target

Now everything held by target is held by id and start; an earlier start is of the past in whatever order it is read, also after the later one has ended; kept connections to the former process are closed. A retry may go to the new process: it knows nothing of the try before.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -145,8 +146,11 @@
 
 // Target is one running server of a service, as it registered itself.
 type Target struct {
-	// ID names the incarnation: a restarted server has another.
-	ID      string
+	// ID is the server's name. A server may start again under the one that it had.
+	ID string
+	// Born is when the process started, in Unix milliseconds by the server's clock; 0:
+	// the server does not say.
+	Born    int64
 	Service string
 	// Address is IP:port; another service may get it after the target has ended.
 	Address string
@@ -156,3 +160,13 @@
 	// Leaving targets get no new requests.
 	Leaving bool
 }
+
+// Incarnation names one process of the server. A process that starts again under the
+// same id knows nothing of before: what was learned or is held by target, its speed,
+// failures, requests in flight and where a request has been tried, is held by this name.
+func (t *Target) Incarnation() string {
+	if t.Born == 0 {
+		return t.ID
+	}
+	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
+}
--- a/internal/core/dispatch/cell.go
+++ b/internal/core/dispatch/cell.go
@@ -66,7 +66,7 @@
 			staying = append(staying, t)
 		}
 	}
-	slices.SortFunc(staying, func(a, b *target) int { return Rank(a.ID, b.ID) })
+	slices.SortFunc(staying, func(a, b *target) int { return Rank(a.incarnation, b.incarnation) })
 	p.sharing = 1
 	if len(staying) < minCellTargets*cells {
 		p.sharing = cells
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -41,7 +41,7 @@
 	Gap time.Duration
 	// Work is what it asks of a target.
 	Work Work
-	// Tried lists the targets that this request has been sent to.
+	// Tried lists the incarnations of targets that this request has been sent to.
 	Tried []string
 }
 
@@ -179,11 +179,12 @@
 func (s *Scheduler) SetTargets(now time.Time, listed []catalog.Target) Effects {
 	seen := make(map[string]bool, len(listed))
 	for _, each := range listed {
-		seen[each.ID] = true
-		known, found := s.targets[each.ID]
+		incarnation := each.Incarnation()
+		seen[incarnation] = true
+		known, found := s.targets[incarnation]
 		if !found {
-			known = &target{pool: s.pool(each.Service)}
-			s.targets[each.ID] = known
+			known = &target{incarnation: incarnation, pool: s.pool(each.Service)}
+			s.targets[incarnation] = known
 			known.pool.targets = append(known.pool.targets, known)
 		}
 		known.Target = each
@@ -196,7 +197,7 @@
 		}
 	}
 	for _, p := range s.pools {
-		slices.SortFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.incarnation, b.incarnation) })
 		p.divide(s.cell, s.cells)
 	}
 	return s.Tick(now)
@@ -244,7 +245,7 @@
 	at.own--
 	at.learn(now, report)
 	if report.Pace > 0 || report.Longest > 0 {
-		s.measured(at, Sample{Target: at.ID, Pace: report.Pace, Longest: report.Longest})
+		s.measured(at, Sample{Target: at.incarnation, Pace: report.Pace, Longest: report.Longest})
 	}
 	at.pool.learn(ticket, at, now.Sub(ticket.granted), report)
 	at.freed = now
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -16,10 +16,10 @@
 
 // Load is what an entry tells the others.
 type Load struct {
-	// InFlight is the number of requests by target id; targets without any are left out.
+	// InFlight is the number of requests by incarnation of the target; targets without any are left out.
 	InFlight map[string]int
 	// Reading is the number of prompt tokens that targets still have to read for the
-	// sender, by target id; targets without any are left out.
+	// sender, by incarnation of the target; targets without any are left out.
 	Reading map[string]int
 	// Waiting is the urgency of the most urgent request that waits, by service; services
 	// for which none waits are left out.
@@ -81,7 +81,7 @@
 		if age > reportLife {
 			continue
 		}
-		total += peer.inFlight[t.ID]
+		total += peer.inFlight[t.incarnation]
 		oldest = max(oldest, age)
 	}
 	return total, oldest
--- a/internal/core/dispatch/reading.go
+++ b/internal/core/dispatch/reading.go
@@ -39,7 +39,7 @@
 	}
 	at.endReading(ticket)
 	tokens := ticket.Work.Prompt + ticket.ahead + promptOverhead
-	s.measured(at, Sample{Target: at.ID, TokenTime: now.Sub(ticket.granted) / time.Duration(tokens)})
+	s.measured(at, Sample{Target: at.incarnation, TokenTime: now.Sub(ticket.granted) / time.Duration(tokens)})
 }
 
 // promptOverhead stands for what each prompt costs besides its tokens, so that short
@@ -85,7 +85,7 @@
 	rate := t.tokenTime()
 	for _, peer := range s.peers {
 		age := now.Sub(peer.at)
-		told := peer.reading[t.ID]
+		told := peer.reading[t.incarnation]
 		if told == 0 || age > reportLife {
 			continue
 		}
--- a/internal/core/dispatch/sample.go
+++ b/internal/core/dispatch/sample.go
@@ -50,6 +50,6 @@
 // long stream on a slow target ends seconds after its speed could be known.
 func (s *Scheduler) Paced(ticket *Ticket, pace time.Duration) {
 	if at := ticket.target; at != nil && pace > 0 {
-		s.measured(at, Sample{Target: at.ID, Pace: pace})
+		s.measured(at, Sample{Target: at.incarnation, Pace: pace})
 	}
 }
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -11,7 +11,9 @@
 // target is a server with what is known of it.
 type target struct {
 	catalog.Target
-	pool *pool
+	// incarnation is the name by which it is held here and told of.
+	incarnation string
+	pool        *pool
 	// own is the number of requests that this entry has there.
 	own int
 	// home: it is one of the targets of this entry's cell.
@@ -152,7 +154,7 @@
 		return false
 	}
 	for _, tried := range ticket.Tried {
-		if tried == t.ID {
+		if tried == t.incarnation {
 			return false
 		}
 	}
@@ -275,7 +277,7 @@
 	if t.Zone != s.config.Zone {
 		cost *= zonePenalty
 	}
-	spread := float64(maphash.String(s.seed, t.ID+ticket.ID)%1000) / 1000
+	spread := float64(maphash.String(s.seed, t.incarnation+ticket.ID)%1000) / 1000
 	return cost * (1 + spread*costSpread)
 }
 
--- a/internal/core/dispatch/turn.go
+++ b/internal/core/dispatch/turn.go
@@ -65,7 +65,7 @@
 // before reports whether a peer goes before this entry where both have equally urgent
 // requests.
 func (s *Scheduler) before(peer string, t *target) bool {
-	return xxhash.Sum64String(t.ID+peer) < xxhash.Sum64String(t.ID+s.config.Name)
+	return xxhash.Sum64String(t.incarnation+peer) < xxhash.Sum64String(t.incarnation+s.config.Name)
 }
 
 // observe notes since when a target has room.
--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -19,20 +19,35 @@
 // must not be kept.
 const lapseShare = 2.0 / 3
 
+// maxRemembered bounds the starts that are remembered of targets that are gone: some
+// hundred restarts a day are usual, and old entries come late by seconds.
+const maxRemembered = 4096
+
 // Register holds targets by id.
 type Register struct {
 	targets map[string]catalog.Target
+	// born is the latest start known of each id, also of those that are gone; the
+	// oldest of remembered is forgotten first.
+	born       map[string]int64
+	remembered []string
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
 }
 
 // New makes an empty register.
 func New() *Register {
-	return &Register{targets: make(map[string]catalog.Target), lapsing: make(map[string]time.Time)}
+	return &Register{targets: make(map[string]catalog.Target), born: make(map[string]int64), lapsing: make(map[string]time.Time)}
 }
 
-// Put takes a target's entry; it reports whether anything that matters changed.
+// Put takes a target's entry; it reports whether anything that matters changed. An
+// entry of an earlier start than the latest known is of the past, in whatever order
+// snapshots, followed records and other entries' news bring it: put in force, requests
+// would go to a process that is gone, with what was learned of it.
 func (r *Register) Put(target catalog.Target) bool {
+	if target.Born < r.born[target.ID] {
+		return false
+	}
+	r.remember(target)
 	known, found := r.targets[target.ID]
 	_, lapsed := r.lapsing[target.ID]
 	delete(r.lapsing, target.ID)
@@ -40,6 +55,26 @@
 	return !found || lapsed || known != target
 }
 
+// remember keeps the start of a target beyond its end.
+func (r *Register) remember(target catalog.Target) {
+	if _, found := r.born[target.ID]; !found && target.Born > 0 {
+		r.remembered = append(r.remembered, target.ID)
+	}
+	if target.Born > 0 {
+		r.born[target.ID] = target.Born
+	}
+	if len(r.remembered) > maxRemembered {
+		delete(r.born, r.remembered[0])
+		r.remembered = r.remembered[1:]
+	}
+}
+
+// Get returns the known target of an id.
+func (r *Register) Get(id string) (catalog.Target, bool) {
+	target, found := r.targets[id]
+	return target, found
+}
+
 // Drop takes the end of an entry; before keepUntil the target may come back. It
 // reports whether the target was known.
 func (r *Register) Drop(now time.Time, id string, keepUntil time.Time) bool {
--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -70,3 +70,43 @@
 func TestMissing(t *testing.T) {
 	NewWithT(t).Expect(filled(2).Missing(map[string]bool{"t-1": true})).To(Equal([]string{"t-0"}))
 }
+
+// A server starts again under its id. The entry of its former process is read once
+// more afterwards, from an older snapshot or another entry's news. Put in force, it
+// would bring back an address where nothing runs, or a drain that is over.
+func TestEntryOfEarlierStartIsOfThePast(t *testing.T) {
+	g := NewWithT(t)
+	r := register.New()
+	former := catalog.Target{ID: "t-0", Born: 1000, Address: "10.0.0.1:80", Leaving: true}
+	present := catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"}
+	unsaid := catalog.Target{ID: "t-0", Address: "10.0.0.3:80"}
+	g.Expect(r.Put(former)).To(BeTrue())
+	g.Expect(r.Put(present)).To(BeTrue())
+	g.Expect(r.Put(former)).To(BeFalse())
+	g.Expect(r.Put(unsaid)).To(BeFalse())
+	g.Expect(r.Targets()).To(Equal([]catalog.Target{present}))
+}
+
+// The later process has ended too when the entry of the former one is read again.
+func TestEntryOfEarlierStartStaysOfThePastAfterDrop(t *testing.T) {
+	g := NewWithT(t)
+	r := register.New()
+	r.Put(catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"})
+	r.Drop(now, "t-0", time.Time{})
+	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 1000, Address: "10.0.0.1:80"})).To(BeFalse())
+	g.Expect(r.Targets()).To(BeEmpty())
+	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"})).To(BeTrue(), "it lapsed and is back")
+}
+
+// Ids come and go for months. What is remembered of those that are gone is bounded.
+func TestRememberedStartsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	r := register.New()
+	for i := range 5000 {
+		id := fmt.Sprintf("t-%d", i)
+		r.Put(catalog.Target{ID: id, Born: 2000})
+		r.Drop(now, id, time.Time{})
+	}
+	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 1000})).To(BeTrue(), "forgotten")
+	g.Expect(r.Put(catalog.Target{ID: "t-4999", Born: 1000})).To(BeFalse())
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,6 +42,8 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Corrupt: the log holds bytes for the key that are no value.
+	Corrupt bool
 }
 
 // Log is the service that keeps the records.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -195,44 +195,58 @@
 func drops(records []feed.Record) int {
 	n := 0
 	for _, record := range records {
-		if len(record.Value) == 0 {
+		if isDrop(record) {
 			n++
 		}
 	}
 	return n
 }
 
+// isDrop reports whether the record ends its key's entry.
+func isDrop(record feed.Record) bool { return len(record.Value) == 0 && !record.Corrupt }
+
 // applyTarget reports whether the record changes anything that matters.
 func (f *feeds) applyTarget(now time.Time, u feed.Update, record feed.Record, keepUntil time.Time) bool {
-	if len(record.Value) == 0 {
-		known := f.register.Drop(now, record.Key, keepUntil)
-		if known {
-			f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-				"target": record.Key, "state": "dropped", "offset": record.Offset, "kept_ms": max(0, keepUntil.Sub(now).Milliseconds()),
-			})
-			f.expireLater(keepUntil)
-		}
-		return known
+	if isDrop(record) {
+		return f.dropTarget(now, record, keepUntil)
 	}
 	target, err := f.gateway.platform.DecodeTarget(record)
 	if err != nil {
+		// What stands there now names no target, so the one that stood there is not used.
 		f.noteUndecodable(u.Topic, record, err)
-		return false
+		return f.dropTarget(now, record, time.Time{})
 	}
+	before, known := f.register.Get(target.ID)
 	if !f.register.Put(target) {
 		return false
 	}
+	if known && before.Born != target.Born {
+		// Connections to the process before are dead, though nothing may have come to say so.
+		f.gateway.pool.Forget(before.Address)
+	}
 	state := "ready"
 	if target.Leaving {
 		state = "leaving"
 	}
 	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-		"target": target.ID, "service": target.Service, "address": target.Address, "zone": target.Zone, "slots": target.Slots,
+		"target": target.ID, "born": target.Born, "service": target.Service, "address": target.Address, "zone": target.Zone, "slots": target.Slots,
 		"state": state, "offset": record.Offset, "told": u.Told, "age_ms": time.Since(u.AsOf).Milliseconds(),
 	})
 	return true
 }
 
+// dropTarget reports whether the target was known.
+func (f *feeds) dropTarget(now time.Time, record feed.Record, keepUntil time.Time) bool {
+	known := f.register.Drop(now, record.Key, keepUntil)
+	if known {
+		f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
+			"target": record.Key, "state": "dropped", "offset": record.Offset, "kept_ms": max(0, keepUntil.Sub(now).Milliseconds()),
+		})
+		f.expireLater(keepUntil)
+	}
+	return known
+}
+
 // expireLater removes dropped targets that did not come back.
 func (f *feeds) expireLater(at time.Time) {
 	if wait := time.Until(at); wait > 0 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -231,7 +231,7 @@
 		c.report(grant, began, dispatch.Unreachable, 0, err)
 		return c.outOfTime()
 	}
-	c.tried = append(c.tried, grant.Target.ID)
+	c.tried = append(c.tried, grant.Target.Incarnation())
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.report(grant, began, dispatch.TimedOut, 0, err)
 	} else {
@@ -273,7 +273,7 @@
 	_, _ = io.CopyN(io.Discard, answer, maxWhole)
 	c.closeAnswer(answer)
 	if mark.Replaced {
-		c.tried = append(c.tried, grant.Target.ID)
+		c.tried = append(c.tried, grant.Target.Incarnation())
 		c.report(grant, began, dispatch.Replaced, answer.Status, nil)
 	} else {
 		c.report(grant, began, dispatch.Rejected, answer.Status, nil)
@@ -315,7 +315,7 @@
 		return true
 	}
 	c.report(grant, began, dispatch.Failed, answer.Status, nil)
-	c.tried = append(c.tried, grant.Target.ID)
+	c.tried = append(c.tried, grant.Target.Incarnation())
 	c.failure = whole
 	return c.repeatOr(brokenOff)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -197,7 +197,7 @@
 	default:
 		c.countBroken()
 	}
-	c.tried = append(c.tried, s.grant.Target.ID)
+	c.tried = append(c.tried, s.grant.Target.Incarnation())
 	s.release(outcome, cause)
 	if outcome == dispatch.Abandoned || !c.route.Resumable || !time.Now().Before(c.expires) {
 		return false
@@ -232,7 +232,7 @@
 			outcome = dispatch.Unreachable
 		} else {
 			c.runs++
-			c.tried = append(c.tried, grant.Target.ID)
+			c.tried = append(c.tried, grant.Target.Incarnation())
 		}
 		c.report(grant, began, outcome, 0, err)
 		return false
@@ -243,7 +243,7 @@
 			c.countUnsent()
 		}
 		c.closeAnswer(answer)
-		c.tried = append(c.tried, grant.Target.ID)
+		c.tried = append(c.tried, grant.Target.Incarnation())
 		outcome := dispatch.Rejected
 		if !mark.NotRun {
 			c.runs++
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range p.idle[address] {
+		_ = conn.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Opened is the number of connections made so far.
 func (p *Pool) Opened() int64 {
 	p.mutex.Lock()
