--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -7,6 +7,9 @@
 func (l *Limiter) used(now time.Time, organisation string, base, bound float64) (told, assumed float64) {
 	since := now.Add(-l.config.Window)
 	share := 1 / float64(l.entries())
+	if l.surging[organisation] && now.Sub(l.started) < l.config.Window {
+		return l.known(since, organisation), bound
+	}
 	before := l.before(organisation, base)
 	told = l.own[organisation].since(since)
 	assumed = share * l.unknown(now, l.started, before)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -66,6 +66,11 @@
 	peers   map[string]*peer
 	history map[string]History
 	views   map[string]view
+	// surging are the organisations that asked for more than usual right after all
+	// entries had begun; see surges.
+	surging map[string]bool
+	// recordsCurrent: records were written until this entry began.
+	recordsCurrent bool
 	// isolated is when this entry last heard less than half of the others.
 	isolated time.Time
 	// unlisted: it has not been told yet who the other entries are.
@@ -91,7 +96,7 @@
 	return &Limiter{
 		config: config, started: started,
 		limits: make(map[string]limit), own: make(map[string]*account), peers: make(map[string]*peer),
-		history: make(map[string]History), views: make(map[string]view),
+		history: make(map[string]History), views: make(map[string]view), surging: make(map[string]bool),
 	}
 }
 
@@ -127,6 +132,7 @@
 	if cost > bound*smallCost {
 		bound -= base * reserved[min(rank, len(reserved)-1)]
 	}
+	l.noteSurge(now, organisation, base, cost)
 	told, assumed := l.used(now, organisation, base, bound)
 	verdict := Verdict{Used: told + assumed, Limit: bound, Assumed: assumed}
 	if verdict.Used+cost > bound {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -104,8 +104,12 @@
 				f.noteUndecodable(feed.Usage, record, err)
 				continue
 			}
-			if !usage.stale(time.Now(), window) {
-				g.state.quota.Restore(record.Key, quota.History{Older: usage.Older, Recent: usage.Recent})
+			if usage.stale(time.Now(), window) {
+				continue
+			}
+			g.state.quota.Restore(record.Key, quota.History{Older: usage.Older, Recent: usage.Recent})
+			if g.started.Sub(time.UnixMilli(usage.AtMS)).Abs() < quota.RecordCurrentFor {
+				g.state.quota.SetRecordsCurrent()
 			}
 		}
 		g.state.mutex.Unlock()
