An entry that stops takes only what it can finish, and answers before it ends

Seen twice: a long stream taken 3.8 s after the order to stop and cut at 7.2 s, with eight seconds of grace; and a request taken 5.0 s after it in the 20 ms between the end of what ran and the end of the process, whose connection was closed without an answer. Ruled out: callers that connect anew (the listener is closed by then; both came on kept connections).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -109,6 +109,9 @@
 		return tooLarge
 	}
 	c.setExpiry()
+	if !c.gateway.ending.Load().takes(c.arrived, c.expires) {
+		return leaving
+	}
 	c.service = route.Service(float64(maphash.String(seed, envelope.ID)%1000) / 1000)
 	c.fingerprint = c.formFingerprint()
 	if c.gateway.state.convicted(c.fingerprint) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	once     sync.Once
 	running  atomic.Int64
 	draining atomic.Bool
+	// ending is set when this entry is to stop.
+	ending atomic.Pointer[stopping]
 }
 
 // linksTold is where the other entries send to.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/dispatch"
 )
 
 // reply is an answer of the gateway's own.
@@ -25,6 +27,7 @@
 // Replies to requests that have not been sent to any target.
 var (
 	notReady       = &reply{fasthttp.StatusServiceUnavailable, "no_configuration", "no configuration is known yet; the request was not run", time.Second}
+	leaving        = &reply{fasthttp.StatusServiceUnavailable, "leaving", "this entry stops; the request was not run", dispatch.MinRetryAfter}
 	noRoute        = &reply{fasthttp.StatusNotFound, "no_route", "no route for this host and path", 0}
 	unknownKey     = &reply{fasthttp.StatusUnauthorized, "unknown_key", "the key is not known", 0}
 	tooLarge       = &reply{fasthttp.StatusRequestEntityTooLarge, "too_large", "the body exceeds the limit", 0}
