What is known of targets is computed once for all requests that wait

A pass over the queue now computes them once and updates them with each grant. Choosing a target moves to choose.go.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -276,7 +276,11 @@
 	var effects Effects
 	p.order(now)
 	effects.Refusals = s.refuseExpired(now, p)
-	for i := 0; i < len(p.waiting) && s.hasRoom(now, p); {
+	if len(p.waiting) == 0 {
+		return effects
+	}
+	s.survey(now, p)
+	for i := 0; i < len(p.waiting) && p.anyFree(); {
 		ticket := p.waiting[i]
 		chosen := s.choose(now, p, ticket)
 		if chosen == nil {
@@ -297,6 +301,7 @@
 	}
 	s.beginReading(now, ticket, at)
 	at.own++
+	at.took(now, ticket)
 	load, age := s.load(now, at)
 	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age}
 }
--- a/internal/core/dispatch/precedence.go
+++ b/internal/core/dispatch/precedence.go
@@ -39,13 +39,17 @@
 // in an order that differs by target. A place that it has given back itself, an entry
 // takes at once for what is as urgent as the others' requests.
 func (s *Scheduler) hasPrecedence(now time.Time, t *target, ticket *Ticket) bool {
-	ahead := s.entriesAhead(now, t, ticket)
+	urgency := ticket.urgency(now)
+	ahead, known := t.now.ahead[urgency]
+	if !known {
+		ahead = s.entriesAhead(now, t, urgency)
+		t.now.ahead[urgency] = ahead
+	}
 	return ahead == 0 || !now.Before(t.freeSince.Add(time.Duration(ahead)*precedenceStep))
 }
 
-// entriesAhead is the number of entries that go before this one.
-func (s *Scheduler) entriesAhead(now time.Time, t *target, ticket *Ticket) int {
-	urgency := ticket.urgency(now)
+// entriesAhead is the number of entries that go before this one with such a request.
+func (s *Scheduler) entriesAhead(now time.Time, t *target, urgency Urgency) int {
 	freedHere := t.releasedAt.Equal(now)
 	ahead := 0
 	for name, peer := range s.peers {
--- a/internal/core/dispatch/reading.go
+++ b/internal/core/dispatch/reading.go
@@ -100,11 +100,11 @@
 
 // pauses reports whether reading the ticket's prompt at the target would make streams
 // there pause for longer than is in time.
-func (s *Scheduler) pauses(now time.Time, t *target, load int, ticket *Ticket) bool {
-	if ticket.Gap == 0 || ticket.Work.Prompt == 0 || load == 0 || t.latency.samples < minSamples {
+func (t *target) pauses(ticket *Ticket) bool {
+	if ticket.Gap == 0 || ticket.Work.Prompt == 0 || t.now.load == 0 || t.latency.samples < minSamples {
 		return false
 	}
-	reading := time.Duration(float64(ticket.Work.Prompt+s.backlog(now, t)) * t.tokenTime())
+	reading := time.Duration(float64(ticket.Work.Prompt+t.now.backlog) * t.tokenTime())
 	pause := reading + time.Duration(t.latency.value)
 	if t.pool.pauseRatio > 0 {
 		// Between two events an engine generates several tokens, and reads no more than a
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -1,11 +1,8 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sycamoretrail/internal/core/catalog"
 )
 
@@ -38,6 +35,8 @@
 	// each other entry does.
 	unresponsiveUntil time.Time
 	reports           map[string]time.Time
+	// now is what is known of it at the moment of a decision.
+	now view
 	// probing: it has been unresponsive and has not answered since. It gets one request at a
 	// time, or all entries would try it again at once.
 	probing bool
@@ -54,9 +53,6 @@
 	rejectionPause = 60 * time.Millisecond
 	// replacedPause covers the time until the register shows the change.
 	replacedPause = time.Minute
-	// zonePenalty is how much slower a target in another zone counts: bytes between
-	// zones are paid for, which is worth less than any waiting.
-	zonePenalty = 1.15
 	// slownessFloor and slownessCeiling bound the ratio to the pool's mean, so that a few
 	// odd samples neither flood nor starve a target.
 	slownessFloor, slownessCeiling = 0.2, 8.0
@@ -151,138 +147,3 @@
 func (t *target) avoided(now time.Time) bool {
 	return now.Before(t.ejectedUntil) || t.reportedUnresponsive(now)
 }
-
-// usable reports whether the target may get this request now.
-func (t *target) usable(now time.Time, ticket *Ticket) bool {
-	if !t.serves() || t.avoided(now) {
-		return false
-	}
-	for _, tried := range ticket.Tried {
-		if tried == t.incarnation {
-			return false
-		}
-	}
-	return true
-}
-
-// hasRoom reports whether any target could take a request.
-func (s *Scheduler) hasRoom(now time.Time, p *pool) bool {
-	for _, t := range p.targets {
-		if !t.serves() || t.avoided(now) {
-			continue
-		}
-		load, _ := s.load(now, t)
-		t.observe(now, load)
-		if load < t.limit() {
-			return true
-		}
-	}
-	return false
-}
-
-// choose picks the target that should answer soonest among those with room; nil:
-// none that has room is fast enough, or none has any.
-func (s *Scheduler) choose(now time.Time, p *pool, ticket *Ticket) *target {
-	var best *target
-	var bestCost float64
-	expected := p.expected(ticket)
-	needed := s.bestFit(now, p, ticket, expected)
-	for _, t := range p.targets {
-		if !t.usable(now, ticket) {
-			continue
-		}
-		load, _ := s.load(now, t)
-		t.observe(now, load)
-		if load >= t.limit() || !s.hasPrecedence(now, t, ticket) {
-			continue
-		}
-		if s.fitOf(now, t, load, ticket, expected) < needed {
-			continue
-		}
-		if cost := s.cost(t, load, ticket); best == nil || cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
-	return best
-}
-
-// fit tells how well a target suits a request.
-type fit uint8
-
-const (
-	// fitsLate: it would finish too late, or begin after the objective.
-	fitsLate fit = iota
-	// fitsPausing: in time, but other streams there would pause for too long.
-	fitsPausing
-	// fitsWell: neither.
-	fitsWell
-)
-
-// bestFit is the best fit among the targets that the request may use, with room or
-// not: it waits for one of those.
-func (s *Scheduler) bestFit(now time.Time, p *pool, ticket *Ticket, expected time.Duration) fit {
-	best := fitsLate
-	for _, t := range p.targets {
-		if best == fitsWell {
-			break
-		}
-		if t.usable(now, ticket) {
-			load, _ := s.load(now, t)
-			best = max(best, s.fitOf(now, t, load, ticket, expected))
-		}
-	}
-	return best
-}
-
-func (s *Scheduler) fitOf(now time.Time, t *target, load int, ticket *Ticket, expected time.Duration) fit {
-	switch {
-	case !s.inTime(now, t, ticket, expected):
-		return fitsLate
-	case s.pauses(now, t, load, ticket):
-		return fitsPausing
-	default:
-		return fitsWell
-	}
-}
-
-// expectationSlack is the part of the expected time that must be left: callers'
-// guesses of the output are often twice too long.
-const expectationSlack = 0.6
-
-// inTime reports whether a target should finish the request before it expires, and
-// begin its answer before the objective if that still lies ahead. Waiting for a faster
-// target is better than a slow one that loses the work.
-func (s *Scheduler) inTime(now time.Time, t *target, ticket *Ticket, expected time.Duration) bool {
-	if now.Add(time.Duration(expectationSlack * t.slowness() * float64(expected))).After(ticket.Expires) {
-		return false
-	}
-	if ticket.Objective.IsZero() || ticket.Work.Prompt == 0 || ticket.late(now) {
-		return true
-	}
-	return !now.Add(t.first(ticket.Work.Prompt + s.backlog(now, t))).After(ticket.Objective)
-}
-
-// lesserSpeedWeight is the exponent of speed in the cost of requests that are less
-// urgent than the most urgent kind of the service: they go to slower targets as long as
-// they are in time there and leave the fast ones to the kind that matters most. That
-// raises the share of all worth that is in time by 0.02 on calm days and by 0.01 under
-// bursts (speeds 1 : 1.8 : 5); at 0 short answers become late on the slow targets, at 1
-// the most urgent wait for the fast ones.
-const lesserSpeedWeight = 0.3
-
-// cost compares targets: the time for the work at that load, plus some hundredths
-// that differ by request, so that entries with the same view spread out.
-func (s *Scheduler) cost(t *target, load int, ticket *Ticket) float64 {
-	slowness := t.slowness()
-	if ticket.Rank > t.pool.mostUrgentRank() {
-		slowness = math.Pow(slowness, lesserSpeedWeight)
-	}
-	cost := slowness * t.unreliability() * (1 + float64(load)/float64(t.Slots))
-	if t.Zone != s.config.Zone {
-		cost *= zonePenalty
-	}
-	spread := float64(xxhash.Sum64String(s.config.Name+t.incarnation+ticket.ID)%1000) / 1000
-	return cost * (1 + spread*costSpread)
-}
-
-const costSpread = 0.05
