--- /dev/null
+++ b/internal/core/dispatch/bench_test.go
@@ -0,0 +1,35 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sycamoretrail/internal/core/dispatch"
+)
+
+// BenchmarkReportUnderOverload is what a peer's report costs an entry of a cell of twelve
+// whose nine targets are full but one, with fifty requests waiting that may not go there.
+func BenchmarkReportUnderOverload(b *testing.B) {
+	s := dispatch.New(dispatch.Config{Name: "a", Zone: "a"})
+	list := targets(9, 8)
+	s.SetTargets(start, list)
+	load := dispatch.Load{InFlight: make(map[string]int), Reading: make(map[string]int), Waiting: waiting}
+	for _, target := range list[1:] {
+		load.InFlight[target.ID] = 1
+		load.Reading[target.ID] = 4000
+	}
+	for i := range 11 {
+		s.PeerLoad(start, fmt.Sprintf("peer-%d", i), load)
+	}
+	for i := range 50 {
+		request := ask(fmt.Sprint(i))
+		request.Rank = 1
+		request.Tried = []string{list[0].ID}
+		s.Submit(start, request)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.PeerLoad(start.Add(time.Millisecond), "peer-0", load)
+	}
+}
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -28,8 +28,8 @@
 )
 
 // view is what is known of a target at the moment of a decision. It is computed once for
-// all requests that wait: computed for each, a queue of fifty before nine targets took a
-// third of a small instance's core with every report of a peer.
+// all requests that wait: computed for each, a queue of fifty before nine targets took
+// 0.46 ms of a core with each report of a peer, against 0.03.
 type view struct {
 	// load is the number of requests, backlog the number of prompt tokens still to be read.
 	load, backlog int
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -71,6 +71,10 @@
 	Load int
 	// LoadAge is the age of the oldest peer report in Load.
 	LoadAge time.Duration
+	// Backlog is the number of prompt tokens that the target has to read before this
+	// request's, PredictedFirst the estimated time to its first event; 0: not known.
+	Backlog        int
+	PredictedFirst time.Duration
 }
 
 // Reason says why a request was refused.
@@ -303,7 +307,7 @@
 	at.own++
 	at.took(now, ticket)
 	load, age := s.load(now, at)
-	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age}
+	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age, Backlog: ticket.ahead, PredictedFirst: ticket.predicted}
 }
 
 func (o Outcome) String() string {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -124,6 +124,7 @@
 	c.gateway.log.Write(eventlog.Routine, eventGranted, eventlog.Fields{
 		"id": c.envelope.ID, "target": g.Target.ID, "load": g.Load, "load_age_ms": g.LoadAge.Milliseconds(),
 		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
+		"backlog": g.Backlog, "predicted_first_ms": g.PredictedFirst.Milliseconds(),
 		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix,
 	})
 	return g, nil
