--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -1,6 +1,23 @@
 // Package gateway is an entry that routes requests by host and path to targets
 // which registered themselves. It joins the decisions of internal/core with the
 // connections to callers, targets, the other entries and the metadata store.
+//
+// A request's way, from socket to target and back:
+//
+//  1. serve (call.go) takes it; admit finds route, organisation and service, and
+//     checks the quota.
+//  2. run (run.go) asks for a place; state.submit hands it to dispatch.Scheduler, which
+//     queues it, and Scheduler.choose (core/dispatch/choose.go) picks the target.
+//  3. try sends it over a connection of upstream.Pool and reads the head of the answer.
+//  4. An answer that is not a stream is read whole, then passed on (whole, answer); a
+//     stream is passed on event by event (stream.go) and, where the route allows, goes
+//     on at another target when its own breaks (resume).
+//  5. What was seen of the target goes back to the scheduler (report, observe), and to
+//     the other entries with the next load report (links.go).
+//  6. end settles quota and metrics and writes the request's line.
+//
+// What governs all this, configuration and targets, is followed from the store by
+// feeds.go; the other entries are heard in receive.go.
 package gateway
 
 import (
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,7 +72,7 @@
 	lastAt  time.Time
 	// longest is the longest pause between its events.
 	longest time.Duration
-	// latencyTold: the pace of its first events has been told.
+	// latencyTold: the latency of its first events has been told.
 	latencyTold bool
 }
 
@@ -155,13 +155,17 @@
 			s.call.events++
 		}
 	}
-	now := time.Now()
+	if len(events) > 0 {
+		s.observe(time.Now())
+	}
+}
+
+// observe notes when events came, and tells the scheduler what that shows of the target.
+func (s *eventStream) observe(now time.Time) {
 	if s.firstAt.IsZero() {
-		if len(events) > 0 {
-			s.firstAt = now
-			s.events = 0
-			s.call.gateway.state.began(s.grant.Ticket)
-		}
+		s.firstAt = now
+		s.events = 0
+		s.call.gateway.state.began(s.grant.Ticket)
 	} else {
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
@@ -172,7 +176,7 @@
 	}
 }
 
-// earlyEvents is the number of events after which a stream's pace is first told:
+// earlyEvents is the number of events after which a stream's latency is first told:
 // enough that one prompt read beside it does not decide.
 const earlyEvents = 6
 
