--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -148,10 +148,10 @@
 type Target struct {
 	// ID is the server's name. A server may start again under the one that it had.
 	ID string
-	// Born is when the process started, in Unix milliseconds by the server's clock; 0:
+	// StartedMS is when the process started, in Unix milliseconds by the server's clock; 0:
 	// the server does not say.
-	Born    int64
-	Service string
+	StartedMS int64
+	Service   string
 	// Address is IP:port; another service may get it after the target has ended.
 	Address string
 	Zone    string
@@ -165,8 +165,8 @@
 // same id knows nothing of before: what was learned or is held by target, its speed,
 // failures, requests in flight and where a request has been tried, is held by this name.
 func (t *Target) Incarnation() string {
-	if t.Born == 0 {
+	if t.StartedMS == 0 {
 		return t.ID
 	}
-	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
+	return t.ID + "@" + strconv.FormatInt(t.StartedMS, 10)
 }
--- a/internal/core/dispatch/incarnation_test.go
+++ b/internal/core/dispatch/incarnation_test.go
@@ -16,7 +16,7 @@
 // request that was tried there may be tried at the new process.
 func TestRestartedTargetBeginsAnew(t *testing.T) {
 	g := NewWithT(t)
-	former := catalog.Target{ID: "t-00", Born: 1000, Service: service, Address: "10.0.0.1:80", Zone: "a", Slots: 2}
+	former := catalog.Target{ID: "t-00", StartedMS: 1000, Service: service, Address: "10.0.0.1:80", Zone: "a", Slots: 2}
 	s := newScheduler([]catalog.Target{former})
 	s.PeerLoad(start, "other", dispatch.Load{InFlight: map[string]int{former.Incarnation(): 1}})
 	first, effects := s.Submit(start, ask("1"))
@@ -28,7 +28,7 @@
 	g.Expect(effects.Grants).To(BeEmpty(), "the former process is passed over")
 
 	present := former
-	present.Born = 2000
+	present.StartedMS = 2000
 	effects = s.SetTargets(start.Add(2*time.Millisecond), []catalog.Target{present})
 	g.Expect(effects.Grants).To(HaveLen(1))
 	g.Expect(effects.Grants[0].Target).To(Equal(present))
@@ -39,9 +39,9 @@
 // gives back a place there only, and says nothing of the new one.
 func TestLateAnswerOfFormerProcess(t *testing.T) {
 	g := NewWithT(t)
-	former := catalog.Target{ID: "t-00", Born: 1000, Service: service, Zone: "a", Slots: 1}
+	former := catalog.Target{ID: "t-00", StartedMS: 1000, Service: service, Zone: "a", Slots: 1}
 	present := former
-	present.Born = 2000
+	present.StartedMS = 2000
 	s := newScheduler([]catalog.Target{former})
 	first, _ := s.Submit(start, ask("1"))
 	s.SetTargets(start, []catalog.Target{present})
--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -26,9 +26,9 @@
 // Register holds targets by id.
 type Register struct {
 	targets map[string]catalog.Target
-	// born is the latest start known of each id, also of those that are gone; the
+	// started is the latest start known of each id, also of those that are gone; the
 	// oldest of remembered is forgotten first.
-	born       map[string]int64
+	started    map[string]int64
 	remembered []string
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
@@ -36,7 +36,7 @@
 
 // New makes an empty register.
 func New() *Register {
-	return &Register{targets: make(map[string]catalog.Target), born: make(map[string]int64), lapsing: make(map[string]time.Time)}
+	return &Register{targets: make(map[string]catalog.Target), started: make(map[string]int64), lapsing: make(map[string]time.Time)}
 }
 
 // Put takes a target's entry; it reports whether anything that matters changed. An
@@ -44,7 +44,7 @@
 // snapshots, followed records and other entries' news bring it: put in force, requests
 // would go to a process that is gone, with what was learned of it.
 func (r *Register) Put(target catalog.Target) bool {
-	if target.Born < r.born[target.ID] {
+	if target.StartedMS < r.started[target.ID] {
 		return false
 	}
 	r.remember(target)
@@ -57,14 +57,14 @@
 
 // remember keeps the start of a target beyond its end.
 func (r *Register) remember(target catalog.Target) {
-	if _, found := r.born[target.ID]; !found && target.Born > 0 {
+	if _, found := r.started[target.ID]; !found && target.StartedMS > 0 {
 		r.remembered = append(r.remembered, target.ID)
 	}
-	if target.Born > 0 {
-		r.born[target.ID] = target.Born
+	if target.StartedMS > 0 {
+		r.started[target.ID] = target.StartedMS
 	}
 	if len(r.remembered) > maxRemembered {
-		delete(r.born, r.remembered[0])
+		delete(r.started, r.remembered[0])
 		r.remembered = r.remembered[1:]
 	}
 }
--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -77,8 +77,8 @@
 func TestEntryOfEarlierStartIsOfThePast(t *testing.T) {
 	g := NewWithT(t)
 	r := register.New()
-	former := catalog.Target{ID: "t-0", Born: 1000, Address: "10.0.0.1:80", Leaving: true}
-	present := catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"}
+	former := catalog.Target{ID: "t-0", StartedMS: 1000, Address: "10.0.0.1:80", Leaving: true}
+	present := catalog.Target{ID: "t-0", StartedMS: 2000, Address: "10.0.0.2:80"}
 	unsaid := catalog.Target{ID: "t-0", Address: "10.0.0.3:80"}
 	g.Expect(r.Put(former)).To(BeTrue())
 	g.Expect(r.Put(present)).To(BeTrue())
@@ -91,11 +91,11 @@
 func TestEntryOfEarlierStartStaysOfThePastAfterDrop(t *testing.T) {
 	g := NewWithT(t)
 	r := register.New()
-	r.Put(catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"})
+	r.Put(catalog.Target{ID: "t-0", StartedMS: 2000, Address: "10.0.0.2:80"})
 	r.Drop(now, "t-0", time.Time{})
-	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 1000, Address: "10.0.0.1:80"})).To(BeFalse())
+	g.Expect(r.Put(catalog.Target{ID: "t-0", StartedMS: 1000, Address: "10.0.0.1:80"})).To(BeFalse())
 	g.Expect(r.Targets()).To(BeEmpty())
-	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 2000, Address: "10.0.0.2:80"})).To(BeTrue(), "it lapsed and is back")
+	g.Expect(r.Put(catalog.Target{ID: "t-0", StartedMS: 2000, Address: "10.0.0.2:80"})).To(BeTrue(), "it lapsed and is back")
 }
 
 // Ids come and go for months. What is remembered of those that are gone is bounded.
@@ -104,9 +104,9 @@
 	r := register.New()
 	for i := range 5000 {
 		id := fmt.Sprintf("t-%d", i)
-		r.Put(catalog.Target{ID: id, Born: 2000})
+		r.Put(catalog.Target{ID: id, StartedMS: 2000})
 		r.Drop(now, id, time.Time{})
 	}
-	g.Expect(r.Put(catalog.Target{ID: "t-0", Born: 1000})).To(BeTrue(), "forgotten")
-	g.Expect(r.Put(catalog.Target{ID: "t-4999", Born: 1000})).To(BeFalse())
+	g.Expect(r.Put(catalog.Target{ID: "t-0", StartedMS: 1000})).To(BeTrue(), "forgotten")
+	g.Expect(r.Put(catalog.Target{ID: "t-4999", StartedMS: 1000})).To(BeFalse())
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -220,7 +220,7 @@
 	if !f.register.Put(target) {
 		return false
 	}
-	if known && before.Born != target.Born {
+	if known && before.StartedMS != target.StartedMS {
 		// Connections to the process before are dead, though nothing may have come to say so.
 		f.gateway.pool.Forget(before.Address)
 	}
@@ -229,7 +229,7 @@
 		state = "leaving"
 	}
 	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-		"target": target.ID, "born": target.Born, "service": target.Service, "address": target.Address, "zone": target.Zone, "slots": target.Slots,
+		"target": target.ID, "started_ms": target.StartedMS, "service": target.Service, "address": target.Address, "zone": target.Zone, "slots": target.Slots,
 		"state": state, "offset": record.Offset, "replicated": u.Replicated, "age_ms": time.Since(u.AsOf).Milliseconds(),
 	})
 	return true
