Quota check grows with the number of entries, not its square

Cause: what others may have admitted since their last word was taken as the mean of the entries heard last, computed anew for each other entry: n x fresh walks over histories for one request, and 19 times that for each heartbeat (Pressing). Now the mean is computed once for each age, and a history is searched, not walked.

--- /dev/null
+++ b/internal/core/quota/bench_test.go
@@ -0,0 +1,87 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/quota"
+)
+
+// entryCounts are a small site, the largest ones in use, and the size to design for.
+var entryCounts = []int{9, 48, 195, 410}
+
+// inFleet makes the limiter of one of so many entries: a dozen of the others were heard
+// within the last report, the rest some time ago.
+func inFleet(entries int) (*quota.Limiter, time.Time) {
+	const organisations, fresh = 19, 12
+	now := time.Unix(1_000_000, 0)
+	limiter := quota.New(quota.Config{Window: window, Overshoot: overshoot, Slack: slack}, now)
+	var limits []catalog.Organisation
+	for i := range organisations {
+		limits = append(limits, catalog.Organisation{Name: fmt.Sprint("organisation-", i), Rate: rate, Burst: burst})
+	}
+	limiter.SetOrganisations(limits)
+	limiter.SetListed(true)
+	peers := make([]quota.Peer, entries-1)
+	for i := range peers {
+		peers[i] = quota.Peer{Name: fmt.Sprint("entry-", i), Started: now}
+	}
+	limiter.SetPeers(now, peers)
+	totals := make(map[string]quota.Total, organisations)
+	for at := now; at.Before(now.Add(2 * window)); at = at.Add(250 * time.Millisecond) {
+		sum := at.Sub(now).Seconds() * rate / 4 / float64(entries)
+		for _, o := range limits {
+			totals[o.Name] = quota.Total{Admitted: sum, Sent: sum}
+		}
+		for i, p := range peers {
+			heard := at
+			if i >= fresh {
+				heard = at.Add(-time.Duration(i) * time.Second / time.Duration(entries))
+			}
+			limiter.PeerTotals(heard, p.Name, now, totals)
+		}
+	}
+	return limiter, now.Add(2 * window)
+}
+
+// BenchmarkAdmit is what a request costs an entry, by the number of entries.
+func BenchmarkAdmit(b *testing.B) {
+	for _, entries := range entryCounts {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			limiter, now := inFleet(entries)
+			b.ReportAllocs()
+			for b.Loop() {
+				limiter.Admit(now, "organisation-3", 1, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkPressing is what each heartbeat costs besides.
+func BenchmarkPressing(b *testing.B) {
+	for _, entries := range entryCounts {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			limiter, now := inFleet(entries)
+			b.ReportAllocs()
+			for b.Loop() {
+				limiter.Pressing(now)
+			}
+		})
+	}
+}
+
+// BenchmarkPeerTotals is what another entry's word costs.
+func BenchmarkPeerTotals(b *testing.B) {
+	limiter, now := inFleet(195)
+	totals := limiter.Totals()
+	for i := range 19 {
+		totals[fmt.Sprint("organisation-", i)] = quota.Total{Admitted: 1e7, Sent: 1e7}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		limiter.PeerTotals(now, "entry-7", now.Add(-2*window), totals)
+	}
+}
--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -14,6 +14,7 @@
 	told = l.own[organisation].since(since)
 	assumed = share * l.unknown(now, l.started, before)
 	silent := float64(l.entries()-len(l.peers)-1) * share * bound
+	fresh := l.freshUse(now, organisation)
 	for _, p := range l.peers {
 		known := p.known(organisation, since)
 		told += known
@@ -21,7 +22,7 @@
 			silent += max(0, bound*share-known)
 			continue
 		}
-		assumed += share*l.unknown(now, p.since, before) + l.untold(now, p, organisation)
+		assumed += share*l.unknown(now, p.since, before) + fresh.untold(now, p, organisation)
 	}
 	assumed = max(assumed, l.viewed(now, organisation)-told)
 	return told, assumed + silent
@@ -52,36 +53,69 @@
 	// request would count for all.
 	freshFor   = 150 * time.Millisecond
 	freshGroup = 6
+	// freshStep is the resolution in time of that mean, half that of a series.
+	freshStep = step / 2
 )
 
+// freshUse is what this entry and those whose totals are fresh have admitted of an
+// organisation's requests. The means are kept by the age from which on they count: asked
+// for each peer anew, one request cost 1.5 ms of a core at 195 entries, and 30 µs so.
+type freshUse struct {
+	accounts []*account
+	means    map[time.Duration]float64
+}
+
+// freshUse returns the accounts of the moment; it is good until the next call.
+func (l *Limiter) freshUse(now time.Time, organisation string) *freshUse {
+	f := &l.fresh
+	f.accounts = append(f.accounts[:0], l.own[organisation])
+	for _, other := range l.peers {
+		if now.Sub(other.heard) < freshFor {
+			f.accounts = append(f.accounts, other.usage[organisation])
+		}
+	}
+	if f.means == nil {
+		f.means = make(map[time.Duration]float64)
+	}
+	clear(f.means)
+	return f
+}
+
 // untold estimates what a peer has admitted since its last totals: what the entries
 // whose totals are fresh have admitted since then in the mean, as callers pick entries
 // at random. A peer's own rate alone would lag behind an organisation that suddenly
 // sends many times its usual, and let it exceed its quota by what is sent in a second.
-func (l *Limiter) untold(now time.Time, p *peer, organisation string) float64 {
-	if now.Sub(p.heard) < freshFor {
+func (f *freshUse) untold(now time.Time, p *peer, organisation string) float64 {
+	age := now.Sub(p.heard)
+	if age < freshFor {
 		return 0
 	}
 	recent := p.usage[organisation].admittedSince(p.heard.Add(-rateOver))
-	estimate := max(0, recent) * float64(now.Sub(p.heard)) / float64(rateOver)
-	mean, n := l.freshMean(now, organisation, func(a *account) float64 { return a.admittedSince(p.heard) })
-	if n < freshGroup {
+	estimate := max(0, recent) * float64(age) / float64(rateOver)
+	if len(f.accounts) < freshGroup {
 		return estimate
 	}
-	return max(estimate, mean)
+	return max(estimate, f.meanSince(now, age))
 }
 
-// freshMean is the mean of a measure of an organisation's accounts, over this entry and
-// the n-1 others whose totals are fresh.
-func (l *Limiter) freshMean(now time.Time, organisation string, measure func(*account) float64) (mean float64, n int) {
-	sum, n := measure(l.own[organisation]), 1
-	for _, other := range l.peers {
-		if now.Sub(other.heard) < freshFor {
-			sum += measure(other.usage[organisation])
-			n++
-		}
+// meanSince is the mean of what was admitted from an age on, rounded up to a whole step.
+func (f *freshUse) meanSince(now time.Time, age time.Duration) float64 {
+	rounded := (age + freshStep - 1) / freshStep * freshStep
+	mean, known := f.means[rounded]
+	if !known {
+		mean = meanOf(f.accounts, func(a *account) float64 { return a.admittedSince(now.Add(-rounded)) })
+		f.means[rounded] = mean
+	}
+	return mean
+}
+
+// meanOf is the mean of a measure of accounts.
+func meanOf(accounts []*account, measure func(*account) float64) float64 {
+	sum := 0.0
+	for _, a := range accounts {
+		sum += measure(a)
 	}
-	return sum / float64(n), n
+	return sum / float64(len(accounts))
 }
 
 // Pressing reports whether an organisation is so close to its quota that the entries
--- a/internal/core/quota/peers.go
+++ b/internal/core/quota/peers.go
@@ -139,8 +139,8 @@
 	if !from.Before(until) {
 		return 0
 	}
-	mean, _ := l.freshMean(now, organisation, func(a *account) float64 { return a.admittedSince(from) - a.admittedSince(until) })
-	return max(0, mean)
+	accounts := l.freshUse(now, organisation).accounts
+	return max(0, meanOf(accounts, func(a *account) float64 { return a.admittedSince(from) - a.admittedSince(until) }))
 }
 
 // restartSlack is the error in a peer's start, which it gives as its age in each
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -73,6 +73,8 @@
 	recordsCurrent bool
 	// isolated is when this entry last heard less than half of the others.
 	isolated time.Time
+	// fresh is reused by each estimate.
+	fresh freshUse
 	// unlisted: it has not been told yet who the other entries are.
 	unlisted bool
 }
--- a/internal/core/quota/series.go
+++ b/internal/core/quota/series.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // series is a running total over time. A nil series is zero.
 type series struct{ points []point }
@@ -47,12 +50,8 @@
 	if s == nil || len(s.points) == 0 {
 		return 0
 	}
-	for i := len(s.points) - 1; i >= 0; i-- {
-		if !s.points[i].at.After(moment) {
-			return s.last() - s.points[i].total
-		}
-	}
-	return s.last() - s.points[0].total
+	later := sort.Search(len(s.points), func(i int) bool { return s.points[i].at.After(moment) })
+	return s.last() - s.points[max(0, later-1)].total
 }
 
 // spreadStep is the resolution of what is spread.
