Entries of other cells are heard by digest, not by heartbeats from all to all

Cause: each entry told each other one of its life and totals, every 2.25 s at 195 entries and every 0.3 s while any organisation was near its quota: 17,000 to 126,000 datagrams a second over the fleet, and a dead entry was listed for 8 s. Now heartbeats go to the cell each 250 ms; two relays of a cell pass its word on, each 750 ms, to one entry of each other cell in turn, which tells its own. Silence is 3 s in fleets of several cells. Cells are computed at changes and heartbeats, not for each report. Reports of load hold only the totals that changed within two heartbeats, and a request that ended is reported with the next that starts, within 40 ms, unless something waits.

Found by the tests: a relay must be one that its cell hears, or healthy entries fall silent for 1.5 s when both relays are lost; at one digest a second and 5 % loss an entry missed a whole cell once in 20 s.

--- a/internal/core/dispatch/cell.go
+++ b/internal/core/dispatch/cell.go
@@ -41,9 +41,12 @@
 
 // Rank orders names so that all entries agree and no property of an instance shows.
 func Rank(a, b string) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	return cmp.Or(cmp.Compare(Place(a), Place(b)), cmp.Compare(a, b))
 }
 
+// Place is the number by which Rank orders a name.
+func Place(name string) uint64 { return xxhash.Sum64String(name) }
+
 // SetCell says which of how many cells this entry belongs to.
 func (s *Scheduler) SetCell(now time.Time, cell, cells int) Effects {
 	if cell == s.cell && cells == s.cells {
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -71,6 +71,20 @@
 	return load
 }
 
+// Contended reports whether requests for a service wait at this entry or another one of
+// the cell: then each place that comes free should be known at once.
+func (s *Scheduler) Contended(now time.Time, service string) bool {
+	if len(s.pool(service).waiting) > 0 {
+		return true
+	}
+	for _, peer := range s.peers {
+		if _, waits := peer.waiting[service]; waits && now.Sub(peer.at) <= reportLife {
+			return true
+		}
+	}
+	return false
+}
+
 // load is the number of requests at a target over all entries, and the age of the
 // oldest report that it rests on.
 func (s *Scheduler) load(now time.Time, t *target) (int, time.Duration) {
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -1,14 +1,19 @@
 // Package peerset keeps what an entry knows of the other entries: who is heard,
 // where callers may be sent, and who may still be at work unheard. The register
-// of entries only says whom to talk to; being heard is what counts.
+// of entries only says whom to talk to; being heard is what counts. Entries are divided
+// into cells: those of a cell hear each other, those of other cells are heard through
+// relays, so that what membership costs an entry does not grow with the square of the
+// fleet.
 //
 // Time is an argument. A Set is not safe for concurrent use.
 package peerset
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
+
+	"sycamoretrail/internal/core/dispatch"
 )
 
 // State is what an entry says of itself.
@@ -34,20 +39,19 @@
 	Callers, Links string
 }
 
-// Config sets the intervals for up to ScaleMembers entries; both grow in steps
-// beyond, so that the cost of heartbeats grows more slowly than their number.
+// Config sets the intervals.
 type Config struct {
-	Heartbeat time.Duration
-	// Silence is how long an entry may be unheard and still get callers.
+	// Silence is how long an entry may be unheard and still get callers, where all
+	// entries hear each other.
 	Silence time.Duration
+	// RelayedSilence is the same where there are several cells: word of other cells comes
+	// through relays, some of which may be lost.
+	RelayedSilence time.Duration
 	// Removal is how long an entry may be unheard and still count as one that may
 	// be serving: instances are replaced for good without notice.
 	Removal time.Duration
 }
 
-// ScaleMembers is the number of entries for one step of the intervals.
-const ScaleMembers = 24
-
 // Member is another entry.
 type Member struct {
 	Entry
@@ -56,6 +60,38 @@
 	Heard, Started time.Time
 	// Blind: it cannot read the store.
 	Blind bool
+	// Version is the configuration that it has in force.
+	Version int64
+	// Sequence is the number of its last message, Direct when it was last heard without
+	// a relay.
+	Sequence uint64
+	Direct   time.Time
+	// place orders entries as Rank does.
+	place uint64
+}
+
+// Word is what an entry has said of itself.
+type Word struct {
+	Entry
+	State State
+	// Sequence rises with each message of an incarnation.
+	Sequence uint64
+	// Age is how long the entry had been running when it said so.
+	Age     time.Duration
+	Blind   bool
+	Version int64
+	// Relayed: another entry has passed it on, which knows no addresses.
+	Relayed bool
+}
+
+// News is what a word changes.
+type News struct {
+	// Old: a later word is known, or this one is of an incarnation that has been replaced.
+	Old bool
+	// Unknown: the entry is not known, and the word does not tell its addresses.
+	Unknown bool
+	// Joined: it was not live before. Replaced: it is another incarnation than was known.
+	Joined, Replaced bool
 }
 
 // Set holds the other entries by name.
@@ -63,6 +99,8 @@
 	config  Config
 	self    Entry
 	members map[string]*Member
+	// order holds the members by place.
+	order []*Member
 }
 
 // New makes a set that knows only this entry.
@@ -77,35 +115,76 @@
 	}
 	known, found := s.members[entry.Name]
 	if !found {
-		s.members[entry.Name] = &Member{Entry: entry, Started: now, Heard: now.Add(-s.silence())}
+		known = s.add(entry.Name)
+		known.Entry, known.Started, known.Heard = entry, now, now.Add(-s.silence())
 		return
 	}
 	if !s.live(now, known) && known.Incarnation != entry.Incarnation {
 		known.Entry = entry
+		known.Sequence = 0
 	}
 }
 
-// Heard takes an entry's word of itself; age is how long it has been running. It
-// reports whether the entry was not live before, and whether this is another
-// incarnation than the one known.
-func (s *Set) Heard(now time.Time, entry Entry, state State, age time.Duration, blind bool) (joined, replaced bool) {
-	if entry.Name == s.self.Name {
-		return false, false
-	}
-	started := now.Add(-age)
-	known, found := s.members[entry.Name]
-	if found && known.Incarnation != entry.Incarnation && known.Started.After(started) && s.live(now, known) {
-		// A late datagram of an incarnation that has been replaced.
-		return false, false
+// add makes a member of which nothing but the name is known.
+func (s *Set) add(name string) *Member {
+	m := &Member{place: dispatch.Place(name)}
+	m.Name = name
+	s.members[name] = m
+	at, _ := slices.BinarySearchFunc(s.order, m, compareMembers)
+	s.order = slices.Insert(s.order, at, m)
+	return m
+}
+
+// compareMembers orders members as dispatch.Rank does their names.
+func compareMembers(a, b *Member) int {
+	return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.Name, b.Name))
+}
+
+// Heard takes an entry's word; at is when it was said, on this clock.
+func (s *Set) Heard(now, at time.Time, word Word) News {
+	if word.Name == s.self.Name {
+		return News{Old: true}
 	}
+	known, found := s.members[word.Name]
 	if !found {
-		known = &Member{}
-		s.members[entry.Name] = known
+		if word.Relayed {
+			return News{Unknown: true}
+		}
+		known = s.add(word.Name)
+	}
+	started := at.Add(-word.Age)
+	if found && s.outdated(now, known, word, started) {
+		return News{Old: true}
 	}
-	joined = !found || !s.live(now, known)
-	replaced = found && known.Incarnation != entry.Incarnation
-	*known = Member{Entry: entry, State: state, Heard: now, Started: started, Blind: blind}
-	return joined, replaced
+	news := News{Joined: !found || !s.live(now, known), Replaced: found && known.Incarnation != word.Incarnation}
+	if word.Relayed {
+		known.Incarnation = word.Incarnation
+	} else {
+		known.Entry, known.Direct = word.Entry, at
+	}
+	known.State, known.Blind, known.Version, known.Sequence = word.State, word.Blind, word.Version, word.Sequence
+	known.Heard, known.Started = at, started
+	return news
+}
+
+// outdated reports whether a word is older than what is known. Datagrams come late, and
+// relays pass on the word of an incarnation that they do not know to be replaced.
+func (s *Set) outdated(now time.Time, known *Member, word Word, started time.Time) bool {
+	if known.Incarnation == word.Incarnation {
+		return word.Sequence <= known.Sequence
+	}
+	return known.Started.After(started) && s.live(now, known)
+}
+
+// Touched notes any other message of an entry, such as a report of its load, which also
+// shows that it lives; false: it is old, or its sender is not known yet.
+func (s *Set) Touched(now time.Time, name string, incarnation, sequence uint64) bool {
+	known, found := s.members[name]
+	if !found || known.Incarnation != incarnation || sequence <= known.Sequence {
+		return false
+	}
+	known.Sequence, known.Heard, known.Direct = sequence, now, now
+	return true
 }
 
 // Prune removes entries that have been unheard for too long and returns them. An
@@ -124,16 +203,22 @@
 	for _, entry := range old {
 		delete(s.members, entry.Name)
 	}
+	s.order = slices.DeleteFunc(s.order, func(m *Member) bool { return s.members[m.Name] != m })
 	return old
 }
 
-// Members returns all other entries that may be serving, by name.
+// Members returns all other entries that may be serving, in the order of dispatch.Rank.
 func (s *Set) Members() []Member {
-	members := make([]Member, 0, len(s.members))
-	for _, m := range s.members {
-		members = append(members, *m)
+	return s.filter(func(*Member) bool { return true })
+}
+
+func (s *Set) filter(holds func(*Member) bool) []Member {
+	var members []Member
+	for _, m := range s.order {
+		if holds(m) {
+			members = append(members, *m)
+		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return members
 }
 
@@ -147,43 +232,28 @@
 
 // Serving returns the other entries that callers may be sent to.
 func (s *Set) Serving(now time.Time) []Member {
-	var serving []Member
-	for _, m := range s.Members() {
-		if m.State == Ready && s.live(now, &m) {
-			serving = append(serving, m)
-		}
-	}
-	return serving
+	return s.filter(func(m *Member) bool { return s.serves(now, m) })
 }
 
+func (s *Set) serves(now time.Time, m *Member) bool { return m.State == Ready && s.live(now, m) }
+
 // Readers returns the live entries among which the one is chosen that reads the
 // store for the others: those that serve and can read it; where there are none, all
 // that live.
 func (s *Set) Readers(now time.Time) []Member {
-	var able, live []Member
-	for _, m := range s.Members() {
-		if !s.live(now, &m) || m.State == Draining {
-			continue
-		}
-		live = append(live, m)
-		if m.State == Ready && !m.Blind {
-			able = append(able, m)
-		}
-	}
+	able := s.filter(func(m *Member) bool { return s.serves(now, m) && !m.Blind })
 	if len(able) > 0 {
 		return able
 	}
-	return live
+	return s.filter(func(m *Member) bool { return m.State != Draining && s.live(now, m) })
 }
 
 // Size is the number of entries that may be serving, this one included.
 func (s *Set) Size() int { return len(s.members) + 1 }
 
-// Heartbeat is the interval between two words to each other entry.
-func (s *Set) Heartbeat() time.Duration { return s.config.Heartbeat * s.scale() }
-
-func (s *Set) silence() time.Duration { return s.config.Silence * s.scale() }
-
-func (s *Set) scale() time.Duration {
-	return time.Duration((len(s.members) + ScaleMembers) / ScaleMembers)
+func (s *Set) silence() time.Duration {
+	if dispatch.Cells(s.Size()) > 1 {
+		return s.config.RelayedSilence
+	}
+	return s.config.Silence
 }
--- a/internal/core/quota/peers.go
+++ b/internal/core/quota/peers.go
@@ -37,6 +37,31 @@
 	return totals
 }
 
+// TotalsSince is Totals without the organisations of which this entry has counted nothing
+// since a moment.
+func (l *Limiter) TotalsSince(moment time.Time) map[string]Total {
+	totals := make(map[string]Total)
+	for organisation, a := range l.own {
+		if a.changedSince(moment) {
+			totals[organisation] = a.total()
+		}
+	}
+	return totals
+}
+
+// TotalsOf returns the last totals of a peer.
+func (l *Limiter) TotalsOf(name string) map[string]Total {
+	p, found := l.peers[name]
+	if !found {
+		return nil
+	}
+	totals := make(map[string]Total, len(p.usage))
+	for organisation, a := range p.usage {
+		totals[organisation] = a.total()
+	}
+	return totals
+}
+
 // Peer is another entry as membership knows it.
 type Peer struct {
 	Name string
@@ -66,11 +91,12 @@
 	}
 }
 
-// PeerTotals takes a peer's totals. A later start than the one known means
-// another incarnation, whose totals begin at zero.
+// PeerTotals takes a peer's totals; now is when they were so, which lies in the past where
+// they came through a relay. A later start than the one known means another incarnation,
+// whose totals begin at zero.
 func (l *Limiter) PeerTotals(now time.Time, name string, started time.Time, totals map[string]Total) {
 	p, found := l.peers[name]
-	if !found {
+	if !found || p.told && now.Before(p.heard) {
 		return
 	}
 	if started.Sub(p.started) > restartSlack {
--- a/internal/core/quota/series.go
+++ b/internal/core/quota/series.go
@@ -45,6 +45,11 @@
 	s.points = s.points[old:]
 }
 
+// changedSince reports whether a point was added after a moment.
+func (s *series) changedSince(moment time.Time) bool {
+	return len(s.points) > 0 && s.points[len(s.points)-1].at.After(moment)
+}
+
 // since is what was added after a moment, rounded up to whole points.
 func (s *series) since(moment time.Time) float64 {
 	if s == nil || len(s.points) == 0 {
@@ -72,6 +77,11 @@
 
 func (a *account) total() Total { return Total{Admitted: a.admitted.last(), Sent: a.sent.last()} }
 
+// changedSince reports whether anything was counted after a moment.
+func (a *account) changedSince(moment time.Time) bool {
+	return a.admitted.changedSince(moment) || a.sent.changedSince(moment)
+}
+
 // begin starts an account whose totals were used at unknown times.
 func (a *account) begin(now time.Time, total Total) {
 	a.admitted.begin(now, total.Admitted)
--- /dev/null
+++ b/internal/gateway/digest.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/gossip"
+)
+
+// Entries of a cell hear each other. What the others need to know of them, that they live
+// and what organisations have used there, goes by digest: a relay of the cell sends it to
+// one entry of each other cell, each time to another, which passes it on to its cell. So
+// an entry receives some datagrams a second for each cell, where heartbeats from all to
+// all were one for each entry.
+
+const (
+	// digestPause is the pause between two digests of a relay. Eight come from the relays of
+	// a cell within the time after which its entries count as silent: where a twentieth of
+	// all datagrams is lost, none of 195 entries misses all of them in 20 s.
+	digestPause = 750 * time.Millisecond
+	// pressingPause is the same while an organisation is close to its quota: one that sends
+	// six times its usual uses a twentieth of it meanwhile.
+	pressingPause = 600 * time.Millisecond
+)
+
+// relay sends digests while this entry is one of the relays of its cell.
+func (l *links) relay(ctx context.Context) {
+	pause := digestPause
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = digestPause
+		cells := l.cells.Load()
+		if !cells.Relays {
+			continue
+		}
+		if l.pressing() {
+			pause = pressingPause
+		}
+		l.sendDigests(cells, turn)
+	}
+}
+
+func (l *links) pressing() bool {
+	l.gateway.state.mutex.Lock()
+	defer l.gateway.state.mutex.Unlock()
+	return l.gateway.state.quota.Pressing(time.Now())
+}
+
+func (l *links) sendDigests(cells *peerset.Cells, turn int) {
+	digests, err := gossip.Digests(l.words())
+	if err != nil {
+		l.gateway.log.Write(eventlog.Belief, eventUndecodable, eventlog.Fields{"error": err.Error()})
+		return
+	}
+	var to []peerset.Entry
+	for _, cell := range cells.Others {
+		if len(cell) > 0 {
+			to = append(to, cell[turn%len(cell)])
+		}
+	}
+	for _, digest := range digests {
+		m := l.message()
+		m.Digest = digest
+		l.send(m, to)
+	}
+}
+
+// words are this entry's own and those of the entries that it hears.
+func (l *links) words() (organisations []string, words []gossip.Word) {
+	g := l.gateway
+	version := int64(0)
+	if c := g.configuration.Load(); c != nil {
+		version = c.Version
+	}
+	state := g.ownState()
+	g.state.mutex.Lock()
+	defer g.state.mutex.Unlock()
+	now := time.Now()
+	own := g.state.quota.Totals()
+	members := g.state.peers.Relayed(now)
+	totals := []map[string]quota.Total{own}
+	for _, m := range members {
+		totals = append(totals, g.state.quota.TotalsOf(m.Name))
+	}
+	organisations = namesOf(totals)
+	words = append(words, gossip.Word{
+		Name: g.self.Name, Incarnation: g.self.Incarnation, Sequence: l.conn.Next(), AgeMS: now.Sub(g.started).Milliseconds(),
+		State: uint8(state), Blind: g.feeds.isBlind(), Version: version,
+	})
+	for _, m := range members {
+		words = append(words, gossip.Word{
+			Name: m.Name, Incarnation: m.Incarnation, Sequence: m.Sequence, AgeMS: m.Heard.Sub(m.Started).Milliseconds(),
+			SilentMS: now.Sub(m.Heard).Milliseconds(), State: uint8(m.State), Blind: m.Blind, Version: m.Version,
+		})
+	}
+	for i := range words {
+		words[i].Admitted, words[i].Waiting = columns(organisations, totals[i])
+	}
+	return organisations, words
+}
+
+// namesOf returns the organisations that have used anything, by name.
+func namesOf(totals []map[string]quota.Total) []string {
+	var names []string
+	for _, each := range totals {
+		for name := range each {
+			if i, found := slices.BinarySearch(names, name); !found {
+				names = slices.Insert(names, i, name)
+			}
+		}
+	}
+	return names
+}
+
+// columns are an entry's totals in the order of the organisations.
+func columns(organisations []string, totals map[string]quota.Total) (admitted, waiting []int64) {
+	for i, name := range organisations {
+		total := totalMessage(totals[name])
+		admitted = appendAt(admitted, i, total.Admitted)
+		waiting = appendAt(waiting, i, total.Waiting)
+	}
+	return admitted, waiting
+}
+
+// appendAt sets a column to a value; columns behind the last that is not zero are left out.
+func appendAt(column []int64, i int, value int64) []int64 {
+	if value == 0 {
+		return column
+	}
+	for len(column) < i {
+		column = append(column, 0)
+	}
+	return append(column, value)
+}
+
+// takeDigest takes what a relay passes on, and passes it on to the cell if it is this
+// entry's turn.
+func (l *links) takeDigest(m *gossip.Message) {
+	if m.Digest.PassOn {
+		m.Digest.PassOn = false
+		l.send(m, l.cells.Load().Audience)
+	}
+	g := l.gateway
+	latest, unknown := int64(0), false
+	now := time.Now()
+	g.state.mutex.Lock()
+	for i := range m.Digest.Words {
+		w := &m.Digest.Words[i]
+		latest = max(latest, w.Version)
+		news := l.heard(now, now.Add(-milliseconds(w.SilentMS)), peerset.Word{
+			Entry: peerset.Entry{Name: w.Name, Incarnation: w.Incarnation}, Relayed: true,
+			State: peerset.State(w.State), Sequence: w.Sequence, Age: milliseconds(w.AgeMS), Blind: w.Blind, Version: w.Version,
+		}, totalsOf(m.Digest.Organisations, w))
+		unknown = unknown || news.Unknown
+	}
+	g.state.mutex.Unlock()
+	if unknown {
+		g.feeds.lookForEntries()
+	}
+	l.catchUp(latest)
+}
+
+// totalsOf are a word's totals; columns without an organisation are passed over.
+func totalsOf(organisations []string, w *gossip.Word) map[string]quota.Total {
+	totals := make(map[string]quota.Total, len(w.Admitted))
+	for i, admitted := range w.Admitted {
+		if i >= len(organisations) {
+			break
+		}
+		total := gossip.Total{Admitted: admitted}
+		if i < len(w.Waiting) {
+			total.Waiting = w.Waiting[i]
+		}
+		totals[organisations[i]] = totalOf(total)
+	}
+	return totals
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -54,7 +54,7 @@
 	g.ending.Store(ending)
 	g.draining.Store(true)
 	g.log.Write(eventlog.Belief, eventDrain, eventlog.Fields{"running": g.running.Load(), "grace_ms": grace.Milliseconds()})
-	g.links.heartbeatNow()
+	g.links.announce()
 	linger := began.Add(part(grace, lingerShare))
 	time.Sleep(time.Until(linger))
 	for _, s := range servers {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -35,6 +35,8 @@
 	// entriesEvery is the pause between two looks at the register of entries, which
 	// only tells of entries that could not reach this one.
 	entriesEvery = 60 * time.Second
+	// entriesLeast is the least time between two looks for an entry that is not known.
+	entriesLeast = 5 * time.Second
 	// registerRetry is the pause after a failed attempt to register this entry.
 	registerRetry = 500 * time.Millisecond
 )
@@ -52,10 +54,13 @@
 	mutex     sync.Mutex
 	register  *register.Register
 	addresses map[string]bool
+	// lookAgain asks for another look at the register of entries.
+	lookAgain chan struct{}
+	looked    atomic.Int64
 }
 
 func newFeeds(g *Gateway) *feeds {
-	f := &feeds{gateway: g, register: register.New()}
+	f := &feeds{gateway: g, register: register.New(), lookAgain: make(chan struct{}, 1)}
 	drain := settings.Milliseconds(g.settings.Bounds.DrainMS)
 	apply := settings.Milliseconds(g.settings.Bounds.ConfigurationMS)
 	f.operators = feed.NewFollower(feed.Config{
@@ -335,6 +340,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
+		case <-f.lookAgain:
 		}
 		if !registered && !f.registerSelf() {
 			pause = registerRetry
@@ -348,6 +354,17 @@
 	}
 }
 
+// lookForEntries has the register of entries read for one that is named by another and not
+// known: the heartbeat with which it started was lost. Not more often than entriesLeast.
+func (f *feeds) lookForEntries() {
+	now := time.Now().UnixNano()
+	last := f.looked.Load()
+	if now-last < int64(entriesLeast) || !f.looked.CompareAndSwap(last, now) {
+		return
+	}
+	signal(f.lookAgain)
+}
+
 func (f *feeds) registerSelf() bool {
 	self := f.gateway.self
 	value, err := json.Marshal(entryRecord{Incarnation: self.Incarnation, Zone: self.Zone, Callers: self.Callers, Links: self.Links})
@@ -376,6 +393,7 @@
 		}
 		entries = append(entries, peerset.Entry{Name: record.Key, Incarnation: entry.Incarnation, Zone: entry.Zone, Callers: entry.Callers, Links: entry.Links})
 	}
+	f.looked.Store(time.Now().UnixNano())
 	f.gateway.links.registered(entries)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,10 +49,13 @@
 	maxBody   = 8 << 20
 	// idleCaller is how long an idle connection of a caller is kept.
 	idleCaller = 75 * time.Second
-	// heartbeat, silence and removal are those of up to 24 entries; see peerset.
-	heartbeat = 250 * time.Millisecond
-	silence   = 900 * time.Millisecond
-	removal   = 20 * time.Second
+	// heartbeat is the pause between two words to the entries of the cell. silence is three
+	// of them and a delay; relayedSilence four digests of each relay of a cell.
+	heartbeat      = 250 * time.Millisecond
+	silence        = 900 * time.Millisecond
+	relayedSilence = 3 * time.Second
+	// removal is the time after which an entry that is not heard is taken for replaced.
+	removal = 20 * time.Second
 	// listLife is how long callers may keep a list of entries: a stopped entry is
 	// still asked for that long.
 	listLife = time.Second
@@ -112,9 +115,10 @@
 		quota:       quota.New(quotaConfig(s.Bounds), now),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
 		crashes:     crashes.New(),
-		peers:       peerset.New(peerset.Config{Heartbeat: heartbeat, Silence: silence, Removal: removal}, g.self),
+		peers:       peerset.New(peerset.Config{Silence: silence, RelayedSilence: relayedSilence, Removal: removal}, g.self),
 		waiters:     make(map[*dispatch.Ticket]chan verdict),
-		loadChanged: make(chan struct{}, 1),
+		loadTaken:   make(chan struct{}, 1),
+		loadSettled: make(chan struct{}, 1),
 	}
 	g.state.quota.SetListed(false)
 	g.feeds = newFeeds(g)
@@ -226,7 +230,10 @@
 // noteInformed ends the wait of callers that came before this entry was informed.
 func (g *Gateway) noteInformed() {
 	if g.informed() {
-		g.once.Do(func() { close(g.known) })
+		g.once.Do(func() {
+			close(g.known)
+			g.links.announce()
+		})
 	}
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -22,31 +22,41 @@
 	// loadAgain is the time after which an unchanged load is told again; reports
 	// count for three seconds.
 	loadAgain = time.Second
+	// totalsFor is how long a changed total is told with each report. Heartbeats tell all
+	// totals; told with each report, those that have not changed made two thirds of what a
+	// report costs its receivers. Two heartbeats cover a lost one.
+	totalsFor = 2 * heartbeat
+	// settledPause is how long a change that takes no place may wait for the next that does.
+	settledPause = 40 * time.Millisecond
 	// catchUpAfter is how long the reader's news may take after another entry's word
 	// that it has a later configuration.
 	catchUpAfter = 250 * time.Millisecond
-	// pressingPause is the pause between heartbeats while an organisation is close to
-	// its quota: one that sends six times its usual uses a twentieth of it meanwhile.
-	pressingPause = 300 * time.Millisecond
+	// viewPause is the least time between two looks at who is in which cell: when all
+	// entries start at once, each joins all others within some hundred milliseconds.
+	viewPause = 20 * time.Millisecond
 	// crashCopies is how often news of a broken run is sent: a datagram may be lost,
 	// and the next broken run would count one too few.
 	crashCopies = 2
 	// zoneReaders is the number of entries from which each zone has its own reader.
-	zoneReaders = peerset.ScaleMembers
+	zoneReaders = 24
 )
 
 // links speaks with the other entries.
 type links struct {
 	gateway *Gateway
 	conn    *gossip.Conn
-	beat    chan struct{}
+	// beat asks for a heartbeat at once; announcing: to all entries, not only the cell.
+	beat       chan struct{}
+	announcing atomic.Bool
+	// cells is how the entries are divided, as last looked at; viewDue: a look is due.
+	cells   atomic.Pointer[peerset.Cells]
+	viewDue atomic.Bool
+	viewed  time.Time
 
 	mutex sync.Mutex
 	// resolved caches socket addresses by their text.
 	resolved map[string]*net.UDPAddr
-	// latest is the last sequence number by entry and incarnation.
-	latest map[string]sender
-	reader string
+	reader   string
 	// fragmented numbers messages in fragments; assembler joins those of others.
 	fragmented atomic.Uint64
 	// catching: a look at whether the configuration has caught up is due.
@@ -54,22 +64,22 @@
 	assembler *gossip.Assembler
 }
 
-type sender struct{ incarnation, sequence uint64 }
-
 func newLinks(g *Gateway, conn *gossip.Conn) *links {
-	return &links{
+	l := &links{
 		gateway: g, conn: conn, beat: make(chan struct{}, 1),
-		resolved: make(map[string]*net.UDPAddr), latest: make(map[string]sender),
-		assembler: gossip.NewAssembler(),
+		resolved: make(map[string]*net.UDPAddr), assembler: gossip.NewAssembler(),
 	}
+	l.cells.Store(&peerset.Cells{Count: 1, Entries: 1, Others: nil})
+	return l
 }
 
-// run sends heartbeats and load reports until the context ends.
+// run sends heartbeats, digests and load reports until the context ends.
 func (l *links) run(ctx context.Context) {
 	go l.reportLoad(ctx)
+	go l.relay(ctx)
 	for {
 		l.sendHeartbeat()
-		timer := time.NewTimer(l.heartbeatPause())
+		timer := time.NewTimer(heartbeat)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -81,22 +91,16 @@
 	}
 }
 
-func (l *links) heartbeatPause() time.Duration {
-	l.gateway.state.mutex.Lock()
-	defer l.gateway.state.mutex.Unlock()
-	usual := l.gateway.state.peers.Heartbeat()
-	if usual > pressingPause && l.gateway.state.quota.Pressing(time.Now()) {
-		return pressingPause
-	}
-	return usual
+// heartbeatNow sends a heartbeat to the cell without waiting for its time.
+func (l *links) heartbeatNow() {
+	signal(l.beat)
 }
 
-// heartbeatNow sends a heartbeat without waiting for its time.
-func (l *links) heartbeatNow() {
-	select {
-	case l.beat <- struct{}{}:
-	default:
-	}
+// announce sends a heartbeat to all entries: what changes who gets callers must not wait
+// for a relay.
+func (l *links) announce() {
+	l.announcing.Store(true)
+	l.heartbeatNow()
 }
 
 func (l *links) message() *gossip.Message {
@@ -123,46 +127,67 @@
 }
 
 func (l *links) sendHeartbeat() {
-	l.send(l.heartbeat(), l.members())
-	l.updatePeers()
+	to := l.cells.Load().Audience
+	if l.announcing.Swap(false) {
+		to = l.members()
+	}
+	l.send(l.heartbeat(), to)
+	l.lookAtCells()
 }
 
-func (l *links) members() []peerset.Member {
+func (l *links) members() []peerset.Entry {
 	l.gateway.state.mutex.Lock()
 	defer l.gateway.state.mutex.Unlock()
-	return l.gateway.state.peers.Members()
+	return entriesOf(l.gateway.state.peers.Members())
 }
 
 // reportLoad tells the cell what this entry has at targets, soon after it changed,
 // and now and then while it does not change, since reports lapse.
 func (l *links) reportLoad(ctx context.Context) {
-	again := time.NewTicker(loadAgain)
-	defer again.Stop()
 	idle := true
 	for {
-		select {
-		case <-ctx.Done():
+		if !l.awaitChange(ctx, idle) {
 			return
-		case <-l.gateway.state.loadChanged:
-		case <-again.C:
-			if idle {
-				continue
-			}
 		}
 		l.gateway.state.mutex.Lock()
 		load := l.gateway.state.sched.OwnLoad(time.Now())
-		totals := l.gateway.state.quota.Totals()
-		members := cellmates(l.gateway.state.peers.Serving(time.Now()), l.gateway.self.Name)
+		totals := l.gateway.state.quota.TotalsSince(time.Now().Add(-totalsFor))
 		l.gateway.state.mutex.Unlock()
 		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0
 		m := l.message()
 		m.Load = loadMessage(load)
 		m.Load.Totals = mapValues(totals, totalMessage)
-		l.send(m, members)
+		l.send(m, l.cells.Load().Mates)
 		time.Sleep(loadPause)
 	}
 }
 
+// awaitChange waits until there is something to report; false: the context has ended.
+// Requests that ended, or whose prompts have been read, are reported some time later,
+// most often together with the next request that takes a place.
+func (l *links) awaitChange(ctx context.Context, idle bool) bool {
+	again := time.NewTimer(loadAgain)
+	defer again.Stop()
+	settled := l.gateway.state.loadSettled
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-l.gateway.state.loadTaken:
+			return true
+		case <-settled:
+			// The first change sets the time; those that follow go with it.
+			settled, idle = nil, false
+			again.Reset(settledPause)
+		case <-again.C:
+			if !idle {
+				return true
+			}
+			again.Reset(loadAgain)
+		}
+	}
+}
+
 // loadMessage and loadOf translate between the scheduler's report and the datagram's.
 func loadMessage(load dispatch.Load) *gossip.Load {
 	samples := make([]gossip.Sample, 0, len(load.Samples))
@@ -200,7 +225,7 @@
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // send sends one message to entries. What cannot be sent is replaced by the next.
-func (l *links) send(m *gossip.Message, members []peerset.Member) {
+func (l *links) send(m *gossip.Message, members []peerset.Entry) {
 	if len(members) == 0 {
 		return
 	}
@@ -230,31 +255,47 @@
 	return address
 }
 
-// updatePeers tells the quota and the scheduler who shares with this entry.
-func (l *links) updatePeers() {
+// lookAtCells tells the quota and the scheduler who shares with this entry.
+func (l *links) lookAtCells() {
 	l.gateway.state.mutex.Lock()
 	defer l.gateway.state.mutex.Unlock()
 	l.setPeers(time.Now())
 }
 
-// setPeers does so while the state's mutex is held.
+// changed has the cells looked at anew, soon. The state's mutex is held.
+func (l *links) changed(now time.Time) {
+	if now.Sub(l.viewed) >= viewPause {
+		l.setPeers(now)
+		return
+	}
+	if l.viewDue.CompareAndSwap(false, true) {
+		time.AfterFunc(viewPause, func() {
+			l.viewDue.Store(false)
+			l.lookAtCells()
+		})
+	}
+}
+
+// setPeers does so at once. The state's mutex is held.
 func (l *links) setPeers(now time.Time) {
 	g := l.gateway
+	l.viewed = now
 	members := g.state.peers.Members()
 	peers := make([]quota.Peer, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, quota.Peer{Name: m.Name, Started: m.Started, Silent: !g.state.peers.Live(now, m.Name)})
 	}
 	g.state.quota.SetPeers(now, peers)
-	own, entries := place(g.state.peers.Serving(now), g.self.Name)
-	g.state.sched.SetEntries(entries)
-	g.state.deliver(g.state.sched.SetCell(now, dispatch.CellOf(own, entries), dispatch.Cells(entries)))
+	cells := g.state.peers.Cells(now, g.ready())
+	l.cells.Store(&cells)
+	g.state.sched.SetEntries(cells.Entries)
+	g.state.deliver(g.state.sched.SetCell(now, cells.Own, cells.Count))
 }
 
 // registered takes the register of entries and greets those that are new.
 func (l *links) registered(entries []peerset.Entry) {
 	l.meet(entries)
-	l.heartbeatNow()
+	l.announce()
 }
 
 func (l *links) meet(entries []peerset.Entry) {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -24,7 +24,7 @@
 		g.links.noteReader(g.self.Name)
 		return true
 	}
-	reader := g.first(g.links.readFor(readers))
+	reader := g.first(g.links.readFor(entriesOf(readers)))
 	g.links.noteReader(reader)
 	return reader == g.self.Name
 }
@@ -47,8 +47,16 @@
 	return g.state.peers.Readers(time.Now())
 }
 
+func entriesOf(members []peerset.Member) []peerset.Entry {
+	entries := make([]peerset.Entry, 0, len(members))
+	for _, m := range members {
+		entries = append(entries, m.Entry)
+	}
+	return entries
+}
+
 // first is the name of the first in rank of some entries and this one.
-func (g *Gateway) first(members []peerset.Member) string {
+func (g *Gateway) first(members []peerset.Entry) string {
 	first := g.self.Name
 	for _, m := range members {
 		if dispatch.Rank(m.Name, first) < 0 {
@@ -91,11 +99,11 @@
 }
 
 // readFor returns the entries for which this one reads.
-func (l *links) readFor(members []peerset.Member) []peerset.Member {
+func (l *links) readFor(members []peerset.Entry) []peerset.Entry {
 	if len(members) < zoneReaders {
 		return members
 	}
-	var same []peerset.Member
+	var same []peerset.Entry
 	for _, m := range members {
 		if m.Zone == l.gateway.self.Zone {
 			same = append(same, m)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/gossip"
@@ -30,8 +32,8 @@
 	if m.Fragment != nil {
 		l.takeFragment(m)
 	}
-	if !l.newest(m) {
-		return
+	if m.Digest != nil {
+		l.takeDigest(m)
 	}
 	if m.Heartbeat != nil {
 		l.takeHeartbeat(m)
@@ -44,52 +46,61 @@
 	}
 }
 
-// newest reports whether a message is later than those before from its sender, and
-// not from an incarnation that has been replaced.
-func (l *links) newest(m *gossip.Message) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	known := l.latest[m.From]
-	if known.incarnation == m.Incarnation && m.Sequence <= known.sequence {
-		return false
-	}
-	l.latest[m.From] = sender{m.Incarnation, m.Sequence}
-	return true
-}
-
 func (l *links) takeHeartbeat(m *gossip.Message) {
-	g := l.gateway
 	h := m.Heartbeat
+	word := peerset.Word{
+		Entry: peerset.Entry{Name: m.From, Incarnation: m.Incarnation, Zone: h.Zone, Callers: h.Callers, Links: h.Links},
+		State: peerset.State(h.State), Sequence: m.Sequence, Age: milliseconds(m.AgeMS), Blind: h.Blind, Version: h.Version,
+	}
 	now := time.Now()
-	age := milliseconds(m.AgeMS)
-	entry := peerset.Entry{Name: m.From, Incarnation: m.Incarnation, Zone: h.Zone, Callers: h.Callers, Links: h.Links}
-	g.state.mutex.Lock()
-	joined, replaced := g.state.peers.Heard(now, entry, peerset.State(h.State), age, h.Blind)
-	if replaced {
-		g.state.deliver(g.state.sched.PeerGone(now, m.From))
+	l.gateway.state.mutex.Lock()
+	news := l.heard(now, now, word, mapValues(h.Totals, totalOf))
+	l.gateway.state.mutex.Unlock()
+	if news.Joined || news.Replaced {
+		l.greet(word.Entry)
 	}
-	g.state.quota.PeerTotals(now, m.From, now.Add(-age), mapValues(h.Totals, totalOf))
-	g.state.mutex.Unlock()
-	if joined || replaced {
+	l.catchUp(h.Version)
+}
+
+// heard takes an entry's word and its totals, both as they were at a moment. The state's
+// mutex is held.
+func (l *links) heard(now, at time.Time, word peerset.Word, totals map[string]quota.Total) peerset.News {
+	g := l.gateway
+	news := g.state.peers.Heard(now, at, word)
+	if news.Old || news.Unknown {
+		return news
+	}
+	if news.Replaced {
+		g.state.deliver(g.state.sched.PeerGone(now, word.Name))
+	}
+	if news.Joined || news.Replaced {
+		l.changed(now)
 		g.log.Write(eventlog.Belief, eventPeer, eventlog.Fields{
-			"peer": m.From, "incarnation": m.Incarnation, "state": peerset.State(h.State).String(), "joined": joined, "replaced": replaced,
+			"peer": word.Name, "incarnation": word.Incarnation, "state": word.State.String(),
+			"joined": news.Joined, "replaced": news.Replaced, "relayed": word.Relayed, "age_ms": now.Sub(at).Milliseconds(),
 		})
-		l.updatePeers()
-		l.greet(peerset.Member{Entry: entry})
 	}
-	l.catchUp(h.Version)
+	g.state.quota.PeerTotals(at, word.Name, at.Add(-word.Age), totals)
+	return news
 }
 
-// greet tells an entry that has joined what it needs before the next heartbeat.
-func (l *links) greet(entry peerset.Member) {
-	l.send(l.heartbeat(), []peerset.Member{entry})
+// greet tells an entry that has joined what it needs before the next heartbeat. In a fleet
+// of several cells its own cell and the relays do so: when all start at once, greetings
+// of everyone to everyone would be the square of the fleet.
+func (l *links) greet(entry peerset.Entry) {
+	cells := l.cells.Load()
+	inCell := slices.ContainsFunc(cells.Audience, func(e peerset.Entry) bool { return e.Name == entry.Name })
+	if cells.Count > 1 && !inCell && !cells.Relays {
+		return
+	}
+	l.send(l.heartbeat(), []peerset.Entry{entry})
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(time.Now())
 	l.gateway.state.mutex.Unlock()
 	if len(histories) > 0 {
 		m := l.message()
 		m.History = mapValues(histories, historyMessage)
-		l.send(m, []peerset.Member{entry})
+		l.send(m, []peerset.Entry{entry})
 	}
 }
 
@@ -125,6 +136,9 @@
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
 	now := time.Now()
+	if !g.state.peers.Touched(now, m.From, m.Incarnation, m.Sequence) {
+		return
+	}
 	g.state.quota.PeerTotals(now, m.From, now.Add(-milliseconds(m.AgeMS)), mapValues(m.Load.Totals, totalOf))
 	g.state.deliver(g.state.sched.PeerLoad(now, m.From, loadOf(m.Load)))
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -27,8 +27,10 @@
 	peers   *peerset.Set
 	waiters map[*dispatch.Ticket]chan verdict
 	ticking bool
-	// loadChanged is told, without waiting, that the others should hear the load.
-	loadChanged chan struct{}
+	// loadTaken and loadSettled are told, without waiting, that the others should hear the
+	// load: at once, since it takes a place that they may take for free or gives one for
+	// which they wait, or soon.
+	loadTaken, loadSettled chan struct{}
 }
 
 // verdict ends the wait for a place: one of the two is set.
@@ -46,7 +48,7 @@
 	s.waiters[ticket] = wait
 	s.deliver(effects)
 	if s.sched.Waiting() > 0 {
-		s.changed()
+		s.taken()
 	}
 	return ticket, wait
 }
@@ -67,8 +69,13 @@
 func (s *state) done(ticket *dispatch.Ticket, report dispatch.Report) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.deliver(s.sched.Done(time.Now(), ticket, report))
-	s.changed()
+	now := time.Now()
+	s.deliver(s.sched.Done(now, ticket, report))
+	if s.sched.Contended(now, ticket.Service) {
+		s.taken()
+	} else {
+		s.settled()
+	}
 }
 
 // began tells that the first event of a stream has come.
@@ -76,7 +83,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sched.ObserveFirstEvent(time.Now(), ticket)
-	s.changed()
+	s.settled()
 }
 
 // latencyTold tells the mean pause between the first events of a stream.
@@ -95,7 +102,7 @@
 		s.tell(effects.Refusals[i].Ticket, verdict{refusal: &effects.Refusals[i]})
 	}
 	if len(effects.Grants) > 0 || len(effects.Refusals) > 0 {
-		s.changed()
+		s.taken()
 	}
 	if s.sched.Waiting() > 0 && !s.ticking {
 		s.ticking = true
@@ -117,10 +124,15 @@
 	s.deliver(s.sched.Tick(time.Now()))
 }
 
-// changed asks for the load to be told. The mutex is held.
-func (s *state) changed() {
+// taken asks for the load to be told at once, settled soon. The mutex is held.
+func (s *state) taken() { signal(s.loadTaken) }
+
+func (s *state) settled() { signal(s.loadSettled) }
+
+// signal tells a channel without waiting; one that has not been heard stands for both.
+func signal(c chan struct{}) {
 	select {
-	case s.loadChanged <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -41,9 +41,11 @@
 	// History is what organisations have used over all entries, for an entry that has
 	// just begun.
 	History map[string]History `cbor:"10,keyasint,omitempty"`
+	Digest  *Digest            `cbor:"11,keyasint,omitempty"`
 }
 
-// Heartbeat is what the sender says of itself to every other entry.
+// Heartbeat is what the sender says of itself: often to the entries of its cell, and to
+// every other entry when it starts, is ready or stops.
 type Heartbeat struct {
 	Zone    string `cbor:"1,keyasint"`
 	Callers string `cbor:"2,keyasint"`
@@ -51,7 +53,7 @@
 	State   uint8  `cbor:"4,keyasint"`
 	// Version is the configuration in force.
 	Version int64 `cbor:"5,keyasint"`
-	// Totals is what organisations have used since the start.
+	// Totals are what organisations have used since the start.
 	Totals map[string]Total `cbor:"8,keyasint,omitempty"`
 	// Blind: the sender cannot read the store, so it should not read for others.
 	Blind bool `cbor:"7,keyasint,omitempty"`
@@ -137,9 +139,13 @@
 	return &Conn{socket: socket}, nil
 }
 
+// Next is a number for what the sender says of itself: later than that of its messages
+// before, earlier than that of those to come.
+func (c *Conn) Next() uint64 { return c.sequence.Add(1) }
+
 // Encode forms a datagram.
 func (c *Conn) Encode(m *Message) ([]byte, error) {
-	m.Sequence = c.sequence.Add(1)
+	m.Sequence = c.Next()
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errMessage, err)
