Digests of different cells go to different entries

Cause: all relays send at the same moments after a start, and all chose the same entry of a cell; it had to pass on thirty digests at once to eleven others, 105 ms of its link, which dropped most. Ruled out: too long datagrams, relays that do not send, lost heartbeats (lines of each relay).

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -29,8 +31,8 @@
 
 // relay sends digests while this entry is one of the relays of its cell.
 func (l *links) relay(ctx context.Context) {
-	pause := digestPause
-	for turn := 0; ; turn++ {
+	pause := rand.N(digestPause)
+	for turn := rand.IntN(dispatch.CellEntries); ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -54,6 +56,9 @@
 	return l.gateway.state.quota.Pressing(time.Now())
 }
 
+// sendDigests tells one entry of each other cell. Which one differs by the sender's cell:
+// where one entry had to pass on the digests of all cells at once, its link was full and
+// dropped most of them, and cells fell silent that lived.
 func (l *links) sendDigests(cells *peerset.Cells, turn int) {
 	digests, err := gossip.Digests(l.words())
 	if err != nil {
@@ -63,7 +68,7 @@
 	var to []peerset.Entry
 	for _, cell := range cells.Others {
 		if len(cell) > 0 {
-			to = append(to, cell[turn%len(cell)])
+			to = append(to, cell[(turn+cells.Own)%len(cell)])
 		}
 	}
 	for _, digest := range digests {
