Cells keep to zones: entries and targets are ordered by zone, then by name

Cause: divided by names alone, a cell has entries and targets of all zones, so four in five requests and reports cross zones. Ordered by zone first, cells stay of equal size (a cell takes whole places in the order, so it may hold the end of one zone and the start of the next).

--- a/internal/core/dispatch/cell.go
+++ b/internal/core/dispatch/cell.go
@@ -41,11 +41,17 @@
 
 // Rank orders names so that all entries agree and no property of an instance shows.
 func Rank(a, b string) int {
-	return cmp.Or(cmp.Compare(Place(a), Place(b)), cmp.Compare(a, b))
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 }
 
-// Place is the number by which Rank orders a name.
-func Place(name string) uint64 { return xxhash.Sum64String(name) }
+// Place is the number by which entries and targets are ordered before they are divided
+// into cells: by availability zone, then by name, both in an order in which no property of
+// an instance shows. So cells are of equal size and most of each is in one zone, where
+// bytes cost nothing and arrive sooner.
+func Place(zone, name string) uint64 {
+	const low = 1<<32 - 1
+	return xxhash.Sum64String(zone)&^low | xxhash.Sum64String(name)&low
+}
 
 // SetCell says which of how many cells this entry belongs to.
 func (s *Scheduler) SetCell(now time.Time, cell, cells int) Effects {
@@ -69,7 +75,9 @@
 			staying = append(staying, t)
 		}
 	}
-	slices.SortFunc(staying, func(a, b *target) int { return Rank(a.incarnation, b.incarnation) })
+	slices.SortFunc(staying, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.incarnation, b.incarnation))
+	})
 	p.sharing = 1
 	if len(staying) < minCellTargets*cells {
 		p.sharing = cells
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -182,7 +182,7 @@
 		seen[incarnation] = true
 		known, found := s.targets[incarnation]
 		if !found {
-			known = &target{incarnation: incarnation, pool: s.pool(each.Service)}
+			known = &target{incarnation: incarnation, pool: s.pool(each.Service), place: Place(each.Zone, incarnation)}
 			s.targets[incarnation] = known
 			known.pool.targets = append(known.pool.targets, known)
 		}
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -12,6 +12,8 @@
 	// incarnation is the name by which it is held here and told of.
 	incarnation string
 	pool        *pool
+	// place orders it among the targets that are divided into cells.
+	place uint64
 	// own is the number of requests that this entry has there.
 	own int
 	// inCell: it is one of the targets of this entry's cell.
--- a/internal/core/peerset/cells.go
+++ b/internal/core/peerset/cells.go
@@ -41,7 +41,7 @@
 	}
 	c := Cells{Entries: len(serving) + 1}
 	c.Count = dispatch.Cells(c.Entries)
-	own := placeAmong(serving, dispatch.Place(s.self.Name))
+	own := placeAmong(serving, dispatch.Place(s.self.Zone, s.self.Name))
 	c.Own = dispatch.CellOf(own, c.Entries)
 	ahead := 0
 	for i, m := range serving {
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -116,8 +116,8 @@
 	}
 	known, found := s.members[entry.Name]
 	if !found {
-		known = s.add(entry.Name)
-		known.Entry, known.Started, known.Heard = entry, now, now.Add(-s.silence())
+		known = s.add(entry)
+		known.Started, known.Heard = now, now.Add(-s.silence())
 		return
 	}
 	if !s.live(now, known) && known.Incarnation != entry.Incarnation {
@@ -126,17 +126,16 @@
 	}
 }
 
-// add makes a member of which nothing but the name is known.
-func (s *Set) add(name string) *Member {
-	m := &Member{place: dispatch.Place(name)}
-	m.Name = name
-	s.members[name] = m
+// add makes a member that has not been heard.
+func (s *Set) add(entry Entry) *Member {
+	m := &Member{Entry: entry, place: dispatch.Place(entry.Zone, entry.Name)}
+	s.members[entry.Name] = m
 	at, _ := slices.BinarySearchFunc(s.order, m, compareMembers)
 	s.order = slices.Insert(s.order, at, m)
 	return m
 }
 
-// compareMembers orders members as dispatch.Rank does their names.
+// compareMembers orders members as they are divided into cells.
 func compareMembers(a, b *Member) int {
 	return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.Name, b.Name))
 }
@@ -151,7 +150,7 @@
 		if word.Relayed {
 			return News{Unknown: true}
 		}
-		known = s.add(word.Name)
+		known = s.add(word.Entry)
 	}
 	started := at.Add(-word.Age)
 	if found && s.outdated(now, known, word, started) {
@@ -209,7 +208,7 @@
 	return old
 }
 
-// Members returns all other entries that may be serving, in the order of dispatch.Rank.
+// Members returns all other entries that may be serving, in the order of their places.
 func (s *Set) Members() []Member {
 	return s.filter(func(*Member) bool { return true })
 }
