Entries that fit one cell tell all others, heard or not, as before

A fleet of nine knew a returning entry within 250 ms when heartbeats went to all; told only those that are heard and one silent entry, it took up to half a second for each pair.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -75,7 +75,7 @@
 		gateway: g, conn: conn, beat: make(chan struct{}, 1), turn: rand.IntN(1 << 16),
 		resolved: make(map[string]*net.UDPAddr), assembler: gossip.NewAssembler(),
 	}
-	l.cells.Store(&peerset.Cells{Count: 1, Entries: 1, Others: nil})
+	l.cells.Store(&peerset.Cells{Count: 1, Entries: 1})
 	return l
 }
 
@@ -137,10 +137,12 @@
 	l.lookAtCells()
 }
 
-// heartbeatTo returns those who hear this heartbeat: the cell and one silent entry, or all.
+// heartbeatTo returns those who hear this heartbeat: the cell and one silent entry, or all
+// where one cell can hold them or this is an announcement.
 func (l *links) heartbeatTo() []peerset.Entry {
-	if l.announcing.Swap(false) {
-		return l.members()
+	members := l.members()
+	if l.announcing.Swap(false) || dispatch.Cells(len(members)+1) == 1 {
+		return members
 	}
 	to := l.cells.Load().Audience
 	l.turn++
