--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -66,7 +66,7 @@
 	// a relay.
 	Sequence uint64
 	Direct   time.Time
-	// place orders entries as Rank does.
+	// place orders entries before they are divided into cells; see dispatch.Place.
 	place uint64
 }
 
