--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -59,7 +59,7 @@
 
 // freshUse is what this entry and those whose totals are fresh have admitted of an
 // organisation's requests. The means are kept by the age from which on they count: asked
-// for each peer anew, one request cost 1.5 ms of a core at 195 entries, and 30 µs so.
+// for each peer anew, one request cost 1.5 ms of a core at 195 entries, and 41 µs so.
 type freshUse struct {
 	accounts []*account
 	means    map[time.Duration]float64
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -126,17 +126,16 @@
 // heartbeatTo returns those who hear this heartbeat: the cell and one silent entry, or all
 // where one cell can hold them or this is an announcement.
 func (l *links) heartbeatTo() []peerset.Entry {
-	members := l.members()
-	if l.announcing.Swap(false) || dispatch.Cells(len(members)+1) == 1 {
-		return members
-	}
-	to := l.cells.Load().Audience
 	l.turn++
+	peers := l.gateway.state.peers
 	l.gateway.state.mutex.Lock()
-	probed, found := l.gateway.state.peers.Probed(time.Now(), l.turn)
-	l.gateway.state.mutex.Unlock()
-	if found {
-		to = append(slices.Clone(to), probed)
+	defer l.gateway.state.mutex.Unlock()
+	if l.announcing.Swap(false) || dispatch.Cells(peers.Size()) == 1 {
+		return entriesOf(peers.Members())
+	}
+	to := l.cells.Load().Audience
+	if probed, found := peers.Probed(time.Now(), l.turn); found {
+		return append(slices.Clone(to), probed)
 	}
 	return to
 }
@@ -210,7 +209,7 @@
 	}
 }
 
-// setPeers does so at once. The state's mutex is held.
+// setPeers looks at the cells at once. The state's mutex is held.
 func (l *links) setPeers(now time.Time) {
 	g := l.gateway
 	l.viewed = now
