Roll-outs of versions: canary, verdict, shift, roll-back (first form)

Cause: the operators may order a service's traffic to be moved to servers of another version; nothing of it existed, and all versions got traffic at once. Now a pure core (tracker, judge), a leader among the entries that read the store, its steps put into the store on condition, and reports by datagram to the leader.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -155,6 +155,8 @@
 	// Address is IP:port; another service may get it after the target has ended.
 	Address string
 	Zone    string
+	// Version is the version of the server's software; empty: it does not say.
+	Version string
 	// Slots is how many requests run at once.
 	Slots int
 	// Leaving targets get no new requests.
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -186,6 +186,11 @@
 			s.targets[incarnation] = known
 			known.pool.targets = append(known.pool.targets, known)
 		}
+		if moved := s.pool(each.Service); known.pool != moved {
+			known.pool.remove(known)
+			known.pool = moved
+			moved.targets = append(moved.targets, known)
+		}
 		known.Target = each
 	}
 	for id, known := range s.targets {
@@ -228,6 +233,21 @@
 	return ticket, s.advance(now, p)
 }
 
+// Redirect moves what waits for one service's targets to the queue of another's.
+func (s *Scheduler) Redirect(now time.Time, from, to string) Effects {
+	source, destination := s.pool(from), s.pool(to)
+	if source == destination {
+		return Effects{}
+	}
+	for _, ticket := range source.waiting {
+		ticket.Service = to
+		destination.schedule(ticket)
+		destination.waiting = append(destination.waiting, ticket)
+	}
+	source.waiting = nil
+	return s.advance(now, destination)
+}
+
 // Cancel takes a request out of the queue; false: it is not in it.
 func (s *Scheduler) Cancel(ticket *Ticket) bool {
 	return s.pool(ticket.Service).unqueue(ticket)
--- a/internal/core/dispatch/reading.go
+++ b/internal/core/dispatch/reading.go
@@ -39,13 +39,13 @@
 	if at == nil || !at.endReading(ticket) {
 		return
 	}
-	tokens := ticket.Work.Prompt + ticket.ahead + promptOverhead
+	tokens := ticket.Work.Prompt + ticket.ahead + PromptOverhead
 	s.measured(at, Sample{Target: at.incarnation, TokenTime: now.Sub(ticket.granted) / time.Duration(tokens)})
 }
 
-// promptOverhead stands for what each prompt costs besides its tokens, so that short
+// PromptOverhead stands for what each prompt costs besides its tokens, so that short
 // prompts do not raise the time for a token.
-const promptOverhead = 500
+const PromptOverhead = 500
 
 // tokenTime is the time in which the target reads a token of a prompt, in ns; 0: not known.
 func (t *target) tokenTime() float64 {
@@ -58,7 +58,7 @@
 // first estimates the time to the first event where so many tokens have to be read
 // for it; 0: not known.
 func (t *target) first(tokens int) time.Duration {
-	return time.Duration(float64(tokens+promptOverhead) * t.tokenTime())
+	return time.Duration(float64(tokens+PromptOverhead) * t.tokenTime())
 }
 
 // ownBacklog is the number of tokens that the target still has to read for this entry.
--- a/internal/core/dispatch/services.go
+++ b/internal/core/dispatch/services.go
@@ -40,3 +40,24 @@
 	slices.SortFunc(services, func(a, b ServiceLoad) int { return cmp.Compare(a.Service, b.Service) })
 	return services
 }
+
+// Engaged is the number of this entry's requests that are at a service's targets or wait
+// for one.
+func (s *Scheduler) Engaged(service string) int {
+	p := s.pool(service)
+	n := len(p.waiting)
+	for _, t := range p.targets {
+		n += t.own
+	}
+	return n
+}
+
+// HasRoom reports whether a request for a service would get a place at once.
+func (s *Scheduler) HasRoom(now time.Time, service string) bool {
+	p := s.pool(service)
+	if len(p.waiting) > 0 {
+		return false
+	}
+	s.survey(now, p)
+	return p.anyFree()
+}
--- a/internal/core/dispatch/work.go
+++ b/internal/core/dispatch/work.go
@@ -51,7 +51,7 @@
 	if work.Prompt == 0 || p.rates.prompt.samples == 0 {
 		return 0
 	}
-	return time.Duration(float64(work.Prompt+promptOverhead) * p.rates.prompt.value)
+	return time.Duration(float64(work.Prompt+PromptOverhead) * p.rates.prompt.value)
 }
 
 // expected estimates the whole time at a target of mean speed.
--- /dev/null
+++ b/internal/core/rollout/evidence.go
@@ -0,0 +1,392 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Faults strike both versions: engines fail for some seconds, a burst makes all slow. So
+// what the new version shows is compared with what the old one shows in the same second.
+// Servers of one service differ in speed by a factor of four and more, so a slow answer is
+// one that is slow for its own server, and a server is slow if it is slower than the
+// slowest old one.
+
+const (
+	// sliceLength is the time whose answers are compared with each other.
+	sliceLength = time.Second
+	// timesKept is the number of times from which a target's usual one is taken, some
+	// seconds at its usual load.
+	timesKept = 32
+	// fastPart is the quantile that stands for a target's usual time. It is below the
+	// median, so that a version of which half the answers are slow does not pass for a slow
+	// server.
+	fastPart = 0.25
+	// minUsual is the number of answers from which a target's usual time is known.
+	minUsual = 5
+	// slowPart is the quantile of the old version's times, as multiples of the usual time
+	// of their targets, above which a time is slow; leastSlow bounds it from below.
+	// multiplesKept is the number from which it is taken.
+	slowPart      = 0.95
+	leastSlow     = 2.0
+	multiplesKept = 512
+	// allSlower is how much slower than the slowest old target's usual time those of all new
+	// targets have to be to count as slow, where there are too few targets to compare ranks.
+	allSlower = 2.5
+	// falseRanks is the chance at which new targets of the old ones' speeds count as slow.
+	falseRanks = 1e-3
+	// heldKept is the number of old requests from whose times the drain is estimated, heldPart
+	// the part of them that has to end in it.
+	heldKept = 256
+	heldPart = 0.9
+)
+
+// ring keeps the latest values.
+type ring struct {
+	values []float64
+	next   int
+}
+
+func (r *ring) add(value float64, size int) {
+	if len(r.values) < size {
+		r.values = append(r.values, value)
+		return
+	}
+	r.values[r.next] = value
+	r.next = (r.next + 1) % size
+}
+
+// quantile is 0 for a ring without values.
+func (r *ring) quantile(part float64) float64 {
+	if len(r.values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(r.values)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
+}
+
+// measure is one of the times that an observation has.
+type measure uint8
+
+const (
+	pace measure = iota
+	first
+	measures
+)
+
+func (m measure) of(o *Observation) time.Duration {
+	if m == pace {
+		return o.Pace
+	}
+	return o.First
+}
+
+// usualKey names times of a target that can be compared with each other. A stream's times
+// are for a token, whatever its route; other answers take as long as their work, so their
+// routes are kept apart.
+type usualKey struct {
+	measure measure
+	route   uint32
+}
+
+func keyOf(m measure, o *Observation) usualKey {
+	if o.First > 0 {
+		return usualKey{measure: m}
+	}
+	return usualKey{m, o.Route}
+}
+
+// tracked is what is known of one target.
+type tracked struct {
+	isNew bool
+	times map[usualKey]*ring
+	// severed is when its last break was counted.
+	severed time.Time
+}
+
+func (t *tracked) add(key usualKey, taken float64) {
+	if t.times[key] == nil {
+		t.times[key] = &ring{}
+	}
+	t.times[key].add(taken, timesKept)
+}
+
+// usual is the target's usual time; 0: not known.
+func (t *tracked) usual(key usualKey) float64 {
+	times := t.times[key]
+	if times == nil || len(times.values) < minUsual {
+		return 0
+	}
+	return times.quantile(fastPart)
+}
+
+// group is what answers are compared within: a route, in a slice of time.
+type group struct {
+	route uint32
+	slice int64
+}
+
+// tallies counts the answers of one version in a group: all, those that failed, those whose
+// times could be compared, and the slow ones of these.
+type tallies struct{ answers, failed, timed, slow int }
+
+// sample is an observation with the slice in which it came.
+type sample struct {
+	Observation
+	slice int64
+}
+
+// evidence is what all observations show together.
+type evidence struct {
+	start      time.Time
+	targets    map[uint32]*tracked
+	pending    []sample
+	olds, news map[group]*tallies
+	// multiples are the old version's times as multiples of the usual ones; held is how long
+	// its requests were at their targets.
+	multiples [measures]ring
+	held      ring
+	loads     [measures]loadFactors
+}
+
+func newEvidence(now time.Time) *evidence {
+	return &evidence{start: now, targets: make(map[uint32]*tracked), olds: make(map[group]*tallies), news: make(map[group]*tallies)}
+}
+
+func (e *evidence) observe(now time.Time, o Observation) {
+	t, found := e.targets[o.Target]
+	if !found {
+		t = &tracked{isNew: o.New, times: make(map[usualKey]*ring)}
+		e.targets[o.Target] = t
+	}
+	if o.Severed {
+		// A server that crashes breaks off all that runs there. That is one event, not as
+		// many as it had requests; counted singly, one crash would condemn a version.
+		if now.Sub(t.severed) < sliceLength {
+			return
+		}
+		t.severed = now
+	}
+	e.learn(t, &o)
+	if !o.New {
+		e.held.add(float64(o.Took), heldKept)
+	}
+	s := sample{Observation: o, slice: int64(now.Sub(e.start) / sliceLength)}
+	counted := e.tallies(&s)
+	counted.answers++
+	if o.Failed {
+		counted.failed++
+		return
+	}
+	e.pending = append(e.pending, s)
+}
+
+// learn takes an answer's times.
+func (e *evidence) learn(t *tracked, o *Observation) {
+	for m := range measures {
+		if m.of(o) == 0 {
+			continue
+		}
+		key := keyOf(m, o)
+		if usual := t.usual(key); usual > 0 && !o.New {
+			e.loads[m].add(o.Load, float64(m.of(o))/usual)
+		}
+		t.add(key, e.taken(m, o))
+	}
+}
+
+// taken is an answer's time as it would be at a target of usual load.
+func (e *evidence) taken(m measure, o *Observation) float64 {
+	return float64(m.of(o)) / e.loads[m].factor(o.Load)
+}
+
+// tallies are those of the sample's group and version.
+func (e *evidence) tallies(s *sample) *tallies {
+	side := e.olds
+	if s.New {
+		side = e.news
+	}
+	at := group{s.Route, s.slice}
+	if side[at] == nil {
+		side[at] = &tallies{}
+	}
+	return side[at]
+}
+
+// classify finds what is slow of the pending answers, but for those of targets whose usual
+// time is not known yet. It is a few microseconds for each answer, and done once for each.
+func (e *evidence) classify() {
+	usual := make(map[uint32]map[usualKey]float64)
+	limits := e.slowLimits()
+	waiting := e.pending[:0]
+	for i := range e.pending {
+		s := &e.pending[i]
+		known, found := usual[s.Target]
+		if !found {
+			known = e.targets[s.Target].usuals()
+			usual[s.Target] = known
+		}
+		if !knows(known, s) {
+			waiting = append(waiting, *s)
+			continue
+		}
+		e.time(s, known, limits)
+	}
+	clear(e.pending[len(waiting):])
+	e.pending = waiting
+}
+
+// usuals are the usual times that are known.
+func (t *tracked) usuals() map[usualKey]float64 {
+	known := make(map[usualKey]float64, len(t.times))
+	for key := range t.times {
+		if usual := t.usual(key); usual > 0 {
+			known[key] = usual
+		}
+	}
+	return known
+}
+
+// knows reports whether all of the sample's times can be compared.
+func knows(usual map[usualKey]float64, s *sample) bool {
+	for m := range measures {
+		if m.of(&s.Observation) > 0 && usual[keyOf(m, &s.Observation)] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// slowLimits are the multiples of a target's usual time from which a time is slow.
+func (e *evidence) slowLimits() (limits [measures]float64) {
+	for m := range limits {
+		limits[m] = max(leastSlow, e.multiples[m].quantile(slowPart))
+	}
+	return limits
+}
+
+// time says whether a sample is slow.
+func (e *evidence) time(s *sample, usual map[usualKey]float64, limits [measures]float64) {
+	slow := false
+	for m := range measures {
+		taken := e.taken(m, &s.Observation)
+		if taken == 0 {
+			continue
+		}
+		multiple := taken / usual[keyOf(m, &s.Observation)]
+		slow = slow || multiple > limits[m]
+		if !s.New {
+			e.multiples[m].add(multiple, multiplesKept)
+		}
+	}
+	counted := e.tallies(s)
+	counted.timed++
+	if slow {
+		counted.slow++
+	}
+}
+
+// slowTargets reports whether the new version's targets are slow as a whole, and how many
+// have enough answers to say: a version that makes all answers slow changes their usual
+// time, so none stands out.
+//
+// The part of the old targets that are at least as slow as a new one is uniform if the
+// versions are alike, so the sum of its logarithms has a gamma distribution. Targets of a
+// service differ by a factor of four and more, so that one is slow says nothing.
+func (e *evidence) slowTargets() (judged int, slow bool) {
+	olds := e.oldUsuals()
+	score, least := 0.0, math.Inf(1)
+	for _, t := range e.targets {
+		if !t.isNew {
+			continue
+		}
+		part, ratio, compared := rank(t.usuals(), olds)
+		if !compared {
+			continue
+		}
+		judged++
+		score -= math.Log(part)
+		least = min(least, ratio)
+	}
+	return judged, judged > 0 && (least >= allSlower || gammaTail(judged, score) < falseRanks)
+}
+
+// oldUsuals are the usual times of the old targets.
+func (e *evidence) oldUsuals() map[usualKey][]float64 {
+	olds := make(map[usualKey][]float64)
+	for _, t := range e.targets {
+		if t.isNew {
+			continue
+		}
+		for key, usual := range t.usuals() {
+			olds[key] = append(olds[key], usual)
+		}
+	}
+	return olds
+}
+
+// rank compares a new target's usual times with those of the old ones: the part that is at
+// least as slow, and the ratio to the slowest, both in the mean over what is measured.
+func rank(usuals map[usualKey]float64, olds map[usualKey][]float64) (part, ratio float64, compared bool) {
+	n := 0.0
+	for key, usual := range usuals {
+		if len(olds[key]) == 0 {
+			continue
+		}
+		slower := 1.0
+		for _, old := range olds[key] {
+			if old >= usual {
+				slower++
+			}
+		}
+		part += slower / float64(len(olds[key])+1)
+		ratio += usual / slices.Max(olds[key])
+		n++
+	}
+	if n == 0 {
+		return 0, 0, false
+	}
+	return part / n, ratio / n, true
+}
+
+// gammaTail is the chance that the sum of n values of the exponential distribution with
+// mean 1 is at least so large.
+func gammaTail(n int, sum float64) float64 {
+	term, total := 1.0, 1.0
+	for k := 1; k < n; k++ {
+		term *= sum / float64(k)
+		total += term
+	}
+	return math.Exp(-sum) * total
+}
+
+// drain is the time in which what runs on old targets should have ended.
+func (e *evidence) drain() time.Duration { return time.Duration(e.held.quantile(heldPart)) }
+
+// usedRoute is the number of the old version's answers from which a route has to be seen
+// on the new one: a version may be bad on one route only.
+const usedRoute = 40
+
+// routes are those that have to be compared, in order.
+func (e *evidence) routes() []uint32 {
+	olds := make(map[uint32]int)
+	for at, old := range e.olds {
+		olds[at.route] += old.answers
+	}
+	var routes []uint32
+	add := func(route uint32) {
+		if i, found := slices.BinarySearch(routes, route); !found {
+			routes = slices.Insert(routes, i, route)
+		}
+	}
+	for route, answers := range olds {
+		if answers >= usedRoute {
+			add(route)
+		}
+	}
+	for at := range e.news {
+		add(at.route)
+	}
+	return routes
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,16 +27,22 @@
 	Copies
 	SecondCopies
 	ThirdCopies
+	// Rollouts holds how far each roll-out has come.
+	Rollouts
 )
 
 func (t Topic) String() string {
-	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies"}[t]
+	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies", "rollouts"}[t]
 }
 
 // ErrTruncated says that the records asked for are no longer retained: the
 // reader has to start again from a snapshot.
 var ErrTruncated = errors.New("records are no longer retained")
 
+// ErrConflict says that the topic has grown since the offset at which a record was to be
+// put: another entry was faster, and what it wrote has to be read first.
+var ErrConflict = errors.New("another record was put first")
+
 // Record is the newest value of a key; an empty value means that it was dropped.
 type Record struct {
 	Key    string
@@ -56,4 +62,8 @@
 	// Put sets the values of keys; an empty one drops the key. After an error they may
 	// have been set all the same.
 	Put(topic Topic, records ...Record) error
+	// PutAt sets a key's value if the topic ends at an offset; otherwise it returns
+	// ErrConflict. After any other error it may have been set all the same, also later, but
+	// never after another record.
+	PutAt(topic Topic, end int64, record Record) error
 }
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -86,6 +86,8 @@
 	}
 }
 
+func (l *fakeLog) PutAt(feed.Topic, int64, feed.Record) error { return nil }
+
 func (l *fakeLog) Put(feed.Topic, ...feed.Record) error { return nil }
 
 // followed is a follower with what it has applied.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/upstream"
@@ -33,7 +34,9 @@
 	route        *catalog.Route
 	organisation string
 	service      string
-	priority     int
+	// routeKey names the route in what is told of roll-outs.
+	routeKey uint32
+	priority int
 	// cost counts against the organisation's quota; metered: it does, reserved: it
 	// counts as a request that waits.
 	cost              float64
@@ -113,6 +116,7 @@
 		return leaving
 	}
 	c.service = route.Service(float64(maphash.String(seed, envelope.ID)%1000) / 1000)
+	c.routeKey = rollout.RouteKey(route.Host, route.Prefix)
 	c.fingerprint = c.formFingerprint()
 	if c.gateway.state.convicted(c.fingerprint) {
 		return crashesTargets
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -35,6 +35,7 @@
 	eventReader        = "reader"
 	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
+	eventRollout       = "rollout"
 )
 
 // settle writes the last line of a request and counts it.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -123,6 +123,7 @@
 // it: what a store that lost its history returns may be any version.
 func (f *feeds) applyOperators(u feed.Update) {
 	f.count(u)
+	ordered := false
 	for _, record := range u.Records {
 		if len(record.Value) == 0 {
 			continue
@@ -135,8 +136,31 @@
 		if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Replicated {
 			go f.keepCopy(record)
 		}
+		ordered = f.applyOrder(u, record) || ordered
 	}
 	f.tell(u, u.Records)
+	// The follower's mutex is held here, and placing targets asks it how old the orders are.
+	go f.placeAgain(ordered)
+}
+
+// applyOrder takes an order of a roll-out; it reports whether there is a new one.
+func (f *feeds) applyOrder(u feed.Update, record feed.Record) bool {
+	order, err := f.gateway.platform.DecodeOrder(record)
+	if err != nil {
+		f.noteUndecodable(u.Topic, record, err)
+		return false
+	}
+	return order != nil && f.gateway.state.rollouts.ordered(*order, u.Reset)
+}
+
+// placeAgain places the targets anew if there is an order, or some waited for the orders to
+// be known.
+func (f *feeds) placeAgain(ordered bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ordered || f.gateway.state.rollouts.held {
+		f.publish()
+	}
 }
 
 // apply puts a configuration in force; false: it is not newer than the one that is.
@@ -278,7 +302,7 @@
 	for _, target := range targets {
 		f.addresses[target.Address] = true
 	}
-	f.gateway.state.setTargets(targets)
+	f.gateway.state.setTargets(f.gateway.state.rollouts.placed(targets))
 }
 
 // inUse reports whether a target has the address.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 		loadSettled: make(chan struct{}, 1),
 	}
 	g.state.quota.SetListed(false)
+	g.state.rollouts = newRollouts(g)
 	g.feeds = newFeeds(g)
 	return g
 }
@@ -137,6 +138,7 @@
 	go g.links.receive()
 	go g.links.run(work)
 	go g.feeds.run(work)
+	go g.state.rollouts.run(work)
 	go g.housekeep(work)
 	go g.watchSuspension(work)
 	for _, s := range servers {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -27,6 +27,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/feed"
 )
 
@@ -83,6 +84,11 @@
 	ReadMark(status int, header http.Header) AnswerMark
 	// DecodeConfiguration returns nil for records of the operators that are not one.
 	DecodeConfiguration(feed.Record) (*catalog.Configuration, error)
+	// DecodeOrder returns nil for records of the operators that are no order of a roll-out.
+	DecodeOrder(feed.Record) (*rollout.Order, error)
+	// PutStatus tells the operators how far a roll-out is. An earlier phase never replaces a
+	// later one.
+	PutStatus(rollout.Order, rollout.Phase) error
 	// DecodeTarget decodes a target's entry in the register.
 	DecodeTarget(feed.Record) (catalog.Target, error)
 	// Directory and Ready answer the platform's and the callers' questions.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -44,6 +44,12 @@
 	if m.History != nil {
 		l.takeHistory(m)
 	}
+	if m.RolloutStep != nil {
+		l.takeRolloutStep(m.RolloutStep)
+	}
+	if m.RolloutReport != nil {
+		l.takeRolloutReport(m.From, m.Incarnation, m.RolloutReport)
+	}
 }
 
 func (l *links) takeHeartbeat(m *gossip.Message) {
--- /dev/null
+++ b/internal/gateway/rolloutlinks.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/core/rollout"
+	"sycamoretrail/internal/gossip"
+)
+
+// reportRollout tells the leader what this entry has seen.
+func (l *links) reportRollout(leader, service string, report rollout.Report) {
+	for _, member := range l.members() {
+		if member.Name == leader {
+			m := l.message()
+			m.RolloutReport = &gossip.RolloutReport{
+				Service: service, Order: report.Order, Phase: uint8(report.Phase), OldEngaged: report.OldEngaged,
+				New: observationMessages(report.New), Old: observationMessages(report.Old),
+			}
+			l.send(m, []peerset.Entry{member})
+			return
+		}
+	}
+}
+
+// tellRollout tells all entries how far a roll-out is.
+func (l *links) tellRollout(step rollout.Step) {
+	m := l.message()
+	m.RolloutStep = &gossip.RolloutStep{
+		Service: step.Service, Order: step.Order, Phase: uint8(step.Phase), Halt: step.Halt, ElapsedMS: step.Elapsed.Milliseconds(),
+	}
+	l.send(m, l.members())
+}
+
+func (l *links) takeRolloutStep(m *gossip.RolloutStep) {
+	l.gateway.state.rollouts.heard(rollout.Step{
+		Service: m.Service, Order: m.Order, Phase: rollout.Phase(m.Phase), Halt: m.Halt, Elapsed: milliseconds(m.ElapsedMS),
+	})
+}
+
+func (l *links) takeRolloutReport(from string, incarnation uint64, m *gossip.RolloutReport) {
+	isNew, isOld := true, false
+	l.gateway.state.rollouts.reported(m.Service, from, incarnation, rollout.Report{
+		Order: m.Order, Phase: rollout.Phase(m.Phase), OldEngaged: m.OldEngaged,
+		New: observationsOf(m.New, isNew), Old: observationsOf(m.Old, isOld),
+	})
+}
+
+func observationMessages(observations []rollout.Observation) []gossip.Observation {
+	messages := make([]gossip.Observation, 0, len(observations))
+	for _, o := range observations {
+		message := gossip.Observation{
+			Number: o.Number, Route: o.Route, Target: o.Target, Load: uint8(min(o.Load, math.MaxUint8)),
+			Pace: micros(o.Pace), First: micros(o.First), TookMS: uint32(o.Took.Milliseconds()),
+		}
+		if o.Failed {
+			message.Flags |= gossip.ObservedFailed
+		}
+		if o.Severed {
+			message.Flags |= gossip.ObservedSevered
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func observationsOf(messages []gossip.Observation, isNew bool) []rollout.Observation {
+	observations := make([]rollout.Observation, 0, len(messages))
+	for _, m := range messages {
+		observations = append(observations, rollout.Observation{
+			Number: m.Number, Route: m.Route, Target: m.Target, New: isNew, Load: int(m.Load),
+			Failed: m.Flags&gossip.ObservedFailed != 0, Severed: m.Flags&gossip.ObservedSevered != 0,
+			Pace: time.Duration(m.Pace) * time.Microsecond, First: time.Duration(m.First) * time.Microsecond, Took: milliseconds(int64(m.TookMS)),
+		})
+	}
+	return observations
+}
+
+func micros(d time.Duration) uint32 { return uint32(min(d.Microseconds(), math.MaxUint32)) }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,9 +49,22 @@
 	}
 }
 
-// place waits for a place at a target.
+// place waits for a place at a target. A request that was to go to the canary of a new
+// version and finds none there goes to the version before.
 func (c *call) place() (*dispatch.Grant, *reply) {
-	ticket, wait := c.gateway.state.submit(c.ask())
+	pool, fallback := c.gateway.state.poolOf(c.service, c.routeKey, c.sends == 0)
+	grant, refusal := c.placeIn(pool)
+	if refusal != nil && refusal != callerOff && fallback != "" {
+		return c.placeIn(fallback)
+	}
+	return grant, refusal
+}
+
+// placeIn waits for a place at a target of one pool.
+func (c *call) placeIn(pool string) (*dispatch.Grant, *reply) {
+	ask := c.ask()
+	ask.Service = pool
+	ticket, wait := c.gateway.state.submit(ask)
 	select {
 	case v := <-wait:
 		return c.placed(v)
@@ -357,6 +370,7 @@
 	}
 	c.gateway.log.Write(importance, eventTried, fields)
 	c.gateway.counters.tries.add(report.Outcome.String())
+	c.gateway.state.observed(c.service, c.routeKey, grant, report, took)
 	c.gateway.state.done(grant.Ticket, report)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -19,14 +19,15 @@
 
 // state joins the decisions under one lock. Each call is short and does no I/O.
 type state struct {
-	mutex   sync.Mutex
-	sched   *dispatch.Scheduler
-	quota   *quota.Limiter
-	budget  *budget.Budget
-	crashes *crashes.Memory
-	peers   *peerset.Set
-	waiters map[*dispatch.Ticket]chan verdict
-	ticking bool
+	mutex    sync.Mutex
+	sched    *dispatch.Scheduler
+	quota    *quota.Limiter
+	budget   *budget.Budget
+	crashes  *crashes.Memory
+	rollouts *rollouts
+	peers    *peerset.Set
+	waiters  map[*dispatch.Ticket]chan verdict
+	ticking  bool
 	// loadTaken and loadSettled are told, without waiting, that the others should hear the
 	// load: at once, since it takes a place that they may take for free or gives one for
 	// which they wait, or soon.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -42,6 +42,9 @@
 	// just begun.
 	History map[string]History `cbor:"10,keyasint,omitempty"`
 	Digest  *Digest            `cbor:"11,keyasint,omitempty"`
+	// RolloutStep is from the leader of a roll-out, RolloutReport for it.
+	RolloutStep   *RolloutStep   `cbor:"12,keyasint,omitempty"`
+	RolloutReport *RolloutReport `cbor:"13,keyasint,omitempty"`
 }
 
 // Heartbeat is what the sender says of itself: often to the entries of its cell, and to
--- /dev/null
+++ b/internal/gossip/rollout.go
@@ -0,0 +1,38 @@
+package gossip
+
+// RolloutStep is how far a roll-out is; see rollout.Step.
+type RolloutStep struct {
+	Service   string `cbor:"1,keyasint"`
+	Order     int64  `cbor:"2,keyasint"`
+	Phase     uint8  `cbor:"3,keyasint"`
+	Halt      bool   `cbor:"4,keyasint,omitempty"`
+	ElapsedMS int64  `cbor:"5,keyasint"`
+}
+
+// RolloutReport is what the sender has seen of a roll-out; see rollout.Report.
+type RolloutReport struct {
+	Service    string        `cbor:"1,keyasint"`
+	Order      int64         `cbor:"2,keyasint"`
+	Phase      uint8         `cbor:"3,keyasint"`
+	OldEngaged int           `cbor:"4,keyasint,omitempty"`
+	New        []Observation `cbor:"5,keyasint,omitempty"`
+	Old        []Observation `cbor:"6,keyasint,omitempty"`
+}
+
+// Observation is what one answer showed of a target, with times in microseconds. Some 28
+// bytes, so that those of a report fit a datagram.
+type Observation struct {
+	_             struct{} `cbor:",toarray"`
+	Number        uint64
+	Route, Target uint32
+	Flags         uint8
+	Load          uint8
+	Pace, First   uint32
+	TookMS        uint32
+}
+
+// Flags of an observation.
+const (
+	ObservedFailed  = 1
+	ObservedSevered = 2
+)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -52,6 +52,11 @@
 	QuotaWindowS   float64 `json:"quota_window_s"`
 	QuotaOvershoot float64 `json:"quota_overshoot"`
 	QuotaSlack     float64 `json:"quota_slack"`
+	// ExposureShare is the part of a service's requests that a bad new version may get
+	// during its roll-out, RollbackMS the time in which one that has been shown to be bad
+	// has to get nothing any more.
+	ExposureShare float64 `json:"exposure_share"`
+	RollbackMS    int     `json:"rollback_ms"`
 }
 
 // DefaultGateway is what fields that a file leaves out are.
@@ -61,6 +66,7 @@
 		Bounds: GatewayBounds{
 			DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, ListLifeS: 5,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, QuotaWindowS: 8,
+			ExposureShare: 0.1, RollbackMS: 5000,
 		},
 	}
 }
@@ -99,4 +105,6 @@
 	checkNotNegative("bounds.retry_extra", b.RetryExtra, faults)
 	checkNotNegative("bounds.quota_overshoot", b.QuotaOvershoot, faults)
 	checkNotNegative("bounds.quota_slack", b.QuotaSlack, faults)
+	checkPositive("bounds.exposure_share", b.ExposureShare, faults)
+	checkAtLeast("bounds.rollback_ms", b.RollbackMS, 1000, faults)
 }
