--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -47,7 +47,9 @@
 	halted bool
 	heard  time.Time
 
-	// canaries and olds are the numbers of targets of the canary and of old versions.
+	// canaries and olds are the numbers of targets of the canary and of old versions, once
+	// the targets have been placed.
+	placed         bool
 	canaries, olds int
 	routes         map[uint32]*routeCount
 	number         uint64
@@ -123,7 +125,7 @@
 		return false
 	case t.phase == Shifting:
 		return true
-	case t.phase == Unknown && t.olds == 0:
+	case t.phase == Unknown && t.placed && t.olds == 0:
 		// This entry has just begun, and the old servers are gone: it must be completed.
 		return true
 	case !t.canaryOpen(now) || t.canaries == 0:
@@ -220,7 +222,7 @@
 // requests are left out. current is the pool of the versions before.
 func (t *Tracker) Place(targets []catalog.Target, current string) []catalog.Target {
 	var placed, fresh []catalog.Target
-	t.olds = 0
+	t.placed, t.olds = true, 0
 	for _, target := range targets {
 		switch {
 		case target.Version == t.order.To:
