--- a/internal/core/rollout/compare.go
+++ b/internal/core/rollout/compare.go
@@ -24,30 +24,35 @@
 	reason Reason
 	// tolerance is added to the usual part of bad answers.
 	tolerance float64
-	// clearedAll and clearedRoute are how much likelier, as logarithms, the answers to all
-	// routes and to each one have to be with a version that is alike than with a worse one
-	// before all traffic is shifted to it.
-	clearedAll, clearedRoute float64
+	// cleared is how much likelier, as a logarithm, all answers have to be with a version that
+	// is alike than with a worse one before all traffic is shifted to it. Those of each route
+	// and of loaded targets must not point at a worse version either.
+	cleared float64
+	// underLoad: the answers of loaded targets are compared for themselves. How much slower
+	// the old version's are is known from too few for that.
+	underLoad bool
 }
 
-// Kinds of bad answers, which are compared each for itself. Few answers fail by chance, so
-// none of a route's may have, and of versions that are bad by the lesser harm one in twenty
-// passes. Some are slow by chance: that the answers to a route do not point at a worse
-// version has to be enough; and since the usual times of new targets rest on few answers,
-// some more of those count as slow.
+// Kinds of bad answers, which are compared each for itself. Of versions of which more
+// answers fail, by the lesser harm, one in twenty is cleared. Some answers are slow by
+// chance, and since the usual times of new targets rest on few answers, some more of those
+// count as slow.
 var (
-	failures  = badness{func(t *tallies) (bad, answers int) { return t.failed, t.answers }, ReasonFailures, 0, 3, 0}
-	slowness  = badness{func(t *tallies) (bad, answers int) { return t.slow, t.timed }, ReasonSlow, 0.03, 1, -1}
+	failures  = badness{func(t *tallies) (bad, answers int) { return t.failed, t.answers }, ReasonFailures, 0, 3, true}
+	slowness  = badness{func(t *tallies) (bad, answers int) { return t.slow, t.timed }, ReasonSlow, 0.03, 2, false}
 	badnesses = [...]badness{failures, slowness}
 )
 
-// selection picks the routes that are compared.
-type selection func(route uint32) bool
+// selection picks what is compared.
+type selection func(group) bool
 
-func anyRoute(uint32) bool { return true }
+func everything(group) bool { return true }
+
+// loaded picks the answers of loaded targets: a version may be bad under load only.
+func loaded(at group) bool { return at.loaded }
 
 func only(route uint32) selection {
-	return func(other uint32) bool { return other == route }
+	return func(at group) bool { return at.route == route }
 }
 
 // comparison is what the answers to some routes show.
@@ -69,7 +74,7 @@
 	var lesser, greater float64
 	overall := e.overallRate(counts, bad)
 	for at, fresh := range e.news {
-		if !counts(at.route) {
+		if !counts(at) {
 			continue
 		}
 		usual := e.usualRate(at, bad, overall)
@@ -94,7 +99,7 @@
 func (e *evidence) overallRate(counts selection, bad badness) float64 {
 	answers, bads := float64(priorAnswers), rateFloor*priorAnswers
 	for at, old := range e.olds {
-		if counts(at.route) {
+		if counts(at) {
 			b, n := bad.of(old)
 			answers += float64(n)
 			bads += float64(b)
@@ -104,14 +109,17 @@
 }
 
 // usualRate is the part of bad answers of the old version on the route around a slice, and
-// at all times where few were seen then: after the shift none are.
+// at all times where few were seen then: after the shift none are. Its loaded targets count
+// with the others, since they are few.
 func (e *evidence) usualRate(at group, bad badness, overall float64) float64 {
 	answers, bads := float64(priorAnswers), overall*priorAnswers
 	for slice := at.slice - 1; slice <= at.slice+1; slice++ {
-		if old, found := e.olds[group{at.route, slice}]; found {
-			b, n := bad.of(old)
-			answers += float64(n)
-			bads += float64(b)
+		for _, loaded := range [...]bool{false, true} {
+			if old, found := e.olds[group{at.route, slice, loaded}]; found {
+				b, n := bad.of(old)
+				answers += float64(n)
+				bads += float64(b)
+			}
 		}
 	}
 	return min(maxRate, max(rateFloor, bads/answers)+bad.tolerance)
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -121,10 +121,12 @@
 	return times.quantile(fastPart)
 }
 
-// group is what answers are compared within: a route, in a slice of time.
+// group is what answers are compared within: a route, in a slice of time, at targets that
+// were loaded or not.
 type group struct {
-	route uint32
-	slice int64
+	route  uint32
+	slice  int64
+	loaded bool
 }
 
 // tallies counts the answers of one version in a group: all, those that failed, those whose
@@ -207,7 +209,7 @@
 	if s.New {
 		side = e.news
 	}
-	at := group{s.Route, s.slice}
+	at := group{s.Route, s.slice, s.Loaded}
 	if side[at] == nil {
 		side[at] = &tallies{}
 	}
--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -231,48 +231,55 @@
 	return d, bad
 }
 
-// worse compares the versions on all routes together and on each one.
+// worse compares the versions on all routes together, at loaded targets and on each route.
 func (j *Judge) worse() (Decision, bool) {
 	if judged, slow := j.evidence.slowTargets(); slow {
 		return Decision{Action: RollBack, Reason: ReasonSlowTargets, Answers: judged, Bad: judged}, true
 	}
-	routes := j.evidence.routes()
-	threshold := math.Log(float64(len(badnesses)*(len(routes)+1)) / falseAlarm)
+	threshold := math.Log(float64(len(badnesses)*len(j.selections(failures))) / falseAlarm)
 	for _, bad := range badnesses {
-		all := j.evidence.compare(anyRoute, bad)
-		if all.worse > threshold {
-			return all.decision(RollBack, bad.reason), true
-		}
-		if float64(all.bad)-all.expected >= harmed {
+		if all := j.evidence.compare(everything, bad); float64(all.bad)-all.expected >= harmed {
 			return all.decision(RollBack, ReasonHarmed), true
 		}
-		for _, route := range routes {
-			if one := j.evidence.compare(only(route), bad); one.worse > threshold {
-				return one.decision(RollBack, bad.reason), true
+		for _, counts := range j.selections(bad) {
+			if c := j.evidence.compare(counts, bad); c.worse > threshold {
+				return c.decision(RollBack, bad.reason), true
 			}
 		}
 	}
 	return Decision{}, false
 }
 
+// selections are what is compared of a kind of bad answer.
+func (j *Judge) selections(bad badness) []selection {
+	selections := []selection{everything}
+	if bad.underLoad {
+		selections = append(selections, loaded)
+	}
+	for _, route := range j.evidence.routes() {
+		selections = append(selections, only(route))
+	}
+	return selections
+}
+
 // clear reports whether the version has been shown to be no worse.
 func (j *Judge) clear() (Decision, bool) {
+	for _, route := range j.evidence.routes() {
+		if c := j.evidence.compare(only(route), failures); c.answers < leastAnswers {
+			return c.decision(Wait, ReasonFewAnswers), false
+		}
+	}
 	for _, bad := range badnesses {
-		all := j.evidence.compare(anyRoute, bad)
-		if all.worse > -bad.clearedAll {
+		if all := j.evidence.compare(everything, bad); all.worse > -bad.cleared {
 			return all.decision(Wait, bad.reason), false
 		}
-		for _, route := range j.evidence.routes() {
-			one := j.evidence.compare(only(route), bad)
-			if one.answers < leastAnswers {
-				return one.decision(Wait, ReasonFewAnswers), false
-			}
-			if one.worse > -bad.clearedRoute {
-				return one.decision(Wait, bad.reason), false
+		for _, counts := range j.selections(bad) {
+			if c := j.evidence.compare(counts, bad); c.worse > 0 {
+				return c.decision(Wait, bad.reason), false
 			}
 		}
 	}
-	return j.evidence.compare(anyRoute, failures).decision(Wait, ReasonCleared), true
+	return j.evidence.compare(everything, failures).decision(Wait, ReasonCleared), true
 }
 
 func (c comparison) decision(action Action, reason Reason) Decision {
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -103,8 +103,10 @@
 	Target uint32
 	// New: the target has the new version.
 	New bool
-	// Load is the number of requests at the target when this one was sent, itself included.
-	Load int
+	// Load is the number of requests at the target when this one was sent, itself included;
+	// Loaded: that was more than half of what it runs at once.
+	Load   int
+	Loaded bool
 	// Failed: the target answered with a failure of its own, or broke off. Severed: the
 	// connection ended or fell silent, which strikes all that runs there at once.
 	Failed, Severed bool
--- a/internal/core/rollout/simulation_test.go
+++ b/internal/core/rollout/simulation_test.go
@@ -309,9 +309,9 @@
 		hold *= 3
 	}
 	first := 0.3 * crowd * s.speed * math.Exp(m.rng.NormFloat64()*0.4)
-	failed := m.rng.Float64() < m.load.errors
+	bad, failed := false, m.rng.Float64() < m.load.errors
 	if isNew && m.flaw.bad() && m.part() >= m.flaw.after && taken >= m.flaw.loaded && (m.flaw.route < 0 || m.flaw.route == route) && m.rng.Float64() < m.flaw.part {
-		m.countBad()
+		bad = true
 		if m.flaw.times > 1 {
 			hold, first = hold*m.flaw.times, first*m.flaw.times
 		} else {
@@ -331,13 +331,16 @@
 	}
 	done := func(severed bool) {
 		s.running--
+		if bad {
+			m.countBad()
+		}
 		if e.incarnation != incarnation {
 			return
 		}
 		if !isNew {
 			e.engaged--
 		}
-		o := rollout.Observation{Route: uint32(route), Target: rollout.TargetKey(s.ID), New: isNew, Load: load, Failed: failed || severed, Severed: severed, Took: took}
+		o := rollout.Observation{Route: uint32(route), Target: rollout.TargetKey(s.ID), New: isNew, Load: load, Loaded: 2*load > s.Slots, Failed: failed || severed, Severed: severed, Took: took}
 		if !o.Failed {
 			o.Pace = took / 20
 			if m.load.slots < 6 {
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -52,7 +52,9 @@
 	placed         bool
 	canaries, olds int
 	routes         map[uint32]*routeCount
-	number         uint64
+	// requests counts those of the service, fresh those of them that went to the new version.
+	requests, fresh int
+	number          uint64
 	// recentNew and recentOld are the latest observations of each version.
 	recentNew, recentOld []Observation
 }
@@ -115,9 +117,22 @@
 	return t.phase == Canary && !t.halted && !t.LeaderSilent(now)
 }
 
+// Requests is the number of requests that have been drawn for, and of those that went to
+// the new version.
+func (t *Tracker) Requests() (all, fresh int) { return t.requests, t.fresh }
+
 // UsesNew draws where a request of a route goes; draw is uniform in [0, 1).
 func (t *Tracker) UsesNew(now time.Time, route uint32, draw float64) bool {
 	t.count(route)
+	t.requests++
+	fresh := t.usesNew(now, route, draw)
+	if fresh {
+		t.fresh++
+	}
+	return fresh
+}
+
+func (t *Tracker) usesNew(now time.Time, route uint32, draw float64) bool {
 	switch {
 	case t.phase == Completed:
 		return true
@@ -125,9 +140,10 @@
 		return false
 	case t.phase == Shifting:
 		return true
-	case t.phase == Unknown && t.placed && t.olds == 0:
-		// This entry has just begun, and the old servers are gone: it must be completed.
-		return true
+	case t.placed && t.olds == 0:
+		// Nothing else serves: this entry has begun after the end, or the old servers are
+		// lost. Sending nothing to the new ones would turn all callers away.
+		return t.canaries > 0
 	case !t.canaryOpen(now) || t.canaries == 0:
 		return false
 	default:
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -258,7 +258,7 @@
 		state = "leaving"
 	}
 	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-		"target": target.ID, "started_ms": target.StartedMS, "service": target.Service, "address": target.Address, "zone": target.Zone, "slots": target.Slots,
+		"target": target.ID, "started_ms": target.StartedMS, "service": target.Service, "address": target.Address, "zone": target.Zone, "version": target.Version, "slots": target.Slots,
 		"state": state, "offset": record.Offset, "replicated": u.Replicated, "age_ms": time.Since(u.AsOf).Milliseconds(),
 	})
 	return true
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -33,6 +33,7 @@
 	now := time.Now()
 	quotas := g.state.quota.Usage(now)
 	services := g.state.sched.Services(now)
+	g.reportRollouts()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
 		repeats[service] = g.state.budget.Left(now, service, members)
@@ -62,6 +63,16 @@
 	}
 }
 
+// reportRollouts shows how far roll-outs are. The state's mutex is held.
+func (g *Gateway) reportRollouts() {
+	for service, known := range g.state.rollouts.services {
+		all, fresh := known.tracker.Requests()
+		g.metrics.Set(telemetry.GatewayRolloutPhase, float64(known.tracker.Phase()), service)
+		g.metrics.Set(telemetry.GatewayRolloutRequests, float64(all), service)
+		g.metrics.Set(telemetry.GatewayRolloutNew, float64(fresh), service)
+	}
+}
+
 // reportShares shows what this entry knows of what all share.
 func (g *Gateway) reportShares(quotas map[string]quota.Verdict, services []dispatch.ServiceLoad, repeats map[string]float64) {
 	m := g.metrics
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,6 +32,12 @@
 		"Of these, those that get nothing for now: not reached, broken off, unresponsive.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may still make in the window.", "service")
+	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
+		"How far a service's roll-out is: 1 canary, 2 shifting, 3 completed, 4 rolled back; 0: not known.", "service")
+	GatewayRolloutNew = declare(KindGauge, "gateway_rollout_new_requests",
+		"Requests of this entry that have gone to the new version since the order.", "service")
+	GatewayRolloutRequests = declare(KindGauge, "gateway_rollout_requests",
+		"Requests of this entry for the service since the order.", "service")
 	GatewayLinesOmitted = declare(KindCounter, "gateway_log_lines_omitted_total",
 		"Log lines left out, by importance.", "importance")
 )
