--- a/internal/core/rollout/compare.go
+++ b/internal/core/rollout/compare.go
@@ -73,10 +73,11 @@
 	var c comparison
 	var lesser, greater float64
 	overall := e.overallRate(counts, bad)
-	for at, fresh := range e.news {
+	for _, at := range e.news.groups {
 		if !counts(at) {
 			continue
 		}
+		fresh := e.news.tallies[at]
 		usual := e.usualRate(at, bad, overall)
 		bads, answers := bad.of(fresh)
 		lesser += logRatio(answers, bads, usual, lesserHarm)
@@ -98,9 +99,9 @@
 // overallRate is the part of bad answers of the old version at all times.
 func (e *evidence) overallRate(counts selection, bad badness) float64 {
 	answers, bads := float64(priorAnswers), rateFloor*priorAnswers
-	for at, old := range e.olds {
+	for _, at := range e.olds.groups {
 		if counts(at) {
-			b, n := bad.of(old)
+			b, n := bad.of(e.olds.tallies[at])
 			answers += float64(n)
 			bads += float64(b)
 		}
@@ -115,7 +116,7 @@
 	answers, bads := float64(priorAnswers), overall*priorAnswers
 	for slice := at.slice - 1; slice <= at.slice+1; slice++ {
 		for _, loaded := range [...]bool{false, true} {
-			if old, found := e.olds[group{at.route, slice, loaded}]; found {
+			if old, found := e.olds.tallies[group{at.route, slice, loaded}]; found {
 				b, n := bad.of(old)
 				answers += float64(n)
 				bads += float64(b)
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -133,6 +135,25 @@
 // times could be compared, and the slow ones of these.
 type tallies struct{ answers, failed, timed, slow int }
 
+// counts holds tallies by group. They are summed up in the order in which the groups were
+// first seen: sums of floating-point numbers differ with the order, and the same answers
+// have to lead to the same decision.
+type counts struct {
+	groups  []group
+	tallies map[group]*tallies
+}
+
+func newCounts() counts { return counts{tallies: make(map[group]*tallies)} }
+
+// of returns a group's tallies, which it makes if there are none.
+func (c *counts) of(at group) *tallies {
+	if c.tallies[at] == nil {
+		c.tallies[at] = &tallies{}
+		c.groups = append(c.groups, at)
+	}
+	return c.tallies[at]
+}
+
 // sample is an observation with the slice in which it came.
 type sample struct {
 	Observation
@@ -144,7 +165,9 @@
 	start      time.Time
 	targets    map[uint32]*tracked
 	pending    []sample
-	olds, news map[group]*tallies
+	olds, news counts
+	// inOrder are the targets in the order in which they were first seen.
+	inOrder []*tracked
 	// multiples are the old version's times as multiples of the usual ones; held is how long
 	// its requests were at their targets.
 	multiples [measures]ring
@@ -153,7 +176,7 @@
 }
 
 func newEvidence(now time.Time) *evidence {
-	return &evidence{start: now, targets: make(map[uint32]*tracked), olds: make(map[group]*tallies), news: make(map[group]*tallies)}
+	return &evidence{start: now, targets: make(map[uint32]*tracked), olds: newCounts(), news: newCounts()}
 }
 
 func (e *evidence) observe(now time.Time, o Observation) {
@@ -161,6 +184,7 @@
 	if !found {
 		t = &tracked{isNew: o.New, times: make(map[usualKey]*ring)}
 		e.targets[o.Target] = t
+		e.inOrder = append(e.inOrder, t)
 	}
 	if o.Severed {
 		// A server that crashes breaks off all that runs there. That is one event, not as
@@ -205,15 +229,11 @@
 
 // tallies are those of the sample's group and version.
 func (e *evidence) tallies(s *sample) *tallies {
-	side := e.olds
-	if s.New {
-		side = e.news
-	}
 	at := group{s.Route, s.slice, s.Loaded}
-	if side[at] == nil {
-		side[at] = &tallies{}
+	if s.New {
+		return e.news.of(at)
 	}
-	return side[at]
+	return e.olds.of(at)
 }
 
 // classify finds what is slow of the pending answers, but for those of targets whose usual
@@ -299,7 +319,7 @@
 func (e *evidence) slowTargets() (judged int, slow bool) {
 	olds := e.oldUsuals()
 	score, least := 0.0, math.Inf(1)
-	for _, t := range e.targets {
+	for _, t := range e.inOrder {
 		if !t.isNew {
 			continue
 		}
@@ -332,7 +352,8 @@
 // least as slow, and the ratio to the slowest, both in the mean over what is measured.
 func rank(usuals map[usualKey]float64, olds map[usualKey][]float64) (part, ratio float64, compared bool) {
 	n := 0.0
-	for key, usual := range usuals {
+	for _, key := range sortedKeys(usuals) {
+		usual := usuals[key]
 		if len(olds[key]) == 0 {
 			continue
 		}
@@ -352,6 +373,12 @@
 	return part / n, ratio / n, true
 }
 
+func sortedKeys(usuals map[usualKey]float64) []usualKey {
+	return slices.SortedFunc(maps.Keys(usuals), func(a, b usualKey) int {
+		return cmp.Or(cmp.Compare(a.measure, b.measure), cmp.Compare(a.route, b.route))
+	})
+}
+
 // gammaTail is the chance that the sum of n values of the exponential distribution with
 // mean 1 is at least so large.
 func gammaTail(n int, sum float64) float64 {
@@ -373,7 +400,7 @@
 // routes are those that have to be compared, in order.
 func (e *evidence) routes() []uint32 {
 	olds := make(map[uint32]int)
-	for at, old := range e.olds {
+	for at, old := range e.olds.tallies {
 		olds[at.route] += old.answers
 	}
 	var routes []uint32
@@ -387,7 +414,7 @@
 			add(route)
 		}
 	}
-	for at := range e.news {
+	for _, at := range e.news.groups {
 		add(at.route)
 	}
 	return routes
