--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -24,7 +24,6 @@
 package rollout
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,11 +73,6 @@
 	Began time.Time
 }
 
-// Replaces reports whether every version is one that the record has replaced for good.
-func (r Record) Replaces(version string) bool {
-	return r.Phase == Completed && version != r.To && slices.Contains(r.From, version)
-}
-
 // Bounds are the operators' promises that a roll-out has to keep.
 type Bounds struct {
 	// ExposureShare is the part of a service's requests, between order and deadline, that a
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -41,7 +41,8 @@
 	// began is when the order came into being, as far as this entry knows.
 	began time.Time
 	phase Phase
-	from  []string
+	// from are the versions that are replaced, others those that stand beside the new one.
+	from, others []string
 	// halted: the leader has said that nothing may go to the new version. heard is when it
 	// was last heard.
 	halted bool
@@ -51,7 +52,8 @@
 	// the targets have been placed.
 	placed         bool
 	canaries, olds int
-	routes         map[uint32]*routeCount
+	// routes are the counts of requests by route, which are forgotten slowly.
+	routes map[uint32]float64
 	// requests counts those of the service, fresh those of them that went to the new version.
 	requests, fresh int
 	number          uint64
@@ -59,12 +61,9 @@
 	recentNew, recentOld []Observation
 }
 
-// routeCount counts a route's requests, forgetting slowly.
-type routeCount struct{ weight float64 }
-
 // NewTracker begins to follow an order that has just been read.
 func NewTracker(now time.Time, order Order, bounds Bounds) *Tracker {
-	return &Tracker{order: order, bounds: bounds, began: now, routes: make(map[uint32]*routeCount)}
+	return &Tracker{order: order, bounds: bounds, began: now, routes: make(map[uint32]float64)}
 }
 
 // Order is the order that is followed.
@@ -102,6 +101,11 @@
 	}
 	changed := s.Phase > t.phase
 	t.phase = s.Phase
+	if changed && t.phase == Completed && len(t.from) == 0 {
+		// The record says what has been replaced; this entry has not read it. Old targets
+		// stay registered for some seconds after they have been stopped.
+		t.from = t.others
+	}
 	return changed
 }
 
@@ -132,6 +136,12 @@
 	return fresh
 }
 
+// RepeatsOnNew reports whether a request that has been tried goes to the new version: to the
+// one that has the traffic, since a second failure of the canary would reach its caller.
+func (t *Tracker) RepeatsOnNew() bool {
+	return t.phase == Completed || t.phase == Shifting && !t.halted
+}
+
 func (t *Tracker) usesNew(now time.Time, route uint32, draw float64) bool {
 	switch {
 	case t.phase == Completed:
@@ -161,15 +171,10 @@
 )
 
 func (t *Tracker) count(route uint32) {
-	for _, c := range t.routes {
-		c.weight *= 1 - routeMemory
+	for known := range t.routes {
+		t.routes[known] *= 1 - routeMemory
 	}
-	c, found := t.routes[route]
-	if !found {
-		c = &routeCount{}
-		t.routes[route] = c
-	}
-	c.weight++
+	t.routes[route]++
 }
 
 // chance is the probability that a request goes to the canary now. Over all routes and
@@ -186,13 +191,12 @@
 // one.
 func (t *Tracker) chance(now time.Time, route uint32) float64 {
 	share := canaryShare * t.bounds.ExposureShare
-	total, known := 0.0, 0.0
-	for _, c := range t.routes {
-		total += c.weight
-		known++
+	total := 0.0
+	for _, count := range t.routes {
+		total += count
 	}
-	frequency := max(routeFloor, t.routes[route].weight/total)
-	chance := share / known / frequency
+	frequency := max(routeFloor, t.routes[route]/total)
+	chance := share / float64(len(t.routes)) / frequency
 	second := now.UnixNano() / int64(clumpPeriod)
 	burst := share * float64(t.olds) / float64(t.canaries)
 	if second%2 == 1 {
@@ -239,6 +243,9 @@
 func (t *Tracker) Place(targets []catalog.Target, current string) []catalog.Target {
 	var placed, fresh []catalog.Target
 	t.placed, t.olds = true, 0
+	if t.phase < Completed {
+		t.others = Froms(targets, t.order.To)
+	}
 	for _, target := range targets {
 		switch {
 		case target.Version == t.order.To:
@@ -281,9 +288,6 @@
 	return fresh[:min(len(fresh), max(1, wanted))]
 }
 
-// HasOld reports whether targets of the versions before are known.
-func (t *Tracker) HasOld() bool { return t.olds > 0 }
-
 // Froms are the versions of targets other than the new one, sorted.
 func Froms(targets []catalog.Target, to string) []string {
 	var versions []string
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -146,11 +146,11 @@
 	}
 	now := time.Now()
 	t := known.tracker
-	draw := 1.0
+	fresh := t.RepeatsOnNew()
 	if first {
-		draw = rand.Float64()
+		fresh = t.UsesNew(now, route, rand.Float64())
 	}
-	if !t.UsesNew(now, route, draw) {
+	if !fresh {
 		return known.current, ""
 	}
 	if t.Phase() != rollout.Canary {
