--- /dev/null
+++ b/internal/gateway/rollout_bench_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sycamoretrail/internal/core/rollout"
+	"sycamoretrail/internal/gossip"
+)
+
+// fullReport is an entry's report with all that it may hold.
+func fullReport(entry int) rollout.Report {
+	tracker := rollout.NewTracker(time.Now(), rollout.Order{ID: 1, Service: "engines", To: "v2"}, rollout.Bounds{ExposureShare: 0.1})
+	for i := range 120 {
+		tracker.Observed(rollout.Observation{
+			Route: uint32(i % 3), Target: uint32(entry*7+i) % 66, New: i%2 == 0, Load: 1 + i%4,
+			Pace: time.Duration(15+i%7) * time.Millisecond, First: time.Duration(20+i%9) * time.Microsecond, Took: 400 * time.Millisecond,
+		})
+	}
+	return tracker.Report(3)
+}
+
+// BenchmarkRolloutReport is what the leader spends on one report, decoded and taken, which
+// it has in large part from the one before.
+func BenchmarkRolloutReport(b *testing.B) {
+	report := fullReport(1)
+	data, err := cbor.Marshal(&gossip.Message{From: "entry-1", RolloutReport: &gossip.RolloutReport{
+		Service: "engines", Order: 1, New: observationMessages(report.New), Old: observationMessages(report.Old),
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	judge := rollout.NewJudge(time.Now(), rollout.Order{ID: 1})
+	for b.Loop() {
+		var m gossip.Message
+		if err := cbor.Unmarshal(data, &m); err != nil {
+			b.Fatal(err)
+		}
+		judge.Take(time.Now(), "entry-1", 1, rollout.Report{
+			Order: 1, New: observationsOf(m.RolloutReport.New, true), Old: observationsOf(m.RolloutReport.Old, false),
+		})
+	}
+	b.ReportMetric(float64(len(data)), "B/report")
+}
+
+// BenchmarkRolloutDecision is what the leader spends on one look at all evidence.
+func BenchmarkRolloutDecision(b *testing.B) {
+	for _, entries := range []int{24, 71, 195, 410} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			now := time.Now()
+			judge := rollout.NewJudge(now, rollout.Order{ID: 1, Duration: 30 * time.Second})
+			for i := range entries {
+				judge.Take(now.Add(time.Duration(i%20)*time.Second), fmt.Sprint(i), 1, fullReport(i))
+			}
+			for b.Loop() {
+				judge.Decide(now, rollout.Canary, time.Second, nil)
+			}
+		})
+	}
+}
