--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -29,6 +29,10 @@
 	slowPart      = 0.95
 	leastSlow     = 2.0
 	multiplesKept = 512
+	// noise is what entries add to a time by themselves: one of a fifth of a core that has
+	// much to do answers some milliseconds later. Answers of a millisecond were called slow
+	// for that, and a sound version was sent back while its entry was busy.
+	noise = 10 * time.Millisecond
 	// heldKept is the number of old requests from whose times the drain is estimated, heldPart
 	// the part of them that has to end in it.
 	heldKept = 256
@@ -288,8 +292,9 @@
 		if taken == 0 {
 			continue
 		}
-		multiple := taken / usual[keyOf(m, &s.Observation)]
-		slow = slow || multiple > limits[m]
+		base := usual[keyOf(m, &s.Observation)]
+		multiple := taken / base
+		slow = slow || multiple > limits[m] && taken > base+float64(noise)
 		if !s.New {
 			e.multiples[m].add(multiple, multiplesKept)
 		}
--- a/internal/core/rollout/slowtargets.go
+++ b/internal/core/rollout/slowtargets.go
@@ -65,7 +65,7 @@
 		}
 		slower := 1.0
 		for _, old := range olds[key] {
-			if old >= usual {
+			if old+float64(noise) >= usual {
 				slower++
 			}
 		}
