--- a/internal/core/rollout/evidence_test.go
+++ b/internal/core/rollout/evidence_test.go
@@ -46,3 +46,17 @@
 	}
 	w.Expect(decision.Action).To(Equal(rollout.Shift), "%+v", decision)
 }
+
+// The one target of a canary is seen two milliseconds late in every answer, by entries that
+// are busy with it. Three times the time of the old ones, it is no slow version.
+func TestNoiseOfEntriesIsNoSlowTarget(t *testing.T) {
+	w := NewWithT(t)
+	judge := rollout.NewJudge(moment, rollout.Order{ID: 5, Duration: 6 * time.Second})
+	report := rollout.Report{Order: 5, Phase: rollout.Canary}
+	for n := range uint64(40) {
+		report.Old = append(report.Old, rollout.Observation{Number: n + 1, Target: 1 + uint32(n%2), Load: 1, Pace: time.Millisecond})
+		report.New = append(report.New, rollout.Observation{Number: n + 1, Target: 9, New: true, Load: 1, Pace: 3 * time.Millisecond})
+	}
+	judge.Take(moment, "entry", 1, report)
+	w.Expect(judge.Decide(moment, rollout.Canary, time.Second, nil).Action).To(Equal(rollout.Wait))
+}
--- a/internal/core/rollout/slowtargets.go
+++ b/internal/core/rollout/slowtargets.go
@@ -55,7 +55,8 @@
 }
 
 // rank compares a new target's usual times with those of the old ones: the part that is at
-// least as slow, and the ratio to the slowest, both in the mean over what is measured.
+// least as slow, and the ratio to the slowest, both in the mean over what is measured and
+// but for the noise.
 func rank(usuals map[usualKey]float64, olds map[usualKey][]float64) (part, ratio float64, compared bool) {
 	n := 0.0
 	for _, key := range sortedKeys(usuals) {
@@ -70,7 +71,7 @@
 			}
 		}
 		part += slower / float64(len(olds[key])+1)
-		ratio += usual / slices.Max(olds[key])
+		ratio += max(0, usual-float64(noise)) / slices.Max(olds[key])
 		n++
 	}
 	if n == 0 {
