--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -102,7 +102,7 @@
 	Load   int
 	Loaded bool
 	// Failed: the target answered with a failure of its own, or broke off. Severed: the
-	// connection ended or fell silent, which strikes all that runs there at once.
+	// connection ended or fell silent, which ends all that runs there at once.
 	Failed, Severed bool
 	// Pace is the mean pause between a stream's events, or the time to another answer;
 	// First the time to a stream's first event for each token that had to be read, times
