--- a/internal/core/rollout/tracker_test.go
+++ b/internal/core/rollout/tracker_test.go
@@ -96,19 +96,23 @@
 func TestNewVersionWaitsForTheOrders(t *testing.T) {
 	w := NewWithT(t)
 	versions := rollout.NewVersions()
-	usable, waits := versions.Usable(moment, moment, "engines", targetsOf("v1", 3))
+	usable, waits := versions.Usable(moment, moment, "engines", targetsOf("v1", 3), false)
 	w.Expect(usable).To(HaveLen(3))
 	w.Expect(waits).To(BeFalse())
 
 	both := append(targetsOf("v1", 3), targetsOf("v2", 3)...)
-	usable, waits = versions.Usable(moment.Add(time.Second), moment, "engines", both)
+	usable, waits = versions.Usable(moment.Add(time.Second), moment, "engines", both, false)
 	w.Expect(pools(usable)).To(Equal(map[string]int{"engines v1": 3}))
 	w.Expect(waits).To(BeTrue())
 
-	usable, _ = versions.Usable(moment.Add(2*time.Second), moment.Add(1500*time.Millisecond), "engines", both)
+	usable, _ = versions.Usable(moment.Add(2*time.Second), moment.Add(1500*time.Millisecond), "engines", both, false)
 	w.Expect(usable).To(HaveLen(6))
 
-	usable, waits = versions.Usable(moment.Add(3*time.Second), moment, "engines", targetsOf("v3", 2))
+	usable, waits = versions.Usable(moment.Add(3*time.Second), moment, "engines", targetsOf("v3", 2), false)
 	w.Expect(usable).To(HaveLen(2))
 	w.Expect(waits).To(BeFalse())
+
+	usable, waits = versions.Usable(moment.Add(3*time.Second), moment, "engines", targetsOf("v4", 2), true)
+	w.Expect(usable).To(BeEmpty(), "others serve")
+	w.Expect(waits).To(BeTrue())
 }
--- a/internal/core/rollout/versions.go
+++ b/internal/core/rollout/versions.go
@@ -24,9 +24,13 @@
 	return &Versions{known: make(map[string]map[string]bool), seen: make(map[string]map[string]time.Time)}
 }
 
+// Settled reports whether a version of a service is in use.
+func (v *Versions) Settled(service, version string) bool { return v.known[service][version] }
+
 // Usable returns the targets of one service that may be used, and whether others wait.
-// ordersAsOf is the moment as of which the orders are known.
-func (v *Versions) Usable(now, ordersAsOf time.Time, service string, targets []catalog.Target) (usable []catalog.Target, waits bool) {
+// ordersAsOf is the moment as of which the orders are known; served says whether other
+// targets serve the service, which are settled.
+func (v *Versions) Usable(now, ordersAsOf time.Time, service string, targets []catalog.Target, served bool) (usable []catalog.Target, waits bool) {
 	if v.known[service] == nil {
 		v.known[service] = make(map[string]bool)
 		v.seen[service] = make(map[string]time.Time)
@@ -39,7 +43,7 @@
 			usable = append(usable, targets[i])
 		}
 	}
-	if !serves(usable) {
+	if !served && !serves(usable) {
 		// Nothing else serves: waiting would turn all callers away.
 		return targets, false
 	}
--- a/internal/gateway/rollout_bench_test.go
+++ b/internal/gateway/rollout_bench_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/rollout"
+	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/gossip"
 )
 
@@ -61,3 +63,26 @@
 		})
 	}
 }
+
+// BenchmarkPlacement is what a change of one target costs beside handing all of them to the
+// scheduler, without a roll-out and with one.
+func BenchmarkPlacement(b *testing.B) {
+	for _, active := range []bool{false, true} {
+		b.Run(fmt.Sprintf("active %v", active), func(b *testing.B) {
+			g := &Gateway{state: &state{}}
+			g.feeds = &feeds{operators: &feed.Follower{}}
+			r := newRollouts(g)
+			targets := make([]catalog.Target, 999)
+			for i := range targets {
+				targets[i] = catalog.Target{ID: fmt.Sprintf("i-%06x", i*7919), Service: "engines", Version: "v1", Slots: 4}
+			}
+			r.placed(targets)
+			if active {
+				r.services["other"] = &rolling{tracker: rollout.NewTracker(time.Now(), rollout.Order{ID: 1, Service: "other", To: "v2"}, rollout.Bounds{ExposureShare: 0.1})}
+			}
+			for b.Loop() {
+				r.placed(targets)
+			}
+		})
+	}
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
@@ -80,29 +81,48 @@
 }
 
 // placed puts targets into the pools of their versions. The caller holds the mutex of the
-// feeds, which keeps calls in order.
+// feeds, which keeps calls in order. It is called with each change of a target: those of
+// services without a roll-out, of versions that are in use, are passed on as they are.
 func (r *rollouts) placed(targets []catalog.Target) []catalog.Target {
 	g := r.gateway
 	asOf := g.feeds.operators.AsOf()
-	byService := make(map[string][]catalog.Target)
-	for _, target := range targets {
-		byService[target.Service] = append(byService[target.Service], target)
-	}
 	now := time.Now()
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
-	var all []catalog.Target
 	r.held = false
-	for service, own := range byService {
+	if !slices.ContainsFunc(targets, r.concerns) {
+		return targets
+	}
+	placed := make([]catalog.Target, 0, len(targets))
+	apart := make(map[string][]catalog.Target)
+	for _, target := range targets {
+		if r.concerns(target) {
+			apart[target.Service] = append(apart[target.Service], target)
+		} else {
+			placed = append(placed, target)
+		}
+	}
+	for service, own := range apart {
 		if known, found := r.services[service]; found {
-			all = append(all, known.tracker.Place(own, known.current)...)
+			placed = append(placed, known.tracker.Place(own, known.current)...)
 			continue
 		}
-		usable, waits := r.versions.Usable(now, asOf, service, own)
+		usable, waits := r.versions.Usable(now, asOf, service, own, serves(placed, service))
 		r.held = r.held || waits
-		all = append(all, usable...)
+		placed = append(placed, usable...)
 	}
-	return all
+	return placed
+}
+
+// concerns reports whether a target is of a service with a roll-out, or of a version that is
+// not in use yet.
+func (r *rollouts) concerns(target catalog.Target) bool {
+	return r.services[target.Service] != nil || !r.versions.Settled(target.Service, target.Version)
+}
+
+// serves reports whether any of the targets serves a service.
+func serves(targets []catalog.Target, service string) bool {
+	return slices.ContainsFunc(targets, func(t catalog.Target) bool { return t.Service == service && !t.Leaving })
 }
 
 // replace places all targets anew, after a change of phase.
