A leader that has not read the latest order leaves the later order's record alone

A leader whose older order is still the one it knows would have replaced the record of a later one, which would have begun anew. Without the mend the record is replaced (tried with a pause in place of the wait for the line); TestRecordOfALaterOrderStays holds it.

--- a/internal/gateway/rolloutstore.go
+++ b/internal/gateway/rolloutstore.go
@@ -18,6 +18,10 @@
 	rolloutRetry = 700 * time.Millisecond
 )
 
+// errSuperseded says that the store has a later order's roll-out, of which this entry has not
+// read yet. Its record must not be replaced: the later order would begin anew.
+var errSuperseded = errors.New("the order has been superseded")
+
 // store puts the step of a decision into the store, or tells the operators of the one that
 // is there.
 func (r *rollouts) store(order rollout.Order, phase rollout.Phase, d rollout.Decision) {
@@ -112,6 +116,9 @@
 		r.restore(kept)
 		return kept.Phase, nil
 	}
+	if kept.ID > order.ID {
+		return 0, fmt.Errorf("%w: %d by %d", errSuperseded, order.ID, kept.ID)
+	}
 	next := r.next(order, kept, d.Action.Phase())
 	value, err := json.Marshal(rolloutRecord{
 		Order: next.ID, To: next.To, DurationMS: next.Duration.Milliseconds(), Phase: uint8(next.Phase), From: next.From, BeganMS: next.Began.UnixMilli(),
