--- a/internal/core/rollout/versions.go
+++ b/internal/core/rollout/versions.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
@@ -67,10 +68,5 @@
 }
 
 func serves(targets []catalog.Target) bool {
-	for i := range targets {
-		if !targets[i].Leaving {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(targets, func(t catalog.Target) bool { return !t.Leaving })
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -87,8 +87,10 @@
 }
 
 // first is the name of the first in rank of some entries and this one.
-func (g *Gateway) first(members []peerset.Entry) string {
-	first := g.self.Name
+func (g *Gateway) first(members []peerset.Entry) string { return firstOf(g.self.Name, members) }
+
+// firstOf is the first in rank of a name and those of some entries.
+func firstOf(first string, members []peerset.Entry) string {
 	for _, m := range members {
 		if dispatch.Rank(m.Name, first) < 0 {
 			first = m.Name
--- a/internal/gateway/rolloutlead.go
+++ b/internal/gateway/rolloutlead.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/eventlog"
 )
@@ -94,13 +93,10 @@
 	if able {
 		return g.first(readers)
 	}
-	leader := ""
-	for _, e := range readers {
-		if leader == "" || dispatch.Rank(e.Name, leader) < 0 {
-			leader = e.Name
-		}
+	if len(readers) == 0 {
+		return ""
 	}
-	return leader
+	return firstOf(readers[0].Name, readers[1:])
 }
 
 // follow reports to the leader, and looks into the store if it is not heard.
