Orders are in force before an entry takes callers; ages are read without waiting

Placing them asked the follower of the operators' topic how old the orders are, under the mutex that is held while a step of that topic is applied: with the configuration the entry was ready, the targets still waited, and the first caller got 503 no_target.

Now: the age is atomic and set once a step is applied; orders come before the configuration, and targets are placed with them; a target's line follows its use.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -83,7 +84,9 @@
 	mutex sync.Mutex
 	// next is the offset to read from, -1 before the first snapshot.
 	next int64
-	asOf time.Time
+	// asOf is set once a step is applied. It is read without the mutex, which is held while
+	// a step is applied: who writes a line about a request must not wait for that.
+	asOf atomic.Pointer[time.Time]
 	// failing is when the first of the failed calls in a row was made.
 	failing  time.Time
 	failures int
@@ -115,7 +118,7 @@
 // peer has a later version.
 func (f *Follower) Refresh() {
 	f.mutex.Lock()
-	f.asOf = time.Time{}
+	f.asOf.Store(nil)
 	f.mutex.Unlock()
 	f.nudge()
 }
@@ -144,10 +147,10 @@
 func (f *Follower) pause() time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next < 0 || f.asOf.IsZero() || f.duties.Leads() {
+	if f.next < 0 || f.AsOf().IsZero() || f.duties.Leads() {
 		return 0
 	}
-	return f.config.Patience - time.Since(f.asOf)
+	return f.config.Patience - time.Since(f.AsOf())
 }
 
 func (f *Follower) backoff() time.Duration {
@@ -243,13 +246,13 @@
 func (f *Follower) apply(u Update) {
 	u.Topic = f.config.Topic
 	f.next = u.To
-	if u.AsOf.After(f.asOf) {
-		f.asOf = u.AsOf
-	}
 	if time.Since(f.regained) < lapseDelay {
 		u.UnsettledUntil = f.regained.Add(f.config.Settle)
 	}
 	f.duties.Apply(u)
+	if u.AsOf.After(f.AsOf()) {
+		f.asOf.Store(&u.AsOf)
+	}
 }
 
 // Replicate takes what another entry has read. News that leaves a gap is not applied:
@@ -263,7 +266,7 @@
 		return
 	}
 	if from > f.next {
-		f.asOf = time.Time{}
+		f.asOf.Store(nil)
 		f.nudge()
 		return
 	}
@@ -288,9 +291,11 @@
 	f.apply(Update{Reset: true, Records: records, From: f.next, To: to, AsOf: asOf, Replicated: true})
 }
 
-// AsOf is when the log was last known to be in the state that has been applied.
+// AsOf is when the log was last known to be in the state that has been applied; zero: it
+// is not known to be in any.
 func (f *Follower) AsOf() time.Time {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.asOf
+	if asOf := f.asOf.Load(); asOf != nil {
+		return *asOf
+	}
+	return time.Time{}
 }
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -312,3 +312,34 @@
 		g.Expect(log.count()).To(Equal(calls))
 	})
 }
+
+// A large snapshot is being applied when a request ends and its line is to say how old the
+// targets are. Its caller would wait for the snapshot, as would a change of another topic
+// that has to know how old this one is.
+func TestAgeIsToldWhileAStepIsApplied(t *testing.T) {
+	g := NewWithT(t)
+	log := &fakeLog{}
+	log.append("a", "1")
+	applying, goOn, applied := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	f := feed.NewFollower(config, log, feed.Duties{
+		Leads: func() bool { return true },
+		Apply: func(feed.Update) {
+			select {
+			case applying <- struct{}{}:
+				<-goOn
+				close(applied)
+			case <-applied:
+			}
+		},
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	<-applying
+	told := make(chan time.Time, 1)
+	go func() { told <- f.AsOf() }()
+	g.Eventually(told, 5*time.Second).Should(Receive(BeZero()), "the step is not applied yet")
+	close(goOn)
+	<-applied
+	g.Eventually(f.AsOf, 5*time.Second).ShouldNot(BeZero())
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -54,6 +54,8 @@
 	mutex     sync.Mutex
 	register  *register.Register
 	addresses map[string]bool
+	// unsaid holds the lines of changes that are not in force yet.
+	unsaid []eventlog.Fields
 	// lookAgain asks for another look at the register of entries.
 	lookAgain chan struct{}
 	looked    atomic.Int64
@@ -119,50 +121,60 @@
 
 func (g *Gateway) targetsAsOf() time.Time { return g.feeds.targets.AsOf() }
 
-// applyOperators puts a newer configuration in force. An older one never replaces
-// it: what a store that lost its history returns may be any version.
+// applyOperators takes a step of what the operators write. Orders come into force before
+// the configuration does: with that an entry that starts takes callers, who would get a
+// version under roll-out as any other.
 func (f *feeds) applyOperators(u feed.Update) {
 	f.count(u)
-	ordered := false
+	f.applyOrders(u)
 	for _, record := range u.Records {
-		if len(record.Value) == 0 {
-			continue
-		}
-		configuration, err := f.gateway.platform.DecodeConfiguration(record)
-		if err != nil {
-			f.noteUndecodable(u.Topic, record, err)
-			continue
-		}
-		if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Replicated {
-			go f.keepCopy(record)
-		}
-		ordered = f.applyOrder(u, record) || ordered
+		f.applyConfiguration(u, record)
 	}
 	f.tell(u, u.Records)
-	// The follower's mutex is held here, and placing targets asks it how old the orders are.
-	go f.placeAgain(ordered)
 }
 
-// applyOrder takes an order of a roll-out; it reports whether there is a new one.
-func (f *feeds) applyOrder(u feed.Update, record feed.Record) bool {
-	order, err := f.gateway.platform.DecodeOrder(record)
+// applyConfiguration puts a newer configuration in force. An older one never replaces
+// it: what a store that lost its history returns may be any version.
+func (f *feeds) applyConfiguration(u feed.Update, record feed.Record) {
+	if isDrop(record) {
+		return
+	}
+	configuration, err := f.gateway.platform.DecodeConfiguration(record)
 	if err != nil {
 		f.noteUndecodable(u.Topic, record, err)
-		return false
+		return
+	}
+	if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Replicated {
+		go f.keepCopy(record)
 	}
-	return order != nil && f.gateway.state.rollouts.ordered(*order, u.Reset)
 }
 
-// placeAgain places the targets anew if there is an order, or some waited for the orders to
-// be known.
-func (f *feeds) placeAgain(ordered bool) {
+// applyOrders takes the orders of roll-outs, and places the targets anew if there is a new
+// one, or some waited for the orders to be known.
+func (f *feeds) applyOrders(u feed.Update) {
+	ordered := false
+	for _, record := range u.Records {
+		if !isDrop(record) && f.applyOrder(u, record) {
+			ordered = true
+		}
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if ordered || f.gateway.state.rollouts.held {
-		f.publish()
+		f.publish(u.AsOf)
 	}
 }
 
+// applyOrder takes an order of a roll-out; it reports whether there is a new one.
+func (f *feeds) applyOrder(u feed.Update, record feed.Record) bool {
+	order, err := f.gateway.platform.DecodeOrder(record)
+	if err != nil {
+		f.noteUndecodable(u.Topic, record, err)
+		return false
+	}
+	return order != nil && f.gateway.state.rollouts.ordered(*order, u.Reset)
+}
+
 // apply puts a configuration in force; false: it is not newer than the one that is.
 func (g *Gateway) apply(configuration *catalog.Configuration, offset int64, from string) bool {
 	g.applying.Lock()
@@ -201,7 +213,7 @@
 		}
 	}
 	if u.Reset || len(changed) > 0 {
-		f.publish()
+		f.publish(f.operators.AsOf())
 	}
 	f.known.Store(true)
 	f.gateway.noteInformed()
@@ -257,7 +269,7 @@
 	if target.Leaving {
 		state = "leaving"
 	}
-	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
+	f.sayLater(eventlog.Fields{
 		"target": target.ID, "started_ms": target.StartedMS, "service": target.Service, "address": target.Address, "zone": target.Zone, "version": target.Version, "slots": target.Slots,
 		"state": state, "offset": record.Offset, "replicated": u.Replicated, "age_ms": time.Since(u.AsOf).Milliseconds(),
 	})
@@ -268,7 +280,7 @@
 func (f *feeds) dropTarget(now time.Time, record feed.Record, keepUntil time.Time) bool {
 	known := f.register.Drop(now, record.Key, keepUntil)
 	if known {
-		f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
+		f.sayLater(eventlog.Fields{
 			"target": record.Key, "state": "dropped", "offset": record.Offset, "kept_ms": max(0, keepUntil.Sub(now).Milliseconds()),
 		})
 		f.expireLater(keepUntil)
@@ -288,23 +300,32 @@
 	defer f.mutex.Unlock()
 	removed, _ := f.register.Expire(time.Now())
 	for _, id := range removed {
-		f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{"target": id, "state": "gone"})
+		f.sayLater(eventlog.Fields{"target": id, "state": "gone"})
 	}
 	if len(removed) > 0 {
-		f.publish()
+		f.publish(f.operators.AsOf())
 	}
 }
 
-// publish hands the targets to the scheduler. The mutex is held.
-func (f *feeds) publish() {
+// publish hands the targets to the scheduler, and then says what changed: who reads a
+// target's line may rely on it being in use. ordersAsOf is the moment as of which the
+// orders are known. The mutex is held.
+func (f *feeds) publish(ordersAsOf time.Time) {
 	targets := f.register.Targets()
 	f.addresses = make(map[string]bool, len(targets))
 	for _, target := range targets {
 		f.addresses[target.Address] = true
 	}
-	f.gateway.state.setTargets(f.gateway.state.rollouts.placed(targets))
+	f.gateway.state.setTargets(f.gateway.state.rollouts.placed(targets, ordersAsOf))
+	for _, fields := range f.unsaid {
+		f.gateway.log.Write(eventlog.Belief, eventTarget, fields)
+	}
+	f.unsaid = nil
 }
 
+// sayLater keeps a target's line until the change is in force. The mutex is held.
+func (f *feeds) sayLater(fields eventlog.Fields) { f.unsaid = append(f.unsaid, fields) }
+
 // inUse reports whether a target has the address.
 func (f *feeds) inUse(address string) bool {
 	f.mutex.Lock()
--- a/internal/gateway/rollout_bench_test.go
+++ b/internal/gateway/rollout_bench_test.go
@@ -9,7 +9,6 @@
 
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/rollout"
-	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/gossip"
 )
 
@@ -70,18 +69,17 @@
 	for _, active := range []bool{false, true} {
 		b.Run(fmt.Sprintf("active %v", active), func(b *testing.B) {
 			g := &Gateway{state: &state{}}
-			g.feeds = &feeds{operators: &feed.Follower{}}
 			r := newRollouts(g)
 			targets := make([]catalog.Target, 999)
 			for i := range targets {
 				targets[i] = catalog.Target{ID: fmt.Sprintf("i-%06x", i*7919), Service: "engines", Version: "v1", Slots: 4}
 			}
-			r.placed(targets)
+			r.placed(targets, time.Time{})
 			if active {
 				r.services["other"] = &rolling{tracker: rollout.NewTracker(time.Now(), rollout.Order{ID: 1, Service: "other", To: "v2"}, rollout.Bounds{ExposureShare: 0.1})}
 			}
 			for b.Loop() {
-				r.placed(targets)
+				r.placed(targets, time.Time{})
 			}
 		})
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -83,9 +83,9 @@
 // placed puts targets into the pools of their versions. The caller holds the mutex of the
 // feeds, which keeps calls in order. It is called with each change of a target: those of
 // services without a roll-out, of versions that are in use, are passed on as they are.
-func (r *rollouts) placed(targets []catalog.Target) []catalog.Target {
+// ordersAsOf is the moment as of which the orders are known.
+func (r *rollouts) placed(targets []catalog.Target, ordersAsOf time.Time) []catalog.Target {
 	g := r.gateway
-	asOf := g.feeds.operators.AsOf()
 	now := time.Now()
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
@@ -107,7 +107,7 @@
 			placed = append(placed, known.tracker.Place(own, known.current)...)
 			continue
 		}
-		usable, waits := r.versions.Usable(now, asOf, service, own, serves(placed, service))
+		usable, waits := r.versions.Usable(now, ordersAsOf, service, own, serves(placed, service))
 		r.held = r.held || waits
 		placed = append(placed, usable...)
 	}
@@ -130,7 +130,7 @@
 	f := r.gateway.feeds
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.publish()
+	f.publish(f.operators.AsOf())
 }
 
 // poolOf is where a request goes: its first try by the draw, later ones to the version that
