A canary's servers take turns; few slow ones among fast ones are found

Cause of most broken exposures of versions that make all answers slow: servers of a service differ by 1 : 4.4, so a fast one that has become five times as slow passes for a slow one. With a canary of the same six servers all the time, four or more of them fast, the sum over ranks drowned the two that stood out by a factor of four.

Now: (1) two new servers that are 2.5 times slower than the slowest old one condemn the version, from two answers each, once four fifths of the old servers are known; (2) a version whose ranks have a chance below 0.03, or with one such server, is not cleared; (3) from twelve new servers on, others are the canary each 4.5 s.

A fault is added to the simulation: all servers, old and new, four times as slow for a fifth of the time.

--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -110,10 +110,10 @@
 	t.times[key].add(taken, timesKept)
 }
 
-// usual is the target's usual time; 0: not known.
-func (t *tracked) usual(key usualKey) float64 {
+// usual is the target's usual time from so many answers; 0: not known.
+func (t *tracked) usual(key usualKey, least int) float64 {
 	times := t.times[key]
-	if times == nil || len(times.values) < minUsual {
+	if times == nil || len(times.values) < least {
 		return 0
 	}
 	return times.quantile(fastPart)
@@ -211,7 +211,7 @@
 			continue
 		}
 		key := keyOf(m, o)
-		if usual := t.usual(key); usual > 0 && !o.New {
+		if usual := t.usual(key, minUsual); usual > 0 && !o.New {
 			e.loads[m].add(o.Load, float64(m.of(o))/usual)
 		}
 		t.add(key, e.taken(m, o))
@@ -242,7 +242,7 @@
 		s := &e.pending[i]
 		known, found := usual[s.Target]
 		if !found {
-			known = e.targets[s.Target].usuals()
+			known = e.targets[s.Target].usuals(minUsual)
 			usual[s.Target] = known
 		}
 		if !knows(known, s) {
@@ -255,11 +255,11 @@
 	e.pending = waiting
 }
 
-// usuals are the usual times that are known.
-func (t *tracked) usuals() map[usualKey]float64 {
+// usuals are the usual times that are known from so many answers.
+func (t *tracked) usuals(least int) map[usualKey]float64 {
 	known := make(map[usualKey]float64, len(t.times))
 	for key := range t.times {
-		if usual := t.usual(key); usual > 0 {
+		if usual := t.usual(key, least); usual > 0 {
 			known[key] = usual
 		}
 	}
--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -269,6 +269,9 @@
 			return c.decision(Wait, ReasonFewAnswers), false
 		}
 	}
+	if judged, suspect := j.evidence.suspectTargets(); suspect {
+		return Decision{Reason: ReasonSlowTargets, Answers: judged, Bad: judged}, false
+	}
 	for _, bad := range badnesses {
 		if all := j.evidence.compare(everything, bad); all.worse > -bad.cleared {
 			return all.decision(Wait, bad.reason), false
--- a/internal/core/rollout/simulation_test.go
+++ b/internal/core/rollout/simulation_test.go
@@ -38,6 +38,9 @@
 	// grey is the part of all servers' answers, old and new, that fails between greyFrom
 	// and greyTo.
 	grey, greyFrom, greyTo float64
+	// slowdown is how many times as long all answers, old and new, take between slowFrom
+	// and slowTo.
+	slowdown, slowFrom, slowTo float64
 	// crash is when one server in six ends with all that runs there.
 	crash float64
 }
@@ -203,7 +206,7 @@
 		}
 	}
 	rests := placement{e.tracker.Phase(), down, true}
-	if e.placed == rests {
+	if e.placed == rests && !e.tracker.TurnDue(m.now) {
 		return
 	}
 	e.placed = rests
@@ -219,7 +222,7 @@
 		}
 	}
 	e.pools = make(map[string][]*server)
-	for _, t := range e.tracker.Place(targets, "engines") {
+	for _, t := range e.tracker.Place(m.now, targets, "engines") {
 		e.pools[t.Service] = append(e.pools[t.Service], byID[t.ID])
 	}
 }
@@ -315,6 +318,9 @@
 		hold *= 3
 	}
 	first := 0.3 * crowd * s.speed * math.Exp(m.rng.NormFloat64()*0.4)
+	if within(m.part(), m.fault.slowFrom, m.fault.slowTo) {
+		hold, first = hold*m.fault.slowdown, first*m.fault.slowdown
+	}
 	bad, failed := false, m.rng.Float64() < m.load.errors
 	if isNew && m.flaw.bad() && m.part() >= m.flaw.after && taken >= m.flaw.loaded && (m.flaw.route < 0 || m.flaw.route == route) && m.rng.Float64() < m.flaw.part {
 		bad = true
--- a/internal/core/rollout/slowtargets.go
+++ b/internal/core/rollout/slowtargets.go
@@ -11,8 +11,18 @@
 	// allSlower is how much slower than the slowest old target's usual time those of all new
 	// targets have to be to count as slow, where there are too few targets to compare ranks.
 	allSlower = 2.5
+	// farTargets is the number of new targets so much slower that condemn the version: one may
+	// be a sick server. Where servers are unlike, the others may pass for slow old ones.
+	farTargets = 2
+	// farAnswers is the number of a target's answers that show it: its fastest one tells.
+	farAnswers = 2
+	// spreadPart is the part of the old targets from whose times it is known how unlike they
+	// are. Fast ones are known first, as they answer more often.
+	spreadPart = 0.8
 	// falseRanks is the chance at which new targets of the old ones' speeds count as slow.
 	falseRanks = 1e-3
+	// suspectRanks is the chance below which a version is not cleared of it.
+	suspectRanks = 0.03
 )
 
 // slowTargets reports whether the new version's targets are slow as a whole, and how many
@@ -23,31 +33,88 @@
 // versions are alike, so the sum of its logarithms has a gamma distribution. Targets of a
 // service differ by a factor of four and more, so that one is slow says nothing.
 func (e *evidence) slowTargets() (judged int, slow bool) {
-	olds := e.oldUsuals()
-	score, least := 0.0, math.Inf(1)
+	judged, chance := e.chanceOfRanks()
+	if judged > 0 && chance < falseRanks {
+		return judged, true
+	}
+	if far, seen := e.farTargets(minUsual); seen > 0 && far == seen {
+		return far, true
+	}
+	far, _ := e.farTargets(farAnswers)
+	return far, far >= farTargets
+}
+
+// suspectTargets reports whether the new version's targets may be slow as a whole.
+func (e *evidence) suspectTargets() (judged int, suspect bool) {
+	judged, chance := e.chanceOfRanks()
+	far, _ := e.farTargets(farAnswers)
+	return judged, far > 0 || judged > 0 && chance < suspectRanks
+}
+
+// chanceOfRanks is the chance at which new targets, if they are like the old ones, are as
+// slow among these as they are, and how many have enough answers to say.
+func (e *evidence) chanceOfRanks() (judged int, chance float64) {
+	olds := e.oldUsuals(minUsual)
+	score := 0.0
 	for _, t := range e.inOrder {
 		if !t.isNew {
 			continue
 		}
-		part, ratio, compared := rank(t.usuals(), olds)
-		if !compared {
+		if part, _, compared := rank(t.usuals(minUsual), olds); compared {
+			judged++
+			score -= math.Log(part)
+		}
+	}
+	return judged, gammaTail(judged, score)
+}
+
+// farTargets counts the new targets that are slower than any old one by far, and those that
+// can be compared with all; a target's time is known from so many answers.
+func (e *evidence) farTargets(least int) (far, seen int) {
+	olds := e.oldUsuals(least)
+	if !e.knowsSpread(olds) {
+		return 0, 0
+	}
+	for _, t := range e.inOrder {
+		if !t.isNew {
 			continue
 		}
-		judged++
-		score -= math.Log(part)
-		least = min(least, ratio)
+		_, ratio, compared := rank(t.usuals(least), olds)
+		if compared {
+			seen++
+		}
+		if ratio >= allSlower {
+			far++
+		}
+	}
+	return far, seen
+}
+
+// knowsSpread reports whether the usual times of so many old targets are known that the
+// slowest of them stands for all.
+func (e *evidence) knowsSpread(usuals map[usualKey][]float64) bool {
+	seen := 0
+	for _, t := range e.inOrder {
+		if !t.isNew {
+			seen++
+		}
+	}
+	for _, known := range usuals {
+		if float64(len(known)) < spreadPart*float64(seen) {
+			return false
+		}
 	}
-	return judged, judged > 0 && (least >= allSlower || gammaTail(judged, score) < falseRanks)
+	return true
 }
 
-// oldUsuals are the usual times of the old targets.
-func (e *evidence) oldUsuals() map[usualKey][]float64 {
+// oldUsuals are the usual times of the old targets, each from so many answers.
+func (e *evidence) oldUsuals(least int) map[usualKey][]float64 {
 	olds := make(map[usualKey][]float64)
 	for _, t := range e.targets {
 		if t.isNew {
 			continue
 		}
-		for key, usual := range t.usuals() {
+		for key, usual := range t.usuals(least) {
 			olds[key] = append(olds[key], usual)
 		}
 	}
--- a/internal/core/rollout/table_test.go
+++ b/internal/core/rollout/table_test.go
@@ -47,6 +47,7 @@
 	{name: "burst", burst: 1.7, burstFrom: 0.2, burstTo: 0.5},
 	{name: "all fail", grey: 0.45, greyFrom: 0.2, greyTo: 0.4},
 	{name: "crashes", crash: 0.4},
+	{name: "all slow down", slowdown: 4, slowFrom: 0.3, slowTo: 0.5},
 }
 
 // Durations that operators may give.
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -27,6 +27,12 @@
 	// as a part of the time in which a bad version must be stopped, and at most.
 	leaderSilenceShare = 0.3
 	maxLeaderSilence   = 1500 * time.Millisecond
+	// turnLength is how long a set of new servers is the canary: long enough for some answers
+	// of each, from which its usual time is known.
+	turnLength = 4500 * time.Millisecond
+	// turnsFrom is the number of new servers from which they take turns: where a few serve,
+	// the canary is one, and answers of two would be too few to know either.
+	turnsFrom = 12
 	// newKept and oldKept bound the observations of each version that are told again: with
 	// those of the new one a leader that takes over has nearly all that the one before had,
 	// and both together fit a datagram.
@@ -52,6 +58,8 @@
 	// the targets have been placed.
 	placed         bool
 	canaries, olds int
+	// turn is the one for which they have been placed.
+	turn int
 	// routes are the counts of requests by route, which are forgotten slowly.
 	routes map[uint32]float64
 	// requests counts those of the service, fresh those of them that went to the new version.
@@ -240,9 +248,9 @@
 
 // Place puts a service's targets into the pool of their version: those that must not get
 // requests are left out. current is the pool of the versions before.
-func (t *Tracker) Place(targets []catalog.Target, current string) []catalog.Target {
+func (t *Tracker) Place(now time.Time, targets []catalog.Target, current string) []catalog.Target {
 	var placed, fresh []catalog.Target
-	t.placed, t.olds = true, 0
+	t.placed, t.olds, t.turn = true, 0, t.turnAt(now)
 	if t.phase < Completed {
 		t.others = Froms(targets, t.order.To)
 	}
@@ -278,14 +286,34 @@
 }
 
 // chosen are the targets of the canary: few enough that each gets about as much as an old
-// one, the same at all entries.
+// one, the same at all entries, in each turn the next ones.
 func (t *Tracker) chosen(fresh []catalog.Target) []catalog.Target {
 	fresh = slices.DeleteFunc(slices.Clone(fresh), func(target catalog.Target) bool { return target.Leaving })
 	slices.SortFunc(fresh, func(a, b catalog.Target) int {
 		return cmp.Or(dispatch.Rank(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Incarnation(), b.Incarnation()))
 	})
 	wanted := int(math.Ceil(canaryShare * t.bounds.ExposureShare * float64(t.olds)))
-	return fresh[:min(len(fresh), max(1, wanted))]
+	wanted = min(len(fresh), max(1, wanted))
+	first := 0
+	if len(fresh) >= turnsFrom {
+		first = t.turn * wanted
+	}
+	chosen := make([]catalog.Target, wanted)
+	for i := range chosen {
+		chosen[i] = fresh[(first+i)%len(fresh)]
+	}
+	return chosen
+}
+
+// turnAt says which set of new servers is the canary. Servers of a service differ in speed
+// by a factor of four and more: a fast one whose version makes it five times as slow passes
+// for a slow one, so the more servers are seen the sooner one stands out.
+func (t *Tracker) turnAt(now time.Time) int { return int(t.Elapsed(now) / turnLength) }
+
+// TurnDue reports whether the targets are to be placed anew, since it is the turn of others
+// to be the canary.
+func (t *Tracker) TurnDue(now time.Time) bool {
+	return t.placed && t.phase <= Canary && t.turn != t.turnAt(now)
 }
 
 // Froms are the versions of targets other than the new one, sorted.
--- a/internal/core/rollout/tracker_test.go
+++ b/internal/core/rollout/tracker_test.go
@@ -26,7 +26,7 @@
 func tracked(phase rollout.Phase) *rollout.Tracker {
 	t := rollout.NewTracker(moment, rollout.Order{ID: 5, Service: "engines", To: "v2", Duration: 12 * time.Second}, rollout.Bounds{ExposureShare: 0.1, StopWithin: 5 * time.Second})
 	t.Heard(moment, rollout.Step{Order: 5, Phase: phase})
-	t.Place(append(targetsOf("v1", 60), targetsOf("v2", 60)...), "engines")
+	t.Place(moment, append(targetsOf("v1", 60), targetsOf("v2", 60)...), "engines")
 	return t
 }
 
@@ -66,9 +66,9 @@
 func TestTargetsByPhase(t *testing.T) {
 	w := NewWithT(t)
 	all := append(targetsOf("v1", 60), targetsOf("v2", 60)...)
-	w.Expect(pools(tracked(rollout.Canary).Place(all, "engines"))).To(Equal(map[string]int{"engines v1": 60, "engines@v2 v2": 6}))
-	w.Expect(pools(tracked(rollout.Shifting).Place(all, "engines"))).To(Equal(map[string]int{"engines v1": 60, "engines@v2 v2": 60}))
-	w.Expect(pools(tracked(rollout.RolledBack).Place(all, "engines"))).To(Equal(map[string]int{"engines v1": 60}))
+	w.Expect(pools(tracked(rollout.Canary).Place(moment, all, "engines"))).To(Equal(map[string]int{"engines v1": 60, "engines@v2 v2": 6}))
+	w.Expect(pools(tracked(rollout.Shifting).Place(moment, all, "engines"))).To(Equal(map[string]int{"engines v1": 60, "engines@v2 v2": 60}))
+	w.Expect(pools(tracked(rollout.RolledBack).Place(moment, all, "engines"))).To(Equal(map[string]int{"engines v1": 60}))
 }
 
 // Old servers are stopped as soon as the operators read the end, but stay registered for
@@ -79,14 +79,14 @@
 	tracker := tracked(rollout.Shifting)
 	w.Expect(tracker.Heard(moment, rollout.Step{Order: 5, Phase: rollout.Completed})).To(BeTrue())
 	all := append(append(targetsOf("v1", 60), targetsOf("v2", 60)...), targetsOf("v3", 2)...)
-	w.Expect(pools(tracker.Place(all, "engines"))).To(Equal(map[string]int{"engines@v2 v2": 60, "engines@v2 v3": 2}))
+	w.Expect(pools(tracker.Place(moment, all, "engines"))).To(Equal(map[string]int{"engines@v2 v2": 60, "engines@v2 v3": 2}))
 }
 
 // The operators order the version that all servers have. Callers are served all the while.
 func TestOrderOfThePresentVersion(t *testing.T) {
 	w := NewWithT(t)
 	tracker := tracked(rollout.Canary)
-	w.Expect(pools(tracker.Place(targetsOf("v2", 3), "engines"))).To(Equal(map[string]int{"engines@v2 v2": 3}))
+	w.Expect(pools(tracker.Place(moment, targetsOf("v2", 3), "engines"))).To(Equal(map[string]int{"engines@v2 v2": 3}))
 	w.Expect(tracker.UsesNew(moment, 1, 0.99)).To(BeTrue())
 }
 
@@ -116,3 +116,26 @@
 	w.Expect(usable).To(BeEmpty(), "others serve")
 	w.Expect(waits).To(BeTrue())
 }
+
+// Servers of a service are unlike, and the first canary may be made of fast ones only, whose
+// new version makes them as slow as the slowest. Others have their turn, as many at a time
+// and the same at all entries; once all traffic is shifted there are no turns.
+func TestOtherServersHaveTheirTurn(t *testing.T) {
+	w := NewWithT(t)
+	all := append(targetsOf("v1", 60), targetsOf("v2", 60)...)
+	tracker := tracked(rollout.Canary)
+	seen := make(map[string]bool)
+	for turn := range 3 {
+		now := moment.Add(time.Duration(turn)*4500*time.Millisecond + time.Second)
+		w.Expect(tracker.TurnDue(now)).To(Equal(turn > 0))
+		placed := tracker.Place(now, all, "engines")
+		w.Expect(tracked(rollout.Canary).Place(now, all, "engines")).To(Equal(placed))
+		for _, target := range placed[60:] {
+			seen[target.ID] = true
+		}
+		w.Expect(tracker.TurnDue(now)).To(BeFalse())
+	}
+	w.Expect(seen).To(HaveLen(18))
+	tracker.Heard(moment.Add(10*time.Second), rollout.Step{Order: 5, Phase: rollout.Shifting})
+	w.Expect(tracker.TurnDue(moment.Add(20 * time.Second))).To(BeFalse())
+}
--- a/internal/gateway/rolloutlead.go
+++ b/internal/gateway/rolloutlead.go
@@ -34,6 +34,9 @@
 			}
 			continue
 		}
+		if r.turnDue() {
+			r.replace()
+		}
 		leader := r.gateway.rolloutLeader()
 		for _, service := range active {
 			if leader == r.gateway.self.Name {
@@ -49,6 +52,20 @@
 	}
 }
 
+// turnDue reports whether other servers are to be a canary now.
+func (r *rollouts) turnDue() bool {
+	g := r.gateway
+	now := time.Now()
+	g.state.mutex.Lock()
+	defer g.state.mutex.Unlock()
+	for _, known := range r.services {
+		if known.tracker.TurnDue(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // pause is the time between two words.
 func (r *rollouts) pause() time.Duration {
 	g := r.gateway
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -104,7 +104,7 @@
 	}
 	for service, own := range apart {
 		if known, found := r.services[service]; found {
-			placed = append(placed, known.tracker.Place(own, known.current)...)
+			placed = append(placed, known.tracker.Place(now, own, known.current)...)
 			continue
 		}
 		usable, waits := r.versions.Usable(now, ordersAsOf, service, own, serves(placed, service))
