sycamorectl rollouts: roll-outs of versions from order to end

What an operator sees of a roll-out was a grep over the logs of all entries. The command sums them up: the leader's steps with the counts that decided them, and when and at how many entries each phase began, as a table or as JSON. Reading of log lines is shared with `follow` (lines.go). Its figures come from the lines that exist; the gateway is unchanged.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -72,7 +72,7 @@
 		a.checkCommand(), a.publishCommand(), a.diffCommand(), a.documentCommand(),
 		a.statusCommand(), a.targetsCommand(), a.floorsCommand(), a.explainCommand(),
 		a.drainCommand(), a.logLevelCommand(), a.resolveCommand(), a.submitCommand(),
-		a.followCommand(),
+		a.followCommand(), a.rolloutsCommand(),
 	)
 	return root
 }
--- a/internal/ctl/follow_test.go
+++ b/internal/ctl/follow_test.go
@@ -17,7 +17,7 @@
 `
 
 	It("shows the request's lines in order of time", func() {
-		lines, err := followIn(strings.NewReader(log), "r1", nil)
+		lines, err := readLines(strings.NewReader(log), nil, carriesID("r1"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(lines).To(HaveLen(2))
 		Expect(lines[0].String()).To(Equal("2026-01-01T00:00:02Z entry-1 granted load=2 target=t"))
@@ -25,7 +25,7 @@
 	})
 
 	It("says which file cannot be read", func() {
-		_, err := followIn(strings.NewReader(""), "r1", []string{"no-such-file"})
+		_, err := readLines(strings.NewReader(""), []string{"no-such-file"}, carriesID("r1"))
 		Expect(err).To(MatchError(ContainSubstring("no-such-file")))
 	})
 })
