--- a/internal/core/rollout/evidence_test.go
+++ b/internal/core/rollout/evidence_test.go
@@ -60,3 +60,37 @@
 	judge.Take(moment, "entry", 1, report)
 	w.Expect(judge.Decide(moment, rollout.Canary, time.Second, nil).Action).To(Equal(rollout.Wait))
 }
+
+// unlikeServers reports the answers of twelve old servers, a third of which takes four times
+// as long, and of six new ones with the given times in milliseconds.
+func unlikeServers(news []int) rollout.Report {
+	report := rollout.Report{Order: 5, Phase: rollout.Canary}
+	for n := range uint64(72) {
+		pace := 10 * time.Millisecond
+		if n%12 < 4 {
+			pace = 45 * time.Millisecond
+		}
+		report.Old = append(report.Old, rollout.Observation{Number: n + 1, Target: 100 + uint32(n%12), Load: 1, Pace: pace})
+	}
+	for n := range uint64(18) {
+		pace := time.Duration(news[n%6]) * time.Millisecond
+		report.New = append(report.New, rollout.Observation{Number: n + 1, Target: 1 + uint32(n%6), New: true, Load: 1, Pace: pace})
+	}
+	return report
+}
+
+// A version makes all answers five times as long. On four fast servers of its canary that
+// looks like a slow server; two slow ones take four times as long as any old one. Their
+// callers wait, so the version goes back, at three answers of each. One such server alone
+// may be sick.
+func TestTwoServersSlowerThanAnyCondemn(t *testing.T) {
+	w := NewWithT(t)
+	decide := func(news ...int) rollout.Action {
+		judge := rollout.NewJudge(moment, rollout.Order{ID: 5, Duration: 12 * time.Second})
+		judge.Take(moment, "entry", 1, unlikeServers(news))
+		return judge.Decide(moment, rollout.Canary, time.Second, nil).Action
+	}
+	w.Expect(decide(50, 50, 50, 50, 225, 225)).To(Equal(rollout.RollBack))
+	w.Expect(decide(50, 50, 50, 50, 50, 225)).To(Equal(rollout.Wait))
+	w.Expect(decide(10, 10, 10, 10, 45, 45)).To(Equal(rollout.Wait))
+}
--- a/internal/core/rollout/slowtargets.go
+++ b/internal/core/rollout/slowtargets.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// allSlower is how much slower than the slowest old target's usual time those of all new
-	// targets have to be to count as slow, where there are too few targets to compare ranks.
-	allSlower = 2.5
-	// farTargets is the number of new targets so much slower that condemn the version: one may
-	// be a sick server. Where servers are unlike, the others may pass for slow old ones.
-	farTargets = 2
+	// farSlower is how many times as long as the slowest old target a new one has to take to
+	// count as slower by far.
+	farSlower = 2.5
+	// farCondemns is the number of such targets that condemn the version: one may be a sick
+	// server. All of them need not be so slow: where servers are unlike, a fast one that has
+	// become slow passes for a slow old one.
+	farCondemns = 2
 	// farAnswers is the number of a target's answers that show it: its fastest one tells.
 	farAnswers = 2
 	// spreadPart is the part of the old targets from whose times it is known how unlike they
@@ -38,10 +39,11 @@
 		return judged, true
 	}
 	if far, seen := e.farTargets(minUsual); seen > 0 && far == seen {
+		// A service of few servers has one canary, which cannot be compared by rank.
 		return far, true
 	}
 	far, _ := e.farTargets(farAnswers)
-	return far, far >= farTargets
+	return far, far >= farCondemns
 }
 
 // suspectTargets reports whether the new version's targets may be slow as a whole.
@@ -83,7 +85,7 @@
 		if compared {
 			seen++
 		}
-		if ratio >= allSlower {
+		if ratio >= farSlower {
 			far++
 		}
 	}
