--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
-	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/register"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
@@ -32,13 +29,6 @@
 	// settle is how long after an outage of the store a target that lives may take
 	// to come back, with a margin.
 	settle = 2300 * time.Millisecond
-	// entriesEvery is the pause between two looks at the register of entries, which
-	// only tells of entries that could not reach this one.
-	entriesEvery = 60 * time.Second
-	// entriesLeast is the least time between two looks for an entry that is not known.
-	entriesLeast = 5 * time.Second
-	// registerRetry is the pause after a failed attempt to register this entry.
-	registerRetry = 500 * time.Millisecond
 )
 
 // feeds follows what the store keeps for this entry.
@@ -367,78 +357,3 @@
 	}
 	return "own"
 }
-
-// entryRecord is what an entry registers of itself.
-type entryRecord struct {
-	Incarnation uint64 `json:"incarnation"`
-	Zone        string `json:"zone"`
-	Callers     string `json:"callers"`
-	Links       string `json:"links"`
-}
-
-// followEntries registers this entry, reads who else is registered, and looks
-// again now and then.
-func (f *feeds) followEntries(ctx context.Context) {
-	pause := time.Duration(0)
-	for registered := false; ctx.Err() == nil; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		case <-f.lookAgain:
-		}
-		if !registered && !f.registerSelf() {
-			pause = registerRetry
-			continue
-		}
-		registered = true
-		pause = registerRetry
-		if f.readEntries() {
-			pause = entriesEvery/2 + rand.N(entriesEvery)
-		}
-	}
-}
-
-// lookForEntries has the register of entries read for one that is named by another and not
-// known: the heartbeat with which it started was lost. Not more often than entriesLeast.
-func (f *feeds) lookForEntries() {
-	now := time.Now().UnixNano()
-	last := f.looked.Load()
-	if now-last < int64(entriesLeast) || !f.looked.CompareAndSwap(last, now) {
-		return
-	}
-	signal(f.lookAgain)
-}
-
-func (f *feeds) registerSelf() bool {
-	self := f.gateway.self
-	value, err := json.Marshal(entryRecord{Incarnation: self.Incarnation, Zone: self.Zone, Callers: self.Callers, Links: self.Links})
-	if err == nil {
-		err = f.gateway.platform.Put(feed.Entries, feed.Record{Key: self.Name, Value: value})
-	}
-	if err != nil {
-		f.noteLost(feed.Entries, err)
-		return false
-	}
-	return true
-}
-
-func (f *feeds) readEntries() bool {
-	records, _, err := f.gateway.platform.Snapshot(feed.Entries)
-	if err != nil {
-		f.noteLost(feed.Entries, err)
-		return false
-	}
-	var entries []peerset.Entry
-	for _, record := range records {
-		var entry entryRecord
-		if err := json.Unmarshal(record.Value, &entry); err != nil {
-			f.noteUndecodable(feed.Entries, record, err)
-			continue
-		}
-		entries = append(entries, peerset.Entry{Name: record.Key, Incarnation: entry.Incarnation, Zone: entry.Zone, Callers: entry.Callers, Links: entry.Links})
-	}
-	f.looked.Store(time.Now().UnixNano())
-	f.gateway.links.registered(entries)
-	return true
-}
