Words between entries fit their datagram with any number of organisations

Cause: a heartbeat holds the totals of all organisations; beyond some fifty it did not fit a datagram, was not sent, and all entries took each other for silent: no cells, every entry a reader of its own, quotas at their worst. The same for a digest's word, a load report and the history told to one who joins.

Now each holds as many totals as have room and the next goes on where it stopped. A message says that it is partial: an organisation first told of later then counts from that moment, not as used at once (each organisation would be refused for a window). Where all have room the messages are what they were, byte by byte.

Ruled out: fragments (38,000 organisations are 600 KB each 250 ms); sums over a cell (would carry quotas at that size, not built).

--- a/internal/core/quota/bench_test.go
+++ b/internal/core/quota/bench_test.go
@@ -40,7 +40,7 @@
 			if i >= fresh {
 				heard = at.Add(-time.Duration(i) * time.Second / time.Duration(entries))
 			}
-			limiter.PeerTotals(heard, p.Name, now, totals)
+			limiter.PeerTotals(heard, p.Name, now, totals, false)
 		}
 	}
 	return limiter, now.Add(2 * window)
@@ -82,6 +82,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
-		limiter.PeerTotals(now, "entry-7", now.Add(-2*window), totals)
+		limiter.PeerTotals(now, "entry-7", now.Add(-2*window), totals, false)
 	}
 }
--- a/internal/core/quota/peers.go
+++ b/internal/core/quota/peers.go
@@ -9,6 +9,8 @@
 	started, since, heard time.Time
 	// told: it has told its totals, so that one that is new among them began at zero.
 	told, silent bool
+	// fromZero: it was met when its totals began.
+	fromZero bool
 	// returned is when it was last heard again after a silence.
 	returned time.Time
 	usage    map[string]*account
@@ -93,8 +95,9 @@
 
 // PeerTotals takes a peer's totals; now is when they were so, which lies in the past where
 // they came through a relay. A later start than the one known means another incarnation,
-// whose totals begin at zero.
-func (l *Limiter) PeerTotals(now time.Time, name string, started time.Time, totals map[string]Total) {
+// whose totals begin at zero. partial: these are some of the totals, so that one that was not
+// among those before need not have begun at zero since.
+func (l *Limiter) PeerTotals(now time.Time, name string, started time.Time, totals map[string]Total, partial bool) {
 	p, found := l.peers[name]
 	if !found || p.told && now.Before(p.heard) {
 		return
@@ -107,6 +110,9 @@
 	if !p.told {
 		p.firstWord(now, fromZero)
 	}
+	if partial {
+		fromZero = p.fromZero
+	}
 	quiet := now.Sub(p.heard)
 	p.heard = now
 	for organisation, total := range totals {
@@ -131,7 +137,7 @@
 // firstWord notes from when on the peer's usage is known: since it began, if its
 // totals began within the window, and otherwise from now on.
 func (p *peer) firstWord(now time.Time, fromZero bool) {
-	p.told, p.since = true, now
+	p.told, p.since, p.fromZero = true, now, fromZero
 	if fromZero {
 		p.since = p.started
 	}
@@ -160,6 +166,7 @@
 	}
 	p.former = append(kept, former{p.usage, now})
 	p.usage = make(map[string]*account)
+	p.fromZero = now.Sub(started) < l.config.Window
 }
 
 // meanBetween is what this entry and those whose totals are fresh admitted in the mean.
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -149,7 +149,7 @@
 			if other == m || m.cut || other.cut || other.down || !due && !near {
 				continue
 			}
-			other.limiter.PeerTotals(f.now, m.name, m.started, m.limiter.Totals())
+			other.limiter.PeerTotals(f.now, m.name, m.started, m.limiter.Totals(), false)
 		}
 	}
 	if f.recording && int(f.now.Sub(f.start)/tick)%40 == 0 && !f.entries[0].down {
@@ -325,13 +325,37 @@
 	now = now.Add(1500 * time.Millisecond)
 	for i := range peers {
 		peers[i].Silent = false
-		l.PeerTotals(now, peers[i].Name, started, map[string]quota.Total{organisation: {Admitted: usual * 60 / 69, Sent: usual * 60 / 69}})
+		l.PeerTotals(now, peers[i].Name, started, map[string]quota.Total{organisation: {Admitted: usual * 60 / 69, Sent: usual * 60 / 69}}, false)
 	}
 	l.SetPeers(now, peers)
 	g.Expect(l.Admit(now, organisation, 4000, 0).Admitted).To(BeTrue())
 	g.Expect(l.Records(now)).To(BeEmpty(), "nor may they be recorded as usage")
 }
 
+// With many organisations a heartbeat tells of some, and the next ones of the others. One
+// that is told of seconds after an entry first heard the others has not used all of that
+// at that moment: counted so, it would be refused for a whole window.
+func TestTotalsToldInTurnsAreNotUsage(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := newLimiter(now)
+	started := now.Add(-time.Minute)
+	var peers []quota.Peer
+	for i := range 68 {
+		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: started})
+	}
+	l.SetPeers(now, peers)
+	first := map[string]quota.Total{"another": {Admitted: 1, Sent: 1}}
+	second := map[string]quota.Total{organisation: {Admitted: usual * 60 / 69, Sent: usual * 60 / 69}}
+	for _, totals := range []map[string]quota.Total{first, second} {
+		now = now.Add(1500 * time.Millisecond)
+		for i := range peers {
+			l.PeerTotals(now, peers[i].Name, started, totals, true)
+		}
+	}
+	g.Expect(l.Admit(now, organisation, 4000, 0).Admitted).To(BeTrue())
+}
+
 // An organisation sends many times its usual while its requests wait in a queue, and
 // then all that waited are sent at once. What counts against the quota is when targets
 // are sent to: with those that are admitted afterwards they must not exceed it.
--- a/internal/core/quota/schedule_test.go
+++ b/internal/core/quota/schedule_test.go
@@ -149,7 +149,7 @@
 			other.heard[i] = s.now
 		}
 		if _, found := other.heard[i]; found {
-			other.limiter.PeerTotals(s.now, fmt.Sprint(i), r.started, r.limiter.Totals())
+			other.limiter.PeerTotals(s.now, fmt.Sprint(i), r.started, r.limiter.Totals(), false)
 		}
 	}
 	if beats {
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -60,7 +60,8 @@
 // where one entry had to pass on the digests of all cells at once, its link was full and
 // dropped most of them, and cells fell silent that lived.
 func (l *links) sendDigests(cells *peerset.Cells, turn int) {
-	digests, err := gossip.Digests(l.words())
+	organisations, words, whole := l.words()
+	digests, err := gossip.Digests(organisations, words)
 	if err != nil {
 		l.gateway.log.Write(eventlog.Belief, eventUndecodable, eventlog.Fields{"error": err.Error()})
 		return
@@ -74,12 +75,13 @@
 	for _, digest := range digests {
 		m := l.message()
 		m.Digest = digest
+		m.Digest.Partial = !whole || l.partial.Load()
 		l.send(m, to)
 	}
 }
 
 // words are this entry's own and those of the entries that it hears.
-func (l *links) words() (organisations []string, words []gossip.Word) {
+func (l *links) words() (organisations []string, words []gossip.Word, whole bool) {
 	g := l.gateway
 	version := int64(0)
 	if c := g.configuration.Load(); c != nil {
@@ -95,7 +97,7 @@
 	for _, m := range members {
 		totals = append(totals, g.state.quota.TotalsOf(m.Name))
 	}
-	organisations = namesOf(totals)
+	organisations, whole = l.toldInDigests.share(namesOf(totals), digestBytes, totalBytes)
 	words = append(words, gossip.Word{
 		Name: g.self.Name, Incarnation: g.self.Incarnation, Sequence: l.conn.Next(), AgeMS: now.Sub(g.started).Milliseconds(),
 		State: uint8(state), Blind: g.feeds.isBlind(), Version: version,
@@ -109,7 +111,7 @@
 	for i := range words {
 		words[i].Admitted, words[i].Waiting = columns(organisations, totals[i])
 	}
-	return organisations, words
+	return organisations, words, whole
 }
 
 // namesOf returns the organisations that have used anything, by name.
@@ -165,7 +167,7 @@
 		news := l.heard(now, now.Add(-milliseconds(w.SilentMS)), peerset.Word{
 			Entry: peerset.Entry{Name: w.Name, Incarnation: w.Incarnation}, Relayed: true,
 			State: peerset.State(w.State), Sequence: w.Sequence, Age: milliseconds(w.AgeMS), Blind: w.Blind, Version: w.Version,
-		}, totals)
+		}, totals, m.Digest.Partial)
 		unknown = unknown || news.Unknown
 	}
 	g.state.mutex.Unlock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -54,6 +54,10 @@
 	// catching: a look at whether the configuration has caught up is due.
 	catching  atomic.Bool
 	assembler *gossip.Assembler
+	// toldInHeartbeats, toldInReports and toldInDigests are the organisations' turns.
+	toldInHeartbeats, toldInReports, toldInDigests rotation
+	// partial: the last heartbeat did not hold all totals.
+	partial atomic.Bool
 }
 
 func newLinks(g *Gateway, conn *gossip.Conn) *links {
@@ -113,8 +117,10 @@
 		m.Heartbeat.Version = c.Version
 	}
 	g.state.mutex.Lock()
-	m.Heartbeat.Totals = mapValues(g.state.quota.Totals(), totalMessage)
+	totals, whole := shareOf(&l.toldInHeartbeats, g.state.quota.Totals(), totalsBytes, totalBytes)
 	g.state.mutex.Unlock()
+	l.partial.Store(!whole)
+	m.Heartbeat.Totals, m.Heartbeat.Partial = mapValues(totals, totalMessage), !whole
 	return m
 }
 
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -60,7 +60,7 @@
 	}
 	now := time.Now()
 	l.gateway.state.mutex.Lock()
-	news := l.heard(now, now, word, mapValues(h.Totals, totalOf))
+	news := l.heard(now, now, word, mapValues(h.Totals, totalOf), h.Partial)
 	l.gateway.state.mutex.Unlock()
 	if news.Joined || news.Replaced {
 		l.greet(word.Entry, news)
@@ -68,9 +68,9 @@
 	l.catchUp(h.Version)
 }
 
-// heard takes an entry's word and its totals, both as they were at a moment. The state's
-// mutex is held.
-func (l *links) heard(now, at time.Time, word peerset.Word, totals map[string]quota.Total) peerset.News {
+// heard takes an entry's word and its totals, both as they were at a moment; partial: some
+// of the totals. The state's mutex is held.
+func (l *links) heard(now, at time.Time, word peerset.Word, totals map[string]quota.Total, partial bool) peerset.News {
 	g := l.gateway
 	news := g.state.peers.Heard(now, at, word)
 	if news.Old || news.Unknown {
@@ -86,7 +86,7 @@
 			"joined": news.Joined, "replaced": news.Replaced, "relayed": word.Relayed, "age_ms": now.Sub(at).Milliseconds(),
 		})
 	}
-	g.state.quota.PeerTotals(at, word.Name, at.Add(-word.Age), totals)
+	g.state.quota.PeerTotals(at, word.Name, at.Add(-word.Age), totals, partial)
 	return news
 }
 
@@ -103,9 +103,9 @@
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(time.Now())
 	l.gateway.state.mutex.Unlock()
-	if len(histories) > 0 {
+	for _, part := range partsOf(histories, totalsBytes, historyBytes) {
 		m := l.message()
-		m.History = mapValues(histories, historyMessage)
+		m.History = mapValues(part, historyMessage)
 		l.send(m, []peerset.Entry{entry})
 	}
 }
@@ -145,7 +145,7 @@
 	if !g.state.peers.Touched(now, m.From, m.Incarnation, m.Sequence) {
 		return
 	}
-	g.state.quota.PeerTotals(now, m.From, now.Add(-milliseconds(m.AgeMS)), mapValues(m.Load.Totals, totalOf))
+	g.state.quota.PeerTotals(now, m.From, now.Add(-milliseconds(m.AgeMS)), mapValues(m.Load.Totals, totalOf), m.Load.Partial)
 	g.state.deliver(g.state.sched.PeerLoad(now, m.From, loadOf(m.Load)))
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -43,7 +43,8 @@
 		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0
 		m := l.message()
 		m.Load = loadMessage(load)
-		m.Load.Totals = mapValues(totals, totalMessage)
+		share, whole := shareOf(&l.toldInReports, totals, totalsBytes, totalBytes)
+		m.Load.Totals, m.Load.Partial = mapValues(share, totalMessage), !whole || l.partial.Load()
 		l.send(m, l.cells.Load().Mates)
 		time.Sleep(loadPause)
 	}
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -14,6 +14,8 @@
 	// Organisations are those of the words' totals, in their order.
 	Organisations []string `cbor:"2,keyasint,omitempty"`
 	Words         []Word   `cbor:"3,keyasint"`
+	// Partial is that of Heartbeat.
+	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Word is an entry's last word of itself. Addresses are left out: they are in the register
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -60,6 +60,8 @@
 	Totals map[string]Total `cbor:"8,keyasint,omitempty"`
 	// Blind: the sender cannot read the store, so it should not read for others.
 	Blind bool `cbor:"7,keyasint,omitempty"`
+	// Partial: there are other totals, which later heartbeats hold.
+	Partial bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Load is what the sender has at targets and in its queues.
@@ -76,6 +78,8 @@
 	Reading map[string]int `cbor:"6,keyasint,omitempty"`
 	// Samples are the sender's measurements of targets since its last report.
 	Samples []Sample `cbor:"7,keyasint,omitempty"`
+	// Partial is that of Heartbeat.
+	Partial bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Sample is what one answer showed of a target's speed, in nanoseconds; 0: not measured.
