--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -13,11 +13,19 @@
 //     stream is passed on event by event (stream.go) and, where the route allows, goes
 //     on at another target when its own breaks (resume).
 //  5. What was seen of the target goes back to the scheduler (report, observe), and to
-//     the other entries with the next load report (links.go).
+//     the other entries with the next load report (report.go).
 //  6. end settles quota and metrics and writes the request's line.
 //
 // What governs all this, configuration and targets, is followed from the store by
-// feeds.go; the other entries are heard in receive.go.
+// feeds.go, and who the other entries are by entriesfeed.go.
+//
+// Words between entries: heartbeats (links.go), digests that pass them on to other cells
+// (digest.go), loads (report.go), and how much of them fits a datagram (share.go). All are
+// heard in receive.go.
+//
+// Roll-outs of versions: which pool a target and a request belong to (rollouts.go), what the
+// leader and the others do (rolloutlead.go), the record that lasts (rolloutstore.go), and
+// their words (rolloutlinks.go).
 package gateway
 
 import (
