A heartbeat holds the totals of 39 organisations, not 25: its room and a report's differ

With one room for both, entries of 26 to 39 organisations would have been told less than before the share. Nothing changes with fewer.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -117,7 +117,7 @@
 		m.Heartbeat.Version = c.Version
 	}
 	g.state.mutex.Lock()
-	totals, whole := shareOf(&l.toldInHeartbeats, g.state.quota.Totals(), totalsBytes, totalBytes)
+	totals, whole := shareOf(&l.toldInHeartbeats, g.state.quota.Totals(), heartbeatBytes, totalBytes)
 	g.state.mutex.Unlock()
 	l.partial.Store(!whole)
 	m.Heartbeat.Totals, m.Heartbeat.Partial = mapValues(totals, totalMessage), !whole
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -103,7 +103,7 @@
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(time.Now())
 	l.gateway.state.mutex.Unlock()
-	for _, part := range partsOf(histories, totalsBytes, historyBytes) {
+	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := l.message()
 		m.History = mapValues(part, historyMessage)
 		l.send(m, []peerset.Entry{entry})
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -43,7 +43,7 @@
 		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0
 		m := l.message()
 		m.Load = loadMessage(load)
-		share, whole := shareOf(&l.toldInReports, totals, totalsBytes, totalBytes)
+		share, whole := shareOf(&l.toldInReports, totals, reportBytes, totalBytes)
 		m.Load.Totals, m.Load.Partial = mapValues(share, totalMessage), !whole || l.partial.Load()
 		l.send(m, l.cells.Load().Mates)
 		time.Sleep(loadPause)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -14,9 +14,10 @@
 // organisation is then older by as many messages as it takes to tell of all.
 
 const (
-	// totalsBytes is the room for totals in a heartbeat or a load report, beside addresses
-	// and the load of a cell's targets.
-	totalsBytes = 700
+	// heartbeatBytes is the room for totals in a heartbeat, beside names and addresses, and for
+	// histories; reportBytes that in a load report, beside the load of a cell's targets.
+	heartbeatBytes = 1100
+	reportBytes    = 700
 	// digestBytes is the room for organisations in a digest, with the totals of one word.
 	digestBytes = 1150
 	// totalBytes is what a total takes at most beside the organisation's name, historyBytes
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -105,7 +105,7 @@
 		histories[fmt.Sprintf("organisation-%04d", i)] = quota.History{Older: 1e9, Recent: 1e9}
 	}
 	told := make(map[string]bool)
-	for _, part := range partsOf(histories, totalsBytes, historyBytes) {
+	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := g.links.message()
 		m.History = mapValues(part, historyMessage)
 		_, err := g.links.conn.Encode(m)
