--- a/internal/core/dispatch/services.go
+++ b/internal/core/dispatch/services.go
@@ -45,11 +45,7 @@
 // for one.
 func (s *Scheduler) Engaged(service string) int {
 	p := s.pool(service)
-	n := len(p.waiting)
-	for _, t := range p.targets {
-		n += t.own
-	}
-	return n
+	return len(p.waiting) + p.own()
 }
 
 // HasRoom reports whether a request for a service would get a place at once.
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -294,6 +294,15 @@
 	g.Expect(l.Admit(now, organisation, 800, 0).Admitted).To(BeTrue())
 }
 
+// others are the other entries of a fleet of 69.
+func others(started time.Time, silent bool) []quota.Peer {
+	var peers []quota.Peer
+	for i := range 68 {
+		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: started, Silent: silent})
+	}
+	return peers
+}
+
 // All entries of a fleet have just started and none has heard another. What each
 // assumes of the others must not be recorded: restored by those that start a moment
 // later, it would stand for usage, and nearly all requests be refused for seconds.
@@ -301,10 +310,7 @@
 	g := NewWithT(t)
 	now := time.Unix(1_000_000, 0)
 	l := newLimiter(now)
-	var peers []quota.Peer
-	for i := range 68 {
-		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: now, Silent: true})
-	}
+	peers := others(now, true)
 	l.SetPeers(now, peers)
 	g.Expect(l.Records(now.Add(time.Second))).To(BeEmpty())
 }
@@ -317,10 +323,7 @@
 	now := time.Unix(1_000_000, 0)
 	l := newLimiter(now)
 	started := now.Add(-time.Minute)
-	var peers []quota.Peer
-	for i := range 68 {
-		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: now, Silent: true})
-	}
+	peers := others(now, true)
 	l.SetPeers(now, peers)
 	now = now.Add(1500 * time.Millisecond)
 	for i := range peers {
@@ -340,10 +343,7 @@
 	now := time.Unix(1_000_000, 0)
 	l := newLimiter(now)
 	started := now.Add(-time.Minute)
-	var peers []quota.Peer
-	for i := range 68 {
-		peers = append(peers, quota.Peer{Name: fmt.Sprint(i), Started: started})
-	}
+	peers := others(started, false)
 	l.SetPeers(now, peers)
 	first := map[string]quota.Total{"another": {Admitted: 1, Sent: 1}}
 	second := map[string]quota.Total{organisation: {Admitted: usual * 60 / 69, Sent: usual * 60 / 69}}
--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -233,7 +233,7 @@
 
 // worse compares the versions on all routes together, at loaded targets and on each route.
 func (j *Judge) worse() (Decision, bool) {
-	if judged, slow := j.evidence.slowTargets(); slow {
+	if judged, stand := j.evidence.standing(); stand == standsSlow {
 		return Decision{Action: RollBack, Reason: ReasonSlowTargets, Answers: judged, Bad: judged}, true
 	}
 	threshold := math.Log(float64(len(badnesses)*len(j.selections(failures))) / falseAlarm)
@@ -269,7 +269,7 @@
 			return c.decision(Wait, ReasonFewAnswers), false
 		}
 	}
-	if judged, suspect := j.evidence.suspectTargets(); suspect {
+	if judged, stand := j.evidence.standing(); stand != standsAlike {
 		return Decision{Reason: ReasonSlowTargets, Answers: judged, Bad: judged}, false
 	}
 	for _, bad := range badnesses {
--- a/internal/core/rollout/slowtargets.go
+++ b/internal/core/rollout/slowtargets.go
@@ -26,70 +26,85 @@
 	suspectRanks = 0.03
 )
 
-// slowTargets reports whether the new version's targets are slow as a whole, and how many
-// have enough answers to say: a version that makes all answers slow changes their usual
-// time, so none stands out.
+// standing is how the new version's targets stand among the old ones.
+type standing uint8
+
+const (
+	// standsAlike: nothing speaks against them; standsSuspect: they may be slow as a whole, so the
+	// version is not cleared; standsSlow: they are.
+	standsAlike standing = iota
+	standsSuspect
+	standsSlow
+)
+
+// targetRank compares a new target with the old ones; see rank.
+type targetRank struct{ part, ratio float64 }
+
+// standing tells how the new targets stand as a whole, and by how many of them: a version
+// that makes all answers slow changes their usual time, so none stands out.
 //
 // The part of the old targets that are at least as slow as a new one is uniform if the
 // versions are alike, so the sum of its logarithms has a gamma distribution. Targets of a
 // service differ by a factor of four and more, so that one is slow says nothing.
-func (e *evidence) slowTargets() (judged int, slow bool) {
-	judged, chance := e.chanceOfRanks()
-	if judged > 0 && chance < falseRanks {
-		return judged, true
+func (e *evidence) standing() (judged int, s standing) {
+	ranks, spread := e.ranks(minUsual)
+	judged = len(ranks)
+	chance := chanceOf(ranks)
+	if chance < falseRanks {
+		return judged, standsSlow
 	}
-	if far, seen := e.farTargets(minUsual); seen > 0 && far == seen {
+	if spread && judged > 0 && countFar(ranks) == judged {
 		// A service of few servers has one canary, which cannot be compared by rank.
-		return far, true
+		return judged, standsSlow
+	}
+	far := 0
+	if quick, spread := e.ranks(farAnswers); spread {
+		far = countFar(quick)
+	}
+	switch {
+	case far >= farCondemns:
+		return far, standsSlow
+	case far > 0 || chance < suspectRanks:
+		return judged, standsSuspect
+	default:
+		return judged, standsAlike
 	}
-	far, _ := e.farTargets(farAnswers)
-	return far, far >= farCondemns
-}
-
-// suspectTargets reports whether the new version's targets may be slow as a whole.
-func (e *evidence) suspectTargets() (judged int, suspect bool) {
-	judged, chance := e.chanceOfRanks()
-	far, _ := e.farTargets(farAnswers)
-	return judged, far > 0 || judged > 0 && chance < suspectRanks
 }
 
-// chanceOfRanks is the chance at which new targets, if they are like the old ones, are as
-// slow among these as they are, and how many have enough answers to say.
-func (e *evidence) chanceOfRanks() (judged int, chance float64) {
-	olds := e.oldUsuals(minUsual)
-	score := 0.0
+// ranks compares the new targets whose times are known from so many answers; spread: it is
+// known how unlike the old ones are.
+func (e *evidence) ranks(least int) (ranks []targetRank, spread bool) {
+	olds := e.oldUsuals(least)
 	for _, t := range e.inOrder {
 		if !t.isNew {
 			continue
 		}
-		if part, _, compared := rank(t.usuals(minUsual), olds); compared {
-			judged++
-			score -= math.Log(part)
+		if part, ratio, compared := rank(t.usuals(least), olds); compared {
+			ranks = append(ranks, targetRank{part, ratio})
 		}
 	}
-	return judged, gammaTail(judged, score)
+	return ranks, e.knowsSpread(olds)
 }
 
-// farTargets counts the new targets that are slower than any old one by far, and those that
-// can be compared with all; a target's time is known from so many answers.
-func (e *evidence) farTargets(least int) (far, seen int) {
-	olds := e.oldUsuals(least)
-	if !e.knowsSpread(olds) {
-		return 0, 0
+// chanceOf is the chance at which new targets, if they are like the old ones, are as slow
+// among these as they are; 1 for none.
+func chanceOf(ranks []targetRank) float64 {
+	score := 0.0
+	for _, r := range ranks {
+		score -= math.Log(r.part)
 	}
-	for _, t := range e.inOrder {
-		if !t.isNew {
-			continue
-		}
-		_, ratio, compared := rank(t.usuals(least), olds)
-		if compared {
-			seen++
-		}
-		if ratio >= farSlower {
+	return gammaTail(len(ranks), score)
+}
+
+// countFar is the number of new targets that are slower than any old one by far.
+func countFar(ranks []targetRank) int {
+	far := 0
+	for _, r := range ranks {
+		if r.ratio >= farSlower {
 			far++
 		}
 	}
-	return far, seen
+	return far
 }
 
 // knowsSpread reports whether the usual times of so many old targets are known that the
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -290,7 +289,7 @@
 func (t *Tracker) chosen(fresh []catalog.Target) []catalog.Target {
 	fresh = slices.DeleteFunc(slices.Clone(fresh), func(target catalog.Target) bool { return target.Leaving })
 	slices.SortFunc(fresh, func(a, b catalog.Target) int {
-		return cmp.Or(dispatch.Rank(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Incarnation(), b.Incarnation()))
+		return dispatch.Rank(a.Incarnation(), b.Incarnation())
 	})
 	wanted := int(math.Ceil(canaryShare * t.bounds.ExposureShare * float64(t.olds)))
 	wanted = min(len(fresh), max(1, wanted))
--- a/internal/core/rollout/versions.go
+++ b/internal/core/rollout/versions.go
@@ -44,7 +44,7 @@
 			usable = append(usable, targets[i])
 		}
 	}
-	if !served && !serves(usable) {
+	if !served && !Serves(usable, service) {
 		// Nothing else serves: waiting would turn all callers away.
 		return targets, false
 	}
@@ -67,6 +67,7 @@
 	return true
 }
 
-func serves(targets []catalog.Target) bool {
-	return slices.ContainsFunc(targets, func(t catalog.Target) bool { return !t.Leaving })
+// Serves reports whether any of the targets serves a service.
+func Serves(targets []catalog.Target, service string) bool {
+	return slices.ContainsFunc(targets, func(t catalog.Target) bool { return t.Service == service && !t.Leaving })
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,7 +14,6 @@
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/quota"
-	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/upstream"
@@ -34,9 +33,7 @@
 	route        *catalog.Route
 	organisation string
 	service      string
-	// routeKey names the route in what is told of roll-outs.
-	routeKey uint32
-	priority int
+	priority     int
 	// cost counts against the organisation's quota; metered: it does, reserved: it
 	// counts as a request that waits.
 	cost              float64
@@ -116,7 +113,6 @@
 		return leaving
 	}
 	c.service = route.Service(float64(maphash.String(seed, envelope.ID)%1000) / 1000)
-	c.routeKey = rollout.RouteKey(route.Host, route.Prefix)
 	c.fingerprint = c.formFingerprint()
 	if c.gateway.state.convicted(c.fingerprint) {
 		return crashesTargets
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -107,7 +107,7 @@
 			placed = append(placed, known.tracker.Place(now, own, known.current)...)
 			continue
 		}
-		usable, waits := r.versions.Usable(now, ordersAsOf, service, own, serves(placed, service))
+		usable, waits := r.versions.Usable(now, ordersAsOf, service, own, rollout.Serves(placed, service))
 		r.held = r.held || waits
 		placed = append(placed, usable...)
 	}
@@ -120,12 +120,7 @@
 	return r.services[target.Service] != nil || !r.versions.Settled(target.Service, target.Version)
 }
 
-// serves reports whether any of the targets serves a service.
-func serves(targets []catalog.Target, service string) bool {
-	return slices.ContainsFunc(targets, func(t catalog.Target) bool { return t.Service == service && !t.Leaving })
-}
-
-// replace places all targets anew, after a change of phase.
+// replace places all targets anew, after a change of phase or at another turn.
 func (r *rollouts) replace() {
 	f := r.gateway.feeds
 	f.mutex.Lock()
@@ -135,7 +130,7 @@
 
 // poolOf is where a request goes: its first try by the draw, later ones to the version that
 // has the traffic. fallback is where it goes if it finds no place there; empty: nowhere.
-func (s *state) poolOf(service string, route uint32, first bool) (pool, fallback string) {
+func (s *state) poolOf(service string, route *catalog.Route, first bool) (pool, fallback string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known, found := s.rollouts.services[service]
@@ -146,7 +141,7 @@
 	t := known.tracker
 	fresh := t.RepeatsOnNew()
 	if first {
-		fresh = t.UsesNew(now, route, rand.Float64())
+		fresh = t.UsesNew(now, rollout.RouteKey(route.Host, route.Prefix), rand.Float64())
 	}
 	if !fresh {
 		return known.current, ""
@@ -161,7 +156,7 @@
 }
 
 // observed notes what an answer showed of a version under roll-out.
-func (s *state) observed(service string, route uint32, grant *dispatch.Grant, report dispatch.Report, took time.Duration) {
+func (s *state) observed(service string, route *catalog.Route, grant *dispatch.Grant, report dispatch.Report, took time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known, found := s.rollouts.services[service]
@@ -169,7 +164,7 @@
 		return
 	}
 	o := rollout.Observation{
-		Route: route, Target: rollout.TargetKey(grant.Target.Incarnation()), New: grant.Target.Version == known.tracker.Order().To,
+		Route: rollout.RouteKey(route.Host, route.Prefix), Target: rollout.TargetKey(grant.Target.Incarnation()), New: grant.Target.Version == known.tracker.Order().To,
 		Load: grant.Load, Loaded: 2*grant.Load > grant.Target.Slots, Took: took,
 	}
 	switch report.Outcome {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -52,7 +52,7 @@
 // place waits for a place at a target. A request that was to go to the canary of a new
 // version and finds none there goes to the version before.
 func (c *call) place() (*dispatch.Grant, *reply) {
-	pool, fallback := c.gateway.state.poolOf(c.service, c.routeKey, c.sends == 0)
+	pool, fallback := c.gateway.state.poolOf(c.service, c.route, c.sends == 0)
 	grant, refusal := c.placeIn(pool)
 	if refusal != nil && refusal != callerOff && fallback != "" {
 		return c.placeIn(fallback)
@@ -370,7 +370,7 @@
 	}
 	c.gateway.log.Write(importance, eventTried, fields)
 	c.gateway.counters.tries.add(report.Outcome.String())
-	c.gateway.state.observed(c.service, c.routeKey, grant, report, took)
+	c.gateway.state.observed(c.service, c.route, grant, report, took)
 	c.gateway.state.done(grant.Ticket, report)
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -38,6 +38,12 @@
 	if sizeOf(slices.Values(names), each) <= room {
 		return names, true
 	}
+	return r.pick(names, room, each), false
+}
+
+// pick goes on where the last one stopped.
+func (r *rotation) pick(names []string, room, each int) []string {
+	var picked []string
 	first := int(r.next.Load() % uint64(len(names)))
 	used := 0
 	for i := range names {
@@ -48,7 +54,7 @@
 		picked = append(picked, name)
 	}
 	r.next.Store(uint64(first + len(picked)))
-	return picked, false
+	return picked
 }
 
 func sizeOf(names iter.Seq[string], each int) int {
@@ -64,7 +70,7 @@
 	if sizeOf(maps.Keys(values), each) <= room {
 		return values, true
 	}
-	picked, _ := r.share(slices.Sorted(maps.Keys(values)), room, each)
+	picked := r.pick(slices.Sorted(maps.Keys(values)), room, each)
 	part = make(map[string]V, len(picked))
 	for _, name := range picked {
 		part[name] = values[name]
