Entries tell what targets declare: a line and a gauge for limits on requests a second

No decision depends on it yet. An answer of another server at the address (421) is not the target's word.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -327,6 +327,7 @@
 	}
 	at.beginReading(ticket)
 	at.own++
+	at.limited.sent++
 	at.took(now, ticket)
 	load, age := s.load(now, at)
 	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age, Backlog: ticket.ahead, PredictedFirst: ticket.predicted}
--- a/internal/core/dispatch/services.go
+++ b/internal/core/dispatch/services.go
@@ -10,8 +10,8 @@
 type ServiceLoad struct {
 	Service string
 	// Targets is the number of targets that this entry's cell uses, Ejected of those
-	// that get nothing now.
-	Targets, Ejected int
+	// that get nothing now, Limited those that declare a limit.
+	Targets, Ejected, Limited int
 	// InFlight is the number of this entry's requests there, Load that of the cell,
 	// Limit the number that the cell may have there at once.
 	InFlight, Load, Limit int
@@ -34,6 +34,9 @@
 			if t.avoided(now) {
 				sum.Ejected++
 			}
+			if t.limited.Declared {
+				sum.Limited++
+			}
 		}
 		services = append(services, sum)
 	}
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -24,6 +24,8 @@
 	readTime mean
 	// reading are this entry's requests there whose prompts are being read.
 	reading []*Ticket
+	// limited is the limit that the target declares.
+	limited declaredLimit
 	// failures is the mean share of failures.
 	failures mean
 	// releasedAt is when this entry last gave a place back, freeSince since when the target
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -29,6 +29,7 @@
 	// On what it believes.
 	eventConfiguration = "configuration"
 	eventTarget        = "target"
+	eventLimit         = "target_limit"
 	eventPeer          = "peer"
 	eventStoreLost     = "store_lost"
 	eventStoreRegained = "store_regained"
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -85,6 +85,7 @@
 		m.Set(telemetry.GatewayLimit, float64(s.Limit), s.Service)
 		m.Set(telemetry.GatewayTargets, float64(s.Targets), s.Service)
 		m.Set(telemetry.GatewayEjected, float64(s.Ejected), s.Service)
+		m.Set(telemetry.GatewayLimited, float64(s.Limited), s.Service)
 	}
 	for service, left := range repeats {
 		m.Set(telemetry.GatewayRepeatsLeft, left, service)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -35,6 +35,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/feed"
 )
@@ -79,6 +80,8 @@
 	NotRun bool
 	// Replaced: the server at this address is not the one that was meant.
 	Replaced bool
+	// Limit is the rate of requests that the target declares it can take.
+	Limit dispatch.Limit
 }
 
 // Platform translates between the platform's interfaces and the gateway's types.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -158,14 +158,13 @@
 // try sends the request to one target; false: it should go to another.
 func (c *call) try(grant *dispatch.Grant) bool {
 	began := time.Now()
-	answer, err := c.send(grant)
+	answer, mark, err := c.send(grant)
 	if err != nil {
 		if !errors.Is(err, upstream.ErrNotSent) {
 			c.runs++
 		}
 		return c.failed(grant, began, err)
 	}
-	mark := c.gateway.platform.ReadMark(answer.Status, answer.Header)
 	if mark.NotRun && answer.Status != http.StatusBadRequest {
 		return c.rejected(grant, began, answer, mark)
 	}
@@ -176,19 +175,19 @@
 	return c.whole(grant, began, answer)
 }
 
-// send opens or takes a connection and sends the request.
-func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, error) {
+// send opens or takes a connection, sends the request and reads the head of its answer.
+func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, AnswerMark, error) {
 	maxAge := time.Hour
 	if !c.route.Idempotent() {
 		maxAge = fragileIdle
 	}
 	conn, err := c.gateway.pool.Get(grant.Target.Address, maxAge)
 	if err != nil {
-		return nil, err
+		return nil, AnswerMark{}, err
 	}
 	if !c.hold(conn) {
 		_ = conn.Close()
-		return nil, upstream.ErrNotSent
+		return nil, AnswerMark{}, upstream.ErrNotSent
 	}
 	c.sends++
 	c.countSent()
@@ -210,12 +209,28 @@
 	answer, err := c.gateway.pool.Send(conn, exchange)
 	if err != nil {
 		c.hold(nil)
+		if errors.Is(err, upstream.ErrNotSent) {
+			c.sends--
+			c.countUnsent()
+		}
+		return nil, AnswerMark{}, err
 	}
-	if errors.Is(err, upstream.ErrNotSent) {
-		c.sends--
-		c.countUnsent()
+	mark := c.gateway.platform.ReadMark(answer.Status, answer.Header)
+	c.heed(grant, mark)
+	return answer, mark, nil
+}
+
+// heed notes what an answer says of the target.
+func (c *call) heed(grant *dispatch.Grant, mark AnswerMark) {
+	if mark.Replaced {
+		return
+	}
+	if change, changed := c.gateway.state.limited(grant.Ticket, mark.Limit); changed {
+		c.gateway.log.Write(eventlog.Belief, eventLimit, eventlog.Fields{
+			"id": c.envelope.ID, "target": grant.Target.ID, "limited": change.Now.Declared, "per_second": change.Now.PerSecond,
+			"before_per_second": change.Before.PerSecond, "sent": change.Sent, "for_ms": change.For.Milliseconds(),
+		})
 	}
-	return answer, err
 }
 
 // closeAnswer gives the connection back. The caller's leaving must not close it any
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -94,6 +94,13 @@
 	s.sched.ObserveLatency(ticket, latency)
 }
 
+// limited tells the limit that an answer declares or does not; false: nothing has changed.
+func (s *state) limited(ticket *dispatch.Ticket, limit dispatch.Limit) (dispatch.LimitChange, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sched.ObserveLimit(time.Now(), ticket, limit)
+}
+
 // deliver hands effects to those who wait. The mutex is held.
 func (s *state) deliver(effects dispatch.Effects) {
 	for i := range effects.Grants {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -229,7 +229,7 @@
 func (s *eventStream) continueAt(grant *dispatch.Grant) bool {
 	c := s.call
 	began := time.Now()
-	answer, err := c.send(grant)
+	answer, mark, err := c.send(grant)
 	if err != nil {
 		outcome := dispatch.Broken
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -241,7 +241,6 @@
 		c.report(grant, began, outcome, 0, err)
 		return false
 	}
-	mark := c.gateway.platform.ReadMark(answer.Status, answer.Header)
 	if mark.NotRun || answer.Status != http.StatusOK {
 		if mark.NotRun {
 			c.countUnsent()
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -30,6 +30,8 @@
 	GatewayTargets = declare(KindGauge, "gateway_service_targets", "Targets that the cell uses.", "service")
 	GatewayEjected = declare(KindGauge, "gateway_service_targets_ejected",
 		"Of these, those that get nothing for now: not reached, broken off, unresponsive.", "service")
+	GatewayLimited = declare(KindGauge, "gateway_service_targets_limited",
+		"Of these, those that declare a limit on their requests a second.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may still make in the window.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
