A target's declared limit is kept by all entries together

The scheduler holds a token bucket for each target that declares a limit. Entries of a cell draw on the same one: load reports tell the limit with the age of the answer that declares it, and how many requests the sender has sent, so each takes its own and the others' and what was sent without knowing of each other is owed. A step of 16 ms between entries, in an order that turns, keeps them from taking one token at once. Cells that share a target use a part each and begin at different times. A target gets nothing for the first second. The newest answer wins, by more than the delay of a report; an answer without a limit ends it. Limits outlive a lapse of the register's entry. Where all targets together take less than waits, refusals and Retry-After follow from the limits.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -47,8 +47,9 @@
 			continue
 		}
 		load, _ := s.load(now, t)
-		t.observe(now, load)
-		t.now.available = !t.avoided(now)
+		mayGet := s.mayGet(now, t)
+		t.observe(now, mayGet && load < t.limit())
+		t.now.available = mayGet && !t.avoided(now)
 		if !t.now.available {
 			continue
 		}
@@ -58,12 +59,13 @@
 	}
 }
 
-// took brings the target's view up to date with a request that it got.
-func (t *target) took(now time.Time, ticket *Ticket) {
+// took brings a target's view up to date with a request that it got.
+func (s *Scheduler) took(now time.Time, t *target, ticket *Ticket) {
 	t.now.load++
 	t.now.backlog += ticket.Work.Prompt
-	t.now.free = t.now.load < t.limit()
-	t.observe(now, t.now.load)
+	t.now.available = s.mayGet(now, t)
+	t.now.free = t.now.available && t.now.load < t.limit()
+	t.observe(now, t.now.free)
 }
 
 // anyFree reports whether any target has room.
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -134,10 +134,12 @@
 	Longest time.Duration
 }
 
-// Effects are what a call leads to: requests to send and requests to end.
+// Effects are what a call leads to: requests to send, requests to end, and targets' limits
+// that have changed.
 type Effects struct {
 	Grants   []Grant
 	Refusals []Refusal
+	Limits   []LimitChange
 }
 
 // Config holds what a scheduler needs to know of its place.
@@ -159,6 +161,7 @@
 	samples []Sample
 	// cell is this entry's of so many cells; see SetCell.
 	cell, cells int
+	former      formerLimits
 }
 
 // New makes a scheduler without targets.
@@ -183,6 +186,7 @@
 		known, found := s.targets[incarnation]
 		if !found {
 			known = &target{incarnation: incarnation, pool: s.pool(each.Service), place: Place(each.Zone, incarnation)}
+			s.former.restore(known)
 			s.targets[incarnation] = known
 			known.pool.targets = append(known.pool.targets, known)
 		}
@@ -196,6 +200,7 @@
 	for id, known := range s.targets {
 		if !seen[id] {
 			delete(s.targets, id)
+			s.former.keep(known)
 			known.Leaving = true
 			known.pool.remove(known)
 		}
@@ -328,7 +333,8 @@
 	at.beginReading(ticket)
 	at.own++
 	at.limited.sent++
-	at.took(now, ticket)
+	s.takeTokens(now, at, 1)
+	s.took(now, at, ticket)
 	load, age := s.load(now, at)
 	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age, Backlog: ticket.ahead, PredictedFirst: ticket.predicted}
 }
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -8,6 +8,9 @@
 	inFlight map[string]int
 	reading  map[string]int
 	waiting  map[string]Urgency
+	// sentUnderLimit is the number of requests that it has sent to each target that declares
+	// a limit, as last told.
+	sentUnderLimit map[string]int
 }
 
 // reportLife is how long a peer's report counts. A peer that fell silent may still
@@ -26,6 +29,8 @@
 	Waiting map[string]Urgency
 	// Samples are the sender's measurements since its last report.
 	Samples []Sample
+	// Limits are targets' limits, by incarnation; a report may hold some of them.
+	Limits map[string]LimitReport
 	// Unresponsive is for how long yet targets get nothing from the sender, because they did
 	// not answer in time.
 	Unresponsive map[string]time.Duration
@@ -39,10 +44,17 @@
 
 // PeerLoad takes a peer's report, which replaces its last one.
 func (s *Scheduler) PeerLoad(now time.Time, peer string, load Load) Effects {
-	s.peers[peer] = &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting}
+	told := &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting}
+	if before, found := s.peers[peer]; found {
+		told.sentUnderLimit = before.sentUnderLimit
+	}
+	s.peers[peer] = told
+	changes := s.takeLimits(now, peer, told, load.Limits)
 	s.takeUnresponsive(now, peer, load.Unresponsive)
 	s.learnPeerSamples(load.Samples)
-	return s.tickAfter(now, reportTick)
+	effects := s.tickAfter(now, reportTick)
+	effects.Limits = changes
+	return effects
 }
 
 // PeerGone drops a peer's report: its process has ended, and its requests with it.
@@ -53,7 +65,7 @@
 
 // OwnLoad is the report to send to the others; samples are in one report only.
 func (s *Scheduler) OwnLoad(now time.Time) Load {
-	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples, Waiting: make(map[string]Urgency)}
+	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples, Waiting: make(map[string]Urgency), Limits: s.reportLimits(now)}
 	s.samples = nil
 	for id, t := range s.targets {
 		if t.own > 0 {
--- a/internal/core/dispatch/precedence.go
+++ b/internal/core/dispatch/precedence.go
@@ -73,9 +73,9 @@
 }
 
 // observe notes since when a target has room.
-func (t *target) observe(now time.Time, load int) {
+func (t *target) observe(now time.Time, free bool) {
 	switch {
-	case load >= t.limit():
+	case !free:
 		t.freeSince = time.Time{}
 	case t.freeSince.IsZero():
 		t.freeSince = now
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -78,11 +78,32 @@
 	return t.Arrived.Add(time.Duration(startShare * float64(by.Sub(t.Arrived))))
 }
 
-// wait estimates how long a request waits behind others: the places that this
-// entry may count on turn over once in the mean time at a target.
+// wait estimates how long a request waits behind others.
 func (s *Scheduler) wait(p *pool, ahead int) time.Duration {
-	places := max(p.own(), p.slots()/s.entries, 1)
-	return time.Duration(float64(ahead+1) * p.meanHold() / float64(places))
+	return time.Duration(float64(ahead+1) / s.throughput(p) * float64(time.Second))
+}
+
+// throughput is the number of requests a second that this entry may count on: its places
+// turn over once in the mean time at a target, and targets that declare a limit take no more
+// than that.
+func (s *Scheduler) throughput(p *pool) float64 {
+	hold := p.meanHold() / float64(time.Second)
+	own, slots, limited := 0, 0, 0.0
+	for _, t := range p.targets {
+		switch {
+		case t.limited.Declared && !t.Leaving:
+			limited += min(t.limited.rate(1), float64(t.Slots)/hold)
+		case t.Leaving:
+			own += t.own
+		default:
+			own += t.own
+			slots += t.Slots
+		}
+	}
+	if slots == 0 && limited > 0 {
+		return limited / float64(s.entries)
+	}
+	return float64(max(own, slots/s.entries, 1))/hold + limited/float64(s.entries)
 }
 
 // own is the number of requests that this entry has at the pool's targets.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 		pool: upstream.NewPool(upstream.Options{Dial: targetConn, KeepIdle: 4 * time.Second, IdleMargin: 700 * time.Millisecond, MaxIdle: 16}),
 	}
 	g.state = &state{
+		log:         g.log,
 		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
 		quota:       quota.New(quotaConfig(s.Bounds), now),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -56,6 +56,8 @@
 	assembler *gossip.Assembler
 	// toldInHeartbeats, toldInReports and toldInDigests are the organisations' turns.
 	toldInHeartbeats, toldInReports, toldInDigests rotation
+	// toldLimits are the turns of targets that declare a limit.
+	toldLimits rotation
 	// partial: the last heartbeat did not hold all totals.
 	partial atomic.Bool
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"sycamoretrail/internal/core/dispatch"
@@ -40,10 +41,11 @@
 		load := l.gateway.state.sched.OwnLoad(time.Now())
 		totals := l.gateway.state.quota.TotalsSince(time.Now().Add(-totalsFor))
 		l.gateway.state.mutex.Unlock()
-		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0
+		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0 && len(load.Limits) == 0
+		load.Limits, _ = shareOf(&l.toldLimits, load.Limits, limitsBytes, limitBytes)
 		m := l.message()
 		m.Load = loadMessage(load)
-		share, whole := shareOf(&l.toldInReports, totals, reportBytes, totalBytes)
+		share, whole := shareOf(&l.toldInReports, totals, reportBytes-sizeOf(maps.Keys(load.Limits), limitBytes), totalBytes)
 		m.Load.Totals, m.Load.Partial = mapValues(share, totalMessage), !whole || l.partial.Load()
 		l.send(m, l.cells.Load().Mates)
 		time.Sleep(loadPause)
@@ -86,6 +88,17 @@
 		InFlight: load.InFlight, Reading: load.Reading, Samples: samples,
 		Waiting:        mapValues(load.Waiting, func(u dispatch.Urgency) uint32 { return uint32(u) }),
 		UnresponsiveMS: mapValues(load.Unresponsive, time.Duration.Milliseconds),
+		Limits:         mapValues(load.Limits, limitMessage),
+	}
+}
+
+func limitMessage(r dispatch.LimitReport) gossip.Limit {
+	return gossip.Limit{Declared: r.Declared, PerSecond: r.PerSecond, AgeMS: r.Age.Milliseconds(), Sent: r.Sent}
+}
+
+func limitReportOf(m gossip.Limit) dispatch.LimitReport {
+	return dispatch.LimitReport{
+		Limit: dispatch.Limit{Declared: m.Declared, PerSecond: m.PerSecond}, Age: milliseconds(m.AgeMS), Sent: m.Sent,
 	}
 }
 
@@ -98,5 +111,6 @@
 		InFlight: m.InFlight, Reading: m.Reading, Samples: samples,
 		Waiting:      mapValues(m.Waiting, func(u uint32) dispatch.Urgency { return dispatch.Urgency(u) }),
 		Unresponsive: mapValues(m.UnresponsiveMS, milliseconds),
+		Limits:       mapValues(m.Limits, limitReportOf),
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -225,12 +225,7 @@
 	if mark.Replaced {
 		return
 	}
-	if change, changed := c.gateway.state.limited(grant.Ticket, mark.Limit); changed {
-		c.gateway.log.Write(eventlog.Belief, eventLimit, eventlog.Fields{
-			"id": c.envelope.ID, "target": grant.Target.ID, "limited": change.Now.Declared, "per_second": change.Now.PerSecond,
-			"before_per_second": change.Before.PerSecond, "sent": change.Sent, "for_ms": change.For.Milliseconds(),
-		})
-	}
+	c.gateway.state.limited(grant.Ticket, mark.Limit)
 }
 
 // closeAnswer gives the connection back. The caller's leaving must not close it any
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -24,6 +24,10 @@
 	// a history: two numbers of nine bytes and their heads.
 	totalBytes   = 21
 	historyBytes = 24
+	// limitsBytes is the room for targets' limits in a load report, taken from that for totals,
+	// limitBytes what one takes at most beside the target's name.
+	limitsBytes = 400
+	limitBytes  = 32
 	// mostParts bounds the datagrams with which an entry that has joined is told what quotas
 	// have been used.
 	mostParts = 16
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,6 +10,7 @@
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/eventlog"
 )
 
 // queueTick is how often queues are looked at while something waits in them: what
@@ -20,6 +21,7 @@
 // state joins the decisions under one lock. Each call is short and does no I/O.
 type state struct {
 	mutex    sync.Mutex
+	log      *eventlog.Log
 	sched    *dispatch.Scheduler
 	quota    *quota.Limiter
 	budget   *budget.Budget
@@ -94,11 +96,11 @@
 	s.sched.ObserveLatency(ticket, latency)
 }
 
-// limited tells the limit that an answer declares or does not; false: nothing has changed.
-func (s *state) limited(ticket *dispatch.Ticket, limit dispatch.Limit) (dispatch.LimitChange, bool) {
+// limited tells the limit that an answer declares, or that it declares none.
+func (s *state) limited(ticket *dispatch.Ticket, limit dispatch.Limit) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.sched.ObserveLimit(time.Now(), ticket, limit)
+	s.deliver(s.sched.ObserveLimit(time.Now(), ticket, limit))
 }
 
 // deliver hands effects to those who wait. The mutex is held.
@@ -109,7 +111,10 @@
 	for i := range effects.Refusals {
 		s.tell(effects.Refusals[i].Ticket, verdict{refusal: &effects.Refusals[i]})
 	}
-	if len(effects.Grants) > 0 || len(effects.Refusals) > 0 {
+	for i := range effects.Limits {
+		s.logLimit(&effects.Limits[i])
+	}
+	if len(effects.Grants) > 0 || len(effects.Refusals) > 0 || len(effects.Limits) > 0 {
 		s.taken()
 	}
 	if s.sched.Waiting() > 0 && !s.ticking {
@@ -118,6 +123,13 @@
 	}
 }
 
+func (s *state) logLimit(change *dispatch.LimitChange) {
+	s.log.Write(eventlog.Belief, eventLimit, eventlog.Fields{
+		"target": change.Target, "limited": change.Now.Declared, "per_second": change.Now.PerSecond, "peer": change.Peer,
+		"before_per_second": change.Before.PerSecond, "sent": change.Sent, "for_ms": change.For.Milliseconds(),
+	})
+}
+
 func (s *state) tell(ticket *dispatch.Ticket, v verdict) {
 	if wait, found := s.waiters[ticket]; found {
 		delete(s.waiters, ticket)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -80,6 +80,18 @@
 	Samples []Sample `cbor:"7,keyasint,omitempty"`
 	// Partial is that of Heartbeat.
 	Partial bool `cbor:"9,keyasint,omitempty"`
+	// Limits are those that targets declare; where they have no room, some in turn.
+	Limits map[string]Limit `cbor:"10,keyasint,omitempty"`
+}
+
+// Limit is the rate that a target declares, or the end of it, as told by an answer of some
+// age, and the number of requests that the sender has sent there since the limit began.
+type Limit struct {
+	_         struct{} `cbor:",toarray"`
+	Declared  bool
+	PerSecond float64
+	AgeMS     int64
+	Sent      int
 }
 
 // Sample is what one answer showed of a target's speed, in nanoseconds; 0: not measured.
