Entries tell when a target says in its answers that it leaves

Each incarnation's word is noted once and written as a target line with told_by=answer. No decision depends on it yet.

--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -32,6 +32,9 @@
 	remembered []string
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
+	// departed holds the incarnations that have themselves said that they leave, in the order
+	// in which they did; the oldest is forgotten first.
+	departed []string
 }
 
 // New makes an empty register.
@@ -69,6 +72,19 @@
 	}
 }
 
+// Depart notes that a target has itself said that it leaves; it reports whether that is news.
+func (r *Register) Depart(target catalog.Target) bool {
+	incarnation := target.Incarnation()
+	if slices.Contains(r.departed, incarnation) {
+		return false
+	}
+	r.departed = append(r.departed, incarnation)
+	if len(r.departed) > maxRemembered {
+		r.departed = r.departed[1:]
+	}
+	return true
+}
+
 // Get returns the known target of an id.
 func (r *Register) Get(id string) (catalog.Target, bool) {
 	target, found := r.targets[id]
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -210,6 +210,18 @@
 	f.tell(u, changed)
 }
 
+// departs takes a target's own word that it leaves.
+func (f *feeds) departs(target catalog.Target) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.register.Depart(target) {
+		return
+	}
+	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
+		"target": target.ID, "started_ms": target.StartedMS, "state": "leaving", "told_by": "answer",
+	})
+}
+
 // missing forms drops of the known targets that a snapshot does not have.
 func (f *feeds) missing(records []feed.Record) []feed.Record {
 	listed := make(map[string]bool, len(records))
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -82,6 +82,8 @@
 	Replaced bool
 	// Limit is the rate of requests that the target declares it can take.
 	Limit dispatch.Limit
+	// Leaving: the target says that it is about to stop.
+	Leaving bool
 }
 
 // Platform translates between the platform's interfaces and the gateway's types.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -226,6 +226,9 @@
 		return
 	}
 	c.gateway.state.limited(grant.Ticket, mark.Limit)
+	if mark.Leaving {
+		c.gateway.feeds.departs(grant.Target)
+	}
 }
 
 // closeAnswer gives the connection back. The caller's leaving must not close it any
