--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -110,3 +110,28 @@
 	g.Expect(r.Put(catalog.Target{ID: "t-0", StartedMS: 1000})).To(BeTrue(), "forgotten")
 	g.Expect(r.Put(catalog.Target{ID: "t-4999", StartedMS: 1000})).To(BeFalse())
 }
+
+// Guards against a leaving target that the register brings back: its entry may be written
+// anew as ready, lapse while the store is away, or come late.
+func TestOwnWordThatATargetLeavesLasts(t *testing.T) {
+	g := NewWithT(t)
+	r := register.New()
+	target := catalog.Target{ID: "t-1", Service: "desk", Slots: 4, StartedMS: 5}
+	r.Put(target)
+	g.Expect(r.Depart(target)).To(BeTrue())
+	g.Expect(r.Depart(target)).To(BeFalse())
+	leaves := func() bool {
+		known, _ := r.Get(target.ID)
+		return known.Leaving && r.Targets()[0].Leaving
+	}
+	g.Expect(leaves()).To(BeTrue())
+	target.Slots = 5
+	r.Put(target)
+	g.Expect(leaves()).To(BeTrue(), "written again")
+	r.Drop(now, target.ID, time.Time{})
+	r.Put(target)
+	g.Expect(leaves()).To(BeTrue(), "gone and back")
+	target.StartedMS = 6
+	r.Put(target)
+	g.Expect(leaves()).To(BeFalse(), "a process that started again under the id")
+}
