A target's own word that it leaves ends its requests, whatever the register shows

All callers got their answers, since the target still served; one that had gone would have cost them.

Evidence: requests granted within 2 ms of their arrival, at the rate of before, until the register changes.

The register of targets takes the word (Depart) and holds it against every later entry of the same incarnation: written again as ready, lapsed and back, or late. So the scheduler, the division into cells and roll-outs see it as any other departure. The cell is told by a datagram, twice; who misses it hears it from the target's next answer.

--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -32,14 +32,18 @@
 	remembered []string
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
-	// departed holds the incarnations that have themselves said that they leave, in the order
-	// in which they did; the oldest is forgotten first.
-	departed []string
+	// departed holds the incarnations that have themselves said that they leave; the oldest
+	// of departures is forgotten first.
+	departed   map[string]bool
+	departures []string
 }
 
 // New makes an empty register.
 func New() *Register {
-	return &Register{targets: make(map[string]catalog.Target), started: make(map[string]int64), lapsing: make(map[string]time.Time)}
+	return &Register{
+		targets: make(map[string]catalog.Target), started: make(map[string]int64),
+		lapsing: make(map[string]time.Time), departed: make(map[string]bool),
+	}
 }
 
 // Put takes a target's entry; it reports whether anything that matters changed. An
@@ -51,6 +55,7 @@
 		return false
 	}
 	r.remember(target)
+	target.Leaving = target.Leaving || r.departed[target.Incarnation()]
 	known, found := r.targets[target.ID]
 	_, lapsed := r.lapsing[target.ID]
 	delete(r.lapsing, target.ID)
@@ -72,15 +77,22 @@
 	}
 }
 
-// Depart notes that a target has itself said that it leaves; it reports whether that is news.
+// Depart takes a target's own word that it leaves, which no entry takes back: while the
+// store is away the register shows the target as ready. It reports whether that is news.
 func (r *Register) Depart(target catalog.Target) bool {
 	incarnation := target.Incarnation()
-	if slices.Contains(r.departed, incarnation) {
+	if r.departed[incarnation] {
 		return false
 	}
-	r.departed = append(r.departed, incarnation)
-	if len(r.departed) > maxRemembered {
-		r.departed = r.departed[1:]
+	r.departed[incarnation] = true
+	r.departures = append(r.departures, incarnation)
+	if len(r.departures) > maxRemembered {
+		delete(r.departed, r.departures[0])
+		r.departures = r.departures[1:]
+	}
+	if known, found := r.targets[target.ID]; found && known.Incarnation() == incarnation {
+		known.Leaving = true
+		r.targets[target.ID] = known
 	}
 	return true
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -210,16 +210,17 @@
 	f.tell(u, changed)
 }
 
-// departs takes a target's own word that it leaves.
-func (f *feeds) departs(target catalog.Target) {
+// departs takes a target's own word that it leaves; toldBy says who has passed it on. It
+// reports whether that is news.
+func (f *feeds) departs(target catalog.Target, toldBy string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if !f.register.Depart(target) {
-		return
+		return false
 	}
-	f.gateway.log.Write(eventlog.Belief, eventTarget, eventlog.Fields{
-		"target": target.ID, "started_ms": target.StartedMS, "state": "leaving", "told_by": "answer",
-	})
+	f.sayLater(eventlog.Fields{"target": target.ID, "started_ms": target.StartedMS, "state": "leaving", "told_by": toldBy})
+	f.publish(f.operators.AsOf())
+	return true
 }
 
 // missing forms drops of the known targets that a snapshot does not have.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
@@ -27,6 +28,9 @@
 	// crashCopies is how often news of a broken run is sent: a datagram may be lost,
 	// and the next broken run would count one too few.
 	crashCopies = 2
+	// departureCopies is how often a target's word that it leaves is passed on; an entry that
+	// misses it hears it from the target's next answer.
+	departureCopies = 2
 	// zoneReaders is the number of entries from which each zone has its own reader.
 	zoneReaders = 24
 )
@@ -260,6 +264,15 @@
 	}
 }
 
+// tellDeparture tells the cell that a target has said that it leaves.
+func (l *links) tellDeparture(target catalog.Target) {
+	m := l.message()
+	m.Departure = &gossip.Departure{Target: target.ID, StartedMS: target.StartedMS}
+	for range departureCopies {
+		l.send(m, l.cells.Load().Audience)
+	}
+}
+
 func (l *links) tellCrash(fingerprint crashes.Fingerprint, id string) {
 	m := l.message()
 	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
@@ -26,6 +27,9 @@
 	if m.Crash != nil {
 		l.takeCrash(m.Crash)
 	}
+	if d := m.Departure; d != nil {
+		l.gateway.feeds.departs(catalog.Target{ID: d.Target, StartedMS: d.StartedMS}, m.From)
+	}
 	if m.Replica != nil {
 		l.takeReplica(m.Replica)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -220,14 +220,17 @@
 	return answer, mark, nil
 }
 
-// heed notes what an answer says of the target.
+// toldByAnswer stands in a line for an answer of the target's own.
+const toldByAnswer = "answer"
+
+// heed takes what an answer says of the target.
 func (c *call) heed(grant *dispatch.Grant, mark AnswerMark) {
 	if mark.Replaced {
 		return
 	}
 	c.gateway.state.limited(grant.Ticket, mark.Limit)
-	if mark.Leaving {
-		c.gateway.feeds.departs(grant.Target)
+	if mark.Leaving && c.gateway.feeds.departs(grant.Target, toldByAnswer) {
+		c.gateway.links.tellDeparture(grant.Target)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -40,8 +40,9 @@
 	Fragment  *Fragment  `cbor:"9,keyasint,omitempty"`
 	// History is what organisations have used over all entries, for an entry that has
 	// just begun.
-	History map[string]History `cbor:"10,keyasint,omitempty"`
-	Digest  *Digest            `cbor:"11,keyasint,omitempty"`
+	History   map[string]History `cbor:"10,keyasint,omitempty"`
+	Digest    *Digest            `cbor:"11,keyasint,omitempty"`
+	Departure *Departure         `cbor:"14,keyasint,omitempty"`
 	// RolloutStep is from the leader of a roll-out, RolloutReport for it.
 	RolloutStep   *RolloutStep   `cbor:"12,keyasint,omitempty"`
 	RolloutReport *RolloutReport `cbor:"13,keyasint,omitempty"`
@@ -137,6 +138,12 @@
 	ID          string `cbor:"2,keyasint"`
 }
 
+// Departure says that a target has said in an answer that it leaves.
+type Departure struct {
+	Target    string `cbor:"1,keyasint"`
+	StartedMS int64  `cbor:"2,keyasint,omitempty"`
+}
+
 // Conn sends and receives messages.
 type Conn struct {
 	socket   *net.UDPConn
