A target that asks for a pause is left alone for so long

A server that turns a request away with 503 may say for how long it wants nothing from the entry. Nobody read it: 60 ms later it was asked again. Found while looking for the cause of DRAIN elsewhere: what a target says of itself in its answers was dropped.

The scheduler holds until when each target is paused, for this entry only; it outlives a lapse of the register's entry. Where all targets are paused for longer than a request can wait, it is refused at once (targets_paused), also out of the queue, with the time at which the first pause ends.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -84,6 +84,8 @@
 	ReasonNoTarget Reason = "no_target"
 	// ReasonOverload: the estimated wait exceeds what is left of its time.
 	ReasonOverload Reason = "overload"
+	// ReasonPaused: all targets want to be left alone for longer than it can wait.
+	ReasonPaused Reason = "targets_paused"
 	// ReasonExpired: its time ran out in the queue.
 	ReasonExpired Reason = "expired_in_queue"
 )
@@ -161,7 +163,7 @@
 	samples []Sample
 	// cell is this entry's of so many cells; see SetCell.
 	cell, cells int
-	former      formerLimits
+	former      former
 }
 
 // New makes a scheduler without targets.
@@ -200,7 +202,7 @@
 	for id, known := range s.targets {
 		if !seen[id] {
 			delete(s.targets, id)
-			s.former.keep(known)
+			s.former.keep(now, known)
 			known.Leaving = true
 			known.pool.remove(known)
 		}
--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// limitRelief is how long a target gets nothing after it has begun to declare a limit: by
@@ -25,8 +22,6 @@
 	limitSkew = 50 * time.Millisecond
 	// limitEndTold is how long the end of a limit is told.
 	limitEndTold = 3 * time.Second
-	// maxFormerLimits bounds the limits that are kept of targets that are gone.
-	maxFormerLimits = 1024
 )
 
 // Limit is the rate of requests that a target takes from all entries together, as it
@@ -219,29 +214,3 @@
 	}
 	return s.setLimit(now, t, report.Limit, answered)
 }
-
-// formerLimits keeps the limits of targets that have left the register: the entry of one
-// that lives may lapse and come back.
-type formerLimits struct {
-	limits map[string]declaredLimit
-	// order is that in which they were kept.
-	order []string
-}
-
-func (f *formerLimits) keep(t *target) {
-	if !t.limited.Declared {
-		return
-	}
-	if f.limits == nil {
-		f.limits = make(map[string]declaredLimit)
-	}
-	f.order = slices.DeleteFunc(f.order, func(id string) bool { return id == t.incarnation })
-	f.order = append(f.order, t.incarnation)
-	f.limits[t.incarnation] = t.limited
-	if len(f.order) > maxFormerLimits {
-		delete(f.limits, f.order[0])
-		f.order = f.order[1:]
-	}
-}
-
-func (f *formerLimits) restore(t *target) { t.limited = f.limits[t.incarnation] }
--- /dev/null
+++ b/internal/core/dispatch/pause_test.go
@@ -0,0 +1,47 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/core/dispatch"
+)
+
+// Guards against a target that is asked again within the pause that it wants, such as when its
+// entry lapses and comes back, and one that is not asked after it.
+func TestPausedTargetGetsNothingUntilItsTime(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 4))
+	ticket, _ := s.Submit(start, ask("1"))
+	s.ObservePause(start, ticket, 2*time.Second)
+	s.Done(start, ticket, dispatch.Report{Outcome: dispatch.Rejected})
+	s.SetTargets(start, nil)
+	s.SetTargets(start, targets(1, 4))
+	waiting, effects := s.Submit(start, ask("2"))
+	g.Expect(effects).To(Equal(dispatch.Effects{}))
+	g.Expect(s.Tick(start.Add(1990 * time.Millisecond)).Grants).To(BeEmpty())
+	effects = s.Tick(start.Add(2 * time.Second))
+	g.Expect(effects.Grants).To(HaveLen(1))
+	g.Expect(effects.Grants[0].Ticket).To(Equal(waiting))
+}
+
+// Guards against callers held in vain: those that wait when the last target asks for a pause
+// longer than their time, and those that come after.
+func TestPauseOfAllTargetsRefusesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(targets(1, 1))
+	running, _ := s.Submit(start, ask("running"))
+	waiting, _ := s.Submit(start, ask("waiting"))
+	effects := s.ObservePause(start, running, time.Hour)
+	g.Expect(effects.Refusals).To(HaveLen(1))
+	g.Expect(effects.Refusals[0].Ticket).To(Equal(waiting))
+	g.Expect(effects.Refusals[0].Reason).To(Equal(dispatch.ReasonPaused))
+	_, effects = s.Submit(start, ask("next"))
+	g.Expect(effects.Refusals).To(HaveLen(1))
+	g.Expect(effects.Refusals[0].RetryAfter).To(Equal(6 * time.Second))
+	s.SetTargets(start, targets(2, 1))
+	_, effects = s.Submit(start, ask("another target"))
+	g.Expect(effects.Grants).To(HaveLen(1))
+}
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -22,6 +22,9 @@
 	if p.slots() == 0 {
 		return Refusal{Ticket: ticket, Reason: ReasonNoTarget, RetryAfter: time.Second}, true
 	}
+	if refusal, refused := s.refusePaused(now, p, ticket, p.pausedUntil(now)); refused {
+		return refusal, true
+	}
 	ahead := 0
 	for _, other := range p.waiting {
 		if !other.late(now) && !ticket.before(other) {
@@ -47,7 +50,12 @@
 func (s *Scheduler) refuseExpired(now time.Time, p *pool) []Refusal {
 	var refusals []Refusal
 	kept := p.waiting[:0]
+	pausedUntil := p.pausedUntil(now)
 	for _, ticket := range p.waiting {
+		if refusal, refused := s.refusePaused(now, p, ticket, pausedUntil); refused {
+			refusals = append(refusals, refusal)
+			continue
+		}
 		late := ticket.late(now)
 		shed := late && p.lateFate.rarelyPlaced(now)
 		if now.Before(ticket.lastStart()) && !shed {
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -35,6 +35,8 @@
 	// the time.
 	ejectedUntil        time.Time
 	consecutiveFailures int
+	// pausedUntil is until when it wants nothing from this entry.
+	pausedUntil time.Time
 	// unresponsiveUntil is until when this entry reports it to the cell, reports until when
 	// each other entry does.
 	unresponsiveUntil time.Time
@@ -149,5 +151,5 @@
 
 // avoided reports whether the target gets nothing for now.
 func (t *target) avoided(now time.Time) bool {
-	return now.Before(t.ejectedUntil) || t.reportedUnresponsive(now)
+	return now.Before(t.ejectedUntil) || t.paused(now) || t.reportedUnresponsive(now)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -30,6 +30,7 @@
 	eventConfiguration = "configuration"
 	eventTarget        = "target"
 	eventLimit         = "target_limit"
+	eventPause         = "target_pause"
 	eventPeer          = "peer"
 	eventStoreLost     = "store_lost"
 	eventStoreRegained = "store_regained"
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -84,6 +84,8 @@
 	Limit dispatch.Limit
 	// Leaving: the target says that it is about to stop.
 	Leaving bool
+	// Pause is for how long the target wants nothing from this entry; 0: it does not say.
+	Pause time.Duration
 }
 
 // Platform translates between the platform's interfaces and the gateway's types.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -229,6 +229,12 @@
 		return
 	}
 	c.gateway.state.limited(grant.Ticket, mark.Limit)
+	if mark.Pause > 0 {
+		c.gateway.log.Write(eventlog.Belief, eventPause, eventlog.Fields{
+			"id": c.envelope.ID, "target": grant.Target.ID, "pause_ms": mark.Pause.Milliseconds(),
+		})
+		c.gateway.state.paused(grant.Ticket, mark.Pause)
+	}
 	if mark.Leaving && c.gateway.feeds.departs(grant.Target, toldByAnswer) {
 		c.gateway.links.tellDeparture(grant.Target)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -103,6 +103,13 @@
 	s.deliver(s.sched.ObserveLimit(time.Now(), ticket, limit))
 }
 
+// paused tells that a target wants nothing from this entry for a while.
+func (s *state) paused(ticket *dispatch.Ticket, pause time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.deliver(s.sched.ObservePause(time.Now(), ticket, pause))
+}
+
 // deliver hands effects to those who wait. The mutex is held.
 func (s *state) deliver(effects dispatch.Effects) {
 	for i := range effects.Grants {
