Limits share the room of a load report; memory of ended targets is one piece of code

Maps that forget the oldest stood three times (starts, departures, words of former targets): core/bounded is the one.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"sycamoretrail/internal/core/bounded"
 	"sycamoretrail/internal/core/catalog"
 )
 
@@ -163,7 +164,8 @@
 	samples []Sample
 	// cell is this entry's of so many cells; see SetCell.
 	cell, cells int
-	former      former
+	// former holds the words of targets that have left the register.
+	former *bounded.Map[ownWord]
 }
 
 // New makes a scheduler without targets.
@@ -175,6 +177,7 @@
 		peers:   make(map[string]*peerLoad),
 		entries: 1,
 		cells:   1,
+		former:  bounded.New[ownWord](maxFormer),
 	}
 }
 
@@ -188,7 +191,7 @@
 		known, found := s.targets[incarnation]
 		if !found {
 			known = &target{incarnation: incarnation, pool: s.pool(each.Service), place: Place(each.Zone, incarnation)}
-			s.former.restore(known)
+			s.restoreWord(known)
 			s.targets[incarnation] = known
 			known.pool.targets = append(known.pool.targets, known)
 		}
@@ -202,7 +205,7 @@
 	for id, known := range s.targets {
 		if !seen[id] {
 			delete(s.targets, id)
-			s.former.keep(now, known)
+			s.keepWord(now, known)
 			known.Leaving = true
 			known.pool.remove(known)
 		}
--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sycamoretrail/internal/core/bounded"
 	"sycamoretrail/internal/core/catalog"
 )
 
@@ -19,30 +20,26 @@
 // must not be kept.
 const lapseShare = 2.0 / 3
 
-// maxRemembered bounds the starts that are remembered of targets that are gone: some
-// hundred restarts a day are usual, and old entries come late by seconds.
+// maxRemembered bounds the starts and departures that are remembered of targets that are
+// gone: some hundred restarts a day are usual, and old entries come late by seconds.
 const maxRemembered = 4096
 
 // Register holds targets by id.
 type Register struct {
 	targets map[string]catalog.Target
-	// started is the latest start known of each id, also of those that are gone; the
-	// oldest of remembered is forgotten first.
-	started    map[string]int64
-	remembered []string
+	// started is the latest start known of each id, also of those that are gone.
+	started *bounded.Map[int64]
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
-	// departed holds the incarnations that have themselves said that they leave; the oldest
-	// of departures is forgotten first.
-	departed   map[string]bool
-	departures []string
+	// departed holds the incarnations that have themselves said that they leave.
+	departed *bounded.Map[bool]
 }
 
 // New makes an empty register.
 func New() *Register {
 	return &Register{
-		targets: make(map[string]catalog.Target), started: make(map[string]int64),
-		lapsing: make(map[string]time.Time), departed: make(map[string]bool),
+		targets: make(map[string]catalog.Target), lapsing: make(map[string]time.Time),
+		started: bounded.New[int64](maxRemembered), departed: bounded.New[bool](maxRemembered),
 	}
 }
 
@@ -51,11 +48,13 @@
 // snapshots, followed records and other entries' news bring it: put in force, requests
 // would go to a process that is gone, with what was learned of it.
 func (r *Register) Put(target catalog.Target) bool {
-	if target.StartedMS < r.started[target.ID] {
+	if target.StartedMS < r.started.Get(target.ID) {
 		return false
 	}
-	r.remember(target)
-	target.Leaving = target.Leaving || r.departed[target.Incarnation()]
+	if target.StartedMS > 0 {
+		r.started.Put(target.ID, target.StartedMS)
+	}
+	target.Leaving = target.Leaving || r.departed.Get(target.Incarnation())
 	known, found := r.targets[target.ID]
 	_, lapsed := r.lapsing[target.ID]
 	delete(r.lapsing, target.ID)
@@ -63,33 +62,14 @@
 	return !found || lapsed || known != target
 }
 
-// remember keeps the start of a target beyond its end.
-func (r *Register) remember(target catalog.Target) {
-	if _, found := r.started[target.ID]; !found && target.StartedMS > 0 {
-		r.remembered = append(r.remembered, target.ID)
-	}
-	if target.StartedMS > 0 {
-		r.started[target.ID] = target.StartedMS
-	}
-	if len(r.remembered) > maxRemembered {
-		delete(r.started, r.remembered[0])
-		r.remembered = r.remembered[1:]
-	}
-}
-
 // Depart takes a target's own word that it leaves, which no entry takes back: while the
 // store is away the register shows the target as ready. It reports whether that is news.
 func (r *Register) Depart(target catalog.Target) bool {
 	incarnation := target.Incarnation()
-	if r.departed[incarnation] {
+	if r.departed.Get(incarnation) {
 		return false
 	}
-	r.departed[incarnation] = true
-	r.departures = append(r.departures, incarnation)
-	if len(r.departures) > maxRemembered {
-		delete(r.departed, r.departures[0])
-		r.departures = r.departures[1:]
-	}
+	r.departed.Put(incarnation, true)
 	if known, found := r.targets[target.ID]; found && known.Incarnation() == incarnation {
 		known.Leaving = true
 		r.targets[target.ID] = known
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/gossip"
 )
 
@@ -42,16 +43,22 @@
 		totals := l.gateway.state.quota.TotalsSince(time.Now().Add(-totalsFor))
 		l.gateway.state.mutex.Unlock()
 		idle = len(load.InFlight) == 0 && len(load.Unresponsive) == 0 && len(load.Limits) == 0
-		load.Limits, _ = shareOf(&l.toldLimits, load.Limits, limitsBytes, limitBytes)
-		m := l.message()
-		m.Load = loadMessage(load)
-		share, whole := shareOf(&l.toldInReports, totals, reportBytes-sizeOf(maps.Keys(load.Limits), limitBytes), totalBytes)
-		m.Load.Totals, m.Load.Partial = mapValues(share, totalMessage), !whole || l.partial.Load()
-		l.send(m, l.cells.Load().Mates)
+		l.send(l.loadReport(load, totals), l.cells.Load().Mates)
 		time.Sleep(loadPause)
 	}
 }
 
+// loadReport forms a report: of the limits and totals, as many as have room.
+func (l *links) loadReport(load dispatch.Load, totals map[string]quota.Total) *gossip.Message {
+	m := l.message()
+	load.Limits, _ = shareOf(&l.toldLimits, load.Limits, limitsBytes, limitBytes)
+	m.Load = loadMessage(load)
+	room := reportBytes - sizeOf(maps.Keys(load.Limits), limitBytes)
+	share, whole := shareOf(&l.toldInReports, totals, room, totalBytes)
+	m.Load.Totals, m.Load.Partial = mapValues(share, totalMessage), !whole || l.partial.Load()
+	return m
+}
+
 // awaitChange waits until there is something to report; false: the context has ended.
 // Requests that ended, or whose prompts have been read, are reported some time later,
 // most often together with the next request that takes a place.
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/gossip"
 	"sycamoretrail/internal/settings"
@@ -116,3 +118,31 @@
 	}
 	w.Expect(told).To(HaveLen(200))
 }
+
+// Guards against load reports that are not sent: many targets declare limits, and the totals
+// of many organisations have changed.
+func TestLoadReportsWithManyLimitsAreSent(t *testing.T) {
+	w := NewWithT(t)
+	g := manyOrganisations(t, 300, longNames)
+	const limited = 60
+	load := dispatch.Load{Limits: make(map[string]dispatch.LimitReport), InFlight: make(map[string]int), Reading: make(map[string]int)}
+	for i := range limited {
+		id := fmt.Sprintf("i-%010x@%d", i, int64(1.8e12))
+		load.Limits[id] = dispatch.LimitReport{Limit: dispatch.Limit{Declared: true, PerSecond: 1.9}, Age: time.Hour, Sent: 1e6}
+		if i < 8 {
+			load.InFlight[id], load.Reading[id] = 4, 40_000
+		}
+	}
+	told := make(map[string]bool)
+	for range 10 {
+		m := g.links.loadReport(load, g.state.quota.Totals())
+		_, err := g.links.conn.Encode(m)
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(m.Load.Totals).NotTo(BeEmpty())
+		for id, limit := range m.Load.Limits {
+			w.Expect(limitReportOf(limit)).To(Equal(load.Limits[id]))
+			told[id] = true
+		}
+	}
+	w.Expect(told).To(HaveLen(limited))
+}
