The end of a limit is believed however often the limit has been passed on

Found by reading the change again: an entry took a peer's word for the same limit with the report's delay added to its age, and told it on. In a ring of four entries with 3 ms between reports the limit was always as young as its last report, so an answer without a limit was never newer by the skew: three of four entries still held it two seconds after its end. News that differs by less than the skew, the same limit or not, is now passed over; a repeated word cannot get younger. The test failed before (3 of 4).

--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -18,7 +18,7 @@
 	// target's need is over.
 	minLimit = 0.2
 	// limitSkew is how much newer another entry's news must be to replace this entry's: by
-	// less, the delay of the report may decide.
+	// less, it may be the same news, which each report makes younger by its delay.
 	limitSkew = 50 * time.Millisecond
 	// limitEndTold is how long the end of a limit is told.
 	limitEndTold = 3 * time.Second
@@ -209,7 +209,7 @@
 // hearLimit takes a peer's news of a limit; false: nothing changes.
 func (s *Scheduler) hearLimit(now time.Time, t *target, report LimitReport) (LimitChange, bool) {
 	answered := now.Add(-report.Age)
-	if report.Limit != t.limited.Limit && answered.Sub(t.limited.answered) < limitSkew {
+	if answered.Sub(t.limited.answered) < limitSkew {
 		return LimitChange{}, false
 	}
 	return s.setLimit(now, t, report.Limit, answered)
--- a/internal/core/dispatch/limit_test.go
+++ b/internal/core/dispatch/limit_test.go
@@ -94,3 +94,38 @@
 	}
 	g.Expect(s.Tick(free.Add(100 * time.Millisecond)).Grants).To(HaveLen(1))
 }
+
+// Guards against news that gets younger each time that entries pass it on: the end of a limit
+// would pass for no newer than the limit, and the limit would never end.
+func TestEndOfLimitIsBelievedAfterManyReports(t *testing.T) {
+	g := NewWithT(t)
+	const delay = 3 * time.Millisecond
+	var entries []*dispatch.Scheduler
+	for range 4 {
+		entries = append(entries, newScheduler(targets(1, 4)))
+	}
+	now := start
+	tellInTurn := func(period time.Duration) {
+		for end := now.Add(period); now.Before(end); {
+			for i, e := range entries {
+				load := e.OwnLoad(now)
+				now = now.Add(delay)
+				entries[(i+1)%len(entries)].PeerLoad(now, fmt.Sprint(i), load)
+			}
+		}
+	}
+	limited := func() (n int) {
+		for _, e := range entries {
+			n += e.Services(now)[0].Limited
+		}
+		return n
+	}
+	first, _ := entries[0].Submit(now, ask("first"))
+	second, _ := entries[2].Submit(now, ask("second"))
+	entries[0].ObserveLimit(now, first, dispatch.Limit{Declared: true, PerSecond: 2})
+	tellInTurn(10 * time.Second)
+	g.Expect(limited()).To(Equal(len(entries)))
+	entries[2].ObserveLimit(now, second, dispatch.Limit{})
+	tellInTurn(2 * time.Second)
+	g.Expect(limited()).To(BeZero())
+}
