A store that comes back from an older copy is read anew, and nothing known is taken back

Seen through the program, on the code before: a configuration written at an offset that had been read before was never read (200 for 404 for 3 s); servers that had left or ended in the lost seconds got 74 requests, since the copy shows them as ready, which would break what is promised of leaving servers; a server that had come in them was lost (no_target) until it wrote again; registrations and copies of entries were missing for good.

A position in the log is a generation and an offset.

--- a/internal/core/register/register.go
+++ b/internal/core/register/register.go
@@ -31,8 +31,12 @@
 	started *bounded.Map[int64]
 	// lapsing holds until when a dropped target is kept.
 	lapsing map[string]time.Time
-	// departed holds the incarnations that have themselves said that they leave.
+	// departed holds the incarnations that leave for good, whatever later entries say.
 	departed *bounded.Map[bool]
+	// gone holds the incarnations whose entries have ended, restoredEnd the offset below which
+	// entries are from the copy that the store has come back from.
+	gone        *bounded.Map[bool]
+	restoredEnd int64
 }
 
 // New makes an empty register.
@@ -40,6 +44,7 @@
 	return &Register{
 		targets: make(map[string]catalog.Target), lapsing: make(map[string]time.Time),
 		started: bounded.New[int64](maxRemembered), departed: bounded.New[bool](maxRemembered),
+		gone: bounded.New[bool](maxRemembered),
 	}
 }
 
@@ -55,6 +60,7 @@
 		r.started.Put(target.ID, target.StartedMS)
 	}
 	target.Leaving = target.Leaving || r.departed.Get(target.Incarnation())
+	r.gone.Put(target.Incarnation(), false)
 	known, found := r.targets[target.ID]
 	_, lapsed := r.lapsing[target.ID]
 	delete(r.lapsing, target.ID)
@@ -77,6 +83,24 @@
 	return true
 }
 
+// Restore tells that the store has come back from an older copy, which ends at an offset. What
+// is known of targets that leave or are gone holds against the copy's entries: they may have
+// been written in the seconds that are lost.
+func (r *Register) Restore(end int64) {
+	r.restoredEnd = end
+	for _, target := range r.targets {
+		if target.Leaving {
+			r.departed.Put(target.Incarnation(), true)
+		}
+	}
+}
+
+// Outdated reports whether an entry is of a copy that the store has come back from, and names
+// a target that is known to be gone. Once it writes its entry again, it is back.
+func (r *Register) Outdated(target catalog.Target, offset int64) bool {
+	return offset < r.restoredEnd && r.gone.Get(target.Incarnation())
+}
+
 // Get returns the known target of an id.
 func (r *Register) Get(id string) (catalog.Target, bool) {
 	target, found := r.targets[id]
@@ -95,9 +119,15 @@
 		}
 		return true
 	}
+	r.remove(id)
+	return true
+}
+
+func (r *Register) remove(id string) {
+	target := r.targets[id]
+	r.gone.Put(target.Incarnation(), true)
 	delete(r.targets, id)
 	delete(r.lapsing, id)
-	return true
 }
 
 // Missing returns the known targets that are not among the ids.
@@ -121,8 +151,7 @@
 func (r *Register) Expire(now time.Time) (removed []string, next time.Time) {
 	for id, until := range r.lapsing {
 		if !now.Before(until) {
-			delete(r.targets, id)
-			delete(r.lapsing, id)
+			r.remove(id)
 			removed = append(removed, id)
 			continue
 		}
--- a/internal/core/register/register_test.go
+++ b/internal/core/register/register_test.go
@@ -135,3 +135,24 @@
 	r.Put(target)
 	g.Expect(leaves()).To(BeFalse(), "a process that started again under the id")
 }
+
+// Guards against targets that left or ended in the seconds that the store has lost: the copy
+// that it has come back from shows them as ready.
+func TestCopyOfTheStoreBringsNobodyBack(t *testing.T) {
+	g := NewWithT(t)
+	r := filled(3)
+	leaving, ended := catalog.Target{ID: "t-0", Leaving: true}, catalog.Target{ID: "t-1"}
+	r.Put(leaving)
+	r.Drop(now, ended.ID, time.Time{})
+	g.Expect(r.Outdated(ended, 5)).To(BeFalse(), "nothing was restored")
+	r.Restore(10)
+	leaving.Leaving = false
+	r.Put(leaving)
+	known, _ := r.Get(leaving.ID)
+	g.Expect(known.Leaving).To(BeTrue())
+	g.Expect(r.Outdated(ended, 9)).To(BeTrue())
+	g.Expect(r.Outdated(ended, 10)).To(BeFalse(), "written again")
+	r.Put(ended)
+	g.Expect(r.Outdated(ended, 9)).To(BeFalse(), "it lives")
+	g.Expect(r.Outdated(catalog.Target{ID: "t-2"}, 9)).To(BeFalse())
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,10 +35,21 @@
 	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies", "rollouts"}[t]
 }
 
-// ErrTruncated says that the records asked for are no longer retained: the
-// reader has to start again from a snapshot.
+// Position is a place in a topic: an offset within a generation of the log. A log that has
+// come back from an older copy is of a later generation. It gives offsets out again, so an
+// offset says nothing without its generation.
+type Position struct {
+	Generation int64
+	Offset     int64
+}
+
+// ErrTruncated says that the records asked for are not retained, or that their position is
+// of another generation: the reader has to start again from a snapshot.
 var ErrTruncated = errors.New("records are no longer retained")
 
+// errOlder says that an answer is of an older generation than one seen before.
+var errOlder = errors.New("the log answers as it was before it was restored")
+
 // ErrConflict says that the topic has grown since the offset at which a record was to be
 // put: another entry was faster, and what it wrote has to be read first.
 var ErrConflict = errors.New("another record was put first")
@@ -54,16 +65,16 @@
 
 // Log is the service that keeps the records.
 type Log interface {
-	// Snapshot returns the newest record of each key, and the offset from which to Read.
-	Snapshot(topic Topic) ([]Record, int64, error)
-	// Read returns the records from an offset, and the offset of the next ones. It
+	// Snapshot returns the newest record of each key, and the position from which to Read.
+	Snapshot(topic Topic) ([]Record, Position, error)
+	// Read returns the records from a position, and the position of the next ones. It
 	// waits up to wait for the first. ErrTruncated: take a Snapshot.
-	Read(topic Topic, from int64, wait time.Duration) ([]Record, int64, error)
+	Read(topic Topic, from Position, wait time.Duration) ([]Record, Position, error)
 	// Put sets the values of keys; an empty one drops the key. After an error they may
 	// have been set all the same.
 	Put(topic Topic, records ...Record) error
-	// PutAt sets a key's value if the topic ends at an offset; otherwise it returns
+	// PutAt sets a key's value if the topic ends at a position; otherwise it returns
 	// ErrConflict. After any other error it may have been set all the same, also later, but
 	// never after another record.
-	PutAt(topic Topic, end int64, record Record) error
+	PutAt(topic Topic, end Position, record Record) error
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -51,8 +51,10 @@
 	// Reset: Records are all there are; otherwise they change those known.
 	Reset   bool
 	Records []Record
-	// From and To are the offsets before and after.
-	From, To int64
+	// Restored: the log has come back from an older copy since the step before.
+	Restored bool
+	// From and To are the positions before and after.
+	From, To Position
 	// AsOf is when the log was in this state.
 	AsOf time.Time
 	// UnsettledUntil is until when the records dropped by this step may come back;
@@ -82,8 +84,10 @@
 	wake   chan struct{}
 
 	mutex sync.Mutex
-	// next is the offset to read from, -1 before the first snapshot.
-	next int64
+	// next is the position to read from; its offset is -1 where a snapshot is due.
+	next Position
+	// started: a first step has been applied.
+	started bool
 	// asOf is set once a step is applied. It is read without the mutex, which is held while
 	// a step is applied: who writes a line about a request must not wait for that.
 	asOf atomic.Pointer[time.Time]
@@ -96,7 +100,7 @@
 
 // NewFollower makes a follower that knows nothing yet.
 func NewFollower(config Config, log Log, duties Duties) *Follower {
-	return &Follower{config: config, log: log, duties: duties, wake: make(chan struct{}, 1), next: -1}
+	return &Follower{config: config, log: log, duties: duties, wake: make(chan struct{}, 1), next: Position{Offset: -1}}
 }
 
 // Run follows until the context ends.
@@ -147,7 +151,7 @@
 func (f *Follower) pause() time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next < 0 || f.AsOf().IsZero() || f.duties.Leads() {
+	if f.next.Offset < 0 || f.AsOf().IsZero() || f.duties.Leads() {
 		return 0
 	}
 	return f.config.Patience - time.Since(f.AsOf())
@@ -158,12 +162,12 @@
 	defer f.mutex.Unlock()
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
 	switch {
-	case f.next < 0 && f.duties.Leads():
+	case f.next.Offset < 0 && f.duties.Leads():
 		pause = backoffFirst
-	case f.next < 0:
+	case f.next.Offset < 0:
 		pause = backoffStart
 	}
-	if f.failures > 1 && f.next >= 0 && !f.duties.Leads() {
+	if f.failures > 1 && f.next.Offset >= 0 && !f.duties.Leads() {
 		pause = backoffOther
 	}
 	return pause*3/4 + rand.N(pause/2)
@@ -180,9 +184,9 @@
 	f.mutex.Unlock()
 	began := time.Now()
 	var records []Record
-	var to int64
+	var to Position
 	var err error
-	if from < 0 {
+	if from.Offset < 0 {
 		records, to, err = f.log.Snapshot(f.config.Topic)
 	} else {
 		records, to, err = f.log.Read(f.config.Topic, from, wait)
@@ -190,19 +194,22 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if errors.Is(err, ErrTruncated) {
-		f.next = -1
+		f.next.Offset = -1
 		return true
 	}
+	if err == nil && to.Generation < f.next.Generation {
+		err = errOlder
+	}
 	if err != nil {
 		f.failed(began, err)
 		return false
 	}
 	f.succeeded()
 	asOf := began
-	if len(records) == 0 && from >= 0 {
+	if len(records) == 0 && from.Offset >= 0 {
 		asOf = began.Add(wait)
 	}
-	if from < 0 {
+	if from.Offset < 0 {
 		f.apply(Update{Reset: true, Records: records, From: from, To: to, AsOf: asOf})
 		return true
 	}
@@ -212,13 +219,13 @@
 
 // advance applies what is new of records that end before offset to. Another
 // entry's news may have been applied since they were asked for.
-func (f *Follower) advance(records []Record, to int64, asOf time.Time, replicated bool) {
-	if to < f.next {
+func (f *Follower) advance(records []Record, to Position, asOf time.Time, replicated bool) {
+	if to.Generation != f.next.Generation || to.Offset < f.next.Offset {
 		return
 	}
 	newer := records[:0:0]
 	for _, record := range records {
-		if record.Offset >= f.next {
+		if record.Offset >= f.next.Offset {
 			newer = append(newer, record)
 		}
 	}
@@ -245,7 +252,8 @@
 // apply hands a step on. The mutex is held, so that steps keep their order.
 func (f *Follower) apply(u Update) {
 	u.Topic = f.config.Topic
-	f.next = u.To
+	u.Restored = f.started && u.To.Generation > f.next.Generation
+	f.next, f.started = u.To, true
 	if time.Since(f.regained) < lapseDelay {
 		u.UnsettledUntil = f.regained.Add(f.config.Settle)
 	}
@@ -255,40 +263,43 @@
 	}
 }
 
-// Replicate takes what another entry has read. News that leaves a gap is not applied:
-// this entry missed some, such as while it was cut off, and reads for itself at once.
-// What the other entry suffered says nothing of the log: only who failed itself takes
-// drops for lapses.
-func (f *Follower) Replicate(from, to int64, records []Record, asOf time.Time) {
+// Replicate takes what another entry has read. News that leaves a gap, or is of a later
+// generation, is not applied: this entry missed some, such as while it was cut off, and
+// reads for itself at once. What the other entry suffered says nothing of the log: only who
+// failed itself takes drops for lapses.
+func (f *Follower) Replicate(from, to Position, records []Record, asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next < 0 {
+	if f.next.Offset < 0 || to.Generation < f.next.Generation {
 		return
 	}
-	if from > f.next {
+	if to.Generation > f.next.Generation || from.Offset > f.next.Offset {
 		f.asOf.Store(nil)
 		f.nudge()
 		return
 	}
-	if f.failures > 0 {
-		f.succeeded()
-		f.nudge()
-	}
+	f.reached()
 	f.advance(records, to, asOf, true)
 }
 
 // ReplicateSnapshot takes a whole snapshot that another entry has read.
-func (f *Follower) ReplicateSnapshot(to int64, records []Record, asOf time.Time) {
+func (f *Follower) ReplicateSnapshot(to Position, records []Record, asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next < 0 || to < f.next {
+	older := to.Generation < f.next.Generation || to.Generation == f.next.Generation && to.Offset < f.next.Offset
+	if f.next.Offset < 0 || older {
 		return
 	}
+	f.reached()
+	f.apply(Update{Reset: true, Records: records, From: f.next, To: to, AsOf: asOf, Replicated: true})
+}
+
+// reached ends an outage of which another entry's news shows that it is over.
+func (f *Follower) reached() {
 	if f.failures > 0 {
 		f.succeeded()
 		f.nudge()
 	}
-	f.apply(Update{Reset: true, Records: records, From: f.next, To: to, AsOf: asOf, Replicated: true})
 }
 
 // AsOf is when the log was last known to be in the state that has been applied; zero: it
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -22,6 +22,8 @@
 	first   int64
 	away    bool
 	calls   int
+	// generation counts the copies that the log has come back from.
+	generation int64
 }
 
 func (l *fakeLog) append(key, value string) {
@@ -51,17 +53,30 @@
 	return l.calls
 }
 
-func (l *fakeLog) Snapshot(feed.Topic) ([]feed.Record, int64, error) {
+func (l *fakeLog) Snapshot(feed.Topic) ([]feed.Record, feed.Position, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.calls++
 	if l.away {
-		return nil, 0, errAway
+		return nil, feed.Position{}, errAway
 	}
-	return append([]feed.Record(nil), l.records...), l.first + int64(len(l.records)), nil
+	return append([]feed.Record(nil), l.records...), l.at(l.first + int64(len(l.records))), nil
 }
 
-func (l *fakeLog) Read(_ feed.Topic, from int64, wait time.Duration) ([]feed.Record, int64, error) {
+// at is a position of the log as it is now. The mutex is held.
+func (l *fakeLog) at(offset int64) feed.Position {
+	return feed.Position{Generation: l.generation, Offset: offset}
+}
+
+// restore has the log come back with its first records only.
+func (l *fakeLog) restore(kept int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.generation++
+	l.records = l.records[:kept]
+}
+
+func (l *fakeLog) Read(_ feed.Topic, from feed.Position, wait time.Duration) ([]feed.Record, feed.Position, error) {
 	const step = 5 * time.Millisecond
 	l.mutex.Lock()
 	l.calls++
@@ -72,24 +87,27 @@
 		switch {
 		case l.away:
 			l.mutex.Unlock()
-			return nil, 0, errAway
-		case from < l.first:
+			return nil, feed.Position{}, errAway
+		case from.Offset < l.first || from.Generation != l.generation:
 			l.mutex.Unlock()
-			return nil, 0, feed.ErrTruncated
-		case from < end || waited >= wait:
-			found := append([]feed.Record(nil), l.records[from-l.first:]...)
+			return nil, feed.Position{}, feed.ErrTruncated
+		case from.Offset < end || waited >= wait:
+			found, to := append([]feed.Record(nil), l.records[from.Offset-l.first:]...), l.at(end)
 			l.mutex.Unlock()
-			return found, end, nil
+			return found, to, nil
 		}
 		l.mutex.Unlock()
 		time.Sleep(step)
 	}
 }
 
-func (l *fakeLog) PutAt(feed.Topic, int64, feed.Record) error { return nil }
+func (l *fakeLog) PutAt(feed.Topic, feed.Position, feed.Record) error { return nil }
 
 func (l *fakeLog) Put(feed.Topic, ...feed.Record) error { return nil }
 
+// at is a position in a log that has never been restored.
+func at(offset int64) feed.Position { return feed.Position{Offset: offset} }
+
 // followed is a follower with what it has applied.
 type followed struct {
 	*feed.Follower
@@ -217,7 +235,7 @@
 		log.append("a", "1")
 		f := follow(ctx, log, false)
 		time.Sleep(time.Second)
-		f.Replicate(1, 2, []feed.Record{{Key: "a", Offset: 1}}, time.Now())
+		f.Replicate(at(1), at(2), []feed.Record{{Key: "a", Offset: 1}}, time.Now())
 		update, _ := f.last("a")
 		g.Expect(update.Replicated).To(BeTrue())
 		g.Expect(update.UnsettledUntil).To(BeZero())
@@ -232,7 +250,7 @@
 		f := follow(ctx, log, false)
 		time.Sleep(100 * time.Millisecond)
 		for range 5 {
-			f.Replicate(0, 0, nil, time.Now())
+			f.Replicate(at(0), at(0), nil, time.Now())
 			time.Sleep(800 * time.Millisecond)
 		}
 		calls := log.count()
@@ -268,7 +286,7 @@
 		log := &fakeLog{}
 		f := follow(ctx, log, false)
 		time.Sleep(100 * time.Millisecond)
-		f.Replicate(5, 6, []feed.Record{{Key: "z", Value: []byte("1"), Offset: 5}}, time.Now())
+		f.Replicate(at(5), at(6), []feed.Record{{Key: "z", Value: []byte("1"), Offset: 5}}, time.Now())
 		_, record := f.last("z")
 		g.Expect(record.Key).To(BeEmpty())
 	})
@@ -285,7 +303,7 @@
 		for range 3 {
 			log.append("a", "1")
 		}
-		f.Replicate(2, 3, nil, time.Now())
+		f.Replicate(at(2), at(3), nil, time.Now())
 		time.Sleep(100 * time.Millisecond)
 		_, record := f.last("a")
 		g.Expect(string(record.Value)).To(Equal("1"))
@@ -302,11 +320,11 @@
 		f := follow(ctx, log, false)
 		time.Sleep(100 * time.Millisecond)
 		calls := log.count()
-		f.ReplicateSnapshot(9, []feed.Record{{Key: "b", Value: []byte("1"), Offset: 8}}, time.Now())
+		f.ReplicateSnapshot(at(9), []feed.Record{{Key: "b", Value: []byte("1"), Offset: 8}}, time.Now())
 		update, record := f.last("b")
 		g.Expect(string(record.Value)).To(Equal("1"))
 		g.Expect(update.Reset).To(BeTrue())
-		f.ReplicateSnapshot(4, []feed.Record{{Key: "old", Value: []byte("1"), Offset: 3}}, time.Now())
+		f.ReplicateSnapshot(at(4), []feed.Record{{Key: "old", Value: []byte("1"), Offset: 3}}, time.Now())
 		_, old := f.last("old")
 		g.Expect(old.Key).To(BeEmpty(), "an older snapshot changes nothing")
 		g.Expect(log.count()).To(Equal(calls))
@@ -343,3 +361,53 @@
 	<-applied
 	g.Eventually(f.AsOf, 5*time.Second).ShouldNot(BeZero())
 }
+
+// Guards against a reader that goes on at its offset after the log has come back from an older
+// copy: what stands before that offset now would never be read.
+func TestRestoredLogIsReadAnew(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		for _, key := range []string{"a", "b", "c"} {
+			log.append(key, "1")
+		}
+		f := follow(ctx, log, true)
+		time.Sleep(time.Second)
+		log.set(true)
+		log.restore(1)
+		log.append("d", "1")
+		log.append("e", "1")
+		log.append("f", "1")
+		time.Sleep(time.Second)
+		log.set(false)
+		time.Sleep(2 * time.Second)
+		update, record := f.last("d")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(update.Reset && update.Restored).To(BeTrue())
+		g.Expect(update.From.Generation).To(Equal(int64(0)))
+		g.Expect(update.To.Generation).To(Equal(int64(1)))
+		log.append("g", "1")
+		time.Sleep(time.Second)
+		update, _ = f.last("g")
+		g.Expect(update.Restored).To(BeFalse(), "once for each generation")
+	})
+}
+
+// Guards against news of a log as it was before it was restored, from an entry that has been
+// cut off since.
+func TestNewsOfAnOlderGenerationIsPassedOver(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{generation: 2}
+		log.append("a", "1")
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		older := feed.Position{Generation: 1, Offset: 9}
+		f.Replicate(feed.Position{Generation: 1, Offset: 1}, older, []feed.Record{{Key: "old", Value: []byte("1"), Offset: 8}}, time.Now())
+		f.ReplicateSnapshot(older, []feed.Record{{Key: "old", Value: []byte("1"), Offset: 8}}, time.Now())
+		_, record := f.last("old")
+		g.Expect(record.Key).To(BeEmpty())
+		f.ReplicateSnapshot(feed.Position{Generation: 3}, []feed.Record{{Key: "new", Value: []byte("1")}}, time.Now())
+		update, record := f.last("new")
+		g.Expect(record.Key).To(Equal("new"))
+		g.Expect(update.Restored).To(BeTrue())
+	})
+}
--- a/internal/gateway/entriesfeed.go
+++ b/internal/gateway/entriesfeed.go
@@ -43,10 +43,17 @@
 			pause = registerRetry
 			continue
 		}
-		registered = true
 		pause = registerRetry
-		if f.readEntries() {
+		listed, err := f.readEntries()
+		switch {
+		case err != nil:
+			f.noteLost(feed.Entries, err)
+			registered = true
+		case listed:
 			pause = entriesEvery/2 + rand.N(entriesEvery)
+			registered = true
+		default:
+			registered = false
 		}
 	}
 }
@@ -75,12 +82,13 @@
 	return true
 }
 
-func (f *feeds) readEntries() bool {
+// readEntries reads the register of entries; listed: it holds this one.
+func (f *feeds) readEntries() (listed bool, err error) {
 	records, _, err := f.gateway.platform.Snapshot(feed.Entries)
 	if err != nil {
-		f.noteLost(feed.Entries, err)
-		return false
+		return false, err
 	}
+	self := f.gateway.self
 	var entries []peerset.Entry
 	for _, record := range records {
 		var entry entryRecord
@@ -88,9 +96,10 @@
 			f.noteUndecodable(feed.Entries, record, err)
 			continue
 		}
+		listed = listed || record.Key == self.Name && entry.Incarnation == self.Incarnation
 		entries = append(entries, peerset.Entry{Name: record.Key, Incarnation: entry.Incarnation, Zone: entry.Zone, Callers: entry.Callers, Links: entry.Links})
 	}
 	f.looked.Store(time.Now().UnixNano())
 	f.gateway.links.registered(entries)
-	return true
+	return listed, nil
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -34,6 +34,7 @@
 	eventPeer          = "peer"
 	eventStoreLost     = "store_lost"
 	eventStoreRegained = "store_regained"
+	eventStoreRestored = "store_restored"
 	eventReader        = "reader"
 	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -49,6 +49,12 @@
 	// lookAgain asks for another look at the register of entries.
 	lookAgain chan struct{}
 	looked    atomic.Int64
+	// inForce is the operators' record of the configuration in force.
+	inForce atomic.Pointer[feed.Record]
+	// generation is the latest of the store that this entry has followed, usageLost that
+	// records of usage may be missing since.
+	generation atomic.Int64
+	usageLost  atomic.Bool
 }
 
 func newFeeds(g *Gateway) *feeds {
@@ -134,7 +140,11 @@
 		f.noteUndecodable(u.Topic, record, err)
 		return
 	}
-	if configuration != nil && f.gateway.apply(configuration, record.Offset, source(u)) && !u.Replicated {
+	if configuration == nil || !f.gateway.apply(configuration, record.Offset, source(u)) {
+		return
+	}
+	f.inForce.Store(&record)
+	if !u.Replicated {
 		go f.keepCopy(record)
 	}
 }
@@ -162,7 +172,7 @@
 		f.noteUndecodable(u.Topic, record, err)
 		return false
 	}
-	return order != nil && f.gateway.state.rollouts.ordered(*order, u.Reset)
+	return order != nil && f.gateway.state.rollouts.ordered(*order, u.To.Generation, u.Reset)
 }
 
 // apply puts a configuration in force; false: it is not newer than the one that is.
@@ -193,7 +203,12 @@
 		u.Records = append(u.Records, f.missing(u.Records)...)
 	}
 	keepUntil := time.Time{}
-	if f.register.Lapse(drops(u.Records)) {
+	switch {
+	case u.Restored:
+		// Targets that came in the seconds that are lost write their entries again.
+		f.register.Restore(u.To.Offset)
+		keepUntil = now.Add(settle)
+	case f.register.Lapse(drops(u.Records)):
 		keepUntil = u.UnsettledUntil
 	}
 	var changed []feed.Record
@@ -260,6 +275,9 @@
 		f.noteUndecodable(u.Topic, record, err)
 		return f.dropTarget(now, record, time.Time{})
 	}
+	if f.register.Outdated(target, record.Offset) {
+		return false
+	}
 	before, known := f.register.Get(target.ID)
 	if !f.register.Put(target) {
 		return false
@@ -358,9 +376,12 @@
 
 func (f *feeds) count(u feed.Update) {
 	if !u.Replicated && !f.gateway.leads() {
-		f.gateway.log.Write(eventlog.Routine, eventOwnRead, eventlog.Fields{"topic": u.Topic.String(), "reset": u.Reset, "from": u.From, "to": u.To})
+		f.gateway.log.Write(eventlog.Routine, eventOwnRead, eventlog.Fields{"topic": u.Topic.String(), "reset": u.Reset, "from": u.From.Offset, "to": u.To.Offset, "generation": u.To.Generation})
 	}
 	f.gateway.counters.news.add(u.Topic.String() + "_" + source(u))
+	if u.Restored {
+		f.restored(u)
+	}
 }
 
 // source says who read a step.
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -38,7 +38,9 @@
 	return &s.order, nil
 }
 
-func (s *scripted) Snapshot(feed.Topic) ([]feed.Record, int64, error) { return nil, 0, nil }
+func (s *scripted) Snapshot(feed.Topic) ([]feed.Record, feed.Position, error) {
+	return nil, feed.Position{}, nil
+}
 
 // An entry starts in the midst of a roll-out and reads the servers before it reads the
 // operators' orders. With the configuration it takes callers: if the order came into force
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -111,7 +111,10 @@
 
 // replicate passes on what this entry has read of a log.
 func (l *links) replicate(u feed.Update, changed []feed.Record) {
-	news := &gossip.Replica{Topic: u.Topic, From: u.From, To: u.To, Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds(), Whole: u.Reset}
+	news := &gossip.Replica{
+		Topic: u.Topic, From: u.From.Offset, To: u.To.Offset, Generation: u.To.Generation,
+		Records: changed, AgeMS: time.Since(u.AsOf).Milliseconds(), Whole: u.Reset,
+	}
 	members := l.readFor(l.members())
 	if len(changed) == 0 {
 		m := l.message()
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -159,11 +159,12 @@
 		follower = l.gateway.feeds.operators
 	}
 	asOf := time.Now().Add(-milliseconds(n.AgeMS))
+	to := feed.Position{Generation: n.Generation, Offset: n.To}
 	if n.Whole {
-		follower.ReplicateSnapshot(n.To, n.Records, asOf)
+		follower.ReplicateSnapshot(to, n.Records, asOf)
 		return
 	}
-	follower.Replicate(n.From, n.To, n.Records, asOf)
+	follower.Replicate(feed.Position{Generation: n.Generation, Offset: n.From}, to, n.Records, asOf)
 }
 
 // takeFragment joins news that came in pieces. Only the receiving goroutine calls it.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,6 +26,8 @@
 	writing    bool
 	writeAfter time.Time
 	told       rollout.Phase
+	// generation is that of the store in which the order was read last.
+	generation int64
 	// recordAsked is when the store was last asked; ended when the end was first known.
 	recordAsked, ended time.Time
 }
@@ -50,16 +52,25 @@
 	return rollout.Bounds{ExposureShare: b.ExposureShare, StopWithin: settings.Milliseconds(b.RollbackMS)}
 }
 
-// ordered takes an order that has been read; earlier: it may have been given before this
-// entry began to follow orders. It reports whether the order is new here.
-func (r *rollouts) ordered(order rollout.Order, earlier bool) bool {
+// writtenAgain reports whether an order is the known one, which the operators have written
+// again after the store has lost it.
+func (k *rolling) writtenAgain(order rollout.Order, generation int64) bool {
+	known := k.tracker.Order()
+	return generation > k.generation && known.To == order.To && known.Duration == order.Duration
+}
+
+// ordered takes an order that has been read in a generation of the store; earlier: it may
+// have been given before this entry began to follow orders. It reports whether the order is
+// new here.
+func (r *rollouts) ordered(order rollout.Order, generation int64, earlier bool) bool {
 	g := r.gateway
 	now := time.Now()
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
 	current := order.Service
 	if known, found := r.services[order.Service]; found {
-		if known.tracker.Order().ID >= order.ID {
+		if known.tracker.Order().ID >= order.ID || known.writtenAgain(order, generation) {
+			known.generation = max(known.generation, generation)
 			return false
 		}
 		current = known.current
@@ -67,7 +78,7 @@
 			current = known.tracker.NewPool()
 		}
 	}
-	started := &rolling{tracker: rollout.NewTracker(now, order, r.bounds()), current: current}
+	started := &rolling{tracker: rollout.NewTracker(now, order, r.bounds()), current: current, generation: generation}
 	if earlier {
 		started.recordAsked = now
 		go r.readRecord(order)
--- a/internal/gateway/rolloutstore.go
+++ b/internal/gateway/rolloutstore.go
@@ -69,10 +69,10 @@
 }
 
 // newest is the store's record of an order's service, and the end of the topic.
-func (r *rollouts) newest(order rollout.Order) (record rollout.Record, end int64, err error) {
+func (r *rollouts) newest(order rollout.Order) (record rollout.Record, end feed.Position, err error) {
 	records, end, err := r.gateway.platform.Snapshot(feed.Rollouts)
 	if err != nil {
-		return rollout.Record{}, 0, err
+		return rollout.Record{}, feed.Position{}, err
 	}
 	for _, each := range records {
 		if each.Key != order.Service {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -45,6 +45,9 @@
 			return
 		case <-ticker.C:
 		}
+		if f.usageLost.Swap(false) {
+			clear(recorded)
+		}
 		if f.gateway.records() {
 			recorded = f.record(recorded)
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -122,10 +122,12 @@
 // Replica is a part of a log that the sender has read.
 type Replica struct {
 	Topic feed.Topic `cbor:"1,keyasint"`
-	// From and To are the offsets between which Records are all that matters.
-	From    int64         `cbor:"2,keyasint"`
-	To      int64         `cbor:"3,keyasint"`
-	Records []feed.Record `cbor:"4,keyasint,omitempty"`
+	// From and To are the offsets between which Records are all that matters, Generation the
+	// log's.
+	From       int64         `cbor:"2,keyasint"`
+	To         int64         `cbor:"3,keyasint"`
+	Generation int64         `cbor:"7,keyasint,omitempty"`
+	Records    []feed.Record `cbor:"4,keyasint,omitempty"`
 	// AgeMS is how long before sending the log was in this state.
 	AgeMS int64 `cbor:"5,keyasint"`
 	// Whole: Records are the newest of all keys, not changes.
