The end of a limit is told for three seconds, not as long as answers come

Each answer without a limit counted as its end anew, so the end was told with every load report until the entry ended. Found by reading; the test failed with the former condition.

--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -17,11 +17,6 @@
 	// minLimit is the least rate, in requests a second: only an answer shows that the
 	// target's need is over.
 	minLimit = 0.2
-	// limitSkew is how much newer another entry's news must be to replace this entry's: by
-	// less, it may be the same news, which each report makes younger by its delay.
-	limitSkew = 50 * time.Millisecond
-	// limitEndTold is how long the end of a limit is told.
-	limitEndTold = 3 * time.Second
 )
 
 // Limit is the rate of requests that a target takes from all entries together, as it
@@ -43,22 +38,14 @@
 	For  time.Duration
 }
 
-// LimitReport is what an entry tells of a target's limit.
-type LimitReport struct {
-	Limit
-	// Age is the age of the answer that declares the limit, or its end.
-	Age time.Duration
-	// Sent is the number of requests that the sender has sent since the limit began.
-	Sent int
-}
-
 // declaredLimit is a target's limit as last declared, with a token bucket that all entries
 // of the cell draw on: each takes its own requests, and those that the others report.
 type declaredLimit struct {
 	Limit
 	// answered is when the answer came that declares it, or its end.
 	answered time.Time
-	// since is when it began, sent the number of this entry's requests since then.
+	// since is when it began or ended, zero where there was none; sent is the number of this
+	// entry's requests since it began.
 	since time.Time
 	sent  int
 	// tokens is the number of requests that may be sent, as of filled; negative: owed.
@@ -95,9 +82,12 @@
 	if known.Declared {
 		change.Sent, change.For = known.sent, now.Sub(known.since)
 	} else {
-		known.since, known.sent = now, 0
+		known.sent = 0
 		known.filled, known.tokens = now, s.firstTokens(t, limit)
 	}
+	if known.Declared != limit.Declared {
+		known.since = now
+	}
 	known.Limit = limit
 	return change, true
 }
@@ -164,53 +154,3 @@
 	owed := max(1, t.limited.rate(t.pool.sharing)*limitDebt.Seconds())
 	t.limited.tokens = max(t.limited.tokens-float64(n), -owed)
 }
-
-// reportLimits is what this entry tells its cell of targets' limits.
-func (s *Scheduler) reportLimits(now time.Time) map[string]LimitReport {
-	var reports map[string]LimitReport
-	for id, t := range s.targets {
-		known := &t.limited
-		age := now.Sub(known.answered)
-		if known.answered.IsZero() || known.since.IsZero() || !known.Declared && age > limitEndTold {
-			continue
-		}
-		if reports == nil {
-			reports = make(map[string]LimitReport)
-		}
-		reports[id] = LimitReport{Limit: known.Limit, Age: age, Sent: known.sent}
-	}
-	return reports
-}
-
-// takeLimits takes a peer's news of limits and counts what it has sent.
-func (s *Scheduler) takeLimits(now time.Time, name string, peer *peerLoad, reports map[string]LimitReport) []LimitChange {
-	var changes []LimitChange
-	for id, report := range reports {
-		t, found := s.targets[id]
-		if !found {
-			continue
-		}
-		before, counted := peer.sentUnderLimit[id]
-		if counted && report.Sent > before {
-			s.takeTokens(now, t, report.Sent-before)
-		}
-		if peer.sentUnderLimit == nil {
-			peer.sentUnderLimit = make(map[string]int)
-		}
-		peer.sentUnderLimit[id] = report.Sent
-		if change, changed := s.hearLimit(now, t, report); changed {
-			change.Peer = name
-			changes = append(changes, change)
-		}
-	}
-	return changes
-}
-
-// hearLimit takes a peer's news of a limit; false: nothing changes.
-func (s *Scheduler) hearLimit(now time.Time, t *target, report LimitReport) (LimitChange, bool) {
-	answered := now.Add(-report.Age)
-	if answered.Sub(t.limited.answered) < limitSkew {
-		return LimitChange{}, false
-	}
-	return s.setLimit(now, t, report.Limit, answered)
-}
--- a/internal/core/dispatch/limit_test.go
+++ b/internal/core/dispatch/limit_test.go
@@ -128,4 +128,9 @@
 	entries[2].ObserveLimit(now, second, dispatch.Limit{})
 	tellInTurn(2 * time.Second)
 	g.Expect(limited()).To(BeZero())
+	for range 4 {
+		entries[2].ObserveLimit(now, second, dispatch.Limit{})
+		tellInTurn(time.Second)
+	}
+	g.Expect(entries[2].OwnLoad(now).Limits).To(BeEmpty(), "the end is told for a while only")
 }
