A roll-out is neither lost nor begun anew when the store comes back from an older copy

Through the program: a completed roll-out whose order, record and status were in the lost seconds had no status for the operators, and an entry that started afterwards found no record; where the order was written again behind its former offset it was taken for a second one and rolled back a version that had all the traffic.

An order with the same version and duration in a later generation is the known one: it takes its new offset as its id. After a restore the leader writes the record and the status again from what it knows, where the store has an earlier phase, also of roll-outs that have ended. The condition on the topic's end stays, so of two leaders one writes.

The reader's side of an entry that was cut off has a test.

--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -96,6 +96,14 @@
 	return true
 }
 
+// Record is what the store should have of the roll-out; its phase is 0 before the first step.
+func (t *Tracker) Record() Record {
+	return Record{Order: t.order, Phase: t.phase, From: t.from, Began: t.began}
+}
+
+// Renumber tells that the operators have written the order again, under another id.
+func (t *Tracker) Renumber(id int64) { t.order.ID = id }
+
 // Heard takes the leader's word. It reports whether the phase has changed.
 func (t *Tracker) Heard(now time.Time, s Step) bool {
 	if s.Order != t.order.ID || s.Phase < t.phase {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -411,3 +411,21 @@
 		g.Expect(update.Restored).To(BeTrue())
 	})
 }
+
+// Guards against an entry that waits for news that it has missed: it was cut off when the log
+// was restored, and hears a later generation without the snapshot.
+func TestLaterGenerationIsReadAtOnce(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context) {
+		log := &fakeLog{}
+		log.append("a", "1")
+		f := follow(ctx, log, false)
+		time.Sleep(100 * time.Millisecond)
+		log.restore(0)
+		log.append("b", "1")
+		f.Replicate(feed.Position{Generation: 1, Offset: 1}, feed.Position{Generation: 1, Offset: 1}, nil, time.Now())
+		time.Sleep(200 * time.Millisecond)
+		update, record := f.last("b")
+		g.Expect(string(record.Value)).To(Equal("1"))
+		g.Expect(update.Restored).To(BeTrue())
+	})
+}
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -10,7 +10,7 @@
 
 // A store that comes back from an older copy has lost what entries wrote in the last seconds.
 // Operators and targets write theirs again; so do entries: their registrations, the records of
-// usage and the copies of the configuration.
+// usage and of roll-outs, and the copies of the configuration.
 
 // rewriteSpread is the time over which entries look for what they have lost, so that
 // hundreds of them don't call the store at the moment in which it is back.
@@ -31,6 +31,7 @@
 // writeAgain has what this entry has written looked for, and written where it is missing.
 func (f *feeds) writeAgain() {
 	f.usageLost.Store(true)
+	f.gateway.state.rollouts.lost()
 	signal(f.lookAgain)
 	if record := f.inForce.Load(); record != nil {
 		f.keepCopy(*record)
--- a/internal/gateway/rolloutlead.go
+++ b/internal/gateway/rolloutlead.go
@@ -150,13 +150,14 @@
 	d := known.judge.Decide(now, t.Phase(), t.Elapsed(now), g.liveNames(now))
 	known.condemned = d.Action == rollout.RollBack
 	order, phase := t.Order(), t.Phase()
-	due := d.Action != rollout.Wait || known.told < phase
+	again := known.recordLost && phase > 0
+	due := d.Action != rollout.Wait || known.told < phase || again
 	if due = due && !known.writing && now.After(known.writeAfter); due {
 		known.writing = true
 	}
 	g.state.mutex.Unlock()
 	if due {
-		go r.store(order, phase, d)
+		go r.store(order, phase, d, again)
 	}
 	r.tell(service)
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,8 +26,10 @@
 	writing    bool
 	writeAfter time.Time
 	told       rollout.Phase
-	// generation is that of the store in which the order was read last.
+	// generation is that of the store in which the order was read last; recordLost: the store
+	// may have lost the record since.
 	generation int64
+	recordLost bool
 	// recordAsked is when the store was last asked; ended when the end was first known.
 	recordAsked, ended time.Time
 }
@@ -52,11 +54,32 @@
 	return rollout.Bounds{ExposureShare: b.ExposureShare, StopWithin: settings.Milliseconds(b.RollbackMS)}
 }
 
-// writtenAgain reports whether an order is the known one, which the operators have written
-// again after the store has lost it.
-func (k *rolling) writtenAgain(order rollout.Order, generation int64) bool {
+// takesAgain takes an order that the operators have written again, after the store has lost
+// it, for the known one; false: it is another.
+func (k *rolling) takesAgain(order rollout.Order, generation int64) bool {
 	known := k.tracker.Order()
-	return generation > k.generation && known.To == order.To && known.Duration == order.Duration
+	if generation <= k.generation || known.To != order.To || known.Duration != order.Duration {
+		return false
+	}
+	k.generation = generation
+	k.tracker.Renumber(order.ID)
+	k.lost()
+	return true
+}
+
+// lost has what the store may have lost of the roll-out written again.
+func (k *rolling) lost() {
+	k.recordLost, k.told, k.ended = true, 0, time.Time{}
+}
+
+// lost has what the store may have lost of all roll-outs written again.
+func (r *rollouts) lost() {
+	r.gateway.state.mutex.Lock()
+	defer r.gateway.state.mutex.Unlock()
+	for _, known := range r.services {
+		known.lost()
+	}
+	signal(r.wake)
 }
 
 // ordered takes an order that has been read in a generation of the store; earlier: it may
@@ -69,8 +92,11 @@
 	defer g.state.mutex.Unlock()
 	current := order.Service
 	if known, found := r.services[order.Service]; found {
-		if known.tracker.Order().ID >= order.ID || known.writtenAgain(order, generation) {
-			known.generation = max(known.generation, generation)
+		if known.takesAgain(order, generation) {
+			signal(r.wake)
+			return false
+		}
+		if known.tracker.Order().ID >= order.ID {
 			return false
 		}
 		current = known.current
--- a/internal/gateway/rolloutstore.go
+++ b/internal/gateway/rolloutstore.go
@@ -23,10 +23,13 @@
 var errSuperseded = errors.New("the order has been superseded")
 
 // store puts the step of a decision into the store, or tells the operators of the one that
-// is there.
-func (r *rollouts) store(order rollout.Order, phase rollout.Phase, d rollout.Decision) {
+// is there; again: the store may have lost that one.
+func (r *rollouts) store(order rollout.Order, phase rollout.Phase, d rollout.Decision, again bool) {
 	var err error
-	if d.Action != rollout.Wait {
+	switch {
+	case again:
+		err = r.writeAgain(order)
+	case d.Action != rollout.Wait:
 		phase, err = r.write(order, d)
 	}
 	if err == nil {
@@ -48,6 +51,7 @@
 		known.ended = time.Time{}
 	case known.tracker.Order() == order:
 		known.told = max(known.told, phase)
+		known.recordLost = known.recordLost && !again
 	}
 }
 
@@ -120,13 +124,7 @@
 		return 0, fmt.Errorf("%w: %d by %d", errSuperseded, order.ID, kept.ID)
 	}
 	next := r.next(order, kept, d.Action.Phase())
-	value, err := json.Marshal(rolloutRecord{
-		Order: next.ID, To: next.To, DurationMS: next.Duration.Milliseconds(), Phase: uint8(next.Phase), From: next.From, BeganMS: next.Began.UnixMilli(),
-	})
-	if err != nil {
-		return 0, fmt.Errorf("record of a roll-out: %w", err)
-	}
-	if err := r.gateway.platform.PutAt(feed.Rollouts, end, feed.Record{Key: order.Service, Value: value}); err != nil {
+	if err := r.put(next, end); err != nil {
 		return 0, err
 	}
 	r.note(order, d)
@@ -135,6 +133,34 @@
 	return next.Phase, nil
 }
 
+// put puts a record if the topic still ends where it did.
+func (r *rollouts) put(record rollout.Record, end feed.Position) error {
+	value, err := json.Marshal(rolloutRecord{
+		Order: record.ID, To: record.To, DurationMS: record.Duration.Milliseconds(), Phase: uint8(record.Phase),
+		From: record.From, BeganMS: record.Began.UnixMilli(),
+	})
+	if err != nil {
+		return fmt.Errorf("record of a roll-out: %w", err)
+	}
+	return r.gateway.platform.PutAt(feed.Rollouts, end, feed.Record{Key: record.Service, Value: value})
+}
+
+// writeAgain puts the phase that is known into the store where that has an earlier one.
+func (r *rollouts) writeAgain(order rollout.Order) error {
+	kept, end, err := r.newest(order)
+	if err != nil {
+		return err
+	}
+	g := r.gateway
+	g.state.mutex.Lock()
+	known := r.services[order.Service].tracker.Record()
+	g.state.mutex.Unlock()
+	if known.Order != order || kept.ID == order.ID && kept.Phase >= known.Phase {
+		return nil
+	}
+	return r.put(known, end)
+}
+
 // next is the record that follows the one that is kept.
 func (r *rollouts) next(order rollout.Order, kept rollout.Record, phase rollout.Phase) rollout.Record {
 	g := r.gateway
