--- a/internal/core/entry/fields_test.go
+++ b/internal/core/entry/fields_test.go
@@ -178,7 +178,7 @@
 	{path: "limits.stream_bytes", edge: "pass_test.go: gives the rest at the same entry, from its own memory"},
 	{path: "refusal.retry_after_min_ms", change: func(d *document.Document) { d.Refusal.RetryAfterMinMS = 2900 }, see: (*lone).settings},
 	{path: "refusal.retry_after_max_ms", change: func(d *document.Document) { d.Refusal.RetryAfterMaxMS = 300 }, see: (*lone).settings},
-	{path: "refusal.early", change: func(d *document.Document) { d.Refusal.Early = false }, see: func(l *lone) any { return told(l.submit(1, hopeless)) }},
+	{path: "refusal.early", change: func(d *document.Document) { d.Refusal.Early = false }, see: func(l *lone) any { return told(l.submit(1, infeasible)) }},
 	{path: "refusal.preempt", change: func(d *document.Document) { d.Refusal.Preempt = false }, see: (*lone).settings},
 	{path: "refusal.floor_ms", change: func(d *document.Document) { d.Refusal.FloorMS = 700 }, see: (*lone).settings},
 	{path: "refusal.short_prompt_tokens", change: func(d *document.Document) { d.Refusal.ShortPromptTokens = 9 }, see: (*lone).settings},
@@ -193,8 +193,8 @@
 	{path: "timing.retention_ms", change: func(d *document.Document) { d.Timing.RetentionMS = 14_000 }, see: renewals},
 }
 
-// hopeless has more tokens to come than its deadline allows.
-func hopeless(r *request.Request) { r.MaxTokens = 500 }
+// infeasible has more tokens to come than its deadline allows.
+func infeasible(r *request.Request) { r.MaxTokens = 500 }
 
 // patient can wait for a place.
 func patient(r *request.Request) { r.Deadline = r.Arrived.Add(20 * time.Second) }
--- a/internal/core/routing/able.go
+++ b/internal/core/routing/able.go
@@ -23,10 +23,10 @@
 	return first <= q.firstBy && first+decode(q, c) <= q.remaining
 }
 
-// hopeless reports, without a look at each target, that even the best speeds of
+// infeasible reports, without a look at each target, that even the best speeds of
 // the pool put together would miss the deadline by a wide margin. The margin
 // covers what changed since the pool's last refresh.
-func (f *ableFilter) hopeless(q *query) bool {
+func (f *ableFilter) infeasible(q *query) bool {
 	if !f.early && !q.long || q.pool.topRate == 0 {
 		return false
 	}
--- a/internal/core/routing/able_test.go
+++ b/internal/core/routing/able_test.go
@@ -54,9 +54,9 @@
 		}
 	})
 
-	// The prompt alone is hopeless at every speed of the pool, but one target
+	// The prompt alone is infeasible at every speed of the pool, but one target
 	// holds most of it in its cache. The quick refusal must count that in.
-	It("does not call a brief hopeless that a cache holds", func() {
+	It("does not call a brief infeasible that a cache holds", func() {
 		r := routerFor(poolOf(60, 0), 3)
 		r.Dispatched(start, "t7", prefixed(ask(51200, 20), 1, 400))
 		r.Digest(start, digest("t7", 0, 16))
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -9,11 +9,11 @@
 
 // benchmarkLoad is what a request brings and what it meets.
 type benchmarkLoad struct {
-	name     string
-	prompt   int
-	wait     time.Duration // of every target's queue
-	left     time.Duration
-	hopeless bool
+	name       string
+	prompt     int
+	wait       time.Duration // of every target's queue
+	left       time.Duration
+	infeasible bool
 }
 
 // BenchmarkChoose is one choice against the size of the pool, with the pool's
@@ -24,9 +24,9 @@
 		{name: "short", prompt: 200, left: 10 * time.Second},
 		{name: "long", prompt: 12800, left: 10 * time.Second},
 		{name: "late", prompt: 200, wait: time.Minute, left: 10 * time.Second},
-		{name: "hopeless", prompt: 200, left: time.Millisecond, hopeless: true},
+		{name: "infeasible", prompt: 200, left: time.Millisecond, infeasible: true},
 		{name: "rare", prompt: 40000, left: 4 * time.Second},
-		{name: "scanned", prompt: 200, left: 990 * time.Millisecond, hopeless: true},
+		{name: "scanned", prompt: 200, left: 990 * time.Millisecond, infeasible: true},
 	}
 	for _, load := range loads {
 		for _, size := range []int{10, 50, 250, 1000, 1800} {
@@ -53,7 +53,7 @@
 			b.StartTimer()
 		}
 		req.Deadline = now.Add(load.left)
-		if _, status := r.Choose(now, req, nil); status.OK() == load.hopeless {
+		if _, status := r.Choose(now, req, nil); status.OK() == load.infeasible {
 			b.Fatal(status)
 		}
 	}
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -32,7 +32,7 @@
 		return "", status
 	}
 	q.pool.refresh(now)
-	if r.able.hopeless(q) {
+	if r.able.infeasible(q) {
 		return "", NoneInTime
 	}
 	if t := r.trial(q); t != nil {
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -179,10 +179,10 @@
 	// reached, and sends the id again. The old word would keep it from learning
 	// what became of its request; a flight of its own has the core ask again.
 	It("puts a flight aside that ended in doubt", func() {
-		doubtful := add("a")
-		doubtful.Finish(outcome.Undetermined(outcome.ReasonOwnerUnreachable, ""))
+		undetermined := add("a")
+		undetermined.Finish(outcome.Undetermined(outcome.ReasonOwnerUnreachable, ""))
 		again := add("a")
-		Expect(again).NotTo(BeIdenticalTo(doubtful))
+		Expect(again).NotTo(BeIdenticalTo(undetermined))
 		Expect(r.Get("a")).To(BeIdenticalTo(again))
 		Expect(r.Stats()).To(Equal(Stats{Open: 1, Ended: 1, EndedBytes: endedOverhead}))
 		now = now.Add(time.Minute)
--- a/internal/replay/faults/play.go
+++ b/internal/replay/faults/play.go
@@ -21,9 +21,9 @@
 	// start of the load; begun is when the failure began, healed when what
 	// caused it was taken away (zero: never), over when it had no more effect.
 	start, begun, healed, over time.Time
-	// victim is the entry that the failure strikes, where it strikes one.
+	// victim is the entry that the failure hits, where it hits one.
 	victim *instance
-	// struck is the target that the failure strikes, where it strikes one.
+	// struck is the target that the failure hits, where it hits one.
 	struck string
 	// extra are replays beside the load.
 	extra []report.Input
--- a/internal/replay/sweep/bound_test.go
+++ b/internal/replay/sweep/bound_test.go
@@ -109,9 +109,9 @@
 	})
 
 	It("counts a request that no target can serve in time as lost", func() {
-		hopeless := engineLine("rider", 0, 100, 4000)
-		hopeless.PromptTokens = 8000
-		Expect(ceiling(twoEngines(), repeated(3, hopeless, 0))).To(BeZero())
+		infeasible := engineLine("rider", 0, 100, 4000)
+		infeasible.PromptTokens = 8000
+		Expect(ceiling(twoEngines(), repeated(3, infeasible, 0))).To(BeZero())
 	})
 
 	DescribeTable("is not passed by any policy",
