Log each decision of the retry budget with its inputs

Cause: a request that is sent to one more target leaves only its tried lines, and a denied repeat only the reason retry_budget in its settled line. Neither names the counts or the number of entries that decided, so the hypotheses on repeats beyond the budget (a new process that begins with an unused budget; an extra that is shared among too few entries; sends that are not counted) could not be told apart from logs.

Change: a repeat line per decision, allowed or denied, with this entry's requests, repeats and allowance in the window and the number of entries. The budget's decision is the same as before.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -61,19 +61,35 @@
 	u.requests = append(prune(u.requests, now.Add(-b.config.Window)), now)
 }
 
-// Repeat counts a repeat and returns true, unless the allowance is used up. entries is
-// the number of entries that share the extra.
-func (b *Budget) Repeat(now time.Time, service string, entries int) bool {
-	if b.Left(now, service, entries) < 1 {
-		return false
+// Decision is the answer to a request for a repeat, with the inputs that decided it.
+type Decision struct {
+	Allowed bool
+	// Requests and Repeats are this entry's in the window, without this repeat.
+	Requests, Repeats int
+	// Allowance is the number of repeats that this entry may make in the window.
+	Allowance float64
+	// Entries is the number of entries that share the extra.
+	Entries int
+}
+
+// Repeat counts a repeat, unless the allowance is used up. entries is the number of
+// entries that share the extra.
+func (b *Budget) Repeat(now time.Time, service string, entries int) Decision {
+	d := b.decide(now, service, entries)
+	if d.Allowed {
+		u := b.usageOf(service)
+		u.repeats = append(u.repeats, now)
 	}
-	u := b.usageOf(service)
-	u.repeats = append(u.repeats, now)
-	return true
+	return d
 }
 
 // Left returns the number of repeats that may still be made now.
 func (b *Budget) Left(now time.Time, service string, entries int) float64 {
+	d := b.decide(now, service, entries)
+	return d.Allowance - float64(d.Repeats)
+}
+
+func (b *Budget) decide(now time.Time, service string, entries int) Decision {
 	u := b.usageOf(service)
 	since := now.Add(-b.config.Window)
 	u.requests = prune(u.requests, since)
@@ -84,7 +100,11 @@
 	} else {
 		allowance += startupExtraShare * b.config.Extra / float64(max(startupMinEntries, entries))
 	}
-	return safetyFactor*allowance - float64(len(u.repeats))
+	allowance *= safetyFactor
+	return Decision{
+		Allowed:  allowance-float64(len(u.repeats)) >= 1,
+		Requests: len(u.requests), Repeats: len(u.repeats), Allowance: allowance, Entries: entries,
+	}
 }
 
 // Services returns the services that have had requests.
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -26,7 +26,7 @@
 		b := budget.New(budget.Config{Window: window, Ratio: ratio, Extra: extra}, longAgo)
 		for range requests {
 			b.Request(now, "desk")
-			if b.Repeat(now, "desk", entries) {
+			if b.Repeat(now, "desk", entries).Allowed {
 				repeats++
 			}
 		}
@@ -45,7 +45,7 @@
 	use := func(started time.Time, known int) {
 		for range entries {
 			b := budget.New(budget.Config{Window: window, Extra: extra}, started)
-			for b.Repeat(now, "desk", known) {
+			for b.Repeat(now, "desk", known).Allowed {
 				repeats++
 			}
 		}
@@ -58,14 +58,14 @@
 func TestAllowanceIsRenewedAfterTheWindow(t *testing.T) {
 	g := NewWithT(t)
 	b := budget.New(budget.Config{Window: window, Extra: 2}, longAgo)
-	g.Expect(b.Repeat(now, "desk", 1)).To(BeTrue())
-	g.Expect(b.Repeat(now, "desk", 1)).To(BeFalse())
-	g.Expect(b.Repeat(now.Add(window+time.Millisecond), "desk", 1)).To(BeTrue())
+	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeTrue())
+	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeFalse())
+	g.Expect(b.Repeat(now.Add(window+time.Millisecond), "desk", 1).Allowed).To(BeTrue())
 }
 
 func TestAllowanceIsPerService(t *testing.T) {
 	g := NewWithT(t)
 	b := budget.New(budget.Config{Window: window, Extra: 2}, longAgo)
-	g.Expect(b.Repeat(now, "desk", 1)).To(BeTrue())
-	g.Expect(b.Repeat(now, "other", 1)).To(BeTrue())
+	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeTrue())
+	g.Expect(b.Repeat(now, "other", 1).Allowed).To(BeTrue())
 }
--- /dev/null
+++ b/internal/gateway/repeat_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"sycamoretrail/internal/settings"
+	"sycamoretrail/platform/platformtest"
+)
+
+// Guards against a denied repeat whose log does not tell what used up the budget.
+func TestRepeatLinesNameTheirInputs(t *testing.T) {
+	g := NewWithT(t)
+	log := &platformtest.Log{}
+	logger := logrus.New()
+	logger.SetOutput(log)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	s := settings.DefaultGateway()
+	s.Name, s.Zone = "entry-1", "a"
+	s.Bounds.RetryExtra = 0
+	gateway := New(s, nil, logger)
+	for range 20 {
+		gateway.state.countRequest("desk")
+	}
+	for gateway.state.mayRepeat("id-1", "desk") {
+		continue
+	}
+	gateway.log.Close(time.Minute)
+	g.Expect(log.String()).To(MatchRegexp(`"allowed":true.*"repeats":0`))
+	g.Expect(log.String()).To(MatchRegexp(`"allowance":[0-9.]+,"allowed":false,"entries":1.*"id":"id-1".*"requests":20,"service":"desk"`))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,7 +38,7 @@
 			c.giveUp(reply)
 			return
 		}
-		if c.sends > 0 && !c.gateway.state.mayRepeat(c.service) {
+		if c.sends > 0 && !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
 			c.gateway.state.release(grant.Ticket, dispatch.Report{Outcome: dispatch.Abandoned})
 			c.giveUp(notRun("retry_budget", time.Second))
 			return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -194,10 +194,19 @@
 	s.budget.Request(time.Now(), service)
 }
 
-func (s *state) mayRepeat(service string) bool {
+func (s *state) mayRepeat(id, service string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.budget.Repeat(time.Now(), service, s.peers.Size())
+	d := s.budget.Repeat(time.Now(), service, s.peers.Size())
+	importance := eventlog.Routine
+	if !d.Allowed {
+		importance = eventlog.Failure
+	}
+	s.log.Write(importance, eventRepeat, eventlog.Fields{
+		"id": id, "service": service, "allowed": d.Allowed, "requests": d.Requests, "repeats": d.Repeats,
+		"allowance": d.Allowance, "entries": d.Entries,
+	})
+	return d.Allowed
 }
 
 func (s *state) quarantined(fingerprint crashes.Fingerprint) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -212,7 +212,7 @@
 		if refused != nil {
 			return false
 		}
-		if !c.gateway.state.mayRepeat(c.service) {
+		if !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
 			c.gateway.state.release(grant.Ticket, dispatch.Report{Outcome: dispatch.Abandoned})
 			return false
 		}
