Keep the retry budget across restarts of entries

Callers saw nothing; targets of a failing service got more repeats than the budget allows, such as 242 for 831 requests where 224 are allowed, when entries restarted within ten seconds of its failure.

Cause: each process counted its own requests and repeats of the last window. A process that restarted forgot the repeats of its predecessor but not, in effect, what had paid for them: it granted anew for each further request and part of the extra, within a window that its predecessor had already used up. Class: a sum over entries that only holds while no entry forgets its part.

Change: a token bucket for each service. What it holds at the start of a window and what it gains in it are at most the entry's part of the allowance; a new process begins with an empty bucket and gains as if its predecessor's had been full. So the bound holds for any restarts, without messages or a record in the store. Until the registry of entries is read, an entry uses none of the extra; the first process of an entry, which finds no record of its name there, begins with one token (one more read of the registry at each start).

The unit tests of the old counting are adapted: requests that all come at one moment may use less than 0.7 of the allowance now, so that lower bound is checked with requests at equal intervals; an extra of 2 holds less than one token, so two tests use 4. They are otherwise as strict.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -1,13 +1,17 @@
 // Package budget limits how often requests are sent to a second target. When a service
-// fails or rejects many requests, retries would add to the load that makes it fail. All
-// entries share one allowance for each service: a share of its requests and a fixed
-// extra. Each entry uses the share of its own requests and an even part of the extra,
-// so that entries need not exchange messages about it.
+// fails or rejects many requests, retries would add to the load that makes it fail. In
+// each sliding window all entries together may repeat a share of the service's requests
+// and a fixed extra.
 //
-// An entry that has just started uses little of the extra for one window: its previous
-// process may have used its part, and it has not counted the other entries yet. Six
-// entries that were killed together would have made 318 repeats where 52 are allowed.
-// If it used nothing of the extra, it could not repeat its first requests.
+// Each entry has a token bucket for each service. A request adds a part of a token, time
+// adds a part of the extra, and a repeat takes one token. What a bucket holds at the
+// beginning of a window and what it gains in it are together at most this entry's part of
+// the allowance: the fuller the bucket was in the last window, the less it gains.
+//
+// The bound holds without any exchange of counts, and across restarts: a new process begins
+// with an empty bucket, so the tokens of its predecessor are lost rather than renewed, and
+// it assumes that this bucket had been full. Only the first process of an entry has no
+// predecessor and begins with a token, so that it can repeat its first requests.
 package budget
 
 import (
@@ -25,100 +29,178 @@
 	Extra float64
 }
 
-// safetyFactor holds back a tenth of the allowance, because windows at the entries and
-// at the targets differ by the transit time of requests.
-const safetyFactor = 0.9
-
-// An entry that has just started uses startupExtraShare of its part of the extra,
-// computed for at least startupMinEntries entries. Of a typical extra of about 50 this
-// is one or two repeats, so that six entries that restart together stay within the
-// allowance.
 const (
-	startupExtraShare = 0.5
-	startupMinEntries = 12
+	// safetyFactor holds back a tenth of the allowance, because windows at the entries and
+	// at the targets differ by the transit time of requests.
+	safetyFactor = 0.9
+	// maxHeld is the part of the allowance that a bucket may hold. A larger one bridges more
+	// of a sudden failure, and leaves less to a long one and to a process that has just
+	// started.
+	maxHeld = 0.3
+	// firstTokens is what each bucket of an entry's first process holds at its start.
+	firstTokens = 1
+	// sharersKept is how long the extra stays divided among the largest number of entries:
+	// those without contact may still use their parts.
+	sharersKept = time.Minute
 )
 
-// Budget counts requests and repeats. It is not safe for concurrent use.
+// Budget decides on the repeats of one entry. It is not safe for concurrent use.
 type Budget struct {
-	config   Config
-	started  time.Time
-	services map[string]*usage
+	config  Config
+	started time.Time
+	// first: no earlier process of this entry can have made repeats.
+	first   bool
+	sharers slidingMax
+	buckets map[string]*bucket
 }
 
-type usage struct{ requests, repeats []time.Time }
+// bucket is the state of one service.
+type bucket struct {
+	tokens float64
+	// updated is when tokens was last brought up to date.
+	updated time.Time
+	// requests are the times of the requests in the last window.
+	requests []time.Time
+	// fill is the largest part of the allowance that the bucket held in the last window.
+	fill slidingMax
+}
 
-// New returns an unused budget; started is when this entry started.
+// New returns a budget with empty buckets, which gain their parts of the extra from started
+// on.
 func New(config Config, started time.Time) *Budget {
-	return &Budget{config: config, started: started, services: make(map[string]*usage)}
+	return &Budget{config: config, started: started, sharers: newSlidingMax(sharersKept, 0), buckets: make(map[string]*bucket)}
+}
+
+// SetConfig replaces the allowance.
+func (b *Budget) SetConfig(config Config) {
+	if config.Window != b.config.Window {
+		for _, k := range b.buckets {
+			k.fill = newSlidingMax(config.Window, 1)
+		}
+	}
+	b.config = config
+}
+
+// SetEntries sets the number of entries that share the extra. Before the first call this
+// entry uses none of the extra.
+func (b *Budget) SetEntries(now time.Time, entries int) {
+	b.sharers.observe(now.Sub(b.started), float64(entries))
 }
 
-// SetConfig replaces the allowance. Requests and repeats remain counted.
-func (b *Budget) SetConfig(config Config) { b.config = config }
+// SetFirstStart records that no earlier process of this entry can have made repeats.
+func (b *Budget) SetFirstStart() {
+	b.first = true
+	for _, k := range b.buckets {
+		k.tokens += firstTokens
+	}
+}
 
 // Request counts a request for a service.
 func (b *Budget) Request(now time.Time, service string) {
-	u := b.usageOf(service)
-	u.requests = append(prune(u.requests, now.Add(-b.config.Window)), now)
+	k := b.bucketOf(now, service)
+	k.requests = append(k.requests, now)
+	k.tokens += safetyFactor * b.config.Ratio * b.gainShare(now, k)
 }
 
 // Decision is the answer to a request for a repeat, with the inputs that decided it.
 type Decision struct {
 	Allowed bool
-	// Requests and Repeats are this entry's in the window, without this repeat.
-	Requests, Repeats int
-	// Allowance is the number of repeats that this entry may make in the window.
-	Allowance float64
-	// Entries is the number of entries that share the extra.
+	// Tokens is the number of repeats that this entry could make, Capacity the most that it
+	// could have saved.
+	Tokens, Capacity float64
+	// Requests is the number of this entry's requests in the last window.
+	Requests int
+	// Entries is the number of entries among which the extra is divided, or 0 if it is not
+	// known.
 	Entries int
 }
 
-// Repeat counts a repeat, unless the allowance is used up. entries is the number of
-// entries that share the extra.
-func (b *Budget) Repeat(now time.Time, service string, entries int) Decision {
-	d := b.decide(now, service, entries)
+// Repeat takes a token, if there is one.
+func (b *Budget) Repeat(now time.Time, service string) Decision {
+	k := b.bucketOf(now, service)
+	d := Decision{
+		Allowed: k.tokens >= 1, Tokens: k.tokens, Capacity: b.capacity(now, k),
+		Requests: len(k.requests), Entries: b.entries(now),
+	}
 	if d.Allowed {
-		u := b.usageOf(service)
-		u.repeats = append(u.repeats, now)
+		k.tokens--
 	}
 	return d
 }
 
-// Left returns the number of repeats that may still be made now.
-func (b *Budget) Left(now time.Time, service string, entries int) float64 {
-	d := b.decide(now, service, entries)
-	return d.Allowance - float64(d.Repeats)
+// Left returns the number of repeats that may be made now.
+func (b *Budget) Left(now time.Time, service string) float64 { return b.bucketOf(now, service).tokens }
+
+// Services returns the services that have had requests.
+func (b *Budget) Services() []string {
+	return slices.Sorted(maps.Keys(b.buckets))
 }
 
-func (b *Budget) decide(now time.Time, service string, entries int) Decision {
-	u := b.usageOf(service)
-	since := now.Add(-b.config.Window)
-	u.requests = prune(u.requests, since)
-	u.repeats = prune(u.repeats, since)
-	allowance := b.config.Ratio * float64(len(u.requests))
-	if now.Sub(b.started) >= b.config.Window {
-		allowance += b.config.Extra / float64(max(1, entries))
-	} else {
-		allowance += startupExtraShare * b.config.Extra / float64(max(startupMinEntries, entries))
+// bucketOf returns the bucket of a service, brought up to date.
+func (b *Budget) bucketOf(now time.Time, service string) *bucket {
+	k, found := b.buckets[service]
+	if !found {
+		k = &bucket{updated: b.started, fill: newSlidingMax(b.config.Window, 0)}
+		if b.first {
+			k.tokens = firstTokens
+		}
+		b.buckets[service] = k
 	}
-	allowance *= safetyFactor
-	return Decision{
-		Allowed:  allowance-float64(len(u.repeats)) >= 1,
-		Requests: len(u.requests), Repeats: len(u.repeats), Allowance: allowance, Entries: entries,
+	k.requests = prune(k.requests, now.Add(-b.config.Window))
+	gain := safetyFactor * b.extra(now) * b.gainShare(now, k) * float64(now.Sub(k.updated)) / float64(b.config.Window)
+	k.tokens = min(b.capacity(now, k), k.tokens+gain)
+	k.updated = now
+	if allowance := b.allowance(now, k); allowance > 0 {
+		k.fill.observe(now.Sub(b.started), k.tokens/allowance)
 	}
+	return k
 }
 
-// Services returns the services that have had requests.
-func (b *Budget) Services() []string {
-	return slices.Sorted(maps.Keys(b.services))
+// allowance returns the repeats that this entry may make in a window with the requests of the
+// last one.
+func (b *Budget) allowance(now time.Time, k *bucket) float64 {
+	return safetyFactor * (b.config.Ratio*float64(len(k.requests)) + b.extra(now))
 }
 
-func (b *Budget) usageOf(service string) *usage {
-	u, found := b.services[service]
-	if !found {
-		u = &usage{}
-		b.services[service] = u
+// capacity returns the most tokens that a bucket may hold. A small allowance may be held
+// whole, since less than one token allows no repeat.
+func (b *Budget) capacity(now time.Time, k *bucket) float64 {
+	allowance := b.allowance(now, k)
+	return max(maxHeld*allowance, min(1, allowance))
+}
+
+// gainShare returns the part of the allowance that a bucket may gain in a window: what neither
+// it nor that of a predecessor can have held in the last one.
+func (b *Budget) gainShare(now time.Time, k *bucket) float64 {
+	age := now.Sub(b.started)
+	held := k.fill.value(age)
+	if !b.first && age < b.config.Window {
+		held = max(held, b.predecessorFill(now))
+	}
+	return 1 - held
+}
+
+// predecessorFill returns the largest part of its allowance that the bucket of an earlier
+// process may have held. Its requests are not known, so only the extra counts.
+func (b *Budget) predecessorFill(now time.Time) float64 {
+	extra := safetyFactor * b.extra(now)
+	if extra <= 1 {
+		return 1
+	}
+	return max(maxHeld, 1/extra)
+}
+
+// entries returns the number of entries among which the extra is divided, or 0 if it is not
+// known.
+func (b *Budget) entries(now time.Time) int { return int(b.sharers.value(now.Sub(b.started))) }
+
+// extra returns this entry's part of the extra.
+func (b *Budget) extra(now time.Time) float64 {
+	entries := b.entries(now)
+	if entries == 0 {
+		return 0
 	}
-	return u
+	return b.config.Extra / float64(entries)
 }
 
 func prune(times []time.Time, since time.Time) []time.Time {
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -16,23 +16,50 @@
 
 const window = 10 * time.Second
 
+// newBudget returns the budget of one of several entries that have long been running.
+func newBudget(config budget.Config, entries int) *budget.Budget {
+	b := budget.New(config, longAgo)
+	b.SetEntries(longAgo, entries)
+	return b
+}
+
+// spend makes as many repeats as allowed and returns their number.
+func spend(b *budget.Budget, at time.Time) int {
+	n := 0
+	for b.Repeat(at, "desk").Allowed {
+		n++
+	}
+	return n
+}
+
 // A service fails all requests, and six entries repeat each. Together they must stay
 // within the ratio and the extra without exchanging messages.
 func TestEntriesTogetherStayWithinTheAllowance(t *testing.T) {
-	g := NewWithT(t)
 	const entries, requests, ratio, extra = 6, 100, 0.2, 52.0
-	repeats := 0
-	for range entries {
-		b := budget.New(budget.Config{Window: window, Ratio: ratio, Extra: extra}, longAgo)
-		for range requests {
-			b.Request(now, "desk")
-			if b.Repeat(now, "desk", entries).Allowed {
-				repeats++
+	const allowance = ratio*entries*requests + extra
+	use := func(gap time.Duration) (repeats int) {
+		for range entries {
+			b := newBudget(budget.Config{Window: window, Ratio: ratio, Extra: extra}, entries)
+			for i := range requests {
+				b.Request(now.Add(-window+time.Duration(i)*gap), "desk")
+			}
+			for i := range requests {
+				at := now.Add(time.Duration(i) * gap)
+				b.Request(at, "desk")
+				repeats += spend(b, at)
 			}
 		}
+		return repeats
 	}
-	g.Expect(float64(repeats)).To(BeNumerically("<=", ratio*entries*requests+extra))
-	g.Expect(float64(repeats)).To(BeNumerically(">", 0.7*(ratio*entries*requests+extra)))
+	t.Run("requests at one moment", func(t *testing.T) {
+		NewWithT(t).Expect(float64(use(0))).To(BeNumerically("<=", allowance))
+	})
+	t.Run("requests at equal intervals", func(t *testing.T) {
+		g := NewWithT(t)
+		repeats := float64(use(window / requests))
+		g.Expect(repeats).To(BeNumerically("<=", allowance))
+		g.Expect(repeats).To(BeNumerically(">", 0.7*allowance))
+	})
 }
 
 // A service fails all requests. All entries are killed and restart without a list of
@@ -41,31 +68,76 @@
 func TestRestartDoesNotRenewTheExtra(t *testing.T) {
 	g := NewWithT(t)
 	const entries, extra = 6, 52.0
+	config := budget.Config{Window: window, Extra: extra}
 	repeats := 0
-	use := func(started time.Time, known int) {
-		for range entries {
-			b := budget.New(budget.Config{Window: window, Extra: extra}, started)
-			for b.Repeat(now, "desk", known).Allowed {
-				repeats++
-			}
-		}
+	for range entries {
+		repeats += spend(newBudget(config, entries), now)
+		repeats += spend(budget.New(config, now.Add(-time.Second)), now)
 	}
-	use(now.Add(-time.Minute), entries)
-	use(now.Add(-time.Second), 1)
+	g.Expect(repeats).To(BeNumerically(">", 0))
 	g.Expect(repeats).To(BeNumerically("<=", extra))
 }
 
 func TestAllowanceIsRenewedAfterTheWindow(t *testing.T) {
 	g := NewWithT(t)
-	b := budget.New(budget.Config{Window: window, Extra: 2}, longAgo)
-	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeTrue())
-	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeFalse())
-	g.Expect(b.Repeat(now.Add(window+time.Millisecond), "desk", 1).Allowed).To(BeTrue())
+	b := newBudget(budget.Config{Window: window, Extra: 4}, 1)
+	g.Expect(b.Repeat(now, "desk").Allowed).To(BeTrue())
+	g.Expect(b.Repeat(now, "desk").Allowed).To(BeFalse())
+	g.Expect(b.Repeat(now.Add(window+time.Millisecond), "desk").Allowed).To(BeTrue())
 }
 
 func TestAllowanceIsPerService(t *testing.T) {
 	g := NewWithT(t)
-	b := budget.New(budget.Config{Window: window, Extra: 2}, longAgo)
-	g.Expect(b.Repeat(now, "desk", 1).Allowed).To(BeTrue())
-	g.Expect(b.Repeat(now, "other", 1).Allowed).To(BeTrue())
+	b := newBudget(budget.Config{Window: window, Extra: 4}, 1)
+	g.Expect(b.Repeat(now, "desk").Allowed).To(BeTrue())
+	g.Expect(b.Repeat(now, "other").Allowed).To(BeTrue())
+}
+
+// Guards against an entry that takes the whole extra because it has not read the registry yet.
+func TestExtraIsUnusedWhileTheOtherEntriesAreUnknown(t *testing.T) {
+	g := NewWithT(t)
+	b := budget.New(budget.Config{Window: window, Extra: 100}, longAgo)
+	g.Expect(spend(b, now)).To(BeZero())
+	b.SetEntries(now, 2)
+	g.Expect(spend(b, now.Add(window))).To(BeNumerically(">", 0))
+}
+
+// Guards against entries that take the parts of others from which they are cut off, and which
+// use their parts too.
+func TestExtraOfLostEntriesIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	b := newBudget(budget.Config{Window: window, Extra: 100}, 10)
+	b.SetEntries(now, 10)
+	b.SetEntries(now.Add(time.Second), 1)
+	g.Expect(spend(b, now.Add(30*time.Second))).To(BeNumerically("<=", 100/10))
+	muchLater := now.Add(5 * time.Minute)
+	g.Expect(spend(b, muchLater)).To(BeNumerically(">", 100/10))
+}
+
+// Guards against tokens saved under busy traffic that remain when the traffic, and with it the
+// allowance, has fallen.
+func TestSavedTokensExpireWithTheRequests(t *testing.T) {
+	g := NewWithT(t)
+	b := newBudget(budget.Config{Window: window, Ratio: 0.2}, 1)
+	for range 1000 {
+		b.Request(now, "desk")
+	}
+	later := now.Add(window + time.Second)
+	b.Request(later, "desk")
+	g.Expect(spend(b, later)).To(BeZero())
+}
+
+// Guards against a new entry that can repeat none of its first requests, and against one that
+// restarts and gets the same again.
+func TestOnlyTheFirstProcessBeginsWithAToken(t *testing.T) {
+	g := NewWithT(t)
+	config := budget.Config{Window: window, Ratio: 0.2, Extra: 50}
+	first, restarted := budget.New(config, now), budget.New(config, now)
+	first.SetFirstStart()
+	for _, b := range []*budget.Budget{first, restarted} {
+		b.SetEntries(now, 6)
+		b.Request(now, "desk")
+	}
+	g.Expect(spend(first, now)).To(Equal(1))
+	g.Expect(spend(restarted, now)).To(BeZero())
 }
--- a/internal/core/budget/fleet_test.go
+++ b/internal/core/budget/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,10 +12,8 @@
 	"sycamoretrail/internal/core/budget"
 )
 
-// The allowance of the simulated fleet, and the number of entries that it begins with.
 const (
-	fleetRatio, fleetExtra = 0.2, 58.0
-	fleetEntries           = 9
+	fleetRatio = 0.2
 	// fleetLead is the time from the start of the entries to the first request.
 	fleetLead = 10 * time.Second
 	// fleetLength is the time from the first request to the last.
@@ -24,9 +23,27 @@
 	wantedRepeats = 3
 )
 
+// fleetSize is the number of entries that a simulation begins with, the extra that they share,
+// and their requests per second.
+type fleetSize struct {
+	entries     int
+	extra, rate float64
+}
+
+var (
+	smallFleet = fleetSize{entries: 9, extra: 58, rate: 80}
+	fleetSizes = map[string]fleetSize{
+		"small":              smallFleet,
+		"large":              {entries: 78, extra: 196, rate: 800},
+		"one extra an entry": {entries: 200, extra: 210, rate: 200},
+		"little traffic":     {entries: 9, extra: 58, rate: 4},
+	}
+)
+
 // fleet is a number of entries that receive requests for one service.
 type fleet struct {
 	random  *rand.Rand
+	extra   float64
 	now     time.Time
 	entries []*fleetEntry
 	// rate is the number of requests per second, failing the share of sends that fail.
@@ -39,14 +56,12 @@
 
 type fleetEntry struct {
 	budget *budget.Budget
-	// known is the number of entries that this one knows, itself included.
-	known int
-	down  bool
+	down   bool
 }
 
-func newFleet(seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: now, rate: 80, due: make(map[time.Duration][]func())}
-	for range fleetEntries {
+func newFleet(size fleetSize, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), extra: size.extra, now: now, rate: size.rate, due: make(map[time.Duration][]func())}
+	for range size.entries {
 		f.add()
 	}
 	return f
@@ -63,15 +78,15 @@
 	e := &fleetEntry{}
 	f.entries = append(f.entries, e)
 	f.start(e)
+	e.budget.SetFirstStart()
 }
 
 // start starts a new process of an entry, which knows the others as soon as it has read the
 // registry.
 func (f *fleet) start(e *fleetEntry) {
 	e.down = false
-	e.budget = budget.New(budget.Config{Window: window, Ratio: fleetRatio, Extra: fleetExtra}, f.now)
-	e.known = 1
-	f.after(300*time.Millisecond, func() { e.known = len(f.entries) })
+	e.budget = budget.New(budget.Config{Window: window, Ratio: fleetRatio, Extra: f.extra}, f.now)
+	f.after(300*time.Millisecond, func() { e.budget.SetEntries(f.now, len(f.entries)) })
 }
 
 func (f *fleet) after(pause time.Duration, act func()) {
@@ -105,11 +120,12 @@
 func (f *fleet) cut(length time.Duration) {
 	half := len(f.entries) / 2
 	for i, e := range f.entries {
-		e.known = half
+		known := half
 		if i >= half {
-			e.known = len(f.entries) - half
+			known = len(f.entries) - half
 		}
-		f.after(length, func() { e.known = len(f.entries) })
+		e.budget.SetEntries(f.now, known)
+		f.after(length, func() { e.budget.SetEntries(f.now, len(f.entries)) })
 	}
 }
 
@@ -141,7 +157,7 @@
 	}
 	e.budget.Request(f.now, "engine")
 	for n := 0; n < wantedRepeats && f.random.Float64() < f.failing; n++ {
-		if !e.budget.Repeat(f.now, "engine", e.known).Allowed {
+		if !e.budget.Repeat(f.now, "engine").Allowed {
 			return
 		}
 		f.repeats = append(f.repeats, f.now)
@@ -158,21 +174,20 @@
 		for _, earlier := range []time.Duration{window / 2, window} {
 			requests = max(requests, countBetween(f.sent, from.Add(-earlier), from.Add(window-earlier)))
 		}
-		if allowed := fleetRatio*float64(requests) + fleetExtra; float64(repeats) > allowed {
+		if allowed := fleetRatio*float64(requests) + f.extra; float64(repeats) > allowed {
 			return fmt.Sprintf("from %v on %d repeats for %d requests, %.0f allowed", from.Sub(now)-fleetLead, repeats, requests, allowed)
 		}
 	}
 	return ""
 }
 
+// countBetween counts sorted times.
 func countBetween(times []time.Time, from, until time.Time) int {
-	n := 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(until) {
-			n++
-		}
+	before := func(limit time.Time) int {
+		n, _ := slices.BinarySearchFunc(times, limit, time.Time.Compare)
+		return n
 	}
-	return n
+	return before(until) - before(from)
 }
 
 // fail makes a share of the sends fail for a while.
@@ -203,10 +218,16 @@
 			}
 		},
 	}
+	for i := range 10 {
+		at := 3*time.Second + time.Duration(i+1)*700*time.Millisecond
+		faults[fmt.Sprintf("all killed %v after the failure", at-3*time.Second)] = func(f *fleet) {
+			f.at(at, func() { f.kill(1, 300*time.Millisecond) })
+		}
+	}
 	for name, inject := range faults {
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
-				f := newFleet(seed)
+				f := newFleet(smallFleet, seed)
 				f.fail(3*time.Second, 30*time.Second, 0.65)
 				inject(f)
 				f.run()
@@ -219,15 +240,18 @@
 // Guards against any other schedule of restarts, cuts, added entries, bursts and failures that
 // lets the entries repeat more than the budget allows.
 func TestNoScheduleExceedsTheBudget(t *testing.T) {
-	for seed := range uint64(60) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			f := newFleet(seed)
-			f.schedule()
-			f.run()
-			g := NewWithT(t)
-			g.Expect(f.excess()).To(BeEmpty())
-			g.Expect(f.repeats).NotTo(BeEmpty())
-		})
+	for name, size := range fleetSizes {
+		repeats := 0
+		for seed := range uint64(60) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				f := newFleet(size, seed)
+				f.schedule()
+				f.run()
+				repeats += len(f.repeats)
+				NewWithT(t).Expect(f.excess()).To(BeEmpty())
+			})
+		}
+		NewWithT(t).Expect(repeats).To(BeNumerically(">", 1000), name)
 	}
 }
 
@@ -243,7 +267,7 @@
 		func() { f.restartInTurn(100*time.Millisecond + seconds(1)) },
 		func() { f.cut(seconds(15)) },
 		func() { f.add() },
-		func() { f.rate = 10 + 200*f.random.Float64() },
+		func() { f.rate *= 0.2 + 2.5*f.random.Float64() },
 	}
 	for range f.random.IntN(9) {
 		f.at(seconds(45), disturbances[f.random.IntN(len(disturbances))])
--- /dev/null
+++ b/internal/core/budget/slidingmax.go
@@ -0,0 +1,53 @@
+package budget
+
+import "time"
+
+// maxSlots divides the span of a slidingMax, which is exact to one slot: it may remember a
+// value for a quarter of the span longer.
+const maxSlots = 5
+
+// slidingMax is the largest recent value of a quantity that keeps its value until the next
+// one is observed. Times are given since any fixed moment and do not decrease.
+type slidingMax struct {
+	// width is the length of a slot. All slots but the current one together are the span.
+	width time.Duration
+	// slots hold the largest value of each of the last slots; number is that of the
+	// current one, last the last value.
+	slots  [maxSlots]float64
+	number int64
+	last   float64
+}
+
+// newSlidingMax returns the maximum over a span before which the quantity had a value.
+func newSlidingMax(span time.Duration, before float64) slidingMax {
+	m := slidingMax{width: max(1, span/(maxSlots-1))}
+	for i := range m.slots {
+		m.slots[i] = before
+	}
+	return m
+}
+
+func (m *slidingMax) observe(at time.Duration, value float64) {
+	m.advance(at)
+	m.last = value
+	current := &m.slots[m.number%maxSlots]
+	*current = max(*current, value)
+}
+
+func (m *slidingMax) value(at time.Duration) float64 {
+	m.advance(at)
+	largest := m.slots[0]
+	for _, v := range m.slots[1:] {
+		largest = max(largest, v)
+	}
+	return largest
+}
+
+// advance begins the slots up to the current one with the last value.
+func (m *slidingMax) advance(at time.Duration) {
+	number := int64(at / m.width)
+	for n := max(m.number+1, number-maxSlots+1); n <= number; n++ {
+		m.slots[n%maxSlots] = m.last
+	}
+	m.number = max(m.number, number)
+}
--- a/internal/gateway/entriesfeed.go
+++ b/internal/gateway/entriesfeed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/peerset"
@@ -31,6 +32,9 @@
 
 // followEntries registers this entry, and reads the registry of entries from time to time.
 func (f *feeds) followEntries(ctx context.Context) {
+	if f.isFirstStart() {
+		f.gateway.state.setFirstStart()
+	}
 	pause := time.Duration(0)
 	for registered := false; ctx.Err() == nil; {
 		select {
@@ -69,6 +73,17 @@
 	signal(f.entriesDue)
 }
 
+// isFirstStart reports whether the registry shows that no earlier process of this entry has
+// registered itself.
+func (f *feeds) isFirstStart() bool {
+	records, _, err := f.gateway.platform.Snapshot(feed.Entries)
+	if err != nil {
+		f.logStoreError(feed.Entries, err)
+		return false
+	}
+	return !slices.ContainsFunc(records, func(r feed.Record) bool { return r.Key == f.gateway.self.Name })
+}
+
 func (f *feeds) registerSelf() bool {
 	self := f.gateway.self
 	value, err := json.Marshal(entryRecord{Incarnation: self.Incarnation, Zone: self.Zone, Callers: self.Callers, Links: self.Links})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -237,6 +237,9 @@
 		peers = append(peers, quota.Peer{Name: m.Name, Started: m.Started, Unresponsive: !g.state.peers.Live(now, m.Name)})
 	}
 	g.state.quota.SetPeers(now, peers)
+	if g.state.peersKnown {
+		g.state.budget.SetEntries(now, g.state.peers.Size())
+	}
 	cells := g.state.peers.Cells(now, g.ready())
 	l.cells.Store(&cells)
 	g.state.sched.SetEntries(cells.Entries)
@@ -256,6 +259,7 @@
 	for _, entry := range entries {
 		l.gateway.state.peers.AddRegistered(now, entry)
 	}
+	l.gateway.state.peersKnown = true
 	l.setPeers(now)
 	l.gateway.state.quota.SetPeersKnown(true)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,7 +36,7 @@
 	g.reportRollouts()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
-		repeats[service] = g.state.budget.Left(now, service, members)
+		repeats[service] = g.state.budget.Left(now, service)
 	}
 	g.state.mutex.Unlock()
 	g.reportShares(quotas, services, repeats)
--- a/internal/gateway/repeat_test.go
+++ b/internal/gateway/repeat_test.go
@@ -20,8 +20,9 @@
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	s := settings.DefaultGateway()
 	s.Name, s.Zone = "entry-1", "a"
-	s.Bounds.RetryExtra = 0
 	gateway := New(s, nil, logger)
+	gateway.state.setFirstStart()
+	gateway.state.budget.SetEntries(time.Now(), 3)
 	for range 20 {
 		gateway.state.countRequest("desk")
 	}
@@ -29,6 +30,6 @@
 		continue
 	}
 	gateway.log.Close(time.Minute)
-	g.Expect(log.String()).To(MatchRegexp(`"allowed":true.*"repeats":0`))
-	g.Expect(log.String()).To(MatchRegexp(`"allowance":[0-9.]+,"allowed":false,"entries":1.*"id":"id-1".*"requests":20,"service":"desk"`))
+	g.Expect(log.String()).To(MatchRegexp(`"allowed":true,"capacity":[0-9.]+,"entries":3.*"tokens":[1-9]`))
+	g.Expect(log.String()).To(MatchRegexp(`"allowed":false,"capacity":[0-9.]+,"entries":3.*"id":"id-1".*"requests":20,"service":"desk".*"tokens":0`))
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -29,8 +29,10 @@
 	crashes  *crashes.Tracker
 	rollouts *rollouts
 	peers    *peerset.Set
-	waiters  map[*dispatch.Ticket]chan slotResult
-	ticking  bool
+	// peersKnown: the registry of entries has been read.
+	peersKnown bool
+	waiters    map[*dispatch.Ticket]chan slotResult
+	ticking    bool
 	// loadUrgent and loadChanged trigger a load report: at once, because a slot is taken that
 	// other entries may count as free, or released while others wait for it; or soon.
 	loadUrgent, loadChanged chan struct{}
@@ -187,6 +189,12 @@
 	step(s.quota, time.Now(), organisation, cost)
 }
 
+func (s *state) setFirstStart() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.SetFirstStart()
+}
+
 // countRequest adds to the retry budget; mayRepeat draws on it.
 func (s *state) countRequest(service string) {
 	s.mutex.Lock()
@@ -197,14 +205,14 @@
 func (s *state) mayRepeat(id, service string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	d := s.budget.Repeat(time.Now(), service, s.peers.Size())
+	d := s.budget.Repeat(time.Now(), service)
 	importance := eventlog.Routine
 	if !d.Allowed {
 		importance = eventlog.Failure
 	}
 	s.log.Write(importance, eventRepeat, eventlog.Fields{
-		"id": id, "service": service, "allowed": d.Allowed, "requests": d.Requests, "repeats": d.Repeats,
-		"allowance": d.Allowance, "entries": d.Entries,
+		"id": id, "service": service, "allowed": d.Allowed, "tokens": d.Tokens, "capacity": d.Capacity,
+		"requests": d.Requests, "entries": d.Entries,
 	})
 	return d.Allowed
 }
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -33,7 +33,7 @@
 	GatewayLimited = declare(KindGauge, "gateway_service_targets_limited",
 		"Of these, those that declare a limit on their requests a second.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
-		"Repeats that this entry may still make in the window.", "service")
+		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
 		"How far a service's roll-out is: 1 canary, 2 shifting, 3 completed, 4 rolled back; 0: not known.", "service")
 	GatewayRolloutNew = declare(KindGauge, "gateway_rollout_new_requests",
