Tell entries that have started which requests crash targets

Callers' requests that crash each target are refused after three failed runs. An entry that restarted had forgotten these runs and sent such a request to up to three more targets; entries that restart in turn took down three targets each.

Cause: the same class as the retry budget: a count that all entries keep is forgotten by one that restarts. Failed runs are announced once, to the entries of that moment.

Change: an entry greets one that has joined with the failed runs of the requests that it refuses, 30 runs at most, in the message that announces them. No change of protocol.

If all entries restart at once nobody is left to tell; such a request then runs at three more targets.

--- a/internal/core/crashes/crashes.go
+++ b/internal/core/crashes/crashes.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -72,6 +73,33 @@
 	return m.Count(now, fingerprint) >= QuarantineThreshold
 }
 
+// FailedRun is a run of a request that ended with a broken connection.
+type FailedRun struct {
+	Fingerprint Fingerprint
+	// ID is the id of the request.
+	ID string
+}
+
+// QuarantinedRuns returns the failed runs of the requests that must be refused, as many of the
+// latest requests as have most runs together.
+func (m *Tracker) QuarantinedRuns(now time.Time, most int) []FailedRun {
+	var runs []FailedRun
+	for _, fingerprint := range slices.Backward(m.order) {
+		failed := unexpired(m.runs[fingerprint], now)
+		if len(failed) < QuarantineThreshold {
+			continue
+		}
+		failed = failed[len(failed)-QuarantineThreshold:]
+		if len(runs)+len(failed) > most {
+			break
+		}
+		for _, r := range failed {
+			runs = append(runs, FailedRun{Fingerprint: fingerprint, ID: r.id})
+		}
+	}
+	return runs
+}
+
 func unexpired(runs []failedRun, now time.Time) []failedRun {
 	expired := 0
 	for expired < len(runs) && now.Sub(runs[expired].at) > retention {
--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -38,3 +38,25 @@
 	g.Expect(m.Count(now, 0)).To(BeZero())
 	g.Expect(m.Count(now, 9_999)).To(Equal(1))
 }
+
+// Guards against an entry that has just started and runs requests which others refuse: it is told
+// the failed runs that make them refuse, and no others.
+func TestQuarantinedRunsMakeAnotherTrackerRefuse(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	for fingerprint := range crashes.Fingerprint(5) {
+		for i := range int(fingerprint) {
+			m.RecordFailure(now, fingerprint, fmt.Sprint(i))
+		}
+	}
+	told := crashes.New()
+	for _, run := range m.QuarantinedRuns(now, 6) {
+		told.RecordFailure(now, run.Fingerprint, run.ID)
+	}
+	for fingerprint := range crashes.Fingerprint(5) {
+		g.Expect(told.Quarantined(now, fingerprint)).To(Equal(m.Quarantined(now, fingerprint)))
+	}
+	g.Expect(told.Count(now, 2)).To(BeZero())
+	g.Expect(m.QuarantinedRuns(now, 5)).To(HaveLen(3))
+	g.Expect(m.QuarantinedRuns(now.Add(time.Hour), 6)).To(BeEmpty())
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -13,6 +13,10 @@
 	"sycamoretrail/internal/gossip"
 )
 
+// maxGreetedRuns bounds the failed runs that an entry reports to one that has joined, each in a
+// datagram of its own.
+const maxGreetedRuns = 30
+
 // receive handles messages of the other entries until the socket is closed.
 func (l *links) receive() {
 	if err := l.conn.Receive(l.handle); err != nil {
@@ -105,14 +109,21 @@
 		return
 	}
 	l.send(l.heartbeat(), []peerset.Entry{entry})
+	now := time.Now()
 	l.gateway.state.mutex.Lock()
-	histories := l.gateway.state.quota.History(time.Now())
+	histories := l.gateway.state.quota.History(now)
+	crashed := l.gateway.state.crashes.QuarantinedRuns(now, maxGreetedRuns)
 	l.gateway.state.mutex.Unlock()
 	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := l.message()
 		m.History = mapValues(part, historyMessage)
 		l.send(m, []peerset.Entry{entry})
 	}
+	for _, run := range crashed {
+		m := l.message()
+		m.Crash = &gossip.Crash{Fingerprint: uint64(run.Fingerprint), ID: run.ID}
+		l.send(m, []peerset.Entry{entry})
+	}
 }
 
 func (l *links) handleHistory(m *gossip.Message) {
