Roll-out simulation: say what an undecided decision rested on

The list of unexpected ends gave only the reason. Now it gives the check that was not passed and its counts, which the hypotheses on good versions that are rolled back need.

--- a/internal/core/rollout/simulation_test.go
+++ b/internal/core/rollout/simulation_test.go
@@ -94,7 +94,8 @@
 	fiftiethBad                  time.Time
 	lateExposed, abortedRequests int
 	finalAt                      time.Time
-	reason                       rollout.Reason
+	// last is the decision that led to the final phase.
+	last rollout.Decision
 }
 
 type server struct {
@@ -436,7 +437,7 @@
 				m.canary = float64(m.exposed) / float64(m.total)
 			}
 			if next.Phase.Final() {
-				m.finalAt, m.reason = m.now, d.Reason
+				m.finalAt, m.last = m.now, d
 			}
 			if next.Phase == rollout.Completed {
 				m.stopOld()
--- a/internal/core/rollout/table_test.go
+++ b/internal/core/rollout/table_test.go
@@ -85,7 +85,7 @@
 	}
 	if m.exceedsBounds() || final != expected || !m.inTime() {
 		r.unexpected = append(r.unexpected, fmt.Sprintf("%s, %s, %s, %s, seed %d: %s (%s), exposed %d of %d, late %d, after %s",
-			m.load.name, m.order.Duration, m.flaw.name, m.fault.name, m.seed, final, m.reason, m.exposed, m.total, m.lateExposed, m.finalAt.Sub(m.start)))
+			m.load.name, m.order.Duration, m.flaw.name, m.fault.name, m.seed, final, why(m.last), m.exposed, m.total, m.lateExposed, m.finalAt.Sub(m.start)))
 	}
 	r.aborted += m.abortedRequests
 	r.worstExposure = max(r.worstExposure, float64(m.exposed)/float64(m.total))
@@ -93,6 +93,14 @@
 	r.took += m.finalAt.Sub(m.start)
 }
 
+// why describes what a decision rests on.
+func why(d rollout.Decision) string {
+	if d.Unclear == "" {
+		return string(d.Reason)
+	}
+	return fmt.Sprintf("%s: %s, %d of %d bad, %.1f expected, worse %.1f", d.Reason, d.Unclear, d.Bad, d.Answers, d.Expected, d.Worse)
+}
+
 func (r *summary) String() string {
 	return fmt.Sprintf("runs %3d  exposure exceeded %2d  wrong %2d  in time %3d  worst exposure %.2f  aborted %3d  mean time %4.1f s",
 		r.runs, r.exceeded, r.wrong, r.inTime, r.worstExposure, r.aborted, r.took.Seconds()/float64(r.runs))
