Retry budget: measure what a bucket held in tokens, not as a part of a growing allowance

Callers of an entry that had just started could find it without repeats for up to a window and a quarter. Cause: the gain is reduced by the largest part of its allowance that the bucket held, and with the first one or two requests, before the number of entries is known, a fraction of a token is the whole allowance. The level is now kept in tokens and compared with the allowance of the moment, so it loses its weight as the allowance grows.

Besides, every process now gains as if there had been a predecessor, also the first of its name: it may replace an entry that was removed with its bucket spent.

Test: TestFirstRequestsDoNotStopTheGain, 0 repeats before where 5 are expected, passes now.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -10,8 +10,8 @@
 //
 // The bound holds without any exchange of counts, and across restarts: a new process begins
 // with an empty bucket, so the tokens of its predecessor are lost rather than renewed, and
-// it assumes that this bucket had been full. Only the first process of an entry has no
-// predecessor and begins with a token, so that it can repeat its first requests.
+// it gains as if that bucket had been full. Only the first process of an entry begins with
+// a token, so that it can repeat its first requests.
 package budget
 
 import (
@@ -48,7 +48,7 @@
 type Budget struct {
 	config  Config
 	started time.Time
-	// first: no earlier process of this entry can have made repeats.
+	// first: this is the first process of its entry.
 	first   bool
 	sharers slidingMax
 	buckets map[string]*bucket
@@ -61,8 +61,8 @@
 	updated time.Time
 	// requests are the times of the requests in the last window.
 	requests []time.Time
-	// fill is the largest part of the allowance that the bucket held in the last window.
-	fill slidingMax
+	// level is the most tokens that the bucket held in the last window.
+	level slidingMax
 }
 
 // New returns a budget with empty buckets, which gain their parts of the extra from started
@@ -75,7 +75,7 @@
 func (b *Budget) SetConfig(config Config) {
 	if config.Window != b.config.Window {
 		for _, k := range b.buckets {
-			k.fill = newSlidingMax(config.Window, 1)
+			k.level = newSlidingMax(config.Window, k.tokens)
 		}
 	}
 	b.config = config
@@ -87,7 +87,7 @@
 	b.sharers.observe(now.Sub(b.started), float64(entries))
 }
 
-// SetFirstStart records that no earlier process of this entry can have made repeats.
+// SetFirstStart records that this is the first process of its entry.
 func (b *Budget) SetFirstStart() {
 	b.first = true
 	for _, k := range b.buckets {
@@ -140,7 +140,7 @@
 func (b *Budget) bucketOf(now time.Time, service string) *bucket {
 	k, found := b.buckets[service]
 	if !found {
-		k = &bucket{updated: b.started, fill: newSlidingMax(b.config.Window, 0)}
+		k = &bucket{updated: b.started, level: newSlidingMax(b.config.Window, 0)}
 		if b.first {
 			k.tokens = firstTokens
 		}
@@ -150,9 +150,7 @@
 	gain := safetyFactor * b.extra(now) * b.gainShare(now, k) * float64(now.Sub(k.updated)) / float64(b.config.Window)
 	k.tokens = min(b.capacity(now, k), k.tokens+gain)
 	k.updated = now
-	if allowance := b.allowance(now, k); allowance > 0 {
-		k.fill.observe(now.Sub(b.started), k.tokens/allowance)
-	}
+	k.level.observe(now.Sub(b.started), k.tokens)
 	return k
 }
 
@@ -172,17 +170,22 @@
 // gainShare returns the part of the allowance that a bucket may gain in a window: what neither
 // it nor that of a predecessor can have held in the last one.
 func (b *Budget) gainShare(now time.Time, k *bucket) float64 {
+	allowance := b.allowance(now, k)
+	if allowance == 0 {
+		return 0
+	}
 	age := now.Sub(b.started)
-	held := k.fill.value(age)
-	if !b.first && age < b.config.Window {
-		held = max(held, b.predecessorFill(now))
+	held := k.level.value(age) / allowance
+	if age < b.config.Window {
+		held = max(held, b.predecessorHeld(now))
 	}
-	return 1 - held
+	return max(0, 1-held)
 }
 
-// predecessorFill returns the largest part of its allowance that the bucket of an earlier
-// process may have held. Its requests are not known, so only the extra counts.
-func (b *Budget) predecessorFill(now time.Time) float64 {
+// predecessorHeld returns the largest part of its allowance that the bucket of an earlier
+// process, or of an entry that this one replaces, may have held. Its requests are not known,
+// so only the extra counts.
+func (b *Budget) predecessorHeld(now time.Time) float64 {
 	extra := safetyFactor * b.extra(now)
 	if extra <= 1 {
 		return 1
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -141,3 +141,19 @@
 	g.Expect(spend(first, now)).To(Equal(1))
 	g.Expect(spend(restarted, now)).To(BeZero())
 }
+
+// Guards against an entry that gains nothing for a window after its start, because the few
+// tokens of its first requests were nearly all of its allowance at that moment.
+func TestFirstRequestsDoNotStopTheGain(t *testing.T) {
+	g := NewWithT(t)
+	b := budget.New(budget.Config{Window: window, Ratio: 0.2, Extra: 58}, now)
+	b.SetFirstStart()
+	for range 3 {
+		b.Request(now, "desk")
+	}
+	b.SetEntries(now.Add(300*time.Millisecond), 9)
+	for i := range 100 {
+		b.Request(now.Add(300*time.Millisecond+time.Duration(i)*50*time.Millisecond), "desk")
+	}
+	g.Expect(spend(b, now.Add(5*time.Second+300*time.Millisecond))).To(BeNumerically(">=", 5))
+}
--- a/internal/core/budget/fleet_test.go
+++ b/internal/core/budget/fleet_test.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// replace removes a share of the entries for good and adds as many.
+func (f *fleet) replace(share float64) {
+	for n := int(share * float64(len(f.entries))); n > 0; n-- {
+		f.entries = f.entries[1:]
+		f.add()
+	}
+}
+
 // cut makes two halves of the fleet forget each other for a while.
 func (f *fleet) cut(length time.Duration) {
 	half := len(f.entries) / 2
@@ -212,6 +220,9 @@
 				f.at(at*time.Second, func() { f.restartInTurn(300 * time.Millisecond) })
 			}
 		},
+		"replaced by entries with new names": func(f *fleet) {
+			f.at(4*time.Second, func() { f.replace(1) })
+		},
 		"killed after each window": func(f *fleet) {
 			for at := 6 * time.Second; at < fleetLength; at += window - time.Second {
 				f.at(at, func() { f.kill(1, 500*time.Millisecond) })
