--- a/internal/gateway/reasons_test.go
+++ b/internal/gateway/reasons_test.go
@@ -39,15 +39,20 @@
 	}
 }
 
-func TestEachReasonIsLoggedAndCounted(t *testing.T) {
-	g := NewWithT(t)
+// newLoggingGateway returns an entry that does not listen, and its log.
+func newLoggingGateway() (*Gateway, *platformtest.Log) {
 	log := &platformtest.Log{}
 	logger := logrus.New()
 	logger.SetOutput(log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	s := settings.DefaultGateway()
 	s.Name, s.Zone = "entry-1", "a"
-	gateway := New(s, nil, logger)
+	return New(s, nil, logger), log
+}
+
+func TestEachReasonIsLoggedAndCounted(t *testing.T) {
+	g := NewWithT(t)
+	gateway, log := newLoggingGateway()
 	for _, reason := range allReasons() {
 		gateway.settle(&call{gateway: gateway, arrived: time.Now()}, 503, reason)
 	}
--- a/internal/gateway/repeat_test.go
+++ b/internal/gateway/repeat_test.go
@@ -5,22 +5,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
-
-	"sycamoretrail/internal/settings"
-	"sycamoretrail/platform/platformtest"
 )
 
 // Guards against a denied repeat whose log does not tell what used up the budget.
 func TestRepeatLinesNameTheirInputs(t *testing.T) {
 	g := NewWithT(t)
-	log := &platformtest.Log{}
-	logger := logrus.New()
-	logger.SetOutput(log)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	s := settings.DefaultGateway()
-	s.Name, s.Zone = "entry-1", "a"
-	gateway := New(s, nil, logger)
+	gateway, log := newLoggingGateway()
 	gateway.state.setFirstStart()
 	gateway.state.budget.SetEntries(time.Now(), 3)
 	for range 20 {
