Gateway: the wait for a slot and the report of an attempt in files of their own

run.go had grown to 411 lines that mixed the loop over targets, the wait for a slot and the reports to log and scheduler. Moved without changes: slot.go and attempt.go. No behaviour changes.

--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/eventlog"
+)
+
+// report releases the slot with the outcome, and writes the log line of the try.
+func (c *call) report(grant *dispatch.Grant, began time.Time, outcome dispatch.Outcome, status int, err error) {
+	took := time.Since(began)
+	report := dispatch.Report{Outcome: outcome}
+	if outcome == dispatch.Answered && c.route.Kind != catalog.Stream {
+		report.Latency = took
+	}
+	c.reportAttempt(grant, report, took, status, err)
+}
+
+func (c *call) reportAttempt(grant *dispatch.Grant, report dispatch.Report, took time.Duration, status int, err error) {
+	importance := eventlog.Failure
+	if report.Outcome == dispatch.Answered || report.Outcome == dispatch.Abandoned {
+		importance = eventlog.Routine
+	}
+	fields := eventlog.Fields{
+		"id": c.envelope.ID, "target": grant.Target.ID, "address": grant.Target.Address, "outcome": report.Outcome.String(),
+		"status": status, "took_ms": took.Milliseconds(), "send": c.sends, "run": c.runs,
+	}
+	if report.First > 0 {
+		fields["first_ms"] = report.First.Milliseconds()
+		fields["longest_pause_ms"] = report.LongestPause.Milliseconds()
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	c.gateway.log.Write(importance, eventTried, fields)
+	c.gateway.counters.tries.add(report.Outcome.String())
+	c.gateway.state.recordObservation(c.service, c.route, grant, report, took)
+	c.gateway.state.release(grant.Ticket, report)
+}
+
+// countBrokenRun counts an aborted run against the request's fingerprint, at this entry and at
+// the others.
+func (c *call) countBrokenRun() {
+	isNew, count := c.gateway.state.countBroken(c.fingerprint, c.envelope.ID)
+	if !isNew {
+		return
+	}
+	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{"id": c.envelope.ID, "fingerprint": c.fingerprint.String(), "count": count})
+	c.gateway.links.announceCrash(c.fingerprint, c.envelope.ID)
+}
--- /dev/null
+++ b/internal/gateway/slot.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/eventlog"
+)
+
+// acquireSlot waits for a slot at a target. A request chosen for the canary of a new version
+// falls back to the previous version if the canary has no free slot.
+func (c *call) acquireSlot() (*dispatch.Grant, *reply) {
+	pool, fallback := c.gateway.state.poolOf(c.service, c.route, c.sends == 0)
+	grant, refusal := c.acquireSlotIn(pool)
+	if refusal != nil && refusal != callerDisconnected && fallback != "" {
+		return c.acquireSlotIn(fallback)
+	}
+	return grant, refusal
+}
+
+// acquireSlotIn waits for a slot at a target of one pool.
+func (c *call) acquireSlotIn(pool string) (*dispatch.Grant, *reply) {
+	request := c.schedulerRequest()
+	request.Service = pool
+	ticket, wait := c.gateway.state.submit(request)
+	select {
+	case v := <-wait:
+		return c.handleSlotResult(v)
+	case <-c.disconnected:
+	}
+	if !c.gateway.state.cancel(ticket) {
+		if v := <-wait; v.grant != nil {
+			c.gateway.state.release(ticket, dispatch.Report{Outcome: dispatch.Abandoned})
+		}
+	}
+	return nil, callerDisconnected
+}
+
+func (c *call) schedulerRequest() dispatch.Request {
+	request := dispatch.Request{
+		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
+		Priority: c.priority, Rank: c.route.Priority,
+		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
+		Gap: c.route.Gap, Work: c.work(),
+	}
+	if c.events > 0 {
+		// The stream has begun: only the time to its next event matters. With the arrival time
+		// of the request the scheduler would refuse it as expired.
+		request.Arrived = time.Now()
+		request.BeginBy = request.Arrived.Add(c.streamWaitLimit())
+		return request
+	}
+	if c.route.Objective > 0 {
+		request.Objective = c.arrived.Add(c.route.Objective)
+	}
+	if c.route.Kind == catalog.Stream {
+		request.BeginBy = c.arrived.Add(c.streamWaitLimit())
+	}
+	return request
+}
+
+// work returns the amount of work that the request means for a target. A caller's estimate of
+// the output may exceed the declared maximum, which then applies.
+func (c *call) work() dispatch.Work {
+	output := c.envelope.ExpectedOutput
+	if c.envelope.OutputTokens > 0 {
+		output = min(output, c.envelope.OutputTokens)
+	}
+	return dispatch.Work{Prompt: c.envelope.PromptTokens, Output: output}
+}
+
+// streamWaitLimit returns the longest pause in a stream, also before its first event, after
+// which callers disconnect.
+func (c *call) streamWaitLimit() time.Duration {
+	return max(minStreamWait, objectiveWaitFactor*c.route.Objective, gapWaitFactor*c.route.Gap)
+}
+
+// Callers disconnect from a stream that has not begun, or pauses, after the longest of these:
+// a fixed time, and multiples of the route's objective and of its longest gap.
+const (
+	minStreamWait       = 2 * time.Second
+	objectiveWaitFactor = 4
+	gapWaitFactor       = 8
+)
+
+func (c *call) handleSlotResult(v slotResult) (*dispatch.Grant, *reply) {
+	if r := v.refusal; r != nil {
+		c.gateway.log.Write(eventlog.Failure, eventRefused, eventlog.Fields{
+			"id": c.envelope.ID, "reason": string(r.Reason), "service": c.service, "priority": c.priority,
+			"waiting": r.Waiting, "wait_ms": r.Wait.Milliseconds(), "waited_ms": time.Since(c.arrived).Milliseconds(),
+		})
+		return nil, notRun(string(r.Reason), r.RetryAfter)
+	}
+	g := v.grant
+	c.gateway.log.Write(eventlog.Routine, eventGranted, eventlog.Fields{
+		"id": c.envelope.ID, "target": g.Target.ID, "load": g.Load, "load_age_ms": g.LoadAge.Milliseconds(),
+		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
+		"backlog": g.Backlog, "predicted_first_ms": g.PredictedFirst.Milliseconds(),
+		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix,
+	})
+	return g, nil
+}
