Rename what still read oddly: Registry, nearQuotaPause, minTimeoutHeartbeats, Total

The type of package registry was still called Register, the pause between digests while an organisation is near its quota pressingPause, the total time of an answer Whole. Names only; keys of JSON, log lines and metrics are as before.

--- a/cmd/sycamore-entry/cost_bench_test.go
+++ b/cmd/sycamore-entry/cost_bench_test.go
@@ -129,8 +129,8 @@
 	check(b, err)
 	for i := 0; i+1 < len(rows); i += 2 {
 		direct, viaEntry := rows[i], rows[i+1]
-		b.ReportMetric((viaEntry.Whole.P50-direct.Whole.P50)*1e3, string(viaEntry.Kind)+"-p50-us")
-		b.ReportMetric((viaEntry.Whole.P99-direct.Whole.P99)*1e3, string(viaEntry.Kind)+"-p99-us")
+		b.ReportMetric((viaEntry.Total.P50-direct.Total.P50)*1e3, string(viaEntry.Kind)+"-p50-us")
+		b.ReportMetric((viaEntry.Total.P99-direct.Total.P99)*1e3, string(viaEntry.Kind)+"-p99-us")
 	}
 }
 
--- a/cmd/sycamore-replay/capacity.go
+++ b/cmd/sycamore-replay/capacity.go
@@ -104,7 +104,7 @@
 		fmt.Printf("  %d: %s\n", s.Why[why], why)
 	}
 	fmt.Printf("chunks %d of %d in %.1f s; first chunk p50 %.0f p99 %.0f ms, whole p50 %.0f p99 %.0f ms\n",
-		s.Chunks, s.Expected, s.Seconds, s.FirstChunk.P50, s.FirstChunk.P99, s.Whole.P50, s.Whole.P99)
+		s.Chunks, s.Expected, s.Seconds, s.FirstChunk.P50, s.FirstChunk.P99, s.Total.P50, s.Total.P99)
 	fmt.Printf("entries: %.2f s of processor time, %.1f us a chunk\n", e.CPU, e.CPU*1e6/float64(max(s.Chunks, 1)))
 	fmt.Printf("resident %.1f MB before, %.1f MB at most: %.1f kB a stream; heap %.1f and %.1f MB: %.1f kB a stream\n",
 		megabytes(e.ResidentBefore), megabytes(e.ResidentMost), float64(e.ResidentMost-e.ResidentBefore)/streams/1e3,
@@ -163,8 +163,8 @@
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "kind\tway\tcalls\tfirst byte p50\tp99\twhole p50\tp99 (ms)")
 	for _, row := range r.Rows {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\n", row.Kind, row.Way, row.Whole.Count,
-			row.FirstByte.P50, row.FirstByte.P99, row.Whole.P50, row.Whole.P99)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\n", row.Kind, row.Way, row.Total.Count,
+			row.FirstByte.P50, row.FirstByte.P99, row.Total.P50, row.Total.P99)
 	}
 	fmt.Fprintf(table, "load average %.1f before, %.1f after\n", r.LoadBefore, r.LoadAfter)
 	return table.Flush()
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -30,7 +30,7 @@
 type Config struct {
 	// Heartbeat is the time between heartbeats to one peer.
 	Heartbeat time.Duration
-	// FailureTimeout is the failure-detection timeout, at least minSilenceHeartbeats heartbeats.
+	// FailureTimeout is the failure-detection timeout, at least minTimeoutHeartbeats heartbeats.
 	FailureTimeout time.Duration
 	// Removal is the time without contact after which a peer no longer counts for the
 	// quorum. It must exceed the time for which regions may be partitioned.
@@ -53,9 +53,9 @@
 	DefaultFarDigests = 8
 	// DefaultRemoval exceeds the hour for which regions may be partitioned.
 	DefaultRemoval = 2 * time.Hour
-	// minSilenceHeartbeats allows for an echo that is two heartbeats old on an intact link
+	// minTimeoutHeartbeats allows for an echo that is two heartbeats old on an intact link
 	// (ours and the peer's), and for one late heartbeat.
-	minSilenceHeartbeats = 4
+	minTimeoutHeartbeats = 4
 )
 
 // Instance is a row of the platform's list of entries.
@@ -146,7 +146,7 @@
 	if cfg.Removal <= 0 {
 		cfg.Removal = DefaultRemoval
 	}
-	cfg.FailureTimeout = max(cfg.FailureTimeout, minSilenceHeartbeats*cfg.Heartbeat)
+	cfg.FailureTimeout = max(cfg.FailureTimeout, minTimeoutHeartbeats*cfg.Heartbeat)
 	m.cfg = cfg
 }
 
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -3,7 +3,7 @@
 // and a running target renews its own soon afterwards. Until then the target is kept, since
 // an outage of the store would otherwise remove all targets.
 //
-// Time is an argument. A Register is not safe for concurrent use.
+// Time is an argument. A Registry is not safe for concurrent use.
 package registry
 
 import (
@@ -24,8 +24,8 @@
 // some hundred restarts a day are typical, and old registrations arrive late by seconds.
 const maxRemembered = 4096
 
-// Register is a registry of targets by id.
-type Register struct {
+// Registry holds the targets by id.
+type Registry struct {
 	targets map[string]catalog.Target
 	// started is the latest known start of each id, including ids that have ended.
 	started *bounded.Map[int64]
@@ -41,8 +41,8 @@
 }
 
 // New returns an empty registry.
-func New() *Register {
-	return &Register{
+func New() *Registry {
+	return &Registry{
 		targets: make(map[string]catalog.Target), expiring: make(map[string]time.Time),
 		started: bounded.New[int64](maxRemembered), departed: bounded.New[bool](maxRemembered),
 		ended: bounded.New[bool](maxRemembered),
@@ -53,7 +53,7 @@
 // registration of an earlier start than the latest known one is outdated, in whatever order
 // snapshots, followed records and updates of other entries arrive: if it were applied,
 // requests would go to a process that has ended, with the measurements of that process.
-func (r *Register) Put(target catalog.Target) bool {
+func (r *Registry) Put(target catalog.Target) bool {
 	if target.StartedMS < r.started.Get(target.ID) {
 		return false
 	}
@@ -72,7 +72,7 @@
 // MarkLeaving records a target's announcement that it leaves, which no registration revokes:
 // during an outage of the store the registry shows the target as ready. It reports whether
 // the announcement is new.
-func (r *Register) MarkLeaving(target catalog.Target) bool {
+func (r *Registry) MarkLeaving(target catalog.Target) bool {
 	incarnation := target.Incarnation()
 	if r.departed.Get(incarnation) {
 		return false
@@ -88,7 +88,7 @@
 // SetRestored records that the store was restored from an older copy, which ends at an offset.
 // The known state of targets that are leaving or have ended overrides the registrations of
 // the copy, since it may have been written in the seconds that are lost.
-func (r *Register) SetRestored(end int64) {
+func (r *Registry) SetRestored(end int64) {
 	r.restoredEnd = end
 	for _, target := range r.targets {
 		if target.Leaving {
@@ -100,19 +100,19 @@
 // IsStale reports whether a registration is from the copy that the store was restored from
 // and is of a target that is known to have ended. If the target registers again, it is
 // accepted.
-func (r *Register) IsStale(target catalog.Target, offset int64) bool {
+func (r *Registry) IsStale(target catalog.Target, offset int64) bool {
 	return offset < r.restoredEnd && r.ended.Get(target.Incarnation())
 }
 
 // Get returns the known target with an id.
-func (r *Register) Get(id string) (catalog.Target, bool) {
+func (r *Registry) Get(id string) (catalog.Target, bool) {
 	target, found := r.targets[id]
 	return target, found
 }
 
 // Drop records the end of a registration; before keepUntil the target may register again.
 // It reports whether the target was known.
-func (r *Register) Drop(now time.Time, id string, keepUntil time.Time) bool {
+func (r *Registry) Drop(now time.Time, id string, keepUntil time.Time) bool {
 	if _, found := r.targets[id]; !found {
 		return false
 	}
@@ -126,7 +126,7 @@
 	return true
 }
 
-func (r *Register) remove(id string) {
+func (r *Registry) remove(id string) {
 	target := r.targets[id]
 	r.ended.Put(target.Incarnation(), true)
 	delete(r.targets, id)
@@ -134,7 +134,7 @@
 }
 
 // Missing returns the ids of the known targets that are not in ids.
-func (r *Register) Missing(ids map[string]bool) []string {
+func (r *Registry) Missing(ids map[string]bool) []string {
 	var missing []string
 	for id := range r.targets {
 		if !ids[id] {
@@ -145,13 +145,13 @@
 }
 
 // IsMassExpiry reports whether so many targets dropped at once have most likely expired.
-func (r *Register) IsMassExpiry(dropped int) bool {
+func (r *Registry) IsMassExpiry(dropped int) bool {
 	return dropped > 1 && float64(dropped) >= massExpiryShare*float64(len(r.targets))
 }
 
 // Expire removes dropped targets that have not registered again; next is when to call
 // it again, zero if not before the next Drop.
-func (r *Register) Expire(now time.Time) (removed []string, next time.Time) {
+func (r *Registry) Expire(now time.Time) (removed []string, next time.Time) {
 	for id, until := range r.expiring {
 		if !now.Before(until) {
 			r.remove(id)
@@ -167,7 +167,7 @@
 }
 
 // Targets returns all targets, sorted by id.
-func (r *Register) Targets() []catalog.Target {
+func (r *Registry) Targets() []catalog.Target {
 	targets := make([]catalog.Target, 0, len(r.targets))
 	for _, target := range r.targets {
 		targets = append(targets, target)
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -13,7 +13,7 @@
 
 var now = time.Unix(1_000_000, 0)
 
-func filled(n int) *registry.Register {
+func filled(n int) *registry.Registry {
 	r := registry.New()
 	for i := range n {
 		r.Put(catalog.Target{ID: fmt.Sprintf("t-%d", i), Address: "10.0.0.1:80"})
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -24,10 +24,10 @@
 	// after which entries count as unresponsive: with a loss of a twentieth of all datagrams, none
 	// of 195 entries misses all of them in 20 s.
 	digestPause = 500 * time.Millisecond
-	// pressingPause is the interval while an organisation is close to its quota: an
+	// nearQuotaPause is the interval while an organisation is close to its quota: an
 	// organisation that sends six times its typical rate uses a twentieth of its quota
 	// meanwhile.
-	pressingPause = 400 * time.Millisecond
+	nearQuotaPause = 400 * time.Millisecond
 )
 
 // relay sends digests while this entry is one of the relays of its cell.
@@ -45,7 +45,7 @@
 			continue
 		}
 		if l.pressing() {
-			pause = pressingPause
+			pause = nearQuotaPause
 		}
 		l.sendDigests(cells, round)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -42,7 +42,7 @@
 	// storeDisconnected is set, by topic, while the store cannot be read.
 	storeDisconnected [feed.Entries]atomic.Bool
 	mutex             sync.Mutex
-	register          *registry.Register
+	register          *registry.Registry
 	addresses         map[string]bool
 	// pendingLines holds the log lines of changes that are not in force yet.
 	pendingLines []eventlog.Fields
--- a/internal/replay/capacity/hop.go
+++ b/internal/replay/capacity/hop.go
@@ -30,9 +30,9 @@
 type HopRow struct {
 	Kind Kind   `json:"kind"`
 	Way  string `json:"way"`
-	// FirstByte is the time to the first byte of the answer, Whole to the last.
+	// FirstByte is the time to the first byte of the answer, Total to the last.
 	FirstByte report.Percentiles `json:"first_byte_ms"`
-	Whole     report.Percentiles `json:"whole_ms"`
+	Total     report.Percentiles `json:"whole_ms"`
 }
 
 // Paths of a call.
@@ -107,7 +107,7 @@
 	for w, way := range ways {
 		rows = append(rows, HopRow{
 			Kind: kind, Way: way,
-			FirstByte: report.PercentilesOf(first[w]), Whole: report.PercentilesOf(whole[w]),
+			FirstByte: report.PercentilesOf(first[w]), Total: report.PercentilesOf(whole[w]),
 		})
 	}
 	return rows, nil
--- a/internal/replay/capacity/load.go
+++ b/internal/replay/capacity/load.go
@@ -76,7 +76,7 @@
 	// Why counts the requests without a complete answer by reason.
 	Why        map[string]int     `json:"why,omitempty"`
 	FirstChunk report.Percentiles `json:"first_chunk_ms"`
-	Whole      report.Percentiles `json:"whole_ms"`
+	Total      report.Percentiles `json:"whole_ms"`
 	Seconds    float64            `json:"seconds"`
 }
 
@@ -112,7 +112,7 @@
 	s.tally.Seconds = time.Since(began).Seconds()
 	s.tally.OpenMost = int(s.most.Load())
 	s.tally.FirstChunk = report.PercentilesOf(s.first)
-	s.tally.Whole = report.PercentilesOf(s.whole)
+	s.tally.Total = report.PercentilesOf(s.whole)
 	return s.tally, nil
 }
 
