Retry budget: a changed window does not renew the allowance

Cause: with another window from the settings, the level of each bucket began anew with the tokens of the moment, and a sliding maximum forgot its initial value at its first observation. So after a reload that changes the window a spent bucket gained its whole allowance at once more.

Change: the new maximum begins with the largest level so far and keeps it for its span.

Without a change of bounds.retry_window_s in the settings nothing differs.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -75,7 +75,7 @@
 func (b *Budget) SetConfig(config Config) {
 	if config.Window != b.config.Window {
 		for _, k := range b.buckets {
-			k.level = newSlidingMax(config.Window, k.tokens)
+			k.level = newSlidingMax(config.Window, k.level.largest())
 		}
 	}
 	b.config = config
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -157,3 +157,17 @@
 	}
 	g.Expect(spend(b, now.Add(5*time.Second+300*time.Millisecond))).To(BeNumerically(">=", 5))
 }
+
+// Guards against a reload of the settings that renews the budget.
+func TestChangedWindowDoesNotRenewTheAllowance(t *testing.T) {
+	g := NewWithT(t)
+	config := budget.Config{Window: window, Extra: 100}
+	b := newBudget(config, 1)
+	spent := spend(b, now)
+	config.Window = window / 2
+	b.SetConfig(config)
+	for at := time.Duration(0); at < config.Window; at += 10 * time.Millisecond {
+		spent += spend(b, now.Add(at))
+	}
+	g.Expect(spent).To(BeNumerically("<=", 100))
+}
--- a/internal/core/budget/slidingmax.go
+++ b/internal/core/budget/slidingmax.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxSlots divides the span of a slidingMax, which is exact to one slot: it may remember a
 // value for a quarter of the span longer.
@@ -18,13 +21,9 @@
 	last   float64
 }
 
-// newSlidingMax returns the maximum over a span before which the quantity had a value.
-func newSlidingMax(span time.Duration, before float64) slidingMax {
-	m := slidingMax{width: max(1, span/(maxSlots-1))}
-	for i := range m.slots {
-		m.slots[i] = before
-	}
-	return m
+// newSlidingMax returns the maximum over a span for a quantity that has a value already.
+func newSlidingMax(span time.Duration, value float64) slidingMax {
+	return slidingMax{width: max(1, span/(maxSlots-1)), slots: [maxSlots]float64{value}, last: value}
 }
 
 func (m *slidingMax) observe(at time.Duration, value float64) {
@@ -36,13 +35,12 @@
 
 func (m *slidingMax) value(at time.Duration) float64 {
 	m.advance(at)
-	largest := m.slots[0]
-	for _, v := range m.slots[1:] {
-		largest = max(largest, v)
-	}
-	return largest
+	return m.largest()
 }
 
+// largest returns the value at the last time that was given.
+func (m *slidingMax) largest() float64 { return slices.Max(m.slots[:]) }
+
 // advance begins the slots up to the current one with the last value.
 func (m *slidingMax) advance(at time.Duration) {
 	number := int64(at / m.width)
