--- a/internal/core/crashes/crashes.go
+++ b/internal/core/crashes/crashes.go
@@ -80,9 +80,9 @@
 	ID string
 }
 
-// QuarantinedRuns returns the failed runs of the requests that must be refused, as many of the
-// latest requests as have most runs together.
-func (m *Tracker) QuarantinedRuns(now time.Time, most int) []FailedRun {
+// QuarantinedRuns returns the failed runs of the requests that must be refused, those of the
+// latest request first, and at most limit runs.
+func (m *Tracker) QuarantinedRuns(now time.Time, limit int) []FailedRun {
 	var runs []FailedRun
 	for _, fingerprint := range slices.Backward(m.order) {
 		failed := unexpired(m.runs[fingerprint], now)
@@ -90,7 +90,7 @@
 			continue
 		}
 		failed = failed[len(failed)-QuarantineThreshold:]
-		if len(runs)+len(failed) > most {
+		if len(runs)+len(failed) > limit {
 			break
 		}
 		for _, r := range failed {
