Fleet: a start that asks others, a tree for what all must hear, blocks with tokens

Cause: 985 entries that start together overload the partition of the store in which they register (250 appends a second; repeats each 0.5 s, appends given up after 1.2 s that are still executed), so none learns of the others and each reads the store for itself. Behind that, what each tells all grows with the square of the fleet: announcements, digests by cells, the reader's copies to each entry of its zone, broken runs told by each to all; and sums over entries for each organisation.

Change, in one commit since the parts need each other: join through one entry of a page of the registry (join.go); copies of topics from other entries (feed.Copy, transfer.go); a hub for each zone and a tree (hub.go, tree.go); blocks that hold tokens and what has changed (block.go); sums of usage kept as they arrive (quota/sum.go); broken runs merged (crashes.go); what the registry of targets remembers follows the number of targets. The simulation of digests in peerset is replaced by tests that run the real duties of a fleet on a virtual clock (fleet_test.go).

--- a/internal/core/bounded/bounded.go
+++ b/internal/core/bounded/bounded.go
@@ -15,6 +15,9 @@
 	return &Map[V]{capacity: capacity, values: make(map[string]V)}
 }
 
+// Grow raises the capacity.
+func (m *Map[V]) Grow(capacity int) { m.capacity = max(m.capacity, capacity) }
+
 // Get returns the value of a key, or the zero value if the key is absent.
 func (m *Map[V]) Get(key string) V { return m.values[key] }
 
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -69,8 +70,9 @@
 	Sequence   uint64
 	LastDirect time.Time
 	// position determines the order in which entries are divided into cells; see
-	// dispatch.Place.
-	position uint64
+	// dispatch.CellKey. rank orders the candidates for duties.
+	position, rank uint64
+	token          Token
 }
 
 // Status is the status that an entry reports.
@@ -83,7 +85,7 @@
 	Age               time.Duration
 	StoreDisconnected bool
 	Version           int64
-	// Relayed: the status was passed on by another entry. Such a status has no addresses.
+	// Relayed: the status was passed on by another entry.
 	Relayed bool
 }
 
@@ -92,25 +94,27 @@
 	// Outdated: the status is outdated: a later one has been received, or its incarnation has
 	// been replaced.
 	Outdated bool
-	// Unknown: the entry is not known, and the status does not have its addresses.
-	Unknown bool
 	// Joined: it was not live before. Returned: it had been live before it became
 	// unresponsive. Replaced: its incarnation is not the one known before.
 	Joined, Returned, Replaced bool
+	// Changed: its token has changed, or it was not live before.
+	Changed bool
 }
 
 // Set holds the other entries by name.
 type Set struct {
 	config  Config
-	self    Entry
+	self    Member
 	members map[string]*Member
-	// order holds the members by position.
-	order []*Member
+	// order holds the members by position, byToken by token.
+	order   []*Member
+	byToken map[Token]*Member
 }
 
 // New returns a set without other entries.
 func New(config Config, self Entry) *Set {
-	return &Set{config: config, self: self, members: make(map[string]*Member)}
+	own := Member{Entry: self, position: dispatch.CellKey(self.Zone, self.Name), rank: dispatch.Rank(self.Name)}
+	return &Set{config: config, self: own, members: make(map[string]*Member), byToken: make(map[Token]*Member)}
 }
 
 // AddRegistered adds an entry from the registry. It is not live before there is contact.
@@ -127,13 +131,15 @@
 	if !s.live(now, known) && known.Incarnation != entry.Incarnation {
 		known.Entry = entry
 		known.Sequence = 0
+		s.setToken(known)
 	}
 }
 
 // add adds a member without contact.
 func (s *Set) add(entry Entry) *Member {
-	m := &Member{Entry: entry, position: dispatch.CellKey(entry.Zone, entry.Name)}
+	m := &Member{Entry: entry, position: dispatch.CellKey(entry.Zone, entry.Name), rank: dispatch.Rank(entry.Name)}
 	s.members[entry.Name] = m
+	s.setToken(m)
 	at, _ := slices.BinarySearchFunc(s.order, m, compareMembers)
 	s.order = slices.Insert(s.order, at, m)
 	return m
@@ -151,9 +157,6 @@
 	}
 	known, found := s.members[status.Name]
 	if !found {
-		if status.Relayed {
-			return Update{Unknown: true}
-		}
 		known = s.add(status.Entry)
 	}
 	started := at.Add(-status.Age)
@@ -162,13 +165,15 @@
 	}
 	update := Update{Joined: !found || !s.live(now, known), Replaced: found && known.Incarnation != status.Incarnation}
 	update.Returned = update.Joined && found && known.Sequence > 0
-	if status.Relayed {
-		known.Incarnation = status.Incarnation
-	} else {
-		known.Entry, known.LastDirect = status.Entry, at
+	known.Entry = status.Entry
+	if !status.Relayed {
+		known.LastDirect = at
 	}
 	known.State, known.StoreDisconnected, known.Version, known.Sequence = status.State, status.StoreDisconnected, status.Version, status.Sequence
 	known.LastContact, known.Started = at, started
+	before := known.token
+	s.setToken(known)
+	update.Changed = update.Joined || known.token != before
 	return update
 }
 
@@ -211,6 +216,7 @@
 		delete(s.members, entry.Name)
 	}
 	s.order = slices.DeleteFunc(s.order, func(m *Member) bool { return s.members[m.Name] != m })
+	maps.DeleteFunc(s.byToken, func(_ Token, m *Member) bool { return s.members[m.Name] != m })
 	return expired
 }
 
@@ -237,21 +243,61 @@
 
 func (s *Set) live(now time.Time, m *Member) bool { return now.Sub(m.LastContact) < s.failureTimeout() }
 
+// LiveCount returns the number of other entries that are live.
+func (s *Set) LiveCount(now time.Time) int {
+	count := 0
+	for _, m := range s.order {
+		if s.live(now, m) {
+			count++
+		}
+	}
+	return count
+}
+
 // Serving returns the other entries that callers may be sent to.
 func (s *Set) Serving(now time.Time) []Member {
 	return s.filter(func(m *Member) bool { return s.serves(now, m) })
 }
 
+// ServingCount returns the number of the entries that Serving returns.
+func (s *Set) ServingCount(now time.Time) int {
+	count := 0
+	for _, m := range s.order {
+		if s.serves(now, m) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *Set) serves(now time.Time, m *Member) bool { return m.State == Ready && s.live(now, m) }
 
 // Readers returns the live entries from which the reader of the store is chosen: those that
 // serve and can read the store or, if there are none, all that are not draining.
 func (s *Set) Readers(now time.Time) []Member {
-	able := s.filter(func(m *Member) bool { return s.serves(now, m) && !m.StoreDisconnected })
+	return s.readersAmong(now, func(*Member) bool { return true })
+}
+
+// ZoneReaders returns those of Readers whose cells belong to the same zone as this entry's. If
+// there is one cell, these are all.
+func (s *Set) ZoneReaders(now time.Time) []Member {
+	present := s.presentMembers(now)
+	zones := zonesOf(present, dispatch.Cells(len(present)))
+	own, _ := slices.BinarySearchFunc(present, &s.self, compareMembers)
+	zone := zones[dispatch.CellOf(own, len(present))]
+	inZone := make(map[*Member]bool, len(present))
+	for i, m := range present {
+		inZone[m] = zones[dispatch.CellOf(i, len(present))] == zone
+	}
+	return s.readersAmong(now, func(m *Member) bool { return inZone[m] })
+}
+
+func (s *Set) readersAmong(now time.Time, candidate func(*Member) bool) []Member {
+	able := s.filter(func(m *Member) bool { return candidate(m) && s.serves(now, m) && !m.StoreDisconnected })
 	if len(able) > 0 {
 		return able
 	}
-	return s.filter(func(m *Member) bool { return m.State != Draining && s.live(now, m) })
+	return s.filter(func(m *Member) bool { return candidate(m) && m.State != Draining && s.live(now, m) })
 }
 
 // Size returns the number of entries that may be serving, including this one.
--- /dev/null
+++ b/internal/core/peerset/token.go
@@ -0,0 +1,64 @@
+package peerset
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token stands for an entry together with its incarnation and state. A relay that reports an
+// unchanged entry sends only its token, a thirtieth of its status.
+type Token uint32
+
+// TokenBytes is the encoded size of a token.
+const TokenBytes = 4
+
+// TokenOf returns the token of an entry in a state.
+func TokenOf(entry Entry, state State, storeDisconnected bool) Token {
+	data := binary.BigEndian.AppendUint64([]byte(entry.Name), entry.Incarnation)
+	data = append(data, byte(state), 0)
+	if storeDisconnected {
+		data[len(data)-1] = 1
+	}
+	return Token(xxhash.Sum64(data))
+}
+
+// Token returns the token of a member.
+func (m *Member) Token() Token { return m.token }
+
+func (s *Set) setToken(m *Member) {
+	if s.byToken[m.token] == m {
+		delete(s.byToken, m.token)
+	}
+	m.token = TokenOf(m.Entry, m.State, m.StoreDisconnected)
+	s.byToken[m.token] = m
+}
+
+// Confirm records that an entry was live at a time, in the state for which the token stands.
+// It returns nil if no such entry is known. joined: the entry was not live before.
+func (s *Set) Confirm(now, at time.Time, token Token) (m *Member, joined bool) {
+	m, found := s.byToken[token]
+	if !found || !s.present(m.Name, m) {
+		return nil, false
+	}
+	wasLive := s.live(now, m)
+	if at.After(m.LastContact) {
+		m.LastContact = at
+	}
+	return m, !wasLive && s.live(now, m)
+}
+
+func (s *Set) present(name string, m *Member) bool { return s.members[name] == m }
+
+// SetLost records the report of an entry's cell that it has lost contact with an incarnation
+// since a time. It reports whether the entry counted as live until now. A report that
+// contradicts this entry's own contact is ignored.
+func (s *Set) SetLost(now, at time.Time, name string, incarnation uint64) bool {
+	m, found := s.members[name]
+	if !found || m.Incarnation != incarnation || !s.live(now, m) || m.LastContact.After(at.Add(s.config.FailureTimeout)) {
+		return false
+	}
+	m.LastContact = now.Add(-s.failureTimeout())
+	return true
+}
--- a/internal/core/quota/bench_test.go
+++ b/internal/core/quota/bench_test.go
@@ -9,8 +9,8 @@
 	"sycamoretrail/internal/core/quota"
 )
 
-// entryCounts are a small installation, the largest ones in use, and the design size.
-var entryCounts = []int{9, 48, 195, 410}
+// entryCounts are a small installation, the largest ones in use, and twice the largest.
+var entryCounts = []int{9, 48, 195, 410, 985, 1970}
 
 // newBenchLimiter returns the limiter of one of the given number of entries: totals of
 // a dozen of the others arrived with the last report, those of the rest some time ago.
--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -15,14 +15,18 @@
 	assumed = share * l.historyInWindow(now, l.started, before)
 	unresponsive := float64(l.entries()-len(l.peers)-1) * share * bound
 	recent := l.recentAdmissions(now, organisation)
-	for _, p := range l.peers {
-		known := p.reportedSince(organisation, since)
+	for _, p := range l.peerList {
+		usage := p.usage[organisation]
+		known := usage.usedSince(since) + p.previousSince(organisation, since)
 		reported += known
 		if p.unresponsive {
 			unresponsive += max(0, bound*share-known)
 			continue
 		}
-		assumed += share*l.historyInWindow(now, p.knownSince, before) + recent.unreported(now, p, organisation)
+		if now.Sub(p.knownSince) < l.config.Window {
+			assumed += share * l.historyInWindow(now, p.knownSince, before)
+		}
+		assumed += recent.unreported(now, p, usage)
 	}
 	assumed = max(assumed, l.usageFromPeers(now, organisation)-reported)
 	return reported, assumed + unresponsive
@@ -38,7 +42,11 @@
 
 // reportedSince returns the usage that a peer has reported since a moment.
 func (p *peer) reportedSince(organisation string, moment time.Time) float64 {
-	known := p.usage[organisation].usedSince(moment)
+	return p.usage[organisation].usedSince(moment) + p.previousSince(organisation, moment)
+}
+
+// previousSince returns the usage that earlier incarnations of a peer reported since a moment.
+func (p *peer) previousSince(organisation string, moment time.Time) (known float64) {
 	for _, f := range p.previous {
 		known += f.usage[organisation].usedSince(moment)
 	}
@@ -71,7 +79,7 @@
 func (l *Limiter) recentAdmissions(now time.Time, organisation string) *recentAdmissions {
 	f := &l.recentBuf
 	f.accounts = append(f.accounts[:0], l.own[organisation])
-	for _, other := range l.peers {
+	for _, other := range l.peerList {
 		if now.Sub(other.totalsAt) < maxFreshAge {
 			f.accounts = append(f.accounts, other.usage[organisation])
 		}
@@ -88,12 +96,12 @@
 // random. A peer's own rate alone would lag behind an organisation that suddenly sends
 // many times its typical load, and let it exceed its quota by what it sends in a
 // second.
-func (f *recentAdmissions) unreported(now time.Time, p *peer, organisation string) float64 {
+func (f *recentAdmissions) unreported(now time.Time, p *peer, usage *account) float64 {
 	age := now.Sub(p.totalsAt)
 	if age < maxFreshAge {
 		return 0
 	}
-	recent := p.usage[organisation].admittedSince(p.totalsAt.Add(-rateInterval))
+	recent := usage.admittedSince(p.totalsAt.Add(-rateInterval))
 	estimate := max(0, recent) * float64(age) / float64(rateInterval)
 	if len(f.accounts) < minFreshEntries {
 		return estimate
@@ -122,16 +130,13 @@
 	return sum / float64(len(accounts))
 }
 
-// NearLimit reports whether an organisation is so close to its quota that the entries
-// should exchange totals more often.
+// nearFor is the time for which an organisation counts as close to its quota after a request.
+const nearFor = time.Second
+
+// NearLimit reports whether an organisation whose requests this entry receives is so close to
+// its quota that the entries should exchange totals more often.
 func (l *Limiter) NearLimit(now time.Time) bool {
-	for organisation, limited := range l.limits {
-		base := l.base(limited)
-		if reported, assumed := l.used(now, organisation, base, base); reported+assumed > base*typicalUse {
-			return true
-		}
-	}
-	return false
+	return now.Sub(l.nearAt) < nearFor
 }
 
 // usageBeforeStart returns the usage of an organisation in the window before this entry
@@ -174,9 +179,5 @@
 
 // reportedSince returns the usage that all entries have reported since a moment.
 func (l *Limiter) reportedSince(since time.Time, organisation string) float64 {
-	total := l.own[organisation].usedSince(since)
-	for _, p := range l.peers {
-		total += p.reportedSince(organisation, since)
-	}
-	return total
+	return l.sums[organisation].usedSince(since)
 }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -20,9 +20,13 @@
 // left while this entry was disconnected must not be kept.
 const massExpiryShare = 2.0 / 3
 
-// maxRemembered bounds the starts and departures remembered of targets that have ended:
-// some hundred restarts a day are typical, and old registrations arrive late by seconds.
-const maxRemembered = 4096
+// The starts, departures and ends remembered are bounded by minRemembered or, in a larger
+// fleet, by rememberedPerTarget for each registered target: all targets may be replaced within
+// minutes, and old registrations arrive late by seconds.
+const (
+	minRemembered       = 4096
+	rememberedPerTarget = 4
+)
 
 // Registry holds the targets by id.
 type Registry struct {
@@ -44,8 +48,8 @@
 func New() *Registry {
 	return &Registry{
 		targets: make(map[string]catalog.Target), expiring: make(map[string]time.Time),
-		started: bounded.New[int64](maxRemembered), departed: bounded.New[bool](maxRemembered),
-		ended: bounded.New[bool](maxRemembered),
+		started: bounded.New[int64](minRemembered), departed: bounded.New[bool](minRemembered),
+		ended: bounded.New[bool](minRemembered),
 	}
 }
 
@@ -66,9 +70,18 @@
 	_, expired := r.expiring[target.ID]
 	delete(r.expiring, target.ID)
 	r.targets[target.ID] = target
+	r.growMemory()
 	return !found || expired || known != target
 }
 
+// growMemory adapts the bounds of what is remembered to the number of targets.
+func (r *Registry) growMemory() {
+	remembered := rememberedPerTarget * len(r.targets)
+	r.started.Grow(remembered)
+	r.departed.Grow(remembered)
+	r.ended.Grow(remembered)
+}
+
 // MarkLeaving records a target's announcement that it leaves, which no registration revokes:
 // during an outage of the store the registry shows the target as ready. It reports whether
 // the announcement is new.
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -156,3 +156,19 @@
 	g.Expect(r.IsStale(ended, 9)).To(BeFalse(), "it registered again")
 	g.Expect(r.IsStale(catalog.Target{ID: "t-2"}, 9)).To(BeFalse())
 }
+
+// A fleet with thousands of targets replaces all of them. What is remembered of those that
+// live must not be forgotten: an old registration would bring back a process that has ended.
+func TestStartsOfManyTargetsAreRemembered(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	const targets = 6000
+	for started := int64(1); started <= 2; started++ {
+		for i := range targets {
+			r.Put(catalog.Target{ID: fmt.Sprint("i-", i), StartedMS: started})
+		}
+	}
+	for i := range targets {
+		g.Expect(r.Put(catalog.Target{ID: fmt.Sprint("i-", i), StartedMS: 1})).To(BeFalse())
+	}
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -55,6 +55,10 @@
 	Restored bool
 	// From and To are the positions before and after the update.
 	From, To Position
+	// Changes holds, for a snapshot that follows earlier updates of the same generation, the
+	// changes since the last of them, which ended at Since. Since is negative otherwise.
+	Changes []Record
+	Since   int64
 	// AsOf is when the log was in this state.
 	AsOf time.Time
 	// UnsettledUntil is the time until which the records dropped by this update may be put
@@ -69,6 +73,11 @@
 type Callbacks struct {
 	// IsReader reports whether this entry is the reader.
 	IsReader func() bool
+	// MayRead reports whether an entry that is not the reader may read the log. Nil: always.
+	MayRead func() bool
+	// Copy returns the copy of another entry that is at least as recent as a position; false:
+	// there is none. Nil: never.
+	Copy func(Topic, Position) (Copy, bool)
 	// Apply applies an update.
 	Apply func(Update)
 	// Unavailable and Available report changes of the log's availability. Available gets
@@ -97,6 +106,8 @@
 	failures     int
 	// recoveredAt is the time at which the last outage ended.
 	recoveredAt time.Time
+	// kept holds the records, for copies.
+	kept kept
 }
 
 // NewFollower returns a follower without any records.
@@ -119,6 +130,9 @@
 	}
 }
 
+// Wake ends the pause before the next attempt.
+func (f *Follower) Wake() { f.wakeUp() }
+
 // Refresh causes an immediate read, for example after a suspension of the process or when
 // a peer has a later version.
 func (f *Follower) Refresh() {
@@ -174,8 +188,33 @@
 	return pause*3/4 + rand.N(pause/2)
 }
 
-// step makes one call and reports whether it succeeded.
+// step brings the applied state up to date and reports whether it succeeded. An entry that is
+// not the reader uses another entry's copy if there is one.
 func (f *Follower) step() bool {
+	if !f.callbacks.IsReader() {
+		if f.copyFromOther() {
+			return true
+		}
+		if f.callbacks.MayRead != nil && !f.callbacks.MayRead() {
+			return false
+		}
+	}
+	return f.readLog()
+}
+
+func (f *Follower) copyFromOther() bool {
+	if f.callbacks.Copy == nil {
+		return false
+	}
+	f.mutex.Lock()
+	from := f.next
+	f.mutex.Unlock()
+	c, found := f.callbacks.Copy(f.config.Topic, from)
+	return found && f.useCopy(c)
+}
+
+// readLog makes one call to the log and reports whether it succeeded.
+func (f *Follower) readLog() bool {
 	f.mutex.Lock()
 	from, wait := f.next, f.config.Wait
 	if f.failures > 0 {
@@ -256,6 +295,7 @@
 	u.Topic = f.config.Topic
 	u.Restored = f.started && u.To.Generation > f.next.Generation
 	f.next, f.started = u.To, true
+	u.Changes, u.Since = f.kept.update(u)
 	if time.Since(f.recoveredAt) < expiryWindow {
 		u.UnsettledUntil = f.recoveredAt.Add(f.config.RenewalTime)
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,6 +37,8 @@
 	eventStoreRegained = "store_regained"
 	eventStoreRestored = "store_restored"
 	eventReader        = "reader"
+	eventJoined        = "joined"
+	eventCopied        = "copied"
 	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
 	eventRollout       = "rollout"
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -46,10 +46,18 @@
 	addresses         map[string]bool
 	// pendingLines holds the log lines of changes that are not in force yet.
 	pendingLines []eventlog.Fields
-	// entriesDue triggers a read of the registry of entries; entriesReadAt is the time of the
-	// last one, in Unix nanoseconds.
+	// entriesDue triggers a check of whether this entry is registered. registryState is what
+	// has been done with the registry of entries so far, registryAt the position up to which
+	// it has been read.
 	entriesDue    chan struct{}
-	entriesReadAt atomic.Int64
+	registryState atomic.Int32
+	registryAt    atomic.Pointer[feed.Position]
+	// unknownSince is when others began to report entries that this one does not know;
+	// rejoining: it is getting their statuses.
+	unknownSince atomic.Pointer[time.Time]
+	rejoining    atomic.Bool
+	// restored holds the records of usage from before the start, once they are applied.
+	restored atomic.Pointer[[]feed.Record]
 	// inForce is the operators' record of the configuration in force.
 	inForce atomic.Pointer[feed.Record]
 	// generation is the latest generation of the store that this entry has followed.
@@ -78,15 +86,19 @@
 func (f *feeds) callbacks(apply func(feed.Update)) feed.Callbacks {
 	return feed.Callbacks{
 		IsReader: f.gateway.isReader,
-		Apply:    apply,
+		MayRead:  f.mayRead,
+		Copy: func(topic feed.Topic, from feed.Position) (feed.Copy, bool) {
+			return f.gateway.links.transfer.copyOf(topic, from)
+		},
+		Apply: apply,
 		Unavailable: func(topic feed.Topic, err error) {
 			f.storeDisconnected[topic].Store(true)
-			f.gateway.links.heartbeatNow()
+			f.gateway.links.announce()
 			f.logStoreError(topic, err)
 		},
 		Available: func(topic feed.Topic, after time.Duration) {
 			f.storeDisconnected[topic].Store(false)
-			f.gateway.links.heartbeatNow()
+			f.gateway.links.announce()
 			f.gateway.log.Write(eventlog.StateChange, eventStoreRegained, eventlog.Fields{"topic": topic.String(), "after_ms": after.Milliseconds()})
 		},
 	}
@@ -366,14 +378,19 @@
 
 func (f *feeds) hasTargets() bool { return f.targetsRead.Load() }
 
-// replicate sends to the other entries what this entry has read as the reader.
+// replicate sends to the other entries what this entry has read as the reader. After a
+// snapshot that follows earlier updates it sends the changes. An entry's first snapshot is sent
+// only if all entries receive it directly; in a larger fleet the others get copies.
 func (f *feeds) replicate(u feed.Update, changed []feed.Record) {
 	if u.Replicated || !f.gateway.isReader() {
 		return
 	}
-	if u.Reset {
-		// The other entries also lack what this entry had to read again, for example after the
-		// store dropped its history.
+	switch {
+	case u.Reset && u.Since >= 0:
+		u.Reset, u.From.Offset, changed = false, u.Since, u.Changes
+	case u.Reset && !u.Restored && f.gateway.links.cells.Load().Count > 1:
+		return
+	case u.Reset:
 		changed = u.Records
 	}
 	f.gateway.links.replicate(u, changed)
--- /dev/null
+++ b/internal/gateway/fleetscale_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime/pprof"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sycamoretrail/internal/feed"
+)
+
+var (
+	fleetEntries = flag.Int("entries", 60, "entries of the fleet in TestFleet")
+	fleetKinds   = flag.Bool("kinds", false, "count messages by kind in TestFleet, which costs processor time")
+	fleetProfile = flag.String("fleetprofile", "", "file for a processor profile of the fleet at rest")
+)
+
+// atRest is the time over which the traffic of the fleet at rest is measured.
+const atRest = 4 * time.Second
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// traffic is what has gone through the network so far.
+type traffic struct {
+	datagrams, octets, mostOctets, mostSent, calls float64
+	processor                                      time.Duration
+	at                                             time.Time
+}
+
+func (f *fleet) traffic() traffic {
+	t := traffic{processor: processorTime(), at: time.Now(), calls: float64(f.store.totalCalls())}
+	for _, node := range f.nodes {
+		t.datagrams += float64(node.datagrams.Load())
+		t.octets += float64(node.octets.Load())
+		t.mostOctets = max(t.mostOctets, float64(node.octets.Load()))
+		t.mostSent = max(t.mostSent, float64(node.sentOctets.Load()))
+	}
+	return t
+}
+
+// since prints what has gone through the network since an earlier moment, per entry and second.
+func (t traffic) since(before traffic, entries int) string {
+	seconds := t.at.Sub(before.at).Seconds()
+	each := seconds * float64(entries)
+	return fmt.Sprintf("%.0f datagrams/s, %.1f kB/s received, at most %.1f received and %.1f sent, %.2f ms/s processor, %.1f store calls/s in all",
+		(t.datagrams-before.datagrams)/each, (t.octets-before.octets)/each/1000, (t.mostOctets-before.mostOctets)/seconds/1000,
+		(t.mostSent-before.mostSent)/seconds/1000, float64((t.processor-before.processor).Microseconds())/1000/each, (t.calls-before.calls)/seconds)
+}
+
+// Guards against a start that overloads the store, and against entries that do not learn of
+// configurations, targets, departures and lost entries in time, at any size of the fleet.
+func TestFleet(t *testing.T) {
+	n := *fleetEntries
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		f := newFleet(n, 3*n, n/3)
+		f.network.countKinds = *fleetKinds
+		defer f.stopAll()
+		before := f.traffic()
+		f.startAll()
+		w.Expect(f.await(1, 20*time.Second, (*fleetNode).ready)).To(BeNumerically("<", 10*time.Second))
+		t.Logf("%d entries ready; %v; calls: %v", n, f.traffic().since(before, n), f.store.calls)
+		for range 8 {
+			t.Log(f.view(), " ", f.network.takeKinds(n, 500*time.Millisecond))
+			time.Sleep(500 * time.Millisecond)
+		}
+		known := f.await(1, 20*time.Second, func(e *fleetNode) bool { return e.servingCount() == n-1 })
+		t.Logf("all known to all after %v more", known)
+		w.Expect(known).To(BeNumerically("<", 10*time.Second))
+		t.Logf("start: %v; calls: %v", f.traffic().since(before, n), f.store.calls)
+
+		time.Sleep(3 * time.Second)
+		before = f.traffic()
+		f.network.takeKinds(n, time.Second)
+		if *fleetProfile != "" {
+			file, err := os.Create(*fleetProfile)
+			w.Expect(err).NotTo(HaveOccurred())
+			w.Expect(pprof.StartCPUProfile(file)).To(Succeed())
+		}
+		time.Sleep(atRest)
+		if *fleetProfile != "" {
+			pprof.StopCPUProfile()
+		}
+		t.Logf("at rest: %v; %s", f.traffic().since(before, n), f.network.takeKinds(n, atRest))
+
+		f.configure(2, n/3)
+		took := f.await(1, 10*time.Second, func(e *fleetNode) bool { return e.configuration.Load().Version == 2 })
+		t.Logf("configuration in force after %v", took)
+		w.Expect(took).To(BeNumerically("<=", time.Second))
+
+		f.store.put(feed.Targets, targetRecord(1, true))
+		took = f.await(1, 10*time.Second, func(e *fleetNode) bool {
+			e.feeds.mutex.Lock()
+			defer e.feeds.mutex.Unlock()
+			known, _ := e.feeds.register.Get("i-1")
+			return known.Leaving
+		})
+		t.Logf("departure known after %v", took)
+		w.Expect(took).To(BeNumerically("<=", 500*time.Millisecond))
+
+		lost := f.nodes[n/2]
+		lost.kill()
+		took = f.await(1, 10*time.Second, func(e *fleetNode) bool { return !e.lists(lost) })
+		t.Logf("lost entry out of all lists after %v", took)
+		w.Expect(took).To(BeNumerically("<=", 2*time.Second))
+
+		again := f.add(n / 2)
+		again.start()
+		took = f.await(1, 10*time.Second, func(e *fleetNode) bool { return e == again || e.lists(again) })
+		t.Logf("restarted entry in all lists after %v", took)
+		w.Expect(took).To(BeNumerically("<=", 2*time.Second))
+	})
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
-	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
@@ -25,24 +24,24 @@
 	// cellsPause is the least time between two updates of the cells: when all entries start at
 	// once, each joins all others within some hundred milliseconds.
 	cellsPause = 20 * time.Millisecond
-	// crashCopies is the number of times that a broken run is announced: if the only datagram
-	// were lost, the count of broken runs would be one too low.
-	crashCopies = 2
 	// departureCopies is the number of times that a target's departure is announced; an entry
 	// that misses the announcement receives it with the target's next answer.
 	departureCopies = 2
-	// zoneReaders is the number of other entries from which on each zone has its own reader.
-	zoneReaders = 24
 )
 
 // links exchanges messages with the other entries.
 type links struct {
 	gateway *Gateway
 	conn    *gossip.Conn
-	// heartbeatDue triggers a heartbeat at once; announcing: it goes to all entries, not only
-	// to the cell.
+	// heartbeatDue triggers a heartbeat at once, blockDue a block of the cell's relay.
 	heartbeatDue chan struct{}
-	announcing   atomic.Bool
+	blockDue     chan struct{}
+	composer     *composer
+	hub          *hub
+	transfer     *transfer
+	// ownCrashes are broken runs that this entry has seen, zoneCrashes those that it announces
+	// as a hub.
+	ownCrashes, zoneCrashes crashList
 	// heartbeatCount counts heartbeats, from a start that differs by entry; see peerset.Set.NextProbe.
 	heartbeatCount int
 	// cells is the division of entries into cells, as last updated at cellsAt; cellsDue: an
@@ -61,9 +60,8 @@
 	// catchingUp: a check of whether the configuration has caught up is scheduled.
 	catchingUp atomic.Bool
 	assembler  *gossip.Assembler
-	// heartbeatRotation, reportRotation and digestRotation select the organisations of each
-	// message in turn.
-	heartbeatRotation, reportRotation, digestRotation rotation
+	// heartbeatRotation and reportRotation select the organisations of each message in turn.
+	heartbeatRotation, reportRotation rotation
 	// limitRotation selects in turn the targets whose declared limits are reported.
 	limitRotation rotation
 	// partial: the last heartbeat did not contain all totals.
@@ -72,9 +70,12 @@
 
 func newLinks(g *Gateway, conn *gossip.Conn) *links {
 	l := &links{
-		gateway: g, conn: conn, heartbeatDue: make(chan struct{}, 1), heartbeatCount: rand.IntN(1 << 16),
-		resolved: make(map[string]*net.UDPAddr), assembler: gossip.NewAssembler(),
+		gateway: g, conn: conn, heartbeatDue: make(chan struct{}, 1), blockDue: make(chan struct{}, 1), heartbeatCount: rand.IntN(1 << 16),
+		composer: newComposer(), resolved: make(map[string]*net.UDPAddr), assembler: gossip.NewAssembler(),
 	}
+	l.hub = newHub(l.flushDigests)
+	l.transfer = newTransfer(g)
+	l.ownCrashes.flush, l.zoneCrashes.flush = l.sendCrashes, l.passCrashes
 	l.cells.Store(&peerset.Cells{Count: 1, Entries: 1})
 	return l
 }
@@ -97,16 +98,11 @@
 	}
 }
 
-// heartbeatNow triggers a heartbeat to the cell before its regular time.
-func (l *links) heartbeatNow() {
-	signal(l.heartbeatDue)
-}
-
-// announce triggers a heartbeat to all entries: changes that decide which entries get callers
-// must not wait for a relay.
+// announce triggers a heartbeat to the cell, after which the cell's relay reports the change to
+// all.
 func (l *links) announce() {
-	l.announcing.Store(true)
-	l.heartbeatNow()
+	signal(l.heartbeatDue)
+	signal(l.blockDue)
 }
 
 func (l *links) message() *gossip.Message {
@@ -140,13 +136,13 @@
 }
 
 // heartbeatReceivers returns the receivers of this heartbeat: the cell and one
-// unresponsive entry, or all entries if there is one cell only or this is an announcement.
+// unresponsive entry, or all entries if there is one cell only.
 func (l *links) heartbeatReceivers() []peerset.Entry {
 	l.heartbeatCount++
 	peers := l.gateway.state.peers
 	l.gateway.state.mutex.Lock()
 	defer l.gateway.state.mutex.Unlock()
-	if l.announcing.Swap(false) || dispatch.Cells(peers.Size()) == 1 {
+	if dispatch.Cells(peers.Size()) == 1 {
 		return entriesOf(peers.Members())
 	}
 	to := l.cells.Load().Audience
@@ -181,7 +177,7 @@
 	}
 	datagram, err := l.conn.Encode(m)
 	if err != nil {
-		l.gateway.log.Write(eventlog.StateChange, eventUndecodable, eventlog.Fields{"error": err.Error()})
+		l.logUnsendable(err)
 		return
 	}
 	for i := range members {
@@ -240,27 +236,29 @@
 	if g.state.peersKnown {
 		g.state.budget.SetEntries(now, g.state.peers.Size())
 	}
-	cells := g.state.peers.Cells(now, g.ready())
+	cells := g.state.peers.Cells(now, !g.draining.Load())
 	l.cells.Store(&cells)
 	g.state.sched.SetEntries(cells.Entries)
 	g.state.deliver(g.state.sched.SetCell(now, cells.Own, cells.Count))
 }
 
-// applyRegister applies the registry of entries and announces this entry to all.
-func (l *links) applyRegister(entries []peerset.Entry) {
-	l.addRegistered(entries)
-	l.announce()
-}
-
-func (l *links) addRegistered(entries []peerset.Entry) {
+// addRegistered adds entries of the registry. complete: these are all entries.
+func (l *links) addRegistered(entries []peerset.Entry, complete bool) {
 	now := time.Now()
 	l.gateway.state.mutex.Lock()
 	defer l.gateway.state.mutex.Unlock()
 	for _, entry := range entries {
 		l.gateway.state.peers.AddRegistered(now, entry)
 	}
-	l.gateway.state.peersKnown = true
+	if complete {
+		l.setPeersKnown()
+	}
 	l.setPeers(now)
+}
+
+// setPeersKnown records that all other entries are known. The caller holds the state's mutex.
+func (l *links) setPeersKnown() {
+	l.gateway.state.peersKnown = true
 	l.gateway.state.quota.SetPeersKnown(true)
 }
 
@@ -283,11 +281,6 @@
 	}
 }
 
-func (l *links) announceCrash(fingerprint crashes.Fingerprint, id string) {
-	m := l.message()
-	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id}
-	members := l.members()
-	for range crashCopies {
-		l.send(m, members)
-	}
+func (l *links) logUnsendable(err error) {
+	l.gateway.log.Write(eventlog.StateChange, eventUndecodable, eventlog.Fields{"error": err.Error()})
 }
--- a/internal/gateway/rotation.go
+++ b/internal/gateway/rotation.go
@@ -19,8 +19,10 @@
 	// targets.
 	heartbeatBytes = 1100
 	reportBytes    = 700
-	// digestBytes is the space for organisations in a digest, with the totals of one status.
-	digestBytes = 1150
+	// usageBytes is the largest size of a total in a block without the organisation's name,
+	// nameBytes that of the header of a name.
+	usageBytes = 34
+	nameBytes  = 2
 	// totalBytes is the largest size of a total without the organisation's name, historyBytes
 	// that of a history: two numbers of nine bytes and their headers.
 	totalBytes   = 21
