--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -99,6 +99,8 @@
 	Joined, Returned, Replaced bool
 	// Changed: its token has changed, or it was not live before.
 	Changed bool
+	// Contacted: it is the first direct contact within the failure-detection timeout.
+	Contacted bool
 }
 
 // Set holds the other entries by name.
@@ -167,6 +169,7 @@
 	update.Returned = update.Joined && found && known.Sequence > 0
 	known.Entry = status.Entry
 	if !status.Relayed {
+		update.Contacted = update.Replaced || now.Sub(known.LastDirect) >= s.failureTimeout()
 		known.LastDirect = at
 	}
 	known.State, known.StoreDisconnected, known.Version, known.Sequence = status.State, status.StoreDisconnected, status.Version, status.Sequence
--- a/internal/feed/copy.go
+++ b/internal/feed/copy.go
@@ -96,11 +96,12 @@
 }
 
 // Copy returns a copy of what has changed since a position or, if that is not known, of all
-// records. It returns false if this entry has no copy yet.
+// records. It returns false if this entry has no copy yet, or none that is fresh enough for an
+// entry that has one itself.
 func (f *Follower) Copy(from Position) (Copy, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.next.Offset < 0 {
+	if f.next.Offset < 0 || from.Offset >= 0 && time.Since(f.AsOf()) >= f.config.MaxAge {
 		return Copy{}, false
 	}
 	c := Copy{From: from, To: f.next, AsOf: f.AsOf()}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -38,6 +38,8 @@
 	// backoffOther is the pause of entries that are not the reader: the reader's updates
 	// show them when the log is available again.
 	backoffOther = 2500 * time.Millisecond
+	// backoffCopyMax bounds the pause of an entry that waits for a copy of another entry.
+	backoffCopyMax = 1600 * time.Millisecond
 )
 
 // expiryWindow is how long after an outage dropped records are attributed to expiry during
@@ -104,6 +106,9 @@
 	// failingSince is the start of the first of the consecutive failed calls.
 	failingSince time.Time
 	failures     int
+	// waits is the number of consecutive steps in which there was neither a copy nor leave to
+	// read the log.
+	waits int
 	// recoveredAt is the time at which the last outage ended.
 	recoveredAt time.Time
 	// kept holds the records, for copies.
@@ -177,6 +182,8 @@
 	defer f.mutex.Unlock()
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
 	switch {
+	case f.waits > 0:
+		pause = min(backoffCopyMax, backoffFirst<<min(f.waits, 4))
 	case f.next.Offset < 0 && f.callbacks.IsReader():
 		pause = backoffFirst
 	case f.next.Offset < 0:
@@ -191,15 +198,27 @@
 // step brings the applied state up to date and reports whether it succeeded. An entry that is
 // not the reader uses another entry's copy if there is one.
 func (f *Follower) step() bool {
-	if !f.callbacks.IsReader() {
-		if f.copyFromOther() {
-			return true
-		}
-		if f.callbacks.MayRead != nil && !f.callbacks.MayRead() {
-			return false
-		}
+	if f.callbacks.IsReader() {
+		f.setWaits(0)
+		return f.readLog()
 	}
-	return f.readLog()
+	switch {
+	case f.copyFromOther():
+		f.setWaits(0)
+		return true
+	case f.callbacks.MayRead != nil && !f.callbacks.MayRead():
+		f.setWaits(f.waits + 1)
+		return false
+	default:
+		f.setWaits(0)
+		return f.readLog()
+	}
+}
+
+func (f *Follower) setWaits(waits int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.waits = waits
 }
 
 func (f *Follower) copyFromOther() bool {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -26,6 +26,8 @@
 	// readPause is the least time between two reads of a topic: changes in quick succession
 	// are read together.
 	readPause = 50 * time.Millisecond
+	// maxListedTargets is the number of targets in a snapshot up to which each is logged.
+	maxListedTargets = 100
 	// outageGrace is how long after an outage of the store a live target may take to register
 	// again, with a margin.
 	outageGrace = 2300 * time.Millisecond
@@ -231,6 +233,9 @@
 			changed = append(changed, record)
 		}
 	}
+	if u.Reset {
+		f.queueLine(eventlog.Fields{"registered": len(u.Records), "changed": len(changed), "offset": u.To.Offset, "replicated": u.Replicated, "age_ms": time.Since(u.AsOf).Milliseconds()})
+	}
 	if u.Reset || len(changed) > 0 {
 		f.publish(f.operators.AsOf())
 	}
@@ -301,6 +306,9 @@
 		// Connections to the previous process are dead, even if no reset has arrived.
 		f.gateway.pool.Forget(before.Address)
 	}
+	if u.Reset && len(u.Records) > maxListedTargets {
+		return true
+	}
 	state := "ready"
 	if target.Leaving {
 		state = "leaving"
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"sycamoretrail/internal/backoff"
-	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
@@ -268,6 +267,9 @@
 			continue
 		}
 		l.applyJoin(answer)
+		for i := range answer.Crashes {
+			l.handleCrash(&answer.Crashes[i])
+		}
 		if answer.Settled || answer.Restored {
 			l.gateway.feeds.applyUsage(answer.UsageRecords)
 		}
@@ -314,9 +316,6 @@
 	}
 	l.setPeers(now)
 	g.state.quota.PeerHistory(now, mapValues(answer.Histories, historyOf))
-	for _, crash := range answer.Crashes {
-		g.state.crashes.RecordFailure(now, crashes.Fingerprint(crash.Fingerprint), crash.ID)
-	}
 }
 
 // answerJoin applies the status of an entry that has started and returns the packed answer.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -102,10 +102,10 @@
 	if change.Joined || change.Replaced {
 		l.scheduleCells(now)
 	}
-	if (change.Joined || change.Replaced) && !status.Relayed {
+	if change.Contacted {
 		g.log.Write(eventlog.StateChange, eventPeer, eventlog.Fields{
 			"peer": status.Name, "incarnation": status.Incarnation, "state": status.State.String(),
-			"joined": change.Joined, "replaced": change.Replaced,
+			"joined": true, "replaced": change.Replaced,
 		})
 	}
 	g.state.quota.PeerTotals(at, status.Name, at.Add(-status.Age), totals, partial)
