Entries ask for the statuses of unknown tokens

Cause: statuses are sent twice; who misses both waited for seconds. Relays do not repeat what another relay has reported.

--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -178,6 +178,9 @@
 	known.LastContact, known.Started = at, started
 	before := known.token
 	s.setToken(known)
+	if status.Relayed {
+		known.reported = at
+	}
 	update.Changed = update.Joined || known.token != before
 	return update
 }
--- a/internal/core/peerset/token.go
+++ b/internal/core/peerset/token.go
@@ -31,12 +31,25 @@
 	if s.byToken[m.token] == m {
 		delete(s.byToken, m.token)
 	}
+	before := m.token
 	m.token = TokenOf(m.Entry, m.State, m.StoreDisconnected)
+	if m.token != before {
+		m.reported = time.Time{}
+	}
 	s.byToken[m.token] = m
 }
 
+// Reported reports whether another relay has reported the member in its present state within
+// a time.
+func (m *Member) Reported(now time.Time, within time.Duration) bool {
+	return now.Sub(m.reported) < within
+}
+
+// heartbeatAge is the typical age of the last heartbeat of an entry whose token is reported.
+const heartbeatAge = 250 * time.Millisecond
+
 // Confirm records that a relay has reported a token at a time: the entry was live, in the state
-// for which the token stands, at most DirectTimeout before. It returns nil if no such entry is
+// for which the token stands. It returns nil if no such entry is
 // known. joined: the entry was not live before. own: the relay is this entry.
 func (s *Set) Confirm(now, at time.Time, token Token, own bool) (m *Member, joined bool) {
 	m, found := s.byToken[token]
@@ -47,12 +60,36 @@
 		m.reported = at
 	}
 	wasLive := s.live(now, m)
-	if contact := at.Add(-DirectTimeout); contact.After(m.LastContact) {
+	if contact := at.Add(-heartbeatAge); contact.After(m.LastContact) {
 		m.LastContact = contact
 	}
 	return m, !wasLive && s.live(now, m)
 }
 
+// ByToken returns the member for which a token stands.
+func (s *Set) ByToken(token Token) (Member, bool) {
+	m, found := s.byToken[token]
+	if !found || !s.present(m.Name, m) {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// Knows reports whether a token stands for a known entry.
+func (s *Set) Knows(token Token) bool {
+	_, found := s.ByToken(token)
+	return found
+}
+
+// Find returns the entry with a name.
+func (s *Set) Find(name string) (Entry, bool) {
+	m, found := s.members[name]
+	if !found {
+		return Entry{}, false
+	}
+	return m.Entry, true
+}
+
 func (s *Set) present(name string, m *Member) bool { return s.members[name] == m }
 
 // SetLost records the report of an entry's cell that it has lost contact with an incarnation
--- a/internal/core/quota/bench_test.go
+++ b/internal/core/quota/bench_test.go
@@ -59,14 +59,14 @@
 	}
 }
 
-// BenchmarkNearLimit measures the additional cost of each heartbeat.
-func BenchmarkNearLimit(b *testing.B) {
+// BenchmarkRecords measures the cost of each look for organisations close to their quotas.
+func BenchmarkRecords(b *testing.B) {
 	for _, entries := range entryCounts {
 		b.Run(fmt.Sprint(entries), func(b *testing.B) {
 			limiter, now := newBenchLimiter(entries)
 			b.ReportAllocs()
 			for b.Loop() {
-				limiter.NearLimit(now)
+				limiter.Records(now)
 			}
 		})
 	}
--- a/internal/core/quota/estimate.go
+++ b/internal/core/quota/estimate.go
@@ -130,15 +130,6 @@
 	return sum / float64(len(accounts))
 }
 
-// nearFor is the time for which an organisation counts as close to its quota after a request.
-const nearFor = time.Second
-
-// NearLimit reports whether an organisation whose requests this entry receives is so close to
-// its quota that the entries should exchange totals more often.
-func (l *Limiter) NearLimit(now time.Time) bool {
-	return now.Sub(l.nearAt) < nearFor
-}
-
 // usageBeforeStart returns the usage of an organisation in the window before this entry
 // started.
 func (l *Limiter) usageBeforeStart(organisation string, base float64) History {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -89,8 +89,6 @@
 	sums map[string]*usageSum
 	// shown are the organisations in the last result of Usage.
 	shown map[string]bool
-	// nearAt is when a request was last counted for an organisation close to its quota.
-	nearAt time.Time
 	// peersUnknown: the list of the other entries has not been received yet.
 	peersUnknown bool
 }
@@ -162,9 +160,6 @@
 	l.detectSurge(now, organisation, base, cost)
 	reported, assumed := l.used(now, organisation, base, bound)
 	result := Result{Used: reported + assumed, Limit: bound, Assumed: assumed}
-	if result.Used+cost > base*typicalUse {
-		l.nearAt = now
-	}
 	if result.Used+cost > bound {
 		missing := result.Used + cost - bound
 		result.RetryAfter = min(l.config.Window/2, time.Duration(missing/limited.rate*float64(time.Second)))
--- a/internal/gateway/block.go
+++ b/internal/gateway/block.go
@@ -27,6 +27,8 @@
 	tokens   []peerset.Token
 	statuses []gossip.Status
 	totals   []map[string]quota.Total
+	// known holds the entries that another relay has reported in their present state.
+	known map[string]bool
 	// lost holds the statuses of the entries with which the cell has lost contact.
 	lost []gossip.Status
 }
@@ -111,6 +113,9 @@
 		switch {
 		case e == nil:
 			e = &reportedEntry{copies: changeCopies}
+			if cell.known[status.Name] {
+				e.copies = 0
+			}
 			c.entries[status.Name] = e
 		case e.token != cell.tokens[i] || e.status.Lost:
 			e.copies = changeCopies
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"time"
 
 	"sycamoretrail/internal/core/peerset"
@@ -17,25 +16,24 @@
 // grow with the number of blocks that fit one, not with the number of entries.
 
 const (
-	// blockPause is the interval of a relay's blocks. Eight of them fall within the time
-	// after which entries count as unresponsive.
-	blockPause = 500 * time.Millisecond
-	// nearQuotaPause is the interval while an organisation is close to its quota: an
-	// organisation that sends six times its typical rate uses a twentieth of its quota
-	// meanwhile.
-	nearQuotaPause = 400 * time.Millisecond
+	// blockPause is the interval of a relay's blocks. Nine of them fall within the time after
+	// which entries count as unresponsive. An organisation that sends six times its typical
+	// rate uses a twentieth of its quota meanwhile.
+	blockPause = 400 * time.Millisecond
 	// urgentPause is the time between a change of an entry's state and the next block, in which
 	// further changes are collected; minBlockPause is the least interval of blocks.
 	urgentPause   = 50 * time.Millisecond
 	minBlockPause = 200 * time.Millisecond
+	// reportedFor is the time for which the status of an entry need not be repeated after
+	// another relay has reported it.
+	reportedFor = 2 * time.Second
 )
 
 // relay reports the status of the cell while this entry is its relay.
 func (l *links) relay(ctx context.Context) {
-	pause := rand.N(blockPause)
 	var last time.Time
 	for {
-		timer := time.NewTimer(pause)
+		timer := time.NewTimer(blockPause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -45,26 +43,16 @@
 			timer.Stop()
 			time.Sleep(max(urgentPause, minBlockPause-time.Since(last)))
 		}
-		pause = blockPause
 		cells := l.cells.Load()
 		if !cells.IsRelay {
 			l.composer.reset()
 			continue
 		}
-		if l.pressing() {
-			pause = nearQuotaPause
-		}
 		l.sendBlock(cells)
 		last = time.Now()
 	}
 }
 
-func (l *links) pressing() bool {
-	l.gateway.state.mutex.Lock()
-	defer l.gateway.state.mutex.Unlock()
-	return l.gateway.state.quota.NearLimit(time.Now())
-}
-
 // sendBlock sends a block of the cell to the hubs of its zone.
 func (l *links) sendBlock(cells *peerset.Cells) {
 	block, err := l.composer.compose(l.cellStatuses())
@@ -90,7 +78,7 @@
 // contact.
 func (l *links) cellStatuses() cellStatuses {
 	g := l.gateway
-	var c cellStatuses
+	c := cellStatuses{known: make(map[string]bool)}
 	if configuration := g.configuration.Load(); configuration != nil {
 		c.version = configuration.Version
 	}
@@ -103,6 +91,9 @@
 	for _, m := range g.state.peers.Direct(now) {
 		c.version = max(c.version, m.Version)
 		c.add(m.Token(), statusMessage(now, &m), g.state.quota.Report(now, m.Name))
+		if m.Reported(now, reportedFor) {
+			c.known[m.Name] = true
+		}
 	}
 	for _, m := range g.state.peers.Silent(now) {
 		status := statusMessage(now, &m)
@@ -139,28 +130,33 @@
 			l.hub.collect(now, m.Digest.Blocks[i])
 		}
 	} else {
-		l.hub.heard(now, m.Digest.Zone, m.From)
+		if m.Digest.Zone != "" {
+			l.hub.heard(now, m.Digest.Zone, m.From)
+		}
 		l.pass(m)
 	}
 	l.handleCrashes(m)
-	latest, unknown := int64(0), 0
+	latest, anyUnknown := int64(0), false
 	g := l.gateway
 	g.state.mutex.Lock()
 	for i := range m.Digest.Blocks {
 		b := &m.Digest.Blocks[i]
 		latest = max(latest, b.Version)
-		unknown += l.applyBlock(now, now.Add(-milliseconds(b.AgeMS)), b)
+		if unknown := l.applyBlock(now, now.Add(-milliseconds(b.AgeMS)), b); len(unknown) > 0 {
+			anyUnknown = true
+			l.noteUnknown(b.Relay, unknown)
+		}
 	}
 	g.state.mutex.Unlock()
-	if unknown > 0 {
+	if anyUnknown {
 		g.feeds.noteUnknownEntries(now)
 	}
 	l.catchUp(latest)
 }
 
-// applyBlock applies the status of a cell as of a time. It returns the number of its entries
-// that are not known. The caller holds the state's mutex.
-func (l *links) applyBlock(now, at time.Time, b *gossip.Block) (unknown int) {
+// applyBlock applies the status of a cell as of a time. It returns the tokens that stand for no
+// known entry. The caller holds the state's mutex.
+func (l *links) applyBlock(now, at time.Time, b *gossip.Block) (unknown []peerset.Token) {
 	for i := range b.Changed {
 		l.applyReported(now, at, &b.Changed[i])
 	}
@@ -170,7 +166,7 @@
 		m, joined := l.gateway.state.peers.Confirm(now, at, token, b.Relay == l.gateway.self.Name)
 		switch {
 		case m == nil && token != l.ownToken():
-			unknown++
+			unknown = append(unknown, token)
 		case m != nil:
 			if joined {
 				l.scheduleCells(now)
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -49,7 +50,6 @@
 	nodes map[string]*fleetNode
 	// lossRate is the share of datagrams lost, in thousandths.
 	lossRate atomic.Int64
-	sent     atomic.Int64
 	// kinds counts datagrams and octets by the kind of message.
 	kinds      sync.Map
 	countKinds bool
@@ -133,7 +133,7 @@
 // WriteToUDP implements gossip.Socket.
 func (f *fleetNode) WriteToUDP(datagram []byte, to *net.UDPAddr) (int, error) {
 	f.sentOctets.Add(int64(len(datagram)))
-	lost := f.network.sent.Add(1)*7919%1000 < f.network.lossRate.Load()
+	lost := rand.Int64N(1000) < f.network.lossRate.Load()
 	node := f.network.reach(f, to.String())
 	if node == nil || lost || f.down.Load() {
 		return len(datagram), nil
--- a/internal/gateway/fleetscale_test.go
+++ b/internal/gateway/fleetscale_test.go
@@ -120,6 +120,9 @@
 	})
 }
 
+// digestInterval is the time in which each entry should receive a digest of each cell.
+const digestInterval = 500 * time.Millisecond
+
 // large is the size of the largest fleet in CI.
 const large = 195
 
@@ -129,6 +132,7 @@
 	f.startAll()
 	all := func(e *fleetNode) bool { return e.ready() && e.servingCount() == entries-1 }
 	w.Expect(f.await(1, 20*time.Second, all)).To(BeNumerically("<", 15*time.Second))
+	time.Sleep(2 * time.Second)
 	return f
 }
 
@@ -188,7 +192,7 @@
 		}
 		left := len(f.running())
 		took := f.await(1, 20*time.Second, func(e *fleetNode) bool { return e.servingCount() == left-1 })
-		w.Expect(took).To(BeNumerically("<=", relayedFailureTimeout+blockPause))
+		w.Expect(took).To(BeNumerically("<=", relayedFailureTimeout+digestInterval))
 	})
 }
 
@@ -202,7 +206,7 @@
 			farSide[e] = i%3 == 0
 		}
 		f.network.partition(func(e *fleetNode) bool { return farSide[e] })
-		time.Sleep(relayedFailureTimeout + 3*blockPause)
+		time.Sleep(relayedFailureTimeout + 3*digestInterval)
 		for _, e := range f.nodes {
 			if farSide[e] {
 				w.Expect(e.servingCount()).To(Equal(large/3 - 1))
@@ -212,7 +216,7 @@
 		}
 		f.network.partition(nil)
 		took := f.await(1, 20*time.Second, func(e *fleetNode) bool { return e.servingCount() == large-1 })
-		w.Expect(took).To(BeNumerically("<=", 6*blockPause))
+		w.Expect(took).To(BeNumerically("<=", 6*digestInterval))
 	})
 }
 
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -16,13 +16,13 @@
 	// are standbys, which send digests only while the first is silent.
 	hubsPerZone = 2
 	// hubTimeout is the time without digests of a zone after which its hub counts as lost.
-	hubTimeout = 1200 * time.Millisecond
+	hubTimeout = 900 * time.Millisecond
 	// triedHubs is the number of candidates that are tried at a time while there are no digests
 	// of a zone, hubTurn the time after which the next ones are tried.
 	triedHubs = 4
-	hubTurn   = 400 * time.Millisecond
+	hubTurn   = 300 * time.Millisecond
 	// standbyTimeout is the time without digests of the hub after which a standby sends them.
-	standbyTimeout = 800 * time.Millisecond
+	standbyTimeout = 700 * time.Millisecond
 	// maxBlockAge is the age from which a collected block is dropped, as a later one of the
 	// same relay has been sent meanwhile.
 	maxBlockAge = time.Second
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -43,7 +43,7 @@
 	youngReader        = 20 * time.Second
 	// unknownPatience is how long statuses of unknown entries must keep arriving before this
 	// entry asks another for all statuses: usually the next blocks hold theirs.
-	unknownPatience = 2 * time.Second
+	unknownPatience = 3 * time.Second
 )
 
 // entryRecord is the registration of an entry.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -39,6 +39,7 @@
 	composer     *composer
 	hub          *hub
 	transfer     *transfer
+	unknown      unknownTokens
 	// ownCrashes are broken runs that this entry has seen, zoneCrashes those that it announces
 	// as a hub.
 	ownCrashes, zoneCrashes crashList
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -46,6 +46,9 @@
 	if m.Digest != nil {
 		l.handleDigest(m)
 	}
+	if m.Unknown != nil {
+		l.handleUnknown(m)
+	}
 	if m.Heartbeat != nil {
 		l.handleHeartbeat(m)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -52,6 +52,8 @@
 	Hop Hop `cbor:"16,keyasint,omitempty"`
 	// Ping asks the receiver of a heartbeat for its own.
 	Ping bool `cbor:"17,keyasint,omitempty"`
+	// Unknown holds tokens of which the sender asks for the statuses; see Block.Live.
+	Unknown []byte `cbor:"18,keyasint,omitempty"`
 }
 
 // Heartbeat is the status of the sender. It is sent often to the entries of its cell.
