--- a/internal/core/peerset/cells.go
+++ b/internal/core/peerset/cells.go
@@ -158,7 +158,7 @@
 const (
 	// lostTimeout is the time without direct contact after which an entry counts as lost, if it
 	// has not answered the pings that it is sent from DirectTimeout on.
-	lostTimeout = 1100 * time.Millisecond
+	lostTimeout = 1400 * time.Millisecond
 	// reportTimeout is the time for which the report of another relay shows that an entry has
 	// moved to its cell: the interval of blocks and their delay.
 	reportTimeout = 900 * time.Millisecond
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -492,3 +492,26 @@
 	}
 	return fmt.Sprint("serving ", sizes, ", cells ", counts, ", relays ", relays, ", hubs ", hubs)
 }
+
+// disagreements describes some entries that others wrongly consider live or lost.
+func (f *fleet) disagreements(most int) (text string) {
+	byName := make(map[string]*fleetNode)
+	for _, node := range f.nodes {
+		byName[node.self.Name] = node
+	}
+	for _, e := range f.running() {
+		e.state.mutex.Lock()
+		now := time.Now()
+		for _, m := range e.state.peers.Members() {
+			other := byName[m.Name]
+			if live := e.state.peers.Live(now, m.Name); live == other.down.Load() && most > 0 {
+				most--
+				cells, its := e.links.cells.Load(), other.links.cells.Load()
+				text += fmt.Sprintf("\n%s of cell %d takes %s of cell %d (relay %v) for live=%v: contact %v ago, direct %v ago, token known %v",
+					e.self.Name, cells.Own, m.Name, its.Own, its.IsRelay, live, now.Sub(m.LastContact), now.Sub(m.LastDirect), m.Token() == other.links.ownToken())
+			}
+		}
+		e.state.mutex.Unlock()
+	}
+	return text
+}
