After a loss of all, some entries read the store at once

Cause: each waited for others that had nothing to copy either, for up to 4 s. Now some eight read at each attempt (TestFleetRecoversFromALossOfAll). Broken runs are announced at once, and collected only if they come in quick succession.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -183,7 +183,7 @@
 	pause := min(backoffMax, backoffFirst<<min(f.failures, 4))
 	switch {
 	case f.waits > 0:
-		pause = min(backoffCopyMax, backoffFirst<<min(f.waits, 4))
+		pause = min(backoffCopyMax, backoffFirst*time.Duration(f.waits))
 	case f.next.Offset < 0 && f.callbacks.IsReader():
 		pause = backoffFirst
 	case f.next.Offset < 0:
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -13,7 +13,7 @@
 	// crashCopies is the number of times that a broken run is announced: if the only datagram
 	// were lost, the count of broken runs would be one too low.
 	crashCopies = 2
-	// crashPause is the time for which broken runs are collected. When many targets crash at
+	// crashPause is the least interval of announcements, in which broken runs are collected. When many targets crash at
 	// once, each entry sees several, and all entries together thousands.
 	crashPause = 50 * time.Millisecond
 	// maxCollectedCrashes bounds the broken runs that wait to be announced.
@@ -25,6 +25,7 @@
 	mutex   sync.Mutex
 	waiting []announcedCrash
 	due     bool
+	flushed time.Time
 	flush   func()
 }
 
@@ -51,7 +52,7 @@
 func (c *crashList) schedule() {
 	if len(c.waiting) > 0 && !c.due {
 		c.due = true
-		time.AfterFunc(crashPause, c.flush)
+		time.AfterFunc(max(0, crashPause-time.Since(c.flushed)), c.flush)
 	}
 }
 
@@ -65,7 +66,7 @@
 		c.waiting[i].copies--
 	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(a announcedCrash) bool { return a.copies == 0 })
-	c.due = false
+	c.due, c.flushed = false, time.Now()
 	c.schedule()
 	return list
 }
--- a/internal/gateway/fleetscale_test.go
+++ b/internal/gateway/fleetscale_test.go
@@ -239,3 +239,20 @@
 	w.Expect(received[84]).To(BeNumerically("<", 65))
 	w.Expect(received[large]).To(BeNumerically("<", 1.5*received[84]))
 }
+
+// All entries lose power at once and start again. Callers wait until some are ready, so none may
+// wait for others that have nothing to copy either, and not all may read the store.
+func TestFleetRecoversFromALossOfAll(t *testing.T) {
+	inBubble(t, 84, func(w *WithT, f *fleet) {
+		for _, e := range f.nodes {
+			e.kill()
+		}
+		before := f.store.totalCalls()
+		for i := range f.nodes {
+			f.add(i).start()
+		}
+		w.Expect(f.await(0.2, 5*time.Second, (*fleetNode).ready)).To(BeNumerically("<=", 200*time.Millisecond))
+		w.Expect(f.await(1, 5*time.Second, (*fleetNode).ready)).To(BeNumerically("<=", time.Second))
+		w.Expect(f.store.totalCalls() - before).To(BeNumerically("<", 5*84))
+	})
+}
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -33,8 +33,10 @@
 	// before it reads the store itself.
 	joinPatience = 4 * time.Second
 	// smallFleet is the number of other entries up to which each entry may read the store when
-	// it starts.
-	smallFleet = 24
+	// it starts. In a larger fleet, if all start at once and none has a copy, startReaders of
+	// them do so at each attempt, and the others copy what these have read.
+	smallFleet   = 24
+	startReaders = 8
 	// registryEvery is the interval at which a reader reads what is new in the registry, which
 	// reveals entries that could not reach others. It is shorter while the reader is young,
 	// as others may be starting too.
@@ -230,7 +232,8 @@
 	case registryUnread:
 		return elapsed > registryPatience
 	case registrySettled:
-		return f.gateway.peerCount() < smallFleet || elapsed > joinPatience
+		others := f.gateway.peerCount()
+		return others < smallFleet || elapsed > joinPatience || rand.IntN(others) < startReaders
 	default:
 		return elapsed > joinPatience
 	}
