A lost entry keeps its cell, and must have left pings unanswered

Cause: an entry that is slow for a second changed the division of all; and one that its new relay had not reported for a moment was lost without a ping.

--- a/internal/core/peerset/cells.go
+++ b/internal/core/peerset/cells.go
@@ -118,7 +118,7 @@
 func firstInRank(present []*Member, zones []string, zone string) []Entry {
 	var first []*Member
 	for i, m := range present {
-		if zones[dispatch.CellOf(i, len(present))] != zone {
+		if m.lost || zones[dispatch.CellOf(i, len(present))] != zone {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(first, m, compareRanks)
@@ -156,12 +156,12 @@
 }
 
 const (
-	// lostTimeout is the time without direct contact after which an entry counts as lost, if it
-	// has not answered the pings that it is sent from DirectTimeout on.
-	lostTimeout = 1400 * time.Millisecond
+	// suspectTimeout is the time after which a suspect that has not answered pings is lost:
+	// three heartbeats, each with a ping.
+	suspectTimeout = 750 * time.Millisecond
 	// reportTimeout is the time for which the report of another relay shows that an entry has
-	// moved to its cell: the interval of blocks and their delay.
-	reportTimeout = 900 * time.Millisecond
+	// moved to its cell: two intervals of blocks and their delay.
+	reportTimeout = 1100 * time.Millisecond
 )
 
 // suspect reports whether an entry has had no direct contact with this one for a while, and no
@@ -176,17 +176,24 @@
 func (s *Set) Suspects(now time.Time) []Entry {
 	var suspects []Entry
 	for _, m := range s.order {
-		if s.suspect(now, m) {
-			suspects = append(suspects, m.Entry)
+		switch {
+		case !s.suspect(now, m):
+			m.suspectedAt = time.Time{}
+			continue
+		case m.suspectedAt.IsZero():
+			m.suspectedAt = now
 		}
+		suspects = append(suspects, m.Entry)
 	}
 	return suspects
 }
 
-// Silent returns the entries that have not answered pings. It returns none if they are more
+// Silent returns the suspects that have not answered pings. It returns none if they are more
 // than half of all that had contact: this entry has then been suspended or partitioned itself.
 func (s *Set) Silent(now time.Time) []Member {
-	silent := s.filter(func(m *Member) bool { return now.Sub(m.LastDirect) >= lostTimeout && s.suspect(now, m) })
+	silent := s.filter(func(m *Member) bool {
+		return !m.suspectedAt.IsZero() && now.Sub(m.suspectedAt) >= suspectTimeout && s.suspect(now, m)
+	})
 	if len(silent) > len(s.Direct(now)) {
 		return nil
 	}
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -69,6 +69,10 @@
 	// without a relay.
 	Sequence   uint64
 	LastDirect time.Time
+	// suspectedAt is when this entry began to ping it; zero: it is no suspect. lost: its cell
+	// has lost contact with it.
+	suspectedAt time.Time
+	lost        bool
 	// reported is the time of the last report of another relay that the entry was live.
 	reported time.Time
 	// position determines the order in which entries are divided into cells; see
@@ -175,7 +179,7 @@
 		known.LastDirect = at
 	}
 	known.State, known.StoreDisconnected, known.Version, known.Sequence = status.State, status.StoreDisconnected, status.Version, status.Sequence
-	known.LastContact, known.Started = at, started
+	known.LastContact, known.Started, known.lost = at, started, false
 	before := known.token
 	s.setToken(known)
 	if status.Relayed {
@@ -203,7 +207,7 @@
 	if !found || known.Incarnation != incarnation || sequence <= known.Sequence {
 		return false
 	}
-	known.Sequence, known.LastContact, known.LastDirect = sequence, now, now
+	known.Sequence, known.LastContact, known.LastDirect, known.lost = sequence, now, now, false
 	return true
 }
 
@@ -278,7 +282,9 @@
 	return count
 }
 
-func (s *Set) serves(now time.Time, m *Member) bool { return m.State == Ready && s.live(now, m) }
+func (s *Set) serves(now time.Time, m *Member) bool {
+	return m.State == Ready && !m.lost && s.live(now, m)
+}
 
 // Readers returns the live entries from which the reader of the store is chosen: those that
 // serve and can read the store or, if there are none, all that are not draining.
--- a/internal/core/peerset/token.go
+++ b/internal/core/peerset/token.go
@@ -61,7 +61,7 @@
 	}
 	wasLive := s.live(now, m)
 	if contact := at.Add(-heartbeatAge); contact.After(m.LastContact) {
-		m.LastContact = contact
+		m.LastContact, m.lost = contact, false
 	}
 	return m, !wasLive && s.live(now, m)
 }
@@ -93,13 +93,15 @@
 func (s *Set) present(name string, m *Member) bool { return s.members[name] == m }
 
 // SetLost records the report of an entry's cell that it has lost contact with an incarnation
-// since a time. It reports whether the entry counted as live until now. A report that
-// contradicts this entry's own contact is ignored.
+// since a time. The entry gets no callers until there is contact again; it stays in its cell
+// until the failure-detection timeout, so that a slow entry does not change the division of all
+// others. It reports whether the entry counted as serving until now. A report that contradicts
+// this entry's own contact is ignored.
 func (s *Set) SetLost(now, at time.Time, name string, incarnation uint64) bool {
 	m, found := s.members[name]
-	if !found || m.Incarnation != incarnation || !s.live(now, m) || m.LastContact.After(at.Add(s.config.FailureTimeout)) {
+	if !found || m.Incarnation != incarnation || !s.serves(now, m) || m.LastContact.After(at.Add(s.config.FailureTimeout)) {
 		return false
 	}
-	m.LastContact = now.Add(-s.failureTimeout())
+	m.lost = true
 	return true
 }
