--- a/internal/gateway/fleetscale_test.go
+++ b/internal/gateway/fleetscale_test.go
@@ -174,7 +174,7 @@
 		for range 40 {
 			time.Sleep(500 * time.Millisecond)
 			for _, e := range f.nodes {
-				w.Expect(e.servingCount()).To(Equal(large-1), f.disagreements(12)+f.view())
+				w.Expect(e.servingCount()).To(Equal(large-1), func() string { return f.disagreements(12) + f.view() })
 			}
 		}
 	})
