--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -19,7 +19,7 @@
 	hubTimeout = 900 * time.Millisecond
 	// triedHubs is the number of candidates that are tried at a time while there are no digests
 	// of a zone, hubTurn the time after which the next ones are tried.
-	triedHubs = 4
+	triedHubs = 2
 	hubTurn   = 300 * time.Millisecond
 	// standbyTimeout is the time without digests of the hub after which a standby sends them.
 	standbyTimeout = 700 * time.Millisecond
@@ -39,6 +39,7 @@
 	// nothing is collected.
 	flushed, due time.Time
 	turn         int
+	started      time.Time
 	flush        func()
 }
 
@@ -53,7 +54,7 @@
 }
 
 func newHub(flush func()) *hub {
-	return &hub{heardFrom: make(map[string]sender), flush: flush}
+	return &hub{heardFrom: make(map[string]sender), started: time.Now(), flush: flush}
 }
 
 // collect adds a block to the next digest.
@@ -118,19 +119,25 @@
 func (h *hub) choose(now time.Time, zone string, candidates []peerset.Entry) []peerset.Entry {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	silence := now.Sub(h.heardFrom[zone].at) - hubTimeout
-	switch {
-	case silence < 0:
+	silence := now.Sub(h.lastHeard(zone)) - hubTimeout
+	if silence < 0 || len(candidates) <= triedHubs {
 		return candidates[:min(len(candidates), hubsPerZone)]
-	case len(candidates) <= triedHubs:
-		return candidates
 	}
 	first := int(silence/hubTurn) * triedHubs % len(candidates)
 	return candidates[first:min(len(candidates), first+triedHubs)]
 }
 
+// lastHeard returns the time of the last digest of a zone, or that of the start if there was
+// none. The caller holds the mutex.
+func (h *hub) lastHeard(zone string) time.Time {
+	if last, found := h.heardFrom[zone]; found {
+		return last.at
+	}
+	return h.started
+}
+
 // foreign returns the hub of another zone: the last sender of its digests if there were any
-// recently, or the first candidates.
+// recently, or one of the candidates.
 func (h *hub) foreign(now time.Time, zone string, candidates []peerset.Entry) []peerset.Entry {
 	h.mutex.Lock()
 	last := h.heardFrom[zone]
@@ -138,7 +145,8 @@
 	if i := indexOf(candidates, last.name); i < len(candidates) && now.Sub(last.at) < hubTimeout {
 		return candidates[i : i+1]
 	}
-	return h.choose(now, zone, candidates)
+	chosen := h.choose(now, zone, candidates)
+	return chosen[:min(len(chosen), 1)]
 }
 
 // flushDigests sends the collected blocks to all entries.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -259,6 +259,8 @@
 		g.state.budget.SetEntries(now, g.state.peers.Size())
 	}
 	cells := g.state.peers.Cells(now, !g.draining.Load())
+	// An entry that does not know all others yet divides them differently than these do.
+	cells.IsRelay = cells.IsRelay && g.state.peersKnown
 	l.cells.Store(&cells)
 	g.state.sched.SetEntries(cells.Entries)
 	g.state.deliver(g.state.sched.SetCell(now, cells.Own, cells.Count))
