--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -19,7 +19,7 @@
 	hubTimeout = 900 * time.Millisecond
 	// triedHubs is the number of candidates that are tried at a time while there are no digests
 	// of a zone, hubTurn the time after which the next ones are tried.
-	triedHubs = 2
+	triedHubs = 4
 	hubTurn   = 300 * time.Millisecond
 	// standbyTimeout is the time without digests of the hub after which a standby sends them.
 	standbyTimeout = 700 * time.Millisecond
@@ -137,16 +137,18 @@
 }
 
 // foreign returns the hub of another zone: the last sender of its digests if there were any
-// recently, or one of the candidates.
+// recently, some of the candidates if there were any earlier, or the first one.
 func (h *hub) foreign(now time.Time, zone string, candidates []peerset.Entry) []peerset.Entry {
 	h.mutex.Lock()
-	last := h.heardFrom[zone]
+	last, found := h.heardFrom[zone]
 	h.mutex.Unlock()
+	if !found {
+		return candidates[:min(len(candidates), 1)]
+	}
 	if i := indexOf(candidates, last.name); i < len(candidates) && now.Sub(last.at) < hubTimeout {
 		return candidates[i : i+1]
 	}
-	chosen := h.choose(now, zone, candidates)
-	return chosen[:min(len(chosen), 1)]
+	return h.choose(now, zone, candidates)
 }
 
 // flushDigests sends the collected blocks to all entries.
