--- a/internal/core/peerset/cells_test.go
+++ b/internal/core/peerset/cells_test.go
@@ -112,6 +112,22 @@
 	g.Expect(s.SetLost(later, later, "a", 1)).To(BeFalse())
 }
 
+// A relay reports an entry that is not known yet. Its token says nothing without a status; the
+// status has the addresses, so that messages and callers can be sent to the entry.
+func TestRelayedStatusOfAnUnknownEntry(t *testing.T) {
+	g := NewWithT(t)
+	s := newSet()
+	status := peerset.Status{Entry: entry("new", 3), State: peerset.Ready, Sequence: 1, Relayed: true}
+	token := peerset.TokenOf(status.Entry, peerset.Ready, false)
+	m, _ := s.Confirm(now, now, token, false)
+	g.Expect(m).To(BeNil())
+	g.Expect(s.Knows(token)).To(BeFalse())
+	g.Expect(s.Size()).To(Equal(1))
+	g.Expect(s.ApplyStatus(now, now, status).Joined).To(BeTrue())
+	g.Expect(s.Serving(now)[0].Callers).To(Equal("new:80"))
+	g.Expect(s.Knows(token)).To(BeTrue())
+}
+
 // A token keeps an entry live only in the state for which it stands: a draining entry must not
 // get callers because of a block that was composed before.
 func TestTokenOfAnotherStateIsNotConfirmed(t *testing.T) {
