--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// replicate sends an update that this entry has read to the entries for which it reads.
+// replicate sends an update that this entry has read to the entries for which it reads: those
+// in the cells of its zone, or all if there is one cell.
 func (l *links) replicate(u feed.Update, changed []feed.Record) {
 	replica := &gossip.Replica{
 		Topic: u.Topic, From: u.From.Offset, To: u.To.Offset, Generation: u.To.Generation,
@@ -130,7 +131,7 @@
 	if len(changed) == 0 && !u.Reset {
 		m := l.message()
 		m.Replica = replica
-		l.sendToZone(m)
+		l.spread(m, gossip.HopZone)
 		return
 	}
 	fragments, err := gossip.Split(l.fragmented.Add(1), replica)
@@ -141,18 +142,6 @@
 	for i := range fragments {
 		m := l.message()
 		m.Fragment = &fragments[i]
-		l.sendToZone(m)
+		l.spread(m, gossip.HopZone)
 	}
 }
-
-// sendToZone sends a message to the entries in the cells of this entry's zone, down the tree,
-// or to all if there is one cell.
-func (l *links) sendToZone(m *gossip.Message) {
-	cells := l.cells.Load()
-	if cells.Count == 1 {
-		l.send(m, l.members())
-		return
-	}
-	m.Hop = gossip.HopZone
-	l.pass(m)
-}
--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -9,13 +9,16 @@
 )
 
 // broadcast sends a message to all entries, down the tree.
-func (l *links) broadcast(m *gossip.Message) {
+func (l *links) broadcast(m *gossip.Message) { l.spread(m, gossip.HopAll) }
+
+// spread sends a message down the tree, or to all entries if there is one cell.
+func (l *links) spread(m *gossip.Message, hop gossip.Hop) {
 	cells := l.cells.Load()
 	if cells.Count == 1 {
 		l.send(m, l.members())
 		return
 	}
-	m.Hop = gossip.HopAll
+	m.Hop = hop
 	l.pass(m)
 }
 
