--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -388,7 +388,7 @@
 
 // replicate sends to the other entries what this entry has read as the reader. After a
 // snapshot that follows earlier updates it sends the changes. An entry's first snapshot is sent
-// only if all entries receive it directly; in a larger fleet the others get copies.
+// in a small fleet only; in a larger one the others get copies.
 func (f *feeds) replicate(u feed.Update, changed []feed.Record) {
 	if u.Replicated || !f.gateway.isReader() {
 		return
@@ -396,7 +396,7 @@
 	switch {
 	case u.Reset && u.Since >= 0:
 		u.Reset, u.From.Offset, changed = false, u.Since, u.Changes
-	case u.Reset && !u.Restored && f.gateway.links.cells.Load().Count > 1:
+	case u.Reset && !u.Restored && !f.gateway.inSmallFleet():
 		return
 	case u.Reset:
 		changed = u.Records
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -32,8 +32,8 @@
 	// joinPatience is how long an entry of a large fleet waits for a copy of what others have
 	// before it reads the store itself.
 	joinPatience = 4 * time.Second
-	// smallFleet is the number of other entries up to which each entry may read the store when
-	// it starts. In a larger fleet, if all start at once and none has a copy, startReaders of
+	// smallFleet is the number of other entries up to which one reader reads for all, and each
+	// entry may read the store when it starts. In a larger fleet, if all start at once and none has a copy, startReaders of
 	// them do so at each attempt, and the others copy what these have read.
 	smallFleet   = 24
 	startReaders = 8
@@ -375,6 +375,9 @@
 	return g.state.peers.Size() - 1
 }
 
+// inSmallFleet reports whether there are fewer than smallFleet other entries.
+func (g *Gateway) inSmallFleet() bool { return g.peerCount() < smallFleet }
+
 // knowsPeers reports whether all other entries are known.
 func (g *Gateway) knowsPeers() bool {
 	g.state.mutex.Lock()
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -11,7 +11,7 @@
 )
 
 // isReader reports whether this entry reads the store for the others: it is the first in rank
-// of the eligible entries in the cells of its zone. Two readers at once, or none, only cost a
+// of the eligible entries or, unless the fleet is small, of those in the cells of its zone. Two readers at once, or none, only cost a
 // few extra calls or some delay.
 func (g *Gateway) isReader() bool {
 	if g.isDiscovering() {
@@ -84,7 +84,11 @@
 	return g.state.peers.Readers(time.Now())
 }
 
+// zoneReaders returns the entries from which the reader for this entry is chosen.
 func (g *Gateway) zoneReaders() []peerset.Member {
+	if g.inSmallFleet() {
+		return g.readers()
+	}
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
 	return g.state.peers.ZoneReaders(time.Now())
@@ -121,8 +125,8 @@
 	}
 }
 
-// replicate sends an update that this entry has read to the entries for which it reads: those
-// in the cells of its zone, or all if there is one cell.
+// replicate sends an update that this entry has read to the entries for which it reads: all in
+// a small fleet, otherwise those in the cells of its zone.
 func (l *links) replicate(u feed.Update, changed []feed.Record) {
 	replica := &gossip.Replica{
 		Topic: u.Topic, From: u.From.Offset, To: u.To.Offset, Generation: u.To.Generation,
@@ -131,7 +135,7 @@
 	if len(changed) == 0 && !u.Reset {
 		m := l.message()
 		m.Replica = replica
-		l.spread(m, gossip.HopZone)
+		l.sendUpdate(m)
 		return
 	}
 	fragments, err := gossip.Split(l.fragmented.Add(1), replica)
@@ -142,6 +146,14 @@
 	for i := range fragments {
 		m := l.message()
 		m.Fragment = &fragments[i]
-		l.spread(m, gossip.HopZone)
+		l.sendUpdate(m)
+	}
+}
+
+func (l *links) sendUpdate(m *gossip.Message) {
+	if l.gateway.inSmallFleet() {
+		l.send(m, l.members())
+		return
 	}
+	l.spread(m, gossip.HopZone)
 }
