--- a/internal/gateway/block.go
+++ b/internal/gateway/block.go
@@ -46,6 +46,8 @@
 // block holds only what has changed.
 type composer struct {
 	entries map[string]*reportedEntry
+	// unsent is the number of changed totals that the last block had no space for.
+	unsent int
 }
 
 // reportedEntry is what the last blocks held of an entry.
@@ -68,6 +70,23 @@
 // reset forgets what was reported, as another entry is the relay.
 func (c *composer) reset() { clear(c.entries) }
 
+// maxBlocks bounds the blocks of one round.
+const maxBlocks = 12
+
+// composeAll returns the blocks that hold all that has changed: totals that waited for later
+// rounds would let an organisation exceed its quota.
+func (c *composer) composeAll(cell cellStatuses) ([]gossip.Block, error) {
+	var blocks []gossip.Block
+	for len(blocks) == 0 || c.unsent > 0 && len(blocks) < maxBlocks {
+		block, err := c.compose(cell)
+		if err != nil {
+			return nil, err
+		}
+		blocks = append(blocks, block)
+	}
+	return blocks, nil
+}
+
 // compose returns the next block. What does not fit is left to the following ones.
 func (c *composer) compose(cell cellStatuses) (gossip.Block, error) {
 	b := gossip.Block{Relay: cell.relay, Version: cell.version}
@@ -98,6 +117,12 @@
 		b.Changed = append(b.Changed, e.status)
 	}
 	c.addUsage(&b, cell, space)
+	c.unsent = 0
+	for _, p := range c.pending(cell) {
+		if p.reported.copies == changeCopies {
+			c.unsent++
+		}
+	}
 	return b, nil
 }
 
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/peerset"
@@ -48,30 +49,37 @@
 			l.composer.reset()
 			continue
 		}
-		l.sendBlock(cells)
+		l.sendBlocks(cells)
 		last = time.Now()
 	}
 }
 
-// sendBlock sends a block of the cell to the hubs of its zone.
-func (l *links) sendBlock(cells *peerset.Cells) {
-	block, err := l.composer.compose(l.cellStatuses())
+// sendBlocks sends what has changed in the cell to the hubs of its zone.
+func (l *links) sendBlocks(cells *peerset.Cells) {
+	blocks, err := l.composer.composeAll(l.cellStatuses())
 	if err != nil {
 		l.logUnsendable(err)
 		return
 	}
 	now := time.Now()
-	var to []peerset.Entry
-	for _, hub := range l.hub.choose(now, cells.Zone, cells.Hubs[cells.Zone]) {
-		if hub.Name == l.gateway.self.Name {
-			l.hub.collect(now, block)
-			continue
+	hubs := l.hub.choose(now, cells.Zone, cells.Hubs[cells.Zone])
+	own := indexOf(hubs, l.gateway.self.Name)
+	for i := range blocks {
+		if own < len(hubs) {
+			l.hub.collect(now, blocks[i])
 		}
-		to = append(to, hub)
+		m := l.message()
+		m.Digest, m.Hop = &gossip.Digest{Blocks: blocks[i : i+1]}, gossip.HopAll
+		l.send(m, withoutIndex(hubs, own))
+	}
+}
+
+// withoutIndex returns entries without the one at an index, if there is one.
+func withoutIndex(entries []peerset.Entry, index int) []peerset.Entry {
+	if index >= len(entries) {
+		return entries
 	}
-	m := l.message()
-	m.Digest, m.Hop = &gossip.Digest{Blocks: []gossip.Block{block}}, gossip.HopAll
-	l.send(m, to)
+	return slices.Concat(entries[:index], entries[index+1:])
 }
 
 // cellStatuses returns the statuses of this entry and of those with which it has direct
--- a/internal/gateway/digest_test.go
+++ b/internal/gateway/digest_test.go
@@ -131,3 +131,26 @@
 	g.Expect(r.statuses).To(HaveLen(1))
 	g.Expect(r.statuses[lost.Name].Lost).To(BeFalse())
 }
+
+// Guards against an organisation that exceeds its quota because the totals of a busy cell wait
+// for later blocks: each round holds all that has changed.
+func TestARoundHoldsAllChangedTotals(t *testing.T) {
+	g := NewWithT(t)
+	cell := newCell(12)
+	for i := range 12 {
+		for organisation := range 16 {
+			cell.totals[i][fmt.Sprint("organisation-", organisation)] = quota.Total{Admitted: 1 << 40, Sent: 1 << 39, Recent: 1 << 20}
+		}
+	}
+	blocks, err := newComposer().composeAll(cell)
+	g.Expect(err).NotTo(HaveOccurred())
+	held := make(map[string]bool)
+	for i := range blocks {
+		for entry, totals := range usageByEntry(&blocks[i]) {
+			for organisation := range totals {
+				held[fmt.Sprint(entry, organisation)] = true
+			}
+		}
+	}
+	g.Expect(held).To(HaveLen(12 * 16))
+}
