Registry of targets: the start of a registered target is never forgotten

Cause: starts are remembered by id and the oldest are evicted, also those of targets that live: 4,096 others that ended meanwhile were enough for a late registration to bring back a previous process. Raising the bound with the fleet moved the limit, it did not remove it. A registration is now held against the registered target itself too. TestRegisteredTargetIsNotForgotten failed before. The test of many targets now also drops all of them.

--- a/internal/core/bounded/bounded.go
+++ b/internal/core/bounded/bounded.go
@@ -15,7 +15,7 @@
 	return &Map[V]{capacity: capacity, values: make(map[string]V)}
 }
 
-// Grow raises the capacity.
+// Grow raises the capacity; a lower one is ignored.
 func (m *Map[V]) Grow(capacity int) { m.capacity = max(m.capacity, capacity) }
 
 // Get returns the value of a key, or the zero value if the key is absent.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -20,9 +20,9 @@
 // left while this entry was disconnected must not be kept.
 const massExpiryShare = 2.0 / 3
 
-// The starts, departures and ends remembered are bounded by minRemembered or, in a larger
-// fleet, by rememberedPerTarget for each registered target: all targets may be replaced within
-// minutes, and old registrations arrive late by seconds.
+// minRemembered bounds the starts, departures and ends remembered: some hundred restarts a day
+// are typical, and old registrations arrive late by seconds. With more targets the bound is
+// rememberedPerTarget for each of them, which covers three replacements of all.
 const (
 	minRemembered       = 4096
 	rememberedPerTarget = 4
@@ -58,7 +58,8 @@
 // snapshots, followed records and updates of other entries arrive: if it were applied,
 // requests would go to a process that has ended, with the measurements of that process.
 func (r *Registry) Put(target catalog.Target) bool {
-	if target.StartedMS < r.started.Get(target.ID) {
+	known, found := r.targets[target.ID]
+	if target.StartedMS < max(known.StartedMS, r.started.Get(target.ID)) {
 		return false
 	}
 	if target.StartedMS > 0 {
@@ -66,16 +67,15 @@
 	}
 	target.Leaving = target.Leaving || r.departed.Get(target.Incarnation())
 	r.ended.Put(target.Incarnation(), false)
-	known, found := r.targets[target.ID]
 	_, expired := r.expiring[target.ID]
 	delete(r.expiring, target.ID)
 	r.targets[target.ID] = target
-	r.growMemory()
+	r.growRemembered()
 	return !found || expired || known != target
 }
 
-// growMemory adapts the bounds of what is remembered to the number of targets.
-func (r *Registry) growMemory() {
+// growRemembered raises the bounds of what is remembered with the number of targets.
+func (r *Registry) growRemembered() {
 	remembered := rememberedPerTarget * len(r.targets)
 	r.started.Grow(remembered)
 	r.departed.Grow(remembered)
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -157,8 +157,22 @@
 	g.Expect(r.IsStale(catalog.Target{ID: "t-2"}, 9)).To(BeFalse())
 }
 
-// A fleet with thousands of targets replaces all of them. What is remembered of those that
-// live must not be forgotten: an old registration would bring back a process that has ended.
+// Guards against a registered target whose start is forgotten because thousands of others have
+// ended since it registered: a late registration would bring back its previous process.
+func TestRegisteredTargetIsNotForgotten(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Put(catalog.Target{ID: "t-0", StartedMS: 2000})
+	for i := range 5000 {
+		id := fmt.Sprint("ended-", i)
+		r.Put(catalog.Target{ID: id, StartedMS: 2000})
+		r.Drop(now, id, time.Time{})
+	}
+	g.Expect(r.Put(catalog.Target{ID: "t-0", StartedMS: 1000})).To(BeFalse())
+}
+
+// Guards against forgotten starts where more targets end at once than a small fleet has: late
+// registrations would bring back processes that have ended.
 func TestStartsOfManyTargetsAreRemembered(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
@@ -168,6 +182,11 @@
 			r.Put(catalog.Target{ID: fmt.Sprint("i-", i), StartedMS: started})
 		}
 	}
+	for i := range targets {
+		id := fmt.Sprint("i-", i)
+		g.Expect(r.Put(catalog.Target{ID: id, StartedMS: 1})).To(BeFalse())
+		r.Drop(now, id, time.Time{})
+	}
 	for i := range targets {
 		g.Expect(r.Put(catalog.Target{ID: fmt.Sprint("i-", i), StartedMS: 1})).To(BeFalse())
 	}
