Dispatch: what targets declared is kept for as many as there are

Declarations of departed targets were kept for 1,024; when the registrations of more expire in one outage of the store, the pauses and limits of the first were forgotten. TestPausesOfManyTargetsOutlastTheirExpiry failed before (1,500 targets). Fleets of up to 1,024 targets are not affected.

--- a/internal/core/dispatch/departed.go
+++ b/internal/core/dispatch/departed.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// maxDeparted is the maximum number of departed targets whose declarations are kept.
-const maxDeparted = 1024
+// minDeparted bounds the departed targets whose declarations are kept. It rises to the number of
+// targets, since all registrations may expire in one outage of the store.
+const minDeparted = 1024
 
 // declarations are what a target has declared in answers and is still in force. They are
 // kept when the target leaves the registry: the registration of a running target may
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 		peers:    make(map[string]*peerLoad),
 		entries:  1,
 		cells:    1,
-		departed: bounded.New[declarations](maxDeparted),
+		departed: bounded.New[declarations](minDeparted),
 	}
 }
 
@@ -205,6 +205,7 @@
 		}
 		known.Target = each
 	}
+	s.departed.Grow(len(s.targets))
 	for id, known := range s.targets {
 		if !seen[id] {
 			delete(s.targets, id)
--- a/internal/core/dispatch/pause_test.go
+++ b/internal/core/dispatch/pause_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,6 +28,25 @@
 	g.Expect(effects.Grants[0].Ticket).To(Equal(waiting))
 }
 
+// Guards against requests to thousands of targets within pauses that they requested, after their
+// registrations have expired together in an outage of the store and been renewed.
+func TestPausesOfManyTargetsOutlastTheirExpiry(t *testing.T) {
+	g := NewWithT(t)
+	const count = 1500
+	s := newScheduler(targets(count, 1))
+	for i := range count {
+		ticket, effects := s.Submit(start, ask(fmt.Sprint(i)))
+		g.Expect(effects.Grants).To(HaveLen(1))
+		s.ObservePause(start, ticket, time.Hour)
+		s.Done(start, ticket, dispatch.Report{Outcome: dispatch.Rejected})
+	}
+	s.SetTargets(start, nil)
+	s.SetTargets(start, targets(count, 1))
+	_, effects := s.Submit(start, ask("next"))
+	g.Expect(effects.Grants).To(BeEmpty())
+	g.Expect(effects.Refusals).To(HaveLen(1))
+}
+
 // Guards against requests held in vain when the last target requests a pause longer than they
 // can wait: both those that are waiting and those that arrive later.
 func TestPauseOfAllTargetsRefusesAtOnce(t *testing.T) {
