Log: a settled request names its route, last target, wait and longest pause

Cause: the final line of a stream gave the time to its first event and its total time only, so a stream that was late by a pause could not be told from one that began late. Change: settled gains route, target, waited_ms and longest_pause_ms (also across targets).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,7 +59,15 @@
 	// events is the number of events that were passed to the caller.
 	events  int
 	firstAt time.Time
-	ended   bool
+	// lastEventAt is when the last event arrived, longestPause the longest pause between two
+	// events, also across targets.
+	lastEventAt  time.Time
+	longestPause time.Duration
+	// waited is the time for which the request has waited for slots, target the last target
+	// that it was sent to.
+	waited time.Duration
+	target string
+	ended  bool
 }
 
 // splitSeed makes the choice between the services of a split route depend on the request id,
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -57,9 +57,18 @@
 		fields["prompt"], fields["output"], fields["expected"] = c.envelope.PromptTokens, c.envelope.OutputTokens, c.envelope.ExpectedOutput
 		fields["events"] = c.events
 	}
+	if c.route != nil {
+		fields["route"] = c.route.Prefix
+	}
+	if c.target != "" {
+		fields["target"], fields["waited_ms"] = c.target, c.waited.Milliseconds()
+	}
 	if !c.firstAt.IsZero() {
 		fields["first_ms"] = c.firstAt.Sub(c.arrived).Milliseconds()
 	}
+	if !c.lastEventAt.IsZero() {
+		fields["longest_pause_ms"] = c.longestPause.Milliseconds()
+	}
 	if c.config != nil {
 		fields["version"] = c.config.Version
 		fields["targets_age_ms"] = time.Since(g.targetsAsOf()).Milliseconds()
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -23,6 +23,8 @@
 func (c *call) acquireSlotIn(pool string) (*dispatch.Grant, *reply) {
 	request := c.schedulerRequest()
 	request.Service = pool
+	began := time.Now()
+	defer func() { c.waited += time.Since(began) }()
 	ticket, wait := c.gateway.state.submit(request)
 	select {
 	case v := <-wait:
@@ -93,6 +95,7 @@
 		return nil, notRun(string(r.Reason), r.RetryAfter)
 	}
 	g := v.grant
+	c.target = g.Target.ID
 	c.gateway.log.Write(eventlog.Routine, eventGranted, eventlog.Fields{
 		"id": c.envelope.ID, "target": g.Target.ID, "load": g.Load, "load_age_ms": g.LoadAge.Milliseconds(),
 		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -171,12 +171,21 @@
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
 	s.lastAt = now
+	s.call.notePause(now)
 	if s.events >= earlyEvents && !s.latencyObserved {
 		s.latencyObserved = true
 		s.call.gateway.state.observeLatency(s.grant.Ticket, s.latency())
 	}
 }
 
+// notePause updates the longest pause between events as the caller sees them.
+func (c *call) notePause(now time.Time) {
+	if !c.lastEventAt.IsZero() {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+}
+
 // earlyEvents is the number of events after which a stream's latency is first reported: enough
 // that a single prompt processed at the same time does not dominate it.
 const earlyEvents = 6
