--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -41,6 +41,15 @@
 	Gap time.Duration
 	// Work is the size of the request as declared by the caller.
 	Work Work
+	// Organisation is the caller's, empty for none; Weight is its share of a contended pool
+	// relative to the others, 0 means none declared.
+	Organisation string
+	Weight       float64
+	// Excess marks a request beyond its organisation's pace.
+	Excess bool
+	// Waited is how long the caller had been waiting before the request arrived, as when it
+	// was refused before and told to return.
+	Waited time.Duration
 	// Tried lists the incarnations of targets that this request has been sent to.
 	Tried []string
 }
@@ -54,6 +63,8 @@
 	granted  time.Time
 	// queueTime is the adjusted arrival time by which the queue is ordered.
 	queueTime time.Time
+	// expected is the estimated time that it occupies a slot at a target of mean speed.
+	expected time.Duration
 	// latestTimely is the last moment at which sending it should meet the objective.
 	latestTimely time.Time
 	// ahead is the number of prompt tokens that the target had to read before this
@@ -240,6 +251,7 @@
 	ticket := &Ticket{Request: request, sequence: s.sequence}
 	p := s.pool(request.Service)
 	p.schedule(ticket)
+	p.arriving.Add(now, ticket.Rank, ticket.expected.Seconds())
 	if refusal, refused := s.refuseAtOnce(now, p, ticket); refused {
 		return ticket, Effects{Refusals: []Refusal{refusal}}
 	}
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"sycamoretrail/internal/core/poolview"
+)
 
 // peerLoad is the last load report of another entry.
 type peerLoad struct {
@@ -8,6 +12,7 @@
 	inFlight map[string]int
 	reading  map[string]int
 	waiting  map[string]Urgency
+	pools    map[string]poolview.Demand
 	// sentUnderLimit is the number of requests that it has sent to each target that declares
 	// a limit, as last reported.
 	sentUnderLimit map[string]int
@@ -27,6 +32,8 @@
 	// Waiting is the urgency of the most urgent request that waits, by service; services
 	// for which none waits are left out.
 	Waiting map[string]Urgency
+	// Pools is the sender's demand, by service.
+	Pools map[string]poolview.Demand
 	// Samples are the sender's measurements since its last report.
 	Samples []Sample
 	// Limits are targets' limits, by incarnation; a report may hold some of them.
@@ -44,7 +51,7 @@
 
 // SetPeerLoad applies a peer's report, which replaces its previous one.
 func (s *Scheduler) SetPeerLoad(now time.Time, peer string, load Load) Effects {
-	updated := &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting}
+	updated := &peerLoad{at: now, inFlight: load.InFlight, reading: load.Reading, waiting: load.Waiting, pools: validDemands(load.Pools)}
 	if before, found := s.peers[peer]; found {
 		updated.sentUnderLimit = before.sentUnderLimit
 	}
@@ -65,7 +72,7 @@
 
 // OwnLoad returns the report to send to peers; each sample is in one report only.
 func (s *Scheduler) OwnLoad(now time.Time) Load {
-	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples, Waiting: make(map[string]Urgency), Limits: s.reportLimits(now)}
+	load := Load{InFlight: make(map[string]int), Reading: make(map[string]int), Samples: s.samples, Waiting: make(map[string]Urgency), Limits: s.reportLimits(now), Pools: s.demands(now)}
 	s.samples = nil
 	for id, t := range s.targets {
 		if t.own > 0 {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sycamoretrail/internal/core/poolview"
 )
 
 // pool holds the targets of one service and the requests that wait for them.
@@ -17,6 +19,8 @@
 	rates      rates
 	// lateRequests is the rate at which late requests get a slot.
 	lateRequests placementRate
+	// arriving is the rate at which work arrives at this entry.
+	arriving poolview.Meter
 	// sharing is the number of cells that share all targets; 1 means that each has its own.
 	sharing int
 	// latency is the mean latency over all targets, in ns.
@@ -88,6 +92,7 @@
 // schedule sets the times by which a request is ordered.
 func (p *pool) schedule(ticket *Ticket) {
 	expected := p.expected(ticket)
+	ticket.expected = expected
 	ticket.queueTime = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
 	if ticket.Objective.IsZero() {
 		return
--- a/internal/gateway/loadreport.go
+++ b/internal/gateway/loadreport.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"time"
 
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/poolview"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/gossip"
 )
@@ -96,6 +98,7 @@
 		Waiting:        mapValues(load.Waiting, func(u dispatch.Urgency) uint32 { return uint32(u) }),
 		UnresponsiveMS: mapValues(load.Unresponsive, time.Duration.Milliseconds),
 		Limits:         mapValues(load.Limits, limitMessage),
+		Pools:          mapValues(load.Pools, demandMessage),
 	}
 }
 
@@ -119,5 +122,37 @@
 		Waiting:      mapValues(m.Waiting, func(u uint32) dispatch.Urgency { return dispatch.Urgency(u) }),
 		Unresponsive: mapValues(m.UnresponsiveMS, milliseconds),
 		Limits:       mapValues(m.Limits, limitReportOf),
+		Pools:        mapValues(m.Pools, demandOf),
 	}
 }
+
+func demandMessage(d poolview.Demand) gossip.PoolLoad {
+	return gossip.PoolLoad{Arriving: workMessage(d.Arriving), Backlog: workMessage(d.Backlog)}
+}
+
+// workMessage converts work to milliseconds by rank.
+func workMessage(work poolview.Work) []uint32 {
+	var message []uint32
+	for rank, seconds := range work {
+		if ms := uint32(min(math.MaxUint32, math.Ceil(seconds*1000))); ms > 0 {
+			for len(message) < rank {
+				message = append(message, 0)
+			}
+			message = append(message, ms)
+		}
+	}
+	return message
+}
+
+func demandOf(m gossip.PoolLoad) poolview.Demand {
+	return poolview.Demand{Arriving: workOf(m.Arriving), Backlog: workOf(m.Backlog)}
+}
+
+// workOf converts milliseconds by rank to work; further ranks count as the last.
+func workOf(message []uint32) poolview.Work {
+	var work poolview.Work
+	for rank, ms := range message {
+		work[poolview.RankOf(rank)] += float64(ms) / 1000
+	}
+	return work
+}
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -44,7 +44,7 @@
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
 		Priority: c.priority, Rank: c.route.Priority,
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
-		Gap: c.route.Gap, Work: c.work(),
+		Gap: c.route.Gap, Work: c.work(), Organisation: c.organisation, Waited: c.waitedBefore(),
 	}
 	if c.events > 0 {
 		// The stream has begun: only the time to its next event matters. With the arrival time
@@ -62,6 +62,21 @@
 	return request
 }
 
+// minWaitedBefore is the least difference between the route's timeout and the time for which a
+// caller still waits that shows that it has been waiting: less may be rounding, or time on the
+// way.
+const minWaitedBefore = 150 * time.Millisecond
+
+// waitedBefore returns how long the caller has been waiting since its first attempt, as far as
+// its wait limit shows: callers that return after a refusal have less time left.
+func (c *call) waitedBefore() time.Duration {
+	waited := c.route.Timeout - c.envelope.WaitLimit
+	if c.route.Timeout == 0 || c.envelope.WaitLimit == 0 || waited < minWaitedBefore {
+		return 0
+	}
+	return waited
+}
+
 // work returns the amount of work that the request means for a target. A caller's estimate of
 // the output may exceed the declared maximum, which then applies.
 func (c *call) work() dispatch.Work {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,6 +44,8 @@
 	History   map[string]History `cbor:"10,keyasint,omitempty"`
 	Digest    *Digest            `cbor:"11,keyasint,omitempty"`
 	Departure *Departure         `cbor:"14,keyasint,omitempty"`
+	// Leases is the announcement of a cell's load and of the targets that it lends.
+	Leases *Leases `cbor:"15,keyasint,omitempty"`
 	// RolloutStep is sent by the leader of a roll-out, RolloutReport to it.
 	RolloutStep   *RolloutStep   `cbor:"12,keyasint,omitempty"`
 	RolloutReport *RolloutReport `cbor:"13,keyasint,omitempty"`
@@ -87,6 +89,16 @@
 	// Limits are the rate limits that targets declare. If they do not all fit, each message
 	// holds some of them in turn.
 	Limits map[string]Limit `cbor:"10,keyasint,omitempty"`
+	// Pools is the sender's demand, by service.
+	Pools map[string]PoolLoad `cbor:"11,keyasint,omitempty"`
+}
+
+// PoolLoad is the sender's demand for one service by rank, most urgent first: the work that
+// arrives, in milliseconds of a slot each second, and the work that waits, in milliseconds.
+// Trailing zeros are left out.
+type PoolLoad struct {
+	_                 struct{} `cbor:",toarray"`
+	Arriving, Backlog []uint32
 }
 
 // Limit is the rate limit that a target declared in an answer, or the end of that limit. AgeMS
@@ -153,6 +165,34 @@
 	StartedMS int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// Leases announces the load of the sender's cell and the targets that it lends to other cells.
+type Leases struct {
+	// Cell is the sender's cell of Cells.
+	Cell  int `cbor:"1,keyasint"`
+	Cells int `cbor:"2,keyasint"`
+	// PassOn asks the receiver to forward the announcement to its cell.
+	PassOn bool       `cbor:"3,keyasint,omitempty"`
+	Loads  []CellLoad `cbor:"4,keyasint,omitempty"`
+	Leases []Lease    `cbor:"5,keyasint,omitempty"`
+}
+
+// CellLoad is the capacity of a cell's targets of a service and the work that arrives for
+// them, both a second and in units of the mean latency of a target.
+type CellLoad struct {
+	_                  struct{} `cbor:",toarray"`
+	Service            string
+	Capacity, Arriving float64
+}
+
+// Lease lends a target of a service to a cell for a time.
+type Lease struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Service string
+	To      int
+	TermMS  int64
+}
+
 // Conn sends and receives messages.
 type Conn struct {
 	socket   *net.UDPConn
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,10 +28,24 @@
 	MaxDescriptors int `json:"max_descriptors"`
 	// Bounds are the operators' guarantees to callers.
 	Bounds GatewayBounds `json:"bounds"`
+	// Load switches decisions under load.
+	Load GatewayLoad `json:"load"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 }
 
+// GatewayLoad switches the parts that decide under load. Each takes effect only where the
+// configuration calls for it.
+type GatewayLoad struct {
+	// FairShare shares contended targets between organisations by their quotas.
+	FairShare bool `json:"fair_share"`
+	// Admission refuses requests that cannot be served in time when they arrive, and spreads
+	// the times at which their callers return.
+	Admission bool `json:"admission"`
+	// Lending lends targets between cells.
+	Lending bool `json:"lending"`
+}
+
 // GatewayBounds are the operators' guarantees that the process must meet.
 type GatewayBounds struct {
 	// DrainMS is the time from the write that marks a target as leaving in the registry to
@@ -63,6 +77,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		MemoryMB: 256, MaxDescriptors: 4096, LogLevel: "info",
+		Load: GatewayLoad{FairShare: true, Admission: true, Lending: true},
 		Bounds: GatewayBounds{
 			DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, ListLifeS: 5,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, QuotaWindowS: 8,
