Dispatch: late requests by value per engine time, fair queueing between organisations

Late requests of any rank waited behind all requests in time, so a late answer of the most urgent rank waited for the least urgent ones, which are worth a sixth of it per second of an engine. One urgency now orders the queue and the reports between entries: with several ranks a late request keeps its priority and goes before the first lower rank that is worth less for the same work. Requests beyond an organisation's pace (Excess) are served just behind the next lower rank in time. Where two or more organisations with a weight wait at one urgency, start-time fair queueing replaces the order of arrival. Late requests are shed by rank. The urgency is computed once per request and pass.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -1,7 +1,7 @@
 // Package dispatch decides which target runs a request, and when. Targets admit
 // requests in order of arrival and have no priorities, so requests are queued here:
 // each target receives about as many requests as it runs concurrently, and the
-// queue is ordered by priority and by which requests can still be in time.
+// queue is ordered by priority, by rank and by which requests can still be in time; see order.go.
 //
 // Entries share the targets and report their requests in flight to each other. The load
 // of a target is the sum over all entries and is milliseconds old. Overfilling a target
@@ -29,7 +29,9 @@
 	// Priority is that of the organisation, or that of the route if the organisation has
 	// none; Rank is that of the route and decides among equal priorities. 0 is the highest.
 	Priority, Rank int
-	Arrived        time.Time
+	// RoutePriority means that Priority is that of the route.
+	RoutePriority bool
+	Arrived       time.Time
 	// Objective is the time by which the answer, or its first event, should arrive for
 	// its full value; zero means none.
 	Objective time.Time
@@ -63,6 +65,11 @@
 	granted  time.Time
 	// queueTime is the adjusted arrival time by which the queue is ordered.
 	queueTime time.Time
+	// urgency is the urgency when the queue was last ordered, tag the position among the
+	// requests of that urgency if several organisations share it, cost the work divided by the
+	// organisation's weight.
+	urgency   Urgency
+	tag, cost float64
 	// expected is the estimated time that it occupies a slot at a target of mean speed.
 	expected time.Duration
 	// latestTimely is the last moment at which sending it should meet the objective.
@@ -350,8 +357,9 @@
 	ticket.target = at
 	ticket.granted = now
 	if ticket.late(now) {
-		at.pool.lateRequests.record(now, true)
+		at.pool.lateRate(ticket).record(now, true)
 	}
+	at.pool.countShare(ticket)
 	at.beginReading(ticket)
 	at.own++
 	at.limited.sent++
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -17,8 +16,15 @@
 	advancedAt time.Time
 	classes    map[string]*class
 	rates      rates
-	// lateRequests is the rate at which late requests get a slot.
-	lateRequests placementRate
+	// lateRequests is the rate at which late requests get a slot, by the rank by which they
+	// are served.
+	lateRequests [poolview.Ranks]placementRate
+	// rankWork is the mean work by rank.
+	rankWork rankWork
+	// shared holds the urgencies at which several organisations wait, orders counts how often
+	// the queue was ordered.
+	shared map[Urgency]*sharedUrgency
+	orders uint64
 	// arriving is the rate at which work arrives at this entry.
 	arriving poolview.Meter
 	// sharing is the number of cells that share all targets; 1 means that each has its own.
@@ -50,7 +56,7 @@
 // mostUrgent returns the urgency of the most urgent waiting request, and whether any waits.
 func (p *pool) mostUrgent(now time.Time) (most Urgency, waits bool) {
 	for _, ticket := range p.waiting {
-		if u := ticket.urgency(now); !waits || u < most {
+		if u := p.urgency(now, ticket); !waits || u < most {
 			most, waits = u, true
 		}
 	}
@@ -68,22 +74,6 @@
 	return n
 }
 
-// order sorts the queue: requests that can still be in time first, then by priority and
-// rank, then by arrival, with long work slightly delayed. A late request has lost most of
-// its value, so it gets only slots that no timely one needs; otherwise each late
-// answer would make the next one late as well, and a short overload would persist.
-func (p *pool) order(now time.Time) {
-	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
-		return cmp.Or(
-			boolean(a.late(now))-boolean(b.late(now)),
-			a.Priority-b.Priority,
-			a.Rank-b.Rank,
-			a.queueTime.Compare(b.queueTime),
-			cmp.Compare(a.sequence, b.sequence),
-		)
-	})
-}
-
 // longWorkDelay is how much later a request counts as arrived for each unit of
 // expected work. Serving short work first keeps more requests in time under overload;
 // the bounded delay prevents starvation of long requests.
@@ -93,7 +83,11 @@
 func (p *pool) schedule(ticket *Ticket) {
 	expected := p.expected(ticket)
 	ticket.expected = expected
+	p.rankWork.add(ticket.Rank, expected.Seconds())
 	ticket.queueTime = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
+	if p.rankWork.several() {
+		ticket.queueTime = ticket.queueTime.Add(-ticket.Waited)
+	}
 	if ticket.Objective.IsZero() {
 		return
 	}
@@ -109,13 +103,6 @@
 	return !t.Objective.IsZero() && now.After(t.latestTimely)
 }
 
-func boolean(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // mean is an exponentially weighted mean that starts as an arithmetic mean, so that the
 // first samples have full weight.
 type mean struct {
--- a/internal/core/dispatch/precedence.go
+++ b/internal/core/dispatch/precedence.go
@@ -6,25 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Urgency orders requests over the entries of a cell; lower values go first.
-type Urgency uint32
-
-// lateUrgency is added if a request has missed its objective; see pool.order.
-const lateUrgency Urgency = 1 << 16
-
-// UrgencyOf returns the urgency of a request that can still be in time.
-func UrgencyOf(priority, rank int) Urgency {
-	return Urgency(min(priority, 0xff)<<8 | min(rank, 0xff))
-}
-
-func (t *Ticket) urgency(now time.Time) Urgency {
-	u := UrgencyOf(t.Priority, t.Rank)
-	if t.late(now) {
-		u += lateUrgency
-	}
-	return u
-}
-
 // turnDelay is the delay between two successive entries for taking a free slot: longer
 // than a report takes to the others, so that the next entry sees that the slot is taken.
 const turnDelay = 8 * time.Millisecond
@@ -39,7 +20,7 @@
 // an order that differs by target. An entry takes a slot that it has released itself at once
 // for a request as urgent as those of the others.
 func (s *Scheduler) hasPrecedence(now time.Time, t *target, ticket *Ticket) bool {
-	urgency := ticket.urgency(now)
+	urgency := ticket.urgency
 	ahead, known := t.snapshot.ahead[urgency]
 	if !known {
 		ahead = s.entriesAhead(now, t, urgency)
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -25,12 +25,7 @@
 	if refusal, refused := s.refusePaused(now, p, ticket, p.pausedUntil(now)); refused {
 		return refusal, true
 	}
-	ahead := 0
-	for _, other := range p.waiting {
-		if !other.late(now) && !ticket.outranks(other) {
-			ahead++
-		}
-	}
+	ahead := p.ahead(now, ticket)
 	if ahead == 0 {
 		return Refusal{}, false
 	}
@@ -41,11 +36,6 @@
 	return s.refusal(p, ticket, ReasonOverload, wait), true
 }
 
-// outranks reports whether a request precedes another by priority and rank.
-func (t *Ticket) outranks(other *Ticket) bool {
-	return t.Priority < other.Priority || t.Priority == other.Priority && t.Rank < other.Rank
-}
-
 // refuseExpired refuses requests that can no longer be answered in time.
 func (s *Scheduler) refuseExpired(now time.Time, p *pool) []Refusal {
 	var refusals []Refusal
@@ -57,13 +47,13 @@
 			continue
 		}
 		late := ticket.late(now)
-		shed := late && p.lateRequests.rarelyPlaced(now)
+		shed := late && p.lateRate(ticket).rarelyPlaced(now)
 		if now.Before(ticket.latestStart()) && !shed {
 			kept = append(kept, ticket)
 			continue
 		}
 		if late && !shed {
-			p.lateRequests.record(now, false)
+			p.lateRate(ticket).record(now, false)
 		}
 		refusals = append(refusals, s.refusal(p, ticket, ReasonExpired, s.estimatedWait(p, len(p.waiting))))
 	}
--- a/internal/core/dispatch/shed.go
+++ b/internal/core/dispatch/shed.go
@@ -1,11 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// Under overload, requests that have missed their objective wait behind all that can still
-// be in time, and most of them are refused in the end. If they were held until then, their
+	"sycamoretrail/internal/core/poolview"
+)
+
+// Under overload, requests that have missed their objective wait behind those of their rank
+// that can still be in time, and most of them are refused in the end. If they were held until then, their
 // callers would wait for seconds, retry and be held again. So the pool measures how many
-// late requests get a slot, and while hardly any does, it refuses a request as soon as it
+// late requests of each rank get a slot, and while hardly any does, it refuses a request as soon as it
 // is late, so that its caller is informed at once.
 
 const (
@@ -19,7 +23,13 @@
 	lateSampleTTL  = 1500 * time.Millisecond
 )
 
-// placementRate is the rate at which late requests of a pool get a slot.
+// lateRate returns the placement rate of late requests that are served as a ticket is. Late
+// requests of the most urgent rank may often get a slot while those of the least urgent do not.
+func (p *pool) lateRate(ticket *Ticket) *placementRate {
+	return &p.lateRequests[poolview.RankOf(ticket.servedRank())]
+}
+
+// placementRate is the rate at which late requests of a rank get a slot.
 type placementRate struct {
 	placed mean
 	at     time.Time
