Gateway: requests beyond an organisation's pace are marked and served last

An organisation far above its usual rate crowds out others at its priority and uses up its quota window in a few seconds. After the quota check each request is now compared with the pace that is left in the window, if two or more organisations have a quota and load.fair_share is on. What does not fit has the lowest priority of the configuration and goes behind the next rank. Organisations are weighted by their quotas. Log event excess, field excess of granted, counter gateway_excess_requests_total.

Tests of dispatch, settings and telemetry pass; of gateway all but the known TestRejectedRegistrationsDoNotOverloadTheStore.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -242,6 +242,9 @@
 // SetEntries sets the number of entries that share the targets, including this one.
 func (s *Scheduler) SetEntries(n int) { s.entries = max(1, n) }
 
+// Entries returns the number of entries that share the targets, including this one.
+func (s *Scheduler) Entries() int { return s.entries }
+
 func (s *Scheduler) pool(service string) *pool {
 	p, found := s.pools[service]
 	if !found {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,6 +34,9 @@
 	organisation string
 	service      string
 	priority     int
+	// routePriority: the priority is that of the route. excess: the request is beyond its
+	// organisation's pace.
+	routePriority, excess bool
 	// cost counts against the organisation's quota. metered: the request is subject to a
 	// quota; reserved: it is counted as waiting.
 	cost              float64
@@ -111,7 +114,7 @@
 		return noRoute
 	}
 	c.route = route
-	c.priority = route.Priority
+	c.priority, c.routePriority = route.Priority, true
 	if reply := c.authenticate(); reply != nil {
 		return reply
 	}
@@ -153,7 +156,7 @@
 	}
 	c.organisation = organisation.Name
 	if organisation.Priority != nil {
-		c.priority = *organisation.Priority
+		c.priority, c.routePriority = *organisation.Priority, false
 	}
 	c.cost = costOf(organisation, &c.envelope)
 	return nil
@@ -210,9 +213,10 @@
 	if c.organisation == "" {
 		return nil
 	}
-	result := c.gateway.state.admit(c.organisation, c.cost, c.route.Priority)
+	result, profile := c.gateway.state.admit(c.organisation, c.cost, c.route.Priority, c.gateway.shares.Load() != nil)
 	if result.Admitted {
 		c.metered, c.reserved = true, true
+		c.classify(result, profile)
 		return nil
 	}
 	c.gateway.log.Write(eventlog.Failure, eventQuota, eventlog.Fields{
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,11 +9,13 @@
 
 // Names of log events, one per line of the log. Lines about a request carry its id.
 const (
-	// Requests: a slot was granted or refused, or the quota was used up; a repeat was allowed
-	// or denied; a target was tried; a run was aborted; the request ended.
+	// Requests: a slot was granted or refused, the quota was used up, or the organisation's pace
+	// was exceeded; a repeat was allowed or denied; a target was tried; a run was aborted; the
+	// request ended.
 	eventGranted = "granted"
 	eventRefused = "refused"
 	eventQuota   = "over_quota"
+	eventExcess  = "excess"
 	eventRepeat  = "repeat"
 	eventTried   = "tried"
 	eventBroken  = "run_broken"
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -187,6 +187,7 @@
 	g.state.mutex.Lock()
 	g.state.quota.SetOrganisations(configuration.Organisations)
 	g.state.mutex.Unlock()
+	g.setShares(configuration)
 	g.configuration.Store(configuration)
 	g.noteSynced()
 	g.log.Write(eventlog.StateChange, eventConfiguration, eventlog.Fields{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/fairshare"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -72,7 +73,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates tally }
+	counters struct{ settled, tries, updates, excess tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -83,6 +84,8 @@
 	// two sources deliver one at the same time.
 	applying      sync.Mutex
 	configuration atomic.Pointer[catalog.Configuration]
+	// shares is nil unless contended targets are shared between organisations.
+	shares atomic.Pointer[shares]
 	// syncDone is closed, once, when this entry has configuration and targets.
 	syncDone chan struct{}
 	syncOnce sync.Once
@@ -116,6 +119,7 @@
 		log:         g.log,
 		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
 		quota:       quota.New(quotaConfig(s.Bounds), now),
+		policer:     fairshare.NewPolicer(settings.Seconds(s.Bounds.QuotaWindowS)),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
 		crashes:     crashes.New(),
 		peers:       peerset.New(peerset.Config{FailureTimeout: failureTimeout, RelayedFailureTimeout: relayedFailureTimeout, Removal: removalTimeout}, g.self),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,6 +57,7 @@
 	m.SetTotal(telemetry.GatewayDatagramsSent, g.links.conn.Sent.Load())
 	m.SetTotal(telemetry.GatewayDatagramsReceived, g.links.conn.Received.Load())
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
+	g.counters.excess.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayExcess, n, key) })
 	g.counters.updates.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayStoreCalls, n, key) })
 	for importance, n := range g.log.Omitted() {
 		m.SetTotal(telemetry.GatewayLinesOmitted, n, importance.String())
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -17,6 +17,7 @@
 	err := telemetry.SetLevel(g.logger, s.LogLevel)
 	g.state.mutex.Lock()
 	g.state.quota.SetConfig(quotaConfig(s.Bounds))
+	g.state.policer.SetWindow(settings.Seconds(s.Bounds.QuotaWindowS))
 	g.state.budget.SetConfig(budgetConfig(s.Bounds))
 	g.state.mutex.Unlock()
 	kept := g.settings
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -40,12 +40,16 @@
 }
 
 func (c *call) schedulerRequest() dispatch.Request {
+	shares := c.gateway.shares.Load()
 	request := dispatch.Request{
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
-		Priority: c.priority, Rank: c.route.Priority,
+		Priority: c.priority, Rank: c.route.Priority, RoutePriority: c.routePriority, Weight: shares.weight(c.organisation),
 		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
 		Gap: c.route.Gap, Work: c.work(), Organisation: c.organisation, Waited: c.waitedBefore(),
 	}
+	if c.excess && shares != nil {
+		request.Excess, request.Priority = true, shares.excessPriority(request.Rank)
+	}
 	if c.events > 0 {
 		// The stream has begun: only the time to its next event matters. With the arrival time
 		// of the request the scheduler would refuse it as expired.
@@ -115,7 +119,7 @@
 		"id": c.envelope.ID, "target": g.Target.ID, "load": g.Load, "load_age_ms": g.LoadAge.Milliseconds(),
 		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
 		"backlog": g.Backlog, "predicted_first_ms": g.PredictedFirst.Milliseconds(),
-		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix,
+		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix, "excess": g.Ticket.Excess,
 	})
 	return g, nil
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/fairshare"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -25,6 +26,7 @@
 	log      *eventlog.Log
 	sched    *dispatch.Scheduler
 	quota    *quota.Limiter
+	policer  *fairshare.Policer
 	budget   *budget.Budget
 	crashes  *crashes.Tracker
 	rollouts *rollouts
@@ -175,11 +177,19 @@
 	s.deliver(s.sched.SetTargets(time.Now(), targets))
 }
 
-// admit checks a request against its organisation's quota.
-func (s *state) admit(organisation string, cost float64, rank int) quota.Result {
+// admit checks a request against its organisation's quota and, if police is set, an admitted
+// one of an organisation with a quota against its pace.
+func (s *state) admit(organisation string, cost float64, rank int, police bool) (quota.Result, fairshare.Profile) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.quota.Admit(time.Now(), organisation, cost, rank)
+	now := time.Now()
+	result := s.quota.Admit(now, organisation, cost, rank)
+	if !police || !result.Admitted || result.Limit == 0 {
+		return result, fairshare.Profile{}
+	}
+	return result, s.policer.Classify(now, fairshare.Demand{
+		Organisation: organisation, Rank: rank, Cost: cost, Entries: s.sched.Entries(), Used: result.Used, Limit: result.Limit,
+	})
 }
 
 // charge applies one of the limiter's steps after admission to a request's cost.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,6 +32,8 @@
 		"Of these, those that get nothing for now: not reached, broken off, unresponsive.", "service")
 	GatewayLimited = declare(KindGauge, "gateway_service_targets_limited",
 		"Of these, those that declare a limit on their requests a second.", "service")
+	GatewayExcess = declare(KindCounter, "gateway_excess_requests_total",
+		"Requests beyond their organisation's pace, by service.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
