--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -13,22 +13,31 @@
 )
 
 const (
-	// demandWindow is the time over which demand is averaged.
+	// demandWindow is the time over which demand is averaged, sparseWindow that for
+	// organisations with fewer than minRequests in it. With fewer in both, demand is not known
+	// well enough: an entry of a large fleet receives a request of a small organisation every
+	// ten seconds, and a single one would count as one a second at each entry.
 	demandWindow = time.Second
+	sparseWindow = 4 * time.Second
+	minRequests  = 4
 	// contendedShare is the share of its limit up to which an organisation is within its pace
 	// whatever its demand.
 	contendedShare = 0.5
 	// evenPart is the part of its even share of the pace that each rank keeps, so that no rank
 	// is starved.
 	evenPart = 0.25
-	// bucketTime is the time for which unused pace of a rank is kept.
+	// bucketTime is the time for which unused pace of a rank is kept, at least a
+	// mean request: in a large fleet an entry receives few requests of one organisation.
 	bucketTime = 250 * time.Millisecond
-	// largeWork is the multiple of the mean cost of a rank from which a request needs no more
-	// of the pace to be available than that. Otherwise the largest requests would never fit.
-	largeWork = 2
+	// startTokens is the part of a mean request that is available to each rank at first.
+	startTokens = 0.5
+	// neededShare is the part of its cost, or of the mean cost of its rank if that is less, that
+	// must be available for a request to fit. Smaller requests fit sooner, and the largest
+	// need no more than those of mean size, so that they are not starved.
+	neededShare = 0.5
 	// idleTimeout is the time without requests after which an organisation is forgotten: its
-	// measured demand has fallen to less than a thousandth.
-	idleTimeout = 8 * time.Second
+	// measured demand has fallen to less than a hundredth.
+	idleTimeout = 20 * time.Second
 	// minSweep is the smallest number of organisations at which idle ones are looked for.
 	minSweep = 64
 )
@@ -49,8 +58,8 @@
 type Profile struct {
 	// Excess means that the request does not fit into the pace.
 	Excess bool
-	// Demand and Pace are those of the organisation over all entries, in units of cost a
-	// second. Pace is 0 where it was not needed for the decision.
+	// Demand is what the organisation requests, Pace what it may use, both over all entries and
+	// in units of cost a second. Pace is 0 where it was not needed for the decision.
 	Demand, Pace float64
 }
 
@@ -63,11 +72,10 @@
 	sweepAt int
 }
 
-// demand is the recent demand of an organisation at this entry, by rank.
+// demand is the recent demand of an organisation at this entry.
 type demand struct {
-	at time.Time
-	// cost and requests are rates per second.
-	cost, requests [poolview.Ranks]float64
+	at           time.Time
+	recent, long meter
 	// tokens is the part of the pace that is available to each rank. It is negative after a
 	// large request.
 	tokens [poolview.Ranks]float64
@@ -75,6 +83,10 @@
 	exceeding bool
 }
 
+// meter measures the requests of an organisation by rank: their cost and their number, both
+// per second.
+type meter struct{ cost, requests [poolview.Ranks]float64 }
+
 // NewPolicer returns a policer for quotas over a sliding window.
 func NewPolicer(window time.Duration) *Policer {
 	return &Policer{window: window, demands: make(map[string]*demand), sweepAt: minSweep}
@@ -92,16 +104,13 @@
 	rank := poolview.RankOf(request.Rank)
 	d := p.demandOf(now, request.Organisation)
 	elapsed := d.advance(now)
-	d.cost[rank] += request.Cost / demandWindow.Seconds()
-	d.requests[rank] += 1 / demandWindow.Seconds()
+	d.recent.add(rank, request.Cost, demandWindow)
+	d.long.add(rank, request.Cost, sparseWindow)
 
+	measured, known := d.measured()
 	entries := float64(max(1, request.Entries))
-	total := 0.0
-	for _, rate := range d.cost {
-		total += rate
-	}
-	profile := Profile{Demand: total * entries}
-	if request.Used <= contendedShare*request.Limit || now.Sub(p.started) < demandWindow {
+	profile := Profile{Demand: total(measured.cost) * entries}
+	if request.Used <= contendedShare*request.Limit || now.Sub(p.started) < demandWindow || !known {
 		d.exceeding = false
 		return profile
 	}
@@ -110,39 +119,70 @@
 		d.exceeding = false
 		return profile
 	}
-	shares := divide(profile.Pace/entries, d.cost)
-	d.fill(shares, elapsed)
-	profile.Excess = shares[rank] < d.cost[rank] && !d.take(rank, request.Cost)
+	shares := divide(profile.Pace/entries, measured.cost)
+	d.fill(measured, shares, elapsed)
+	profile.Excess = shares[rank] < measured.cost[rank] && !d.take(measured, rank, request.Cost)
 	return profile
 }
 
+// measured returns the demand over the shortest window with enough requests, and whether there
+// is one.
+func (d *demand) measured() (*meter, bool) {
+	if total(d.recent.requests)*demandWindow.Seconds() >= minRequests {
+		return &d.recent, true
+	}
+	return &d.long, total(d.long.requests)*sparseWindow.Seconds() >= minRequests
+}
+
 // fill adds each rank's share of the pace for a time, up to a limit.
-func (d *demand) fill(shares [poolview.Ranks]float64, elapsed time.Duration) {
+func (d *demand) fill(measured *meter, shares [poolview.Ranks]float64, elapsed time.Duration) {
 	for r, share := range shares {
-		limit := max(share*bucketTime.Seconds(), 2*largeWork*d.meanCost(r))
 		if !d.exceeding {
-			d.tokens[r] = limit
+			d.tokens[r] = startTokens * measured.meanCost(r)
+			continue
 		}
+		limit := max(share*bucketTime.Seconds(), measured.meanCost(r))
 		d.tokens[r] = min(limit, d.tokens[r]+share*elapsed.Seconds())
 	}
 	d.exceeding = true
 }
 
 // take takes the cost of a request from its rank's tokens, if it fits.
-func (d *demand) take(rank int, cost float64) bool {
-	if d.tokens[rank] < min(cost, largeWork*d.meanCost(rank)) {
+func (d *demand) take(measured *meter, rank int, cost float64) bool {
+	if d.tokens[rank] < neededShare*min(cost, measured.meanCost(rank)) {
 		return false
 	}
 	d.tokens[rank] -= cost
 	return true
 }
 
+func (m *meter) add(rank int, cost float64, window time.Duration) {
+	m.cost[rank] += cost / window.Seconds()
+	m.requests[rank] += 1 / window.Seconds()
+}
+
+func (m *meter) decay(elapsed, window time.Duration) {
+	factor := math.Exp(-elapsed.Seconds() / window.Seconds())
+	for r := range m.cost {
+		m.cost[r] *= factor
+		m.requests[r] *= factor
+	}
+}
+
 // meanCost returns the mean cost of the recent requests of a rank.
-func (d *demand) meanCost(rank int) float64 {
-	if d.requests[rank] == 0 {
+func (m *meter) meanCost(rank int) float64 {
+	if m.requests[rank] == 0 {
 		return 0
 	}
-	return d.cost[rank] / d.requests[rank]
+	return m.cost[rank] / m.requests[rank]
+}
+
+func total(rates [poolview.Ranks]float64) float64 {
+	sum := 0.0
+	for _, rate := range rates {
+		sum += rate
+	}
+	return sum
 }
 
 // pace returns the cost a second that an organisation may use: what is left of its limit,
@@ -155,16 +195,12 @@
 // divide divides a pace that is below the demand among the ranks: each keeps evenPart of its
 // even share, and the rest is given in the order of ranks.
 func divide(pace float64, demand [poolview.Ranks]float64) [poolview.Ranks]float64 {
-	total := 0.0
-	for _, rate := range demand {
-		total += rate
-	}
+	even := pace / total(demand)
 	shares := demand
-	rest := pace
 	for r := range shares {
-		shares[r] = demand[r] * pace / total * evenPart
-		rest -= shares[r]
+		shares[r] = demand[r] * even * evenPart
 	}
+	rest := pace - total(shares)
 	for r := range shares {
 		more := min(rest, demand[r]-shares[r])
 		shares[r] += more
@@ -198,10 +234,7 @@
 		return 0
 	}
 	d.at = now
-	factor := math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
-	for r := range d.cost {
-		d.cost[r] *= factor
-		d.requests[r] *= factor
-	}
+	d.recent.decay(elapsed, demandWindow)
+	d.long.decay(elapsed, sparseWindow)
 	return elapsed
 }
