--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -254,12 +254,17 @@
 // ahead returns the number of waiting requests that go before a new one.
 func (p *pool) ahead(now time.Time, ticket *Ticket) int {
 	urgency := p.urgency(now, ticket)
+	several := p.rankWork.several()
+	if !several {
+		// A request that arrives late counts only those of its priority, so that it is held
+		// rather than refused at once.
+		urgency &^= lateUrgency
+	}
 	shared, found := p.shared[urgency]
 	tag := math.Inf(1)
 	if found {
 		tag = shared.tags.Next(ticket.Organisation)
 	}
-	several := p.rankWork.several()
 	before, equal := 0, 0
 	// first means that the request is the first of its organisation at an urgency at which
 	// others wait.
