--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -185,12 +185,16 @@
 }
 
 func compareTickets(a, b *Ticket) int {
-	return cmp.Or(
-		cmp.Compare(a.urgency, b.urgency),
-		cmp.Compare(a.tag, b.tag),
-		a.queueTime.Compare(b.queueTime),
-		cmp.Compare(a.sequence, b.sequence),
-	)
+	if a.urgency != b.urgency {
+		return cmp.Compare(a.urgency, b.urgency)
+	}
+	if a.tag != b.tag {
+		return cmp.Compare(a.tag, b.tag)
+	}
+	if c := a.queueTime.Compare(b.queueTime); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
 }
 
 // sharedUrgency is an urgency at which requests of two or more organisations with a weight
--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -238,3 +238,6 @@
 	d.long.decay(elapsed, sparseWindow)
 	return elapsed
 }
+
+// Size returns the number of organisations whose demand is known.
+func (p *Policer) Size() int { return len(p.demands) }
