--- a/internal/core/dispatch/streams_test.go
+++ b/internal/core/dispatch/streams_test.go
@@ -15,7 +15,7 @@
 	const seeds = 6
 	var sum [3]float64
 	for seed := range uint64(seeds) {
-		f := newFleet(seed)
+		f := newFleet(seed, oneCell)
 		change(f)
 		f.run(14*time.Second, load)
 		for rank := range sum {
