--- a/internal/core/dispatch/order_test.go
+++ b/internal/core/dispatch/order_test.go
@@ -182,6 +182,11 @@
 		Request{ID: "returned", Rank: 0, Objective: timely, Waited: time.Second},
 	)
 	g.Expect(served(s, holder, orderStart.Add(time.Second))).To(Equal([]string{"returned", "new", "returned 1", "1"}))
+
+	s, _ = queueOf(Request{Rank: 1}, Request{ID: "short of time", Rank: 0, Waited: time.Hour})
+	waiting := s.pool("desk").waiting[0]
+	g.Expect(waiting.ID).To(Equal("short of time"))
+	g.Expect(waiting.queueTime).To(Equal(orderStart.Add(waiting.expected - maxRetryAfter)))
 }
 
 // Guards against late requests of the most urgent rank that are refused at once because late
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -86,7 +86,9 @@
 	p.rankWork.add(ticket.Rank, expected.Seconds())
 	ticket.queueTime = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
 	if p.rankWork.several() {
-		ticket.queueTime = ticket.queueTime.Add(-ticket.Waited)
+		// A caller that is told to return waits at most maxRetryAfter. One that declares less
+		// time than the route allows looks as if it had waited longer.
+		ticket.queueTime = ticket.queueTime.Add(-min(ticket.Waited, maxRetryAfter))
 	}
 	if ticket.Objective.IsZero() {
 		return
