Lending: cells with spare capacity lend targets to fuller ones

Targets are divided between cells evenly by name, so the capacity of a cell depends on how many slow targets it gets: cells refused up to 17 % of their requests while others refused none.

The relay of each cell announces loads and leases every 500 ms. The least full cell lends one target a round to the fullest, the second least to the second fullest and so on; leases last 3 s, end by themselves and are known to all entries. Setting load.lending.

--- a/internal/core/dispatch/cell.go
+++ b/internal/core/dispatch/cell.go
@@ -59,6 +59,7 @@
 		return Effects{}
 	}
 	s.cell, s.cells = cell, cells
+	s.dropBorrowed()
 	for _, p := range s.pools {
 		p.assignCell(cell, cells)
 	}
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -41,6 +41,7 @@
 
 // updateSnapshots computes the snapshots of a pool's targets.
 func (s *Scheduler) updateSnapshots(now time.Time, p *pool) {
+	p.refreshLeases(now)
 	for _, t := range p.targets {
 		t.snapshot = snapshot{}
 		if !t.usedByCell() {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -85,6 +85,8 @@
 	// request's, PredictedFirst the estimated time to its first event; 0 means unknown.
 	Backlog        int
 	PredictedFirst time.Duration
+	// Borrowed means that the target belongs to another cell.
+	Borrowed bool
 }
 
 // Reason states why a request was refused.
@@ -358,7 +360,7 @@
 	s.takeTokens(now, at, 1)
 	s.addGranted(now, at, ticket)
 	load, age := s.load(now, at)
-	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age, Backlog: ticket.ahead, PredictedFirst: ticket.predicted}
+	return Grant{Ticket: ticket, Target: at.Target, Load: load, LoadAge: age, Backlog: ticket.ahead, PredictedFirst: ticket.predicted, Borrowed: at.lease.borrowed}
 }
 
 func (o Outcome) String() string {
--- a/internal/core/dispatch/services.go
+++ b/internal/core/dispatch/services.go
@@ -12,6 +12,9 @@
 	// Targets is the number of targets that this entry's cell uses, Ejected that of targets
 	// that currently receive nothing, Limited that of targets that declare a limit.
 	Targets, Ejected, Limited int
+	// Lent is the number of targets that the cell lends to others, Borrowed that of targets
+	// among Targets that it has borrowed.
+	Lent, Borrowed int
 	// InFlight is the number of this entry's requests there, Load that of the cell,
 	// Limit the number that the cell may have there at once.
 	InFlight, Load, Limit int
@@ -22,10 +25,17 @@
 	var services []ServiceLoad
 	for _, p := range s.pools {
 		sum := ServiceLoad{Service: p.service}
+		p.refreshLeases(now)
 		for _, t := range p.targets {
+			if t.lendable() && t.lease.lent {
+				sum.Lent++
+			}
 			if !t.usedByCell() {
 				continue
 			}
+			if t.lease.borrowed {
+				sum.Borrowed++
+			}
 			load, _ := s.load(now, t)
 			sum.Targets++
 			sum.InFlight += t.own
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -18,6 +18,8 @@
 	own int
 	// inCell means that it is one of the targets of this entry's cell.
 	inCell bool
+	// lease lends it to another cell or to this entry's.
+	lease targetLease
 	// latency is the mean time between events of its streams, or to other answers, in ns.
 	latency mean
 	// readTime is the mean time to read a prompt token, in ns.
@@ -146,8 +148,11 @@
 	return int(sharedOvercommit*float64(t.Slots)/float64(t.pool.sharing)) + 1
 }
 
-// usedByCell reports whether this entry's cell uses the target.
-func (t *target) usedByCell() bool { return t.inCell && !t.Leaving }
+// usedByCell reports whether this entry's cell uses the target. Targets shared by all cells
+// are used by each of them, whatever has been lent before.
+func (t *target) usedByCell() bool {
+	return !t.Leaving && (t.inCell && (!t.lease.lent || t.pool.sharing > 1) || t.lease.borrowed)
+}
 
 // avoided reports whether the target currently receives nothing.
 func (t *target) avoided(now time.Time) bool {
--- a/internal/core/dispatch/view.go
+++ b/internal/core/dispatch/view.go
@@ -18,6 +18,7 @@
 }
 
 func (s *Scheduler) view(now time.Time, p *pool) poolview.View {
+	p.refreshLeases(now)
 	own := p.demand(now)
 	view := poolview.View{
 		Capacity: p.capacity(now), Arriving: own.Arriving, Backlog: own.Backlog,
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -40,6 +40,7 @@
 	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
 	eventRollout       = "rollout"
+	eventLease         = "lease"
 )
 
 // settle writes the final log line of a request and counts it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/lending"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -72,7 +73,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates tally }
+	counters struct{ settled, tries, updates, droppedAnnouncements tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -123,6 +124,9 @@
 		loadUrgent:  make(chan struct{}, 1),
 		loadChanged: make(chan struct{}, 1),
 	}
+	if s.Load.Lending {
+		g.state.leases = lending.New()
+	}
 	g.state.quota.SetPeersKnown(false)
 	g.state.rollouts = newRollouts(g)
 	g.feeds = newFeeds(g)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -66,6 +66,9 @@
 	heartbeatRotation, reportRotation, digestRotation rotation
 	// limitRotation selects in turn the targets whose declared limits are reported.
 	limitRotation rotation
+	// droppedLogAt is when a dropped announcement was logged last; used by the receiving
+	// goroutine only.
+	droppedLogAt time.Time
 	// partial: the last heartbeat did not contain all totals.
 	partial atomic.Bool
 }
@@ -83,6 +86,7 @@
 func (l *links) run(ctx context.Context) {
 	go l.reportLoad(ctx)
 	go l.relay(ctx)
+	go l.lend(ctx)
 	for {
 		l.sendHeartbeat()
 		timer := time.NewTimer(heartbeatEvery)
@@ -244,6 +248,7 @@
 	l.cells.Store(&cells)
 	g.state.sched.SetEntries(cells.Entries)
 	g.state.deliver(g.state.sched.SetCell(now, cells.Own, cells.Count))
+	l.setLeaseCell(&cells)
 }
 
 // applyRegister applies the registry of entries and announces this entry to all.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,7 @@
 	m.SetTotal(telemetry.GatewayDatagramsReceived, g.links.conn.Received.Load())
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
 	g.counters.updates.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayStoreCalls, n, key) })
+	g.counters.droppedAnnouncements.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayDroppedAnnouncements, n, key) })
 	for importance, n := range g.log.Omitted() {
 		m.SetTotal(telemetry.GatewayLinesOmitted, n, importance.String())
 	}
@@ -87,6 +88,8 @@
 		m.Set(telemetry.GatewayTargets, float64(s.Targets), s.Service)
 		m.Set(telemetry.GatewayEjected, float64(s.Ejected), s.Service)
 		m.Set(telemetry.GatewayLimited, float64(s.Limited), s.Service)
+		m.Set(telemetry.GatewayLeasesLent, float64(s.Lent), s.Service)
+		m.Set(telemetry.GatewayLeasesBorrowed, float64(s.Borrowed), s.Service)
 	}
 	for service, left := range repeats {
 		m.Set(telemetry.GatewayRepeatsLeft, left, service)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -43,6 +43,9 @@
 	if m.Digest != nil {
 		l.handleDigest(m)
 	}
+	if m.Leases != nil {
+		l.handleLeases(m)
+	}
 	if m.Heartbeat != nil {
 		l.handleHeartbeat(m)
 	}
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -116,6 +116,7 @@
 		"waited_ms": time.Since(c.arrived).Milliseconds(), "version": c.config.Version,
 		"backlog": g.Backlog, "predicted_first_ms": g.PredictedFirst.Milliseconds(),
 		"prompt": g.Ticket.Work.Prompt, "output": g.Ticket.Work.Output, "route": c.route.Prefix,
+		"borrowed": g.Borrowed,
 	})
 	return g, nil
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/lending"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -28,7 +29,9 @@
 	budget   *budget.Budget
 	crashes  *crashes.Tracker
 	rollouts *rollouts
-	peers    *peerset.Set
+	// leases is nil if lending is off.
+	leases *lending.Ledger
+	peers  *peerset.Set
 	// peersKnown: the registry of entries has been read.
 	peersKnown bool
 	waiters    map[*dispatch.Ticket]chan slotResult
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -174,6 +174,9 @@
 	PassOn bool       `cbor:"3,keyasint,omitempty"`
 	Loads  []CellLoad `cbor:"4,keyasint,omitempty"`
 	Leases []Lease    `cbor:"5,keyasint,omitempty"`
+	// Sequence increases with the announcements of the process that made this one. That of
+	// Message is set again when an announcement is forwarded.
+	Sequence uint64 `cbor:"6,keyasint"`
 }
 
 // CellLoad is the capacity of a cell's targets of a service and the work that arrives for
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,6 +32,12 @@
 		"Of these, those that get nothing for now: not reached, broken off, unresponsive.", "service")
 	GatewayLimited = declare(KindGauge, "gateway_service_targets_limited",
 		"Of these, those that declare a limit on their requests a second.", "service")
+	GatewayLeasesLent = declare(KindGauge, "gateway_leases_lent",
+		"Targets of this entry's cell that it lends to other cells.", "service")
+	GatewayLeasesBorrowed = declare(KindGauge, "gateway_leases_borrowed",
+		"Targets of other cells that this entry's cell has borrowed.", "service")
+	GatewayDroppedAnnouncements = declare(KindCounter, "gateway_dropped_announcements_total",
+		"Announcements of leases that were not applied, by reason.", "reason")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
