--- a/internal/core/lending/simulation_test.go
+++ b/internal/core/lending/simulation_test.go
@@ -1,7 +1,6 @@
 package lending_test
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -44,7 +43,6 @@
 	sequence uint64
 	// suspendedUntil is until when the entry neither sends nor reads.
 	suspendedUntil time.Time
-	inbox          []lending.Announcement
 	nextRound      time.Time
 	turn           int
 }
@@ -69,13 +67,11 @@
 	// noise is the largest relative error of the reported demand, loss the share of datagrams
 	// that are lost.
 	noise, loss float64
-	lent        int
 	outcomes    map[lending.Outcome]int
 	// most is the largest number of cells that used a target at once, twice the time for which
 	// each target was used by two.
 	most     int
 	twice    map[string]time.Duration
-	bytes    int
 	messages int
 }
 
@@ -296,14 +292,3 @@
 	}
 	return lent
 }
-
-// byPressure returns the cells, least full first.
-func (s *simulation) byPressure() []int {
-	cells := make([]int, s.cells)
-	for i := range cells {
-		cells[i] = i
-	}
-	pressures := s.pressures()
-	slices.SortFunc(cells, func(a, b int) int { return cmp.Compare(pressures[a], pressures[b]) })
-	return cells
-}
