Lending: a target lent twice stays unused until both leases have ended

Two cells may lend the same target when one of them does not know of a change of cells. Each renewal of the first lease made it usable again for a moment. The conflict is now remembered until the end of the leases.

--- a/internal/core/lending/apply.go
+++ b/internal/core/lending/apply.go
@@ -170,26 +170,28 @@
 	}
 }
 
-// setLease records a lease. If the target is already lent to another cell, neither may use it
-// from now on as far as this entry knows: the cells of one of the leases do not know of the other.
+// setLease records a lease. If the target is already lent otherwise, nobody who knows of both
+// leases uses it until they have ended, and neither is renewed: their cells may not know of each
+// other.
 func (l *Ledger) setLease(now time.Time, a *Announcement, announced Lease, term time.Duration) {
 	until := now.Add(term)
 	known, found := l.leases[announced.Target]
-	if !found || known.ended(now) {
+	// The lender lends again only after the guard time, so what is lent anew after the end of a
+	// lease is not in conflict with it.
+	if !found || !now.Before(known.until) {
 		if !found && len(l.leases) >= maxKnown {
 			return
 		}
-		known = &lease{service: announced.Service, from: a.Cell, to: announced.To, since: now, until: until}
+		known = &lease{service: announced.Service, from: a.Cell, to: announced.To, cells: a.Cells, since: now, until: until}
 		l.leases[announced.Target] = known
 	}
 	if until.After(known.until) {
 		known.until = until
 	}
+	known.conflict = known.conflict || known.from != a.Cell || known.to != announced.To || known.cells != a.Cells
 	wasBorrowed := known.borrowed
-	known.own, known.borrowed = false, false
-	if a.Cells == l.cells && known.from == a.Cell && known.to == announced.To {
-		known.own, known.borrowed = a.Cell == l.cell, announced.To == l.cell
-	}
+	valid := !known.conflict && known.cells == l.cells
+	known.own, known.borrowed = valid && known.from == l.cell, valid && known.to == l.cell
 	switch {
 	case known.borrowed && !wasBorrowed:
 		l.record(Borrowed, announced.Target, known, term, 0, 0)
--- a/internal/core/lending/decide.go
+++ b/internal/core/lending/decide.go
@@ -161,7 +161,7 @@
 	if best == "" || !l.fits(best, r.pool.Service) {
 		return 0
 	}
-	known := &lease{service: r.pool.Service, from: l.cell, to: to, since: r.now, until: r.now.Add(Term), own: true}
+	known := &lease{service: r.pool.Service, from: l.cell, to: to, cells: l.cells, since: r.now, until: r.now.Add(Term), own: true}
 	l.leases[best] = known
 	l.record(Lent, best, known, Term, own, pressure)
 	return capacity
--- a/internal/core/lending/lending.go
+++ b/internal/core/lending/lending.go
@@ -142,13 +142,16 @@
 
 // lease is a lease that is known.
 type lease struct {
-	service  string
-	from, to int
-	since    time.Time
-	until    time.Time
+	service string
+	// It is lent by the cell from to the cell to, out of cells.
+	from, to, cells int
+	since           time.Time
+	until           time.Time
 	// own means that the own cell is the lender, borrowed that it is the borrower. Neither is
 	// set after a change of cells.
 	own, borrowed bool
+	// conflict means that two cells lend the target, or one to two cells.
+	conflict bool
 	// ending means that it was not renewed in the last round, returned that it cannot be renewed
 	// any more.
 	ending, returned bool
--- a/internal/core/lending/lending_test.go
+++ b/internal/core/lending/lending_test.go
@@ -424,8 +424,31 @@
 	other := announcement(1)
 	other.From, other.Cell = "front-2", 2
 	g.Expect(l.Apply(at(1), other)).To(Succeed())
+	for i := range uint64(6) {
+		g.Expect(l.Borrowed(at(1 + i))).To(BeEmpty())
+		g.Expect(l.Lent(at(1+i), "i-1")).To(BeTrue())
+		g.Expect(l.Apply(at(2+i), announcement(2+i))).To(Succeed(), "the first lender renews its lease")
+	}
+	end := at(7).Add(lending.Term)
+	again := announcement(20)
+	again.Age = end.Sub(start)
+	g.Expect(l.Apply(end, again)).To(Succeed())
+	g.Expect(l.Borrowed(end)).To(Equal([]string{"i-1"}), "after the end of both")
+}
+
+// A lender lends a target to another cell as soon as its lease has ended. Guards against a
+// conflict with the ended lease, which would leave the target unused.
+func TestTargetIsLentAgainAfterItsLease(t *testing.T) {
+	g := NewWithT(t)
+	l := lending.New()
+	l.SetCell(0, 3)
+	first := announcement(1)
+	first.Leases[0].To = 2
+	g.Expect(l.Apply(at(1), first)).To(Succeed())
 	g.Expect(l.Borrowed(at(1))).To(BeEmpty())
-	g.Expect(l.Lent(at(1), "i-1")).To(BeTrue())
+	again := announcement(8)
+	g.Expect(l.Apply(at(8), again)).To(Succeed(), "after the term and the guard time")
+	g.Expect(l.Borrowed(at(8))).To(Equal([]string{"i-1"}))
 }
 
 // Guards against state that grows with what others send.
