Lending: the simulation counts grants at targets whose slots are taken

The two cells of a lease do not report requests in flight to each other, so a target can be overfilled when a lease begins or ends.

--- a/internal/core/dispatch/lease_cells_test.go
+++ b/internal/core/dispatch/lease_cells_test.go
@@ -40,6 +40,10 @@
 	lends    bool
 	measured time.Time
 	leases   int
+	// inFlight are the requests at each target, granted all measured grants, overfull those at a
+	// target whose slots were taken.
+	inFlight          map[string]int
+	granted, overfull int
 }
 
 const (
@@ -51,7 +55,7 @@
 )
 
 func newLendingFleet(seed uint64, cells, perCell int, lends bool) *lendingFleet {
-	f := &lendingFleet{now: start, random: rand.New(rand.NewPCG(seed, 11)), factors: make(map[string]float64), lends: lends}
+	f := &lendingFleet{now: start, random: rand.New(rand.NewPCG(seed, 11)), factors: make(map[string]float64), inFlight: make(map[string]int), lends: lends}
 	var list []catalog.Target
 	for i := range cells * perCell {
 		id := fmt.Sprintf("i-%d-%08x", seed, i*2654435761)
@@ -128,12 +132,26 @@
 		f.end(c, ticket, f.now.Sub(ticket.Arrived))
 		latency := time.Duration(f.factors[grant.Target.ID] * float64(eventTime) * (0.9 + 0.2*f.random.Float64()))
 		held := latency * time.Duration(ticket.Work.Output)
+		at := grant.Target.ID
+		f.countGrant(at)
 		f.after(held, func() {
+			f.inFlight[at]--
 			f.apply(c, c.sched.Done(f.now, ticket, dispatch.Report{Outcome: dispatch.Answered, Latency: latency, First: latency, Rest: held - latency}))
 		})
 	}
 }
 
+func (f *lendingFleet) countGrant(target string) {
+	f.inFlight[target]++
+	if f.now.Before(f.measured) {
+		return
+	}
+	f.granted++
+	if f.inFlight[target] > 4 {
+		f.overfull++
+	}
+}
+
 // end records how long a request has waited.
 func (f *lendingFleet) end(c *lendingCell, ticket *dispatch.Ticket, waited time.Duration) {
 	if !c.tickets[ticket] {
@@ -202,6 +220,8 @@
 	return byCell, float64(late) / float64(asked)
 }
 
+func (f *lendingFleet) overfullShare() float64 { return float64(f.overfull) / float64(f.granted) }
+
 func (f *lendingFleet) meanWaits() (least, most time.Duration) {
 	least = time.Hour
 	for _, c := range f.cells {
@@ -228,8 +248,9 @@
 			least, longest := f.meanWaits()
 			fullest[i], all[i] = byCell[0], total
 			changes += f.leases
-			t.Logf("seed %d, lending %v: late or refused %.3f of all, %.3f of the fullest cell, %.3f of the least full; mean waits %v to %v; %d changes in 30 s",
-				seed, lends, total, byCell[0], byCell[cells-1], least.Round(time.Millisecond), longest.Round(time.Millisecond), f.leases)
+			t.Logf("seed %d, lending %v: late or refused %.3f of all, %.3f of the fullest cell, %.3f of the least full; mean waits %v to %v; %d changes in 30 s; %.4f of the grants at full targets",
+				seed, lends, total, byCell[0], byCell[cells-1], least.Round(time.Millisecond), longest.Round(time.Millisecond), f.leases, f.overfullShare())
+			g.Expect(f.overfullShare()).To(BeNumerically("<", 0.01), "both cells have requests at a target when a lease begins or ends")
 		}
 		g.Expect(fullest[1]).To(BeNumerically("<", 0.75*fullest[0]), "seed %d", seed)
 		g.Expect(all[1]).To(BeNumerically("<", 0.5*all[0]), "seed %d", seed)
