--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/fairshare"
+	"sycamoretrail/internal/core/lending"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -73,7 +74,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess tally }
+	counters struct{ settled, tries, updates, excess, droppedAnnouncements tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -127,6 +128,9 @@
 		loadUrgent:  make(chan struct{}, 1),
 		loadChanged: make(chan struct{}, 1),
 	}
+	if s.Load.Lending {
+		g.state.leases = lending.New()
+	}
 	g.state.quota.SetPeersKnown(false)
 	g.state.rollouts = newRollouts(g)
 	g.feeds = newFeeds(g)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/fairshare"
+	"sycamoretrail/internal/core/lending"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
 	"sycamoretrail/internal/eventlog"
@@ -30,7 +31,9 @@
 	budget   *budget.Budget
 	crashes  *crashes.Tracker
 	rollouts *rollouts
-	peers    *peerset.Set
+	// leases is nil if lending is off.
+	leases *lending.Ledger
+	peers  *peerset.Set
 	// peersKnown: the registry of entries has been read.
 	peersKnown bool
 	waiters    map[*dispatch.Ticket]chan slotResult
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -34,6 +34,12 @@
 		"Of these, those that declare a limit on their requests a second.", "service")
 	GatewayExcess = declare(KindCounter, "gateway_excess_requests_total",
 		"Requests beyond their organisation's pace, by service.", "service")
+	GatewayLeasesLent = declare(KindGauge, "gateway_leases_lent",
+		"Targets of this entry's cell that it lends to other cells.", "service")
+	GatewayLeasesBorrowed = declare(KindGauge, "gateway_leases_borrowed",
+		"Targets of other cells that this entry's cell has borrowed.", "service")
+	GatewayDroppedAnnouncements = declare(KindCounter, "gateway_dropped_announcements_total",
+		"Announcements of leases that were not applied, by reason.", "reason")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
