Gossip: the new form of the urgency has a field number of its own

Cause: the meaning of field 8 of load reports changed, and a gateway of the release before would have compared numbers of two forms. Change: field 12; 8 is not used any more. Measured: codec tests pass.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -73,7 +73,7 @@
 type Load struct {
 	InFlight map[string]int `cbor:"1,keyasint,omitempty"`
 	// Waiting is the urgency of the most urgent queued request, by service.
-	Waiting map[string]uint32 `cbor:"8,keyasint,omitempty"`
+	Waiting map[string]uint32 `cbor:"12,keyasint,omitempty"`
 	// Totals are those of Heartbeat, for entries that receive each change.
 	Totals map[string]Total `cbor:"5,keyasint,omitempty"`
 	// UnresponsiveMS is the remaining time for which the sender backs off from targets that
