Gateway: a late excess request falls with its rank where others have routes' priorities

A request beyond pace gets the priority of the next rank where some requests have the priority of their route. It was still taken for an organisation's own priority, so when late it went before requests in time of lower ranks that are worth more for the same work. It now counts as a route's priority.

TestLateExcessGoesBehindRoutesOfLowerRanks fails without the change: a late excess request of rank 0 took the slot before a request in time of rank 2.

--- a/internal/gateway/fairshare_test.go
+++ b/internal/gateway/fairshare_test.go
@@ -142,6 +142,31 @@
 	w.Expect(newShares(configuration).excessPriority(0)).To(Equal(1))
 }
 
+// Guards against a late excess request of an organisation with a priority that goes before more valuable
+// requests within pace of a lower rank, which have the priority of their route.
+func TestLateExcessGoesBehindRoutesOfLowerRanks(t *testing.T) {
+	w := NewWithT(t)
+	g, _ := newLoggingGateway()
+	configuration := sharedConfiguration()
+	configuration.Organisations[2].Priority = nil
+	w.Expect(g.apply(configuration, 1, "test")).To(BeTrue())
+	late := callOf(g, "large", 0, 0, 1)
+	late.excess = true
+	late.arrived = late.arrived.Add(-2 * time.Second)
+	lower := callOf(g, "free", 2, 2, 1)
+	lower.routePriority = true
+
+	now := time.Now()
+	s := dispatch.New(dispatch.Config{Name: "a"})
+	s.SetTargets(now, []catalog.Target{{ID: "t", Service: "desk", Slots: 1}})
+	holder, _ := s.Submit(now, callOf(g, "free", 0, 0, 1).schedulerRequest())
+	s.Submit(now, late.schedulerRequest())
+	within, _ := s.Submit(now, lower.schedulerRequest())
+	grants := s.Done(now, holder, dispatch.Report{Outcome: dispatch.Abandoned}).Grants
+	w.Expect(grants).To(HaveLen(1))
+	w.Expect(grants[0].Ticket).To(BeIdenticalTo(within))
+}
+
 // Guards against a request whose priority is that of its route being taken for one with the
 // organisation's, and against time that a returned caller has waited being lost.
 func TestSchedulerRequestNamesOriginOfPriorityAndWait(t *testing.T) {
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -49,6 +49,8 @@
 	}
 	if c.excess && shares != nil {
 		request.Excess, request.Priority = true, shares.excessPriority(request.Rank)
+		// Compared with priorities of routes, that of a late request must fall with its rank.
+		request.RoutePriority = shares.byRoute
 	}
 	if c.events > 0 {
 		// The stream has begun: only the time to its next event matters. With the arrival time
