Fair sharing: a rank that the pace covers is never marked

The rank then counted as beyond its pace and drew on tokens that hold half of a mean request at first, so requests that fit could be marked. A covered rank now gets exactly its demand.

--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -202,9 +202,15 @@
 	}
 	rest := pace - total(shares)
 	for r := range shares {
-		more := min(rest, demand[r]-shares[r])
-		shares[r] += more
-		rest -= more
+		more := demand[r] - shares[r]
+		if more <= rest {
+			// Adding more could round to less than the demand, which then counts as beyond the pace.
+			shares[r] = demand[r]
+			rest -= more
+			continue
+		}
+		shares[r] += rest
+		rest = 0
 	}
 	return shares
 }
