Fair sharing: a step back of the clock neither stops nor distorts marking

After a step back the policer seemed to have just started and marked nothing, or, if it had been running for longer than the step, demand did not decay and an organisation at its usual rate was marked, until the clock reached its earlier time. Times of demand and of the start now follow a step back. The gateway passes monotonic times, so this guards other callers and replays.

--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -98,7 +98,7 @@
 // Classify counts a request and reports whether it is within its organisation's pace. A
 // policer that has just started knows no demand yet and marks nothing.
 func (p *Policer) Classify(now time.Time, request Demand) Profile {
-	if p.started.IsZero() {
+	if p.started.IsZero() || now.Before(p.started) {
 		p.started = now
 	}
 	rank := poolview.RankOf(request.Rank)
@@ -236,10 +236,11 @@
 // advance applies the time since the last request and returns it.
 func (d *demand) advance(now time.Time) time.Duration {
 	elapsed := now.Sub(d.at)
+	d.at = now
 	if elapsed <= 0 {
+		// After a step back of the clock, demand must not wait for the earlier time to decay.
 		return 0
 	}
-	d.at = now
 	d.recent.decay(elapsed, demandWindow)
 	d.long.decay(elapsed, sparseWindow)
 	return elapsed
--- a/internal/core/fairshare/fairshare_test.go
+++ b/internal/core/fairshare/fairshare_test.go
@@ -192,6 +192,27 @@
 	}
 }
 
+// Guards against a policer that, until the clock reaches its earlier time again after a step
+// back, marks an organisation at its usual rate because its demand does not decay, or marks
+// nothing because it seems to have just started.
+func TestClockStepBackDoesNotRaiseDemand(t *testing.T) {
+	g := NewWithT(t)
+	const rate = 10.0
+	s := newStream(3, rate*3/0.55*worldWindow.Seconds(), 0.55)
+	s.send(1, rate)
+	s.now = s.now.Add(2 * time.Hour)
+	s.send(100, rate)
+	s.now = s.now.Add(-time.Hour)
+	s.send(1000, rate)
+	g.Expect(s.markedPart()).To(BeNumerically("<", 0.02))
+
+	s = newStream(3, 3*rate/4*worldWindow.Seconds(), 0.9)
+	s.send(100, rate)
+	s.now = s.now.Add(-time.Hour)
+	s.send(1000, rate)
+	g.Expect(s.markedPart()).To(BeNumerically(">", 0.4), "an organisation beyond its pace is still marked")
+}
+
 // Guards against service that is not in proportion to the weights while all organisations wait.
 func TestTagsShareByWeight(t *testing.T) {
 	g := NewWithT(t)
