Admission: ranks are closed at the door while their forecast wait exceeds the objective

Under overload nearly all refusals came from expiry in the queue. A controller for each pool and entry closes ranks from the least urgent one, and a calendar tells refused callers when there is room. Active only with load.admission and several ranks that all have an objective. Load tests follow; nothing measured yet.

--- /dev/null
+++ b/internal/core/admission/admission.go
@@ -0,0 +1,440 @@
+// Package admission decides at the door which requests a contended pool accepts, and tells the
+// callers of the others when to return.
+//
+// Ranks are closed from the least urgent one, while the forecast wait of a rank exceeds its
+// objective, and opened in reverse. Callers that are refused get a time at which there is room
+// for them. Time is an argument, so decisions can be replayed.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"sycamoretrail/internal/core/poolview"
+)
+
+const (
+	// closeAfter and openAfter are how long a forecast must be beyond a threshold: a queue of
+	// a few requests lasts tens of milliseconds, a burst seconds.
+	closeAfter = 100 * time.Millisecond
+	openAfter  = 200 * time.Millisecond
+	// stepPause is the least time between two changes of the level.
+	stepPause = 100 * time.Millisecond
+	// openShare is the part of the objective below which the forecast must be to open a rank.
+	openShare = 0.5
+	// maxAge is the age of reports from which the view is replaced by the entry's own figures.
+	// Entries repeat their report every second if nothing changes, so a shorter limit would
+	// drop the view whenever one entry of the cell is idle.
+	maxAge = 1500 * time.Millisecond
+	// minRetryAfter is the least time after which a caller is told to return.
+	minRetryAfter = 200 * time.Millisecond
+	// maxWaitShare is the part of its remaining time for which a caller waits before it
+	// returns, whatever it was told.
+	maxWaitShare = 1.0 / 3
+	// inUseFor is how long a rank counts as in use after its last request.
+	inUseFor = 5 * time.Second
+	// maxLoad bounds the load of higher ranks in a forecast, so that a small queue at full load
+	// is not an endless wait.
+	maxLoad = 0.9
+)
+
+// Request is a request at the door.
+type Request struct {
+	Rank int
+	// Work is in slot seconds at a target of mean speed.
+	Work float64
+	// Objective is how long it can wait and still be in time, Patience how long it may stay in
+	// the queue, Left the time until its caller stops waiting.
+	Objective, Patience, Left time.Duration
+	// Returned: its caller was refused before and has come back.
+	Returned bool
+	// Idle: it would get a slot at once.
+	Idle bool
+}
+
+// Reason states why a request was admitted or refused.
+type Reason string
+
+// The reasons of decisions.
+const (
+	ReasonOpen     Reason = "open"
+	ReasonIdle     Reason = "idle"
+	ReasonProbe    Reason = "probe"
+	ReasonPromised Reason = "promised"
+	ReasonReturned Reason = "returned"
+	ReasonClosed   Reason = "closed"
+)
+
+// Decision is the decision on a request.
+type Decision struct {
+	Admit bool
+	// Closed is the number of closed ranks, Forecast the estimated wait of the request's rank.
+	Closed   int
+	Forecast time.Duration
+	// RetryAfter is when a refused caller should return; Promised: there will be room then.
+	RetryAfter time.Duration
+	Promised   bool
+	Reason     Reason
+}
+
+// Change is a change of the number of closed ranks.
+type Change struct {
+	// Rank is the rank that was closed or opened, Closed the number of closed ranks since.
+	Rank, Closed int
+	Forecast     time.Duration
+	View         poolview.View
+}
+
+// Controller decides on the requests of one pool at one entry. The zero Controller is ready
+// for use.
+type Controller struct {
+	ranks [poolview.Ranks]rankState
+	// closed is the number of closed ranks of those in use.
+	closed int
+	// over is since when an open rank is over its objective, changed when the level changed.
+	over, changed time.Time
+	observed      time.Time
+	rate          recentRate
+	calendar      Calendar
+	promises      int64
+	forecasts     [poolview.Ranks]time.Duration
+	view          poolview.View
+}
+
+// rankState is what is known of a rank.
+type rankState struct {
+	objective, work mean
+	// lastSeen is when the last request of the rank arrived; zero: none did.
+	lastSeen time.Time
+	closed   bool
+	// under is since when the rank could be opened.
+	under  time.Time
+	probes probes
+}
+
+// mean is an exponentially weighted mean that starts as an arithmetic mean.
+type mean struct {
+	value   float64
+	samples int
+}
+
+// meanWindow is the number of requests that a mean covers.
+const meanWindow = 50
+
+func (m *mean) add(sample float64) {
+	m.samples = min(m.samples+1, meanWindow)
+	m.value += (sample - m.value) / float64(m.samples)
+}
+
+// Closed returns the number of closed ranks.
+func (c *Controller) Closed() int { return c.closed }
+
+// Promises returns the number of callers that were promised room at a time.
+func (c *Controller) Promises() int64 { return c.promises }
+
+// Observe updates the level from the view and returns its change, if any.
+func (c *Controller) Observe(now time.Time, view poolview.View) (Change, bool) {
+	gap := now.Sub(c.observed)
+	c.observed = now
+	c.view = effective(view)
+	c.rate.observe(now, c.view)
+	if c.view.Capacity <= 0 {
+		return c.openAll()
+	}
+	for rank := range c.ranks {
+		c.forecasts[rank] = c.forecast(rank)
+	}
+	c.observeThresholds(now, gap)
+	if now.Sub(c.changed) < stepPause {
+		return Change{}, false
+	}
+	if !c.over.IsZero() && now.Sub(c.over) >= closeAfter {
+		return c.close(now)
+	}
+	return c.open(now)
+}
+
+// effective returns the view, or the entry's own part of it if the reports are too old.
+func effective(view poolview.View) poolview.View {
+	view.Size = max(1, view.Size, view.Entries)
+	if view.Age > maxAge {
+		view.Capacity /= float64(view.Size)
+		view.Arriving, view.Backlog = view.Own.Arriving, view.Own.Backlog
+		view.Size, view.Entries = 1, 1
+	}
+	return view
+}
+
+// Reset opens all ranks and forgets all promises.
+func (c *Controller) Reset() (Change, bool) {
+	change, changed := c.openAll()
+	*c = Controller{promises: c.promises}
+	return change, changed
+}
+
+// openAll opens all ranks, since without a capacity no forecast is possible.
+func (c *Controller) openAll() (Change, bool) {
+	changed := c.closed > 0
+	for rank := range c.ranks {
+		c.ranks[rank].closed = false
+		c.ranks[rank].under = time.Time{}
+	}
+	c.closed, c.over = 0, time.Time{}
+	clear(c.forecasts[:])
+	return Change{View: c.view}, changed
+}
+
+// forecast returns the estimated wait of a new request of a rank: the time to serve what
+// waits before it and what arrives before it meanwhile.
+func (c *Controller) forecast(rank int) time.Duration {
+	return seconds(c.view.Backlog.UpTo(rank) / c.left(rank))
+}
+
+// left returns the capacity that higher ranks leave to a rank, in a forecast.
+func (c *Controller) left(rank int) float64 {
+	load := 0.0
+	if rank > 0 {
+		// The mean rate outlasts a burst and the recent one is noisy: the lower of them does
+		// not close a rank without cause.
+		load = min(c.rate.mean.UpTo(rank-1), c.rate.recent.UpTo(rank-1)) / c.view.Capacity
+	}
+	return c.view.Capacity * (1 - min(maxLoad, load))
+}
+
+// forecastOpen returns the forecast of a closed rank after it has been open for the time of its
+// objective. Without that, a rank would be opened whenever its queue is short, and closed again
+// soon.
+func (c *Controller) forecastOpen(rank int) time.Duration {
+	growth := max(0, c.rate.recent.UpTo(rank)-c.view.Capacity) * c.objective(rank).Seconds()
+	return seconds((c.view.Backlog.UpTo(rank) + growth) / c.left(rank))
+}
+
+func (c *Controller) objective(rank int) time.Duration {
+	return time.Duration(c.ranks[rank].objective.value)
+}
+
+// observeThresholds updates since when forecasts are beyond their thresholds.
+func (c *Controller) observeThresholds(now time.Time, gap time.Duration) {
+	over := false
+	for rank := range c.ranks {
+		state := &c.ranks[rank]
+		if !c.inUse(now, rank) {
+			continue
+		}
+		if !state.closed {
+			over = over || c.forecasts[rank] > c.objective(rank)
+			continue
+		}
+		switch {
+		case c.forecastOpen(rank) >= time.Duration(openShare*float64(c.objective(rank))):
+			state.under = time.Time{}
+		case state.under.IsZero() && gap >= openAfter:
+			// Nothing arrived since the last observation.
+			state.under = now.Add(-gap)
+		case state.under.IsZero():
+			state.under = now
+		}
+	}
+	switch {
+	case !over:
+		c.over = time.Time{}
+	case c.over.IsZero():
+		c.over = now
+	}
+}
+
+func (c *Controller) inUse(now time.Time, rank int) bool {
+	seen := c.ranks[rank].lastSeen
+	return !seen.IsZero() && now.Sub(seen) <= inUseFor
+}
+
+// close closes the least urgent open rank.
+func (c *Controller) close(now time.Time) (Change, bool) {
+	for rank := poolview.Ranks - 1; rank >= 0; rank-- {
+		if c.inUse(now, rank) && !c.ranks[rank].closed {
+			return c.set(now, rank, true), true
+		}
+	}
+	return Change{}, false
+}
+
+// open opens the most urgent closed rank if its forecast allows it. Ranks that are no longer in
+// use are opened at once.
+func (c *Controller) open(now time.Time) (Change, bool) {
+	for rank := range c.ranks {
+		state := &c.ranks[rank]
+		if !state.closed {
+			continue
+		}
+		if !c.inUse(now, rank) || !state.under.IsZero() && now.Sub(state.under) >= openAfter {
+			return c.set(now, rank, false), true
+		}
+		return Change{}, false
+	}
+	return Change{}, false
+}
+
+func (c *Controller) set(now time.Time, rank int, closed bool) Change {
+	c.ranks[rank].closed = closed
+	c.ranks[rank].under = time.Time{}
+	c.changed = now
+	c.closed = 0
+	for i := range c.ranks {
+		if c.ranks[i].closed {
+			c.closed++
+		}
+	}
+	return Change{Rank: rank, Closed: c.closed, Forecast: c.forecasts[rank], View: c.view}
+}
+
+// Decide decides on a request at the door, after Observe.
+func (c *Controller) Decide(now time.Time, request Request) Decision {
+	rank := poolview.RankOf(request.Rank)
+	state := &c.ranks[rank]
+	state.lastSeen = now
+	state.objective.add(float64(request.Objective))
+	state.work.add(request.Work)
+	decision := Decision{Admit: true, Closed: c.closed, Forecast: c.forecasts[rank], Reason: ReasonOpen}
+	switch {
+	case request.Returned && c.calendar.Take(now, request.Work):
+		decision.Reason = ReasonPromised
+	case !c.isClosed(rank):
+	case request.Idle:
+		decision.Reason = ReasonIdle
+	case request.Returned && decision.Forecast <= request.Patience:
+		decision.Reason = ReasonReturned
+	case !request.Returned && state.probes.next(request.Work, state.work.value):
+		decision.Reason = ReasonProbe
+	default:
+		decision.Admit, decision.Reason = false, ReasonClosed
+		decision.RetryAfter, decision.Promised = c.Return(now, request)
+	}
+	return decision
+}
+
+// isClosed reports whether a rank or a more urgent one is closed.
+func (c *Controller) isClosed(rank int) bool {
+	for i := range rank + 1 {
+		if c.ranks[i].closed {
+			return true
+		}
+	}
+	return false
+}
+
+// Return returns when a refused caller should come back, and whether room is reserved for it.
+// A caller that has come back before does not do so again, so nothing is reserved for it.
+func (c *Controller) Return(now time.Time, request Request) (time.Duration, bool) {
+	latest := max(minRetryAfter, min(horizon, time.Duration(maxWaitShare*float64(request.Left))))
+	if request.Returned || c.view.Capacity <= 0 {
+		return latest, false
+	}
+	if at, found := c.calendar.Promise(now, request.Work, minRetryAfter, latest, c.plan(request.Rank)); found {
+		c.promises++
+		return at, true
+	}
+	return latest, false
+}
+
+// plan returns the room for returning requests of a rank at this entry.
+func (c *Controller) plan(rank int) Plan {
+	rank = poolview.RankOf(rank)
+	free := c.view.Capacity
+	if rank > 0 {
+		free -= c.rate.recent.UpTo(rank - 1)
+	}
+	if free <= 0 {
+		return Plan{}
+	}
+	return Plan{Rate: free / float64(c.view.Size), Busy: seconds(c.view.Backlog.UpTo(rank) / free)}
+}
+
+// seconds converts to a duration, bounded by an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, 3600) * float64(time.Second))
+}
+
+// probes lets one in eight requests of a closed rank through, so that no rank is starved.
+type probes struct {
+	credit float64
+	count  int
+}
+
+const (
+	probeShare = 1.0 / 8
+	// smallProbes: one in so many probes is left to work below the mean, for as long as
+	// smallWait requests. A larger part would let hardly any large request through.
+	smallProbes = 3
+	smallWait   = 4
+)
+
+func (p *probes) next(work, meanWork float64) bool {
+	p.credit += probeShare
+	if p.credit < 1 {
+		return false
+	}
+	if p.count%smallProbes == 0 && work > meanWork && p.credit < 1+smallWait*probeShare {
+		return false
+	}
+	p.credit--
+	p.count++
+	return true
+}
+
+// recentRate derives the rate of arriving work over the last quarter of a second from the means
+// over two seconds that entries report: those show the end of a burst only seconds later.
+type recentRate struct {
+	mean, recent poolview.Work
+	entries      int
+	samples      [rateSamples]rateSample
+	next         int
+}
+
+type rateSample struct {
+	at   time.Time
+	mean poolview.Work
+}
+
+const (
+	rateSamples = 8
+	// rateWindow is the time over which the recent rate is averaged, rateStep that between two
+	// samples.
+	rateWindow = 250 * time.Millisecond
+	rateStep   = rateWindow / 5
+)
+
+func (r *recentRate) observe(now time.Time, view poolview.View) {
+	if view.Entries != r.entries {
+		// Another number of reports changes the sum without a change of the demand.
+		*r = recentRate{entries: view.Entries}
+	}
+	r.mean = view.Arriving
+	last := &r.samples[(r.next+rateSamples-1)%rateSamples]
+	if last.at.IsZero() || now.Sub(last.at) >= rateStep {
+		r.samples[r.next] = rateSample{at: now, mean: view.Arriving}
+		r.next = (r.next + 1) % rateSamples
+	}
+	base, found := r.base(now)
+	if !found {
+		r.recent = r.mean
+		return
+	}
+	kept := math.Exp(-now.Sub(base.at).Seconds() / poolview.MeterWindow.Seconds())
+	for rank := range r.recent {
+		r.recent[rank] = max(0, (r.mean[rank]-base.mean[rank]*kept)/(1-kept))
+	}
+}
+
+// base returns the latest sample that is at least the window old.
+func (r *recentRate) base(now time.Time) (rateSample, bool) {
+	for i := range rateSamples {
+		sample := r.samples[(r.next+rateSamples-1-i)%rateSamples]
+		if sample.at.IsZero() {
+			break
+		}
+		if now.Sub(sample.at) >= rateWindow {
+			return sample, true
+		}
+	}
+	return rateSample{}, false
+}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -109,8 +109,9 @@
 	// RetryAfter is the time after which a slot is likely; at least MinRetryAfter.
 	RetryAfter time.Duration
 	// Waiting and Wait are the length of the queue and the estimated wait.
-	Waiting int
-	Wait    time.Duration
+	Waiting   int
+	Wait      time.Duration
+	Admission Admission
 }
 
 // Outcome is the outcome of a request at a target.
@@ -163,6 +164,9 @@
 	// Name is the name of the entry, Zone its zone; targets in the same zone are
 	// slightly preferred.
 	Name, Zone string
+	// Admission refuses requests of pools with several ranks at the door while they cannot be
+	// served in time; see refuseAtDoor.
+	Admission bool
 }
 
 // Scheduler holds the targets and queues of all services.
@@ -178,6 +182,8 @@
 	samples []Sample
 	// cell is the index of this entry's cell out of cells; see SetCell.
 	cell, cells int
+	// levelChanges are changes of pools' levels that have not been read yet.
+	levelChanges []LevelChange
 	// departed holds the declarations of targets that have left the registry.
 	departed *bounded.Map[declarations]
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sycamoretrail/internal/core/admission"
 	"sycamoretrail/internal/core/poolview"
 )
 
@@ -21,6 +22,8 @@
 	lateRequests placementRate
 	// arriving is the rate at which work arrives at this entry.
 	arriving poolview.Meter
+	// admission decides which requests are accepted; nil where it is not active.
+	admission *admission.Controller
 	// sharing is the number of cells that share all targets; 1 means that each has its own.
 	sharing int
 	// latency is the mean latency over all targets, in ns.
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -25,6 +25,9 @@
 	if refusal, refused := s.refusePaused(now, p, ticket, p.pausedUntil(now)); refused {
 		return refusal, true
 	}
+	if refusal, refused := s.refuseAtDoor(now, p, ticket); refused {
+		return refusal, true
+	}
 	ahead := 0
 	for _, other := range p.waiting {
 		if !other.late(now) && !ticket.outranks(other) {
@@ -38,7 +41,7 @@
 	if now.Add(wait).Before(ticket.latestStart()) {
 		return Refusal{}, false
 	}
-	return s.refusal(p, ticket, ReasonOverload, wait), true
+	return s.scheduleReturn(now, p, s.refusal(p, ticket, ReasonOverload, wait)), true
 }
 
 // outranks reports whether a request precedes another by priority and rank.
@@ -65,7 +68,7 @@
 		if late && !shed {
 			p.lateRequests.record(now, false)
 		}
-		refusals = append(refusals, s.refusal(p, ticket, ReasonExpired, s.estimatedWait(p, len(p.waiting))))
+		refusals = append(refusals, s.scheduleReturn(now, p, s.refusal(p, ticket, ReasonExpired, s.estimatedWait(p, len(p.waiting)))))
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
--- a/internal/core/dispatch/view.go
+++ b/internal/core/dispatch/view.go
@@ -21,7 +21,7 @@
 	own := p.demand(now)
 	view := poolview.View{
 		Capacity: p.capacity(now), Arriving: own.Arriving, Backlog: own.Backlog,
-		Latency: time.Duration(p.latency.value), Entries: 1,
+		Latency: time.Duration(p.latency.value), Entries: 1, Own: own,
 	}
 	for _, peer := range s.peers {
 		age := now.Sub(peer.at)
@@ -34,7 +34,9 @@
 		view.Age = max(view.Age, age)
 		view.Entries++
 	}
-	if cellSize := s.entries / max(1, s.cells); view.Entries == 1 && cellSize > 1 {
+	cellSize := s.entries / max(1, s.cells)
+	view.Size = max(view.Entries, cellSize)
+	if view.Entries == 1 && cellSize > 1 {
 		view.Arriving = view.Arriving.Times(float64(cellSize))
 		view.Backlog = view.Backlog.Times(float64(cellSize))
 	}
@@ -52,11 +54,16 @@
 	return sum / float64(max(1, p.sharing))
 }
 
-// demand returns what this entry reports of the pool.
+// demand returns what this entry reports of the pool. Late requests count as the last rank.
 func (p *pool) demand(now time.Time) poolview.Demand {
 	demand := poolview.Demand{Arriving: p.arriving.Rate(now)}
 	for _, ticket := range p.waiting {
-		demand.Backlog[poolview.RankOf(ticket.Rank)] += ticket.expected.Seconds()
+		rank := poolview.RankOf(ticket.Rank)
+		if ticket.late(now) {
+			// Requests in time go before late ones.
+			rank = poolview.Ranks - 1
+		}
+		demand.Backlog[rank] += ticket.expected.Seconds()
 	}
 	return demand
 }
--- a/internal/core/dispatch/work.go
+++ b/internal/core/dispatch/work.go
@@ -16,8 +16,9 @@
 type class struct {
 	// hold is the mean time that a request occupies a slot, in ns.
 	hold mean
-	// rank is the rank of its route.
-	rank int
+	// rank is the rank of its route, hasObjective means that its route has an objective.
+	rank         int
+	hasObjective bool
 }
 
 // rates are the times per token at a target of mean speed, in ns.
@@ -41,6 +42,10 @@
 	c := p.class(ticket.Class)
 	c.hold.add(float64(held) / slowness)
 	c.rank = ticket.Rank
+	if len(ticket.Tried) == 0 {
+		// A resumed stream has no objective for its beginning.
+		c.hasObjective = !ticket.Objective.IsZero()
+	}
 	if report.Rest > 0 && ticket.Work.Output > 0 {
 		p.rates.output.add(float64(report.Rest) / slowness / float64(ticket.Work.Output))
 	}
--- a/internal/core/poolview/poolview.go
+++ b/internal/core/poolview/poolview.go
@@ -70,6 +70,10 @@
 	// figures are included, this one among them.
 	Age     time.Duration
 	Entries int
+	// Own is this entry's part of Arriving and Backlog, Size the number of entries of the cell
+	// whether or not they report.
+	Own  Demand
+	Size int
 }
 
 // Demand is what one entry reports of a pool to its cell.
@@ -78,8 +82,8 @@
 // Valid reports whether a report can be used.
 func (d Demand) Valid() bool { return d.Arriving.Valid() && d.Backlog.Valid() }
 
-// meterWindow is the time over which the rate of arriving work is averaged.
-const meterWindow = 2 * time.Second
+// MeterWindow is the time over which a Meter averages the rate of arriving work.
+const MeterWindow = 2 * time.Second
 
 // Meter measures the rate at which work arrives. The zero Meter is ready for use.
 type Meter struct {
@@ -90,7 +94,7 @@
 // Add counts work that arrives.
 func (m *Meter) Add(now time.Time, rank int, work float64) {
 	m.decay(now)
-	m.rate[RankOf(rank)] += work / meterWindow.Seconds()
+	m.rate[RankOf(rank)] += work / MeterWindow.Seconds()
 }
 
 // Rate returns the work a second that has arrived lately.
@@ -101,7 +105,7 @@
 
 func (m *Meter) decay(now time.Time) {
 	if elapsed := now.Sub(m.at); elapsed > 0 {
-		m.rate = m.rate.Times(math.Exp(-elapsed.Seconds() / meterWindow.Seconds()))
+		m.rate = m.rate.Times(math.Exp(-elapsed.Seconds() / MeterWindow.Seconds()))
 		m.at = now
 	}
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -32,6 +32,7 @@
 	eventTarget        = "target"
 	eventLimit         = "target_limit"
 	eventPause         = "target_pause"
+	eventAdmission     = "admission"
 	eventPeer          = "peer"
 	eventStoreLost     = "store_lost"
 	eventStoreRegained = "store_regained"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 	}
 	g.state = &state{
 		log:         g.log,
-		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
+		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone, Admission: s.Load.Admission}),
 		quota:       quota.New(quotaConfig(s.Bounds), now),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
 		crashes:     crashes.New(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 	now := time.Now()
 	quotas := g.state.quota.Usage(now)
 	services := g.state.sched.Services(now)
+	admissions := g.state.sched.AdmissionLoads(now)
 	g.reportRollouts()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
@@ -40,6 +41,10 @@
 	}
 	g.state.mutex.Unlock()
 	g.reportShares(quotas, services, repeats)
+	for _, a := range admissions {
+		g.metrics.Set(telemetry.GatewayClosedRanks, float64(a.Closed), a.Service)
+		g.metrics.SetTotal(telemetry.GatewayPromisedReturns, a.Promises, a.Service)
+	}
 	m := g.metrics
 	ready := 0.0
 	if g.ready() {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -51,7 +51,12 @@
 
 // notRun refuses a request that no target has run.
 func notRun(reason string, retryAfter time.Duration) *reply {
-	return &reply{fasthttp.StatusServiceUnavailable, reason, "the request was not run", jitter(retryAfter)}
+	return notRunUntil(reason, jitter(retryAfter))
+}
+
+// notRunUntil is notRun for a caller that is to retry after exactly this time.
+func notRunUntil(reason string, retryAfter time.Duration) *reply {
+	return &reply{fasthttp.StatusServiceUnavailable, reason, "the request was not run", retryAfter}
 }
 
 const millisecondsDecimals = 3
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -125,6 +125,9 @@
 	for i := range effects.Limits {
 		s.logLimit(&effects.Limits[i])
 	}
+	for _, change := range s.sched.LevelChanges() {
+		s.logLevel(&change)
+	}
 	if len(effects.Grants) > 0 || len(effects.Refusals) > 0 || len(effects.Limits) > 0 {
 		s.reportNow()
 	}
@@ -141,6 +144,13 @@
 	})
 }
 
+func (s *state) logLevel(change *dispatch.LevelChange) {
+	s.log.Write(eventlog.StateChange, eventAdmission, eventlog.Fields{
+		"service": change.Service, "rank": change.Rank, "closed": change.Closed, "forecast_ms": change.Forecast.Milliseconds(),
+		"capacity": change.View.Capacity, "backlog": change.View.Backlog.Total(), "age_ms": change.View.Age.Milliseconds(),
+	})
+}
+
 func (s *state) resolve(ticket *dispatch.Ticket, v slotResult) {
 	if wait, found := s.waiters[ticket]; found {
 		delete(s.waiters, ticket)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,6 +32,10 @@
 		"Of these, those that get nothing for now: not reached, broken off, unresponsive.", "service")
 	GatewayLimited = declare(KindGauge, "gateway_service_targets_limited",
 		"Of these, those that declare a limit on their requests a second.", "service")
+	GatewayClosedRanks = declare(KindGauge, "gateway_closed_ranks",
+		"Ranks of a service that this entry refuses at the door, as their requests would be late.", "service")
+	GatewayPromisedReturns = declare(KindCounter, "gateway_promised_returns_total",
+		"Refused callers that were told a time at which there is room for them.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
