Gateway: log and metrics of admission control

Refused lines name the closed ranks as closed, since the field level is that of the log line itself.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,10 +41,7 @@
 	}
 	g.state.mutex.Unlock()
 	g.reportShares(quotas, services, repeats)
-	for _, a := range admissions {
-		g.metrics.Set(telemetry.GatewayClosedRanks, float64(a.Closed), a.Service)
-		g.metrics.SetTotal(telemetry.GatewayPromisedReturns, a.Promises, a.Service)
-	}
+	g.reportAdmissions(admissions)
 	m := g.metrics
 	ready := 0.0
 	if g.ready() {
@@ -78,6 +75,14 @@
 	}
 }
 
+// reportAdmissions updates the metrics of admission control.
+func (g *Gateway) reportAdmissions(admissions []dispatch.AdmissionLoad) {
+	for _, a := range admissions {
+		g.metrics.Set(telemetry.GatewayClosedRanks, float64(a.Closed), a.Service)
+		g.metrics.SetTotal(telemetry.GatewayPromisedReturns, a.Promises, a.Service)
+	}
+}
+
 // reportShares updates the gauges of what all entries share: quotas, services and retry
 // budgets.
 func (g *Gateway) reportShares(quotas map[string]quota.Result, services []dispatch.ServiceLoad, repeats map[string]float64) {
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -106,7 +106,7 @@
 		c.gateway.log.Write(eventlog.Failure, eventRefused, eventlog.Fields{
 			"id": c.envelope.ID, "reason": string(r.Reason), "service": c.service, "priority": c.priority,
 			"waiting": r.Waiting, "wait_ms": r.Wait.Milliseconds(), "waited_ms": time.Since(c.arrived).Milliseconds(),
-			"level": r.Admission.Closed, "forecast_ms": r.Admission.Forecast.Milliseconds(), "returned": r.Admission.Returned,
+			"closed": r.Admission.Closed, "forecast_ms": r.Admission.Forecast.Milliseconds(), "returned": r.Admission.Returned,
 		})
 		if r.Admission.Scheduled {
 			return nil, notRunUntil(string(r.Reason), r.RetryAfter)
