--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -26,8 +26,8 @@
 	// openShare is the part of the objective below which the forecast must be to open a rank.
 	openShare = 0.5
 	// openLoad is the load from which a rank's queue is assumed to grow once it is open. In a
-	// small cell the arrivals of 200 ms vary by a fifth; with 1 ranks opened three times as often
-	// in the middle of a crest of 2.5 times the capacity.
+	// small cell the arrivals of 200 ms vary by a fifth: with 1, entries closed a rank again in
+	// 20 of 192 crests of 1.6 and 2.5 times the capacity, with 0.9 in 5.
 	openLoad = 0.9
 	// fitShare is the part of the objective up to which requests of a closed rank are admitted
 	// as if it were open. It is well below openShare, so that the queue can get short enough to
@@ -120,8 +120,8 @@
 	// closedAt is when the rank was last closed.
 	closedAt time.Time
 	closed   bool
-	// under is since when the rank could be opened.
-	under  time.Time
+	// under is for how long the rank could have been opened.
+	under  time.Duration
 	probes probes
 }
 
@@ -215,7 +215,7 @@
 	changed := c.closed > 0
 	for rank := range c.ranks {
 		c.ranks[rank].closed = false
-		c.ranks[rank].under = time.Time{}
+		c.ranks[rank].under = 0
 	}
 	c.closed, c.over = 0, time.Time{}
 	clear(c.forecasts[:])
@@ -263,15 +263,12 @@
 			over = over || c.forecasts[rank] > c.objective(rank)
 			continue
 		}
-		switch {
-		case c.forecastOpen(rank) >= time.Duration(openShare*float64(c.objective(rank))):
-			state.under = time.Time{}
-		case state.under.IsZero() && gap >= openAfter:
-			// Nothing arrived since the last observation.
-			state.under = now.Add(-gap)
-		case state.under.IsZero():
-			state.under = now
+		// A few arrivals at once do not start the time anew: it is counted back.
+		step := min(gap, openAfter)
+		if c.forecastOpen(rank) >= time.Duration(openShare*float64(c.objective(rank))) {
+			step = -step
 		}
+		state.under = max(0, min(openAfter, state.under+step))
 	}
 	switch {
 	case !over:
@@ -305,7 +302,7 @@
 		if !state.closed {
 			continue
 		}
-		if !c.inUse(now, rank) || !state.under.IsZero() && now.Sub(state.under) >= openAfter && now.Sub(state.closedAt) >= minClosed {
+		if !c.inUse(now, rank) || state.under >= openAfter && now.Sub(state.closedAt) >= minClosed {
 			return c.set(now, rank, false), true
 		}
 		return Change{}, false
@@ -315,7 +312,7 @@
 
 func (c *Controller) set(now time.Time, rank int, closed bool) Change {
 	c.ranks[rank].closed = closed
-	c.ranks[rank].under = time.Time{}
+	c.ranks[rank].under = 0
 	c.changed = now
 	if closed {
 		c.ranks[rank].closedAt = now
