--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -297,3 +297,17 @@
 	rate.observe(now.Add(tick), poolview.View{Arriving: poolview.Work{20}, Entries: 2})
 	g.Expect(rate.recent[0]).To(BeNumerically("==", 20))
 }
+
+// BenchmarkDecide measures an observation and a decision in a closed rank. The state of a
+// controller does not grow.
+func BenchmarkDecide(b *testing.B) {
+	c := inUse()
+	observe(c, start, time.Second, overload)
+	now := start.Add(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Observe(now, overload)
+		c.Decide(now, request(2))
+	}
+}
--- a/internal/core/dispatch/admit_test.go
+++ b/internal/core/dispatch/admit_test.go
@@ -232,6 +232,24 @@
 	g.Expect(both.Own.Backlog.Total()).To(BeNumerically("~", 0.3, 1e-9))
 }
 
+// Guards against work beyond an organisation's pace that counts as urgent: it counts for the
+// next rank, which is refused first.
+func TestExcessCountsForTheNextRank(t *testing.T) {
+	g := NewWithT(t)
+	s := dispatch.New(dispatch.Config{Name: "a", Zone: "a", Admission: true})
+	s.SetTargets(start, targets(1, 1))
+	for i := range 2 {
+		s.Submit(start, dispatch.Request{
+			ID: fmt.Sprint(i), Service: service, Class: "c", Rank: 1, Arrived: start, Excess: true,
+			Objective: start.Add(time.Second), Expires: start.Add(10 * time.Second),
+		})
+	}
+	view := s.View(start, service)
+	g.Expect(view.Backlog[1] + view.Arriving[1]).To(BeZero())
+	g.Expect(view.Backlog[2]).To(BeNumerically("~", 0.3, 1e-9))
+	g.Expect(view.Arriving[2]).To(BeNumerically(">", 0))
+}
+
 // Guards against a second refusal of callers that came back as told: they go before new
 // requests of their rank.
 func TestReturnedRequestGoesBeforeNewOnes(t *testing.T) {
@@ -262,8 +280,9 @@
 	g.Expect(effects.Grants[0].Ticket.ID).To(Equal("returned"))
 }
 
-// BenchmarkAdmission measures a refusal at the door of an entry that hears from eleven others
-// of its cell, with 13 targets and fifty requests in the queue.
+// BenchmarkAdmission measures a request of a closed rank, and the same request without admission
+// control, at an entry that hears from eleven others of its cell, with 13 targets and fifty
+// requests in the queue.
 func BenchmarkAdmission(b *testing.B) {
 	for _, admission := range []bool{false, true} {
 		b.Run(fmt.Sprint(admission), func(b *testing.B) {
@@ -281,16 +300,22 @@
 			for rank := range 3 {
 				s.Done(now.Add(300*time.Millisecond), submit(rank), dispatch.Report{Outcome: dispatch.Answered})
 			}
-			load := dispatch.Load{Pools: s.OwnLoad(now).Pools}
+			load := dispatch.Load{Pools: map[string]poolview.Demand{service: {Backlog: poolview.Work{0, 10}}}}
 			for i := range 11 {
 				s.SetPeerLoad(now, fmt.Sprintf("peer-%d", i), load)
 			}
 			for range 13*4 + 50 {
 				submit(1)
 			}
+			for range 30 {
+				now = now.Add(10 * time.Millisecond)
+				s.Cancel(submit(2))
+			}
+			if admission && len(s.LevelChanges()) == 0 {
+				b.Fatal("no rank is closed")
+			}
 			b.ReportAllocs()
 			for b.Loop() {
-				now = now.Add(time.Microsecond)
 				s.Cancel(submit(2))
 			}
 		})
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -257,7 +257,7 @@
 	ticket := &Ticket{Request: request, sequence: s.sequence}
 	p := s.pool(request.Service)
 	p.schedule(ticket)
-	p.arriving.Add(now, ticket.Rank, ticket.expected.Seconds())
+	p.arriving.Add(now, ticket.demandRank(), ticket.expected.Seconds())
 	if refusal, refused := s.refuseAtOnce(now, p, ticket); refused {
 		return ticket, Effects{Refusals: []Refusal{refusal}}
 	}
--- a/internal/core/dispatch/view.go
+++ b/internal/core/dispatch/view.go
@@ -58,7 +58,7 @@
 func (p *pool) demand(now time.Time) poolview.Demand {
 	demand := poolview.Demand{Arriving: p.arriving.Rate(now)}
 	for _, ticket := range p.waiting {
-		rank := poolview.RankOf(ticket.Rank)
+		rank := poolview.RankOf(ticket.demandRank())
 		if ticket.late(now) {
 			// Requests in time go before late ones.
 			rank = poolview.Ranks - 1
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -24,7 +24,7 @@
 		return &call{
 			gateway: gateway, envelope: Envelope{ID: "id-1", WaitLimit: waits}, service: "desk",
 			route: &catalog.Route{
-				Prefix: fmt.Sprintf("/%d", rank), Priority: rank, Objective: time.Second, Timeout: 4 * time.Second,
+				Prefix: fmt.Sprintf("/%d", rank), Priority: rank, Objective: time.Duration(3-2*rank) * time.Second, Timeout: 4 * time.Second,
 			},
 			config:  &catalog.Configuration{},
 			arrived: now, expires: now.Add(waits), disconnected: make(chan struct{}),
