--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -40,6 +40,10 @@
 	maxAge = 1500 * time.Millisecond
 	// minRetryAfter is the least time after which a caller is told to return.
 	minRetryAfter = 200 * time.Millisecond
+	// returnSpread is the time over which callers are spread that get no promise. Earlier returns
+	// meet more of the overload: with 250 ms, 0.006 less of the value was earned under a crest of
+	// 2.5 times the capacity than with 0; with 50 ms no difference was measured.
+	returnSpread = 50 * time.Millisecond
 	// maxWaitShare is the part of its remaining time for which a caller waits before it
 	// returns, whatever it was told.
 	maxWaitShare = 1.0 / 3
@@ -389,12 +393,12 @@
 	return c.spread(latest), false
 }
 
-// spread returns the latest time, less a part of an interval that differs between callers, so
+// spread returns the latest time, less a part of returnSpread that differs between callers, so
 // that those refused at the same time do not return at the same time.
 func (c *Controller) spread(latest time.Duration) time.Duration {
-	// Multiples of the golden ratio divide an interval evenly for any number of callers.
+	// Multiples of the golden ratio divide it evenly for any number of callers.
 	_, c.spreadAt = math.Modf(c.spreadAt + math.Phi)
-	return latest - time.Duration(c.spreadAt*float64(min(interval, latest-minRetryAfter)))
+	return latest - time.Duration(c.spreadAt*float64(min(returnSpread, latest-minRetryAfter)))
 }
 
 // plan returns the room for returning requests of a rank at this entry. New requests of the
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -180,7 +180,7 @@
 }
 
 // Guards against a short retry delay while there is no room, and against callers that return
-// together: they are told the latest time for which they wait, spread over an interval, and
+// together: they are told the latest time for which they wait, slightly spread, and
 // nothing is reserved.
 func TestNoRoomMeansTheLatestTime(t *testing.T) {
 	g := NewWithT(t)
@@ -190,15 +190,15 @@
 	decision := c.Decide(now, request(2))
 	g.Expect(decision.Admit).To(BeFalse())
 	g.Expect(decision.Promised).To(BeFalse())
-	g.Expect(decision.RetryAfter).To(And(BeNumerically("<=", 2*time.Second), BeNumerically(">", 2*time.Second-interval)))
+	g.Expect(decision.RetryAfter).To(And(BeNumerically("<=", 2*time.Second), BeNumerically(">", 2*time.Second-returnSpread)))
 	parts := make(map[time.Duration]int)
 	for range 60 {
 		at, _ := c.Return(now, request(2))
-		g.Expect(at).To(And(BeNumerically("<=", 2*time.Second), BeNumerically(">", 2*time.Second-interval)))
-		parts[(2*time.Second-at)/(interval/6)]++
+		g.Expect(at).To(And(BeNumerically("<=", 2*time.Second), BeNumerically(">", 2*time.Second-returnSpread)))
+		parts[(2*time.Second-at)/(returnSpread/6)]++
 	}
 	for _, n := range parts {
-		g.Expect(n).To(BeNumerically("~", 10, 2), "callers refused at the same time return spread over an interval")
+		g.Expect(n).To(BeNumerically("~", 10, 2), "callers refused at the same time return spread over returnSpread")
 	}
 	g.Expect(c.calendar.Promised(now)).To(BeZero())
 	late := request(2)
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -74,7 +74,7 @@
 	gateway, log := gatewayWith(settings.GatewayLoad{Admission: true})
 	answer := overload(gateway)
 	g.Expect(answer).NotTo(BeNil())
-	g.Expect(answer.retryAfter).To(And(BeNumerically("<=", time.Second), BeNumerically(">=", 700*time.Millisecond)), "the last interval of a third of the time left")
+	g.Expect(answer.retryAfter).To(And(BeNumerically("<=", time.Second), BeNumerically(">=", 900*time.Millisecond)), "the end of a third of the time left")
 	gateway.log.Close(time.Minute)
 	g.Expect(log.String()).To(MatchRegexp(`"age_ms":0,"backlog":[0-9.]+,"capacity":1,"closed":1,.*"forecast_ms":[1-9][0-9]+,.*"msg":"admission","rank":1,"service":"desk"`))
 	g.Expect(log.String()).To(MatchRegexp(`"closed":[1-9],"forecast_ms":[1-9][0-9]+,"id":"id-1",.*"msg":"refused".*"returned":true`))
