--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -118,8 +118,9 @@
 	// RetryAfter is the time after which a slot is likely; at least MinRetryAfter.
 	RetryAfter time.Duration
 	// Waiting and Wait are the length of the queue and the estimated wait.
-	Waiting int
-	Wait    time.Duration
+	Waiting   int
+	Wait      time.Duration
+	Admission Admission
 }
 
 // Outcome is the outcome of a request at a target.
@@ -172,6 +173,9 @@
 	// Name is the name of the entry, Zone its zone; targets in the same zone are
 	// slightly preferred.
 	Name, Zone string
+	// Admission refuses requests of pools with several ranks at the door while they cannot be
+	// served in time; see refuseAtDoor.
+	Admission bool
 }
 
 // Scheduler holds the targets and queues of all services.
@@ -187,6 +191,8 @@
 	samples []Sample
 	// cell is the index of this entry's cell out of cells; see SetCell.
 	cell, cells int
+	// levelChanges are changes of pools' levels that have not been read yet.
+	levelChanges []LevelChange
 	// departed holds the declarations of targets that have left the registry.
 	departed *bounded.Map[declarations]
 }
@@ -263,7 +269,7 @@
 	ticket := &Ticket{Request: request, sequence: s.sequence}
 	p := s.pool(request.Service)
 	p.schedule(ticket)
-	p.arriving.Add(now, ticket.Rank, ticket.expected.Seconds())
+	p.arriving.Add(now, ticket.demandRank(), ticket.expected.Seconds())
 	if refusal, refused := s.refuseAtOnce(now, p, ticket); refused {
 		return ticket, Effects{Refusals: []Refusal{refusal}}
 	}
@@ -316,6 +322,7 @@
 func (s *Scheduler) tickAfter(now time.Time, pause time.Duration) Effects {
 	var all Effects
 	for _, p := range s.pools {
+		s.observeQueue(now, p)
 		if len(p.waiting) > 0 && now.Sub(p.advancedAt) >= pause {
 			effects := s.advance(now, p)
 			all.Grants = append(all.Grants, effects.Grants...)
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sycamoretrail/internal/core/admission"
 	"sycamoretrail/internal/core/poolview"
 )
 
@@ -27,6 +28,10 @@
 	orders uint64
 	// arriving is the rate at which work arrives at this entry.
 	arriving poolview.Meter
+	// admission decides which requests are accepted; nil where it is not active.
+	admission *admission.Controller
+	// lowestPriority is the lowest priority of an organisation that has sent requests.
+	lowestPriority int
 	// sharing is the number of cells that share all targets; 1 means that each has its own.
 	sharing int
 	// latency is the mean latency over all targets, in ns.
@@ -86,6 +91,9 @@
 	expected := p.expected(ticket)
 	ticket.expected = expected
 	p.rankWork.add(ticket.Rank, expected.Seconds())
+	if !ticket.RoutePriority {
+		p.lowestPriority = max(p.lowestPriority, ticket.Priority)
+	}
 	ticket.queueTime = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
 	if p.rankWork.several() {
 		// A caller that is told to return waits at most maxRetryAfter. One that declares less
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 	}
 	g.state = &state{
 		log:         g.log,
-		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone}),
+		sched:       dispatch.New(dispatch.Config{Name: s.Name, Zone: s.Zone, Admission: s.Load.Admission}),
 		quota:       quota.New(quotaConfig(s.Bounds), now),
 		policer:     fairshare.NewPolicer(settings.Seconds(s.Bounds.QuotaWindowS)),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 	now := time.Now()
 	quotas := g.state.quota.Usage(now)
 	services := g.state.sched.Services(now)
+	admissions := g.state.sched.AdmissionLoads(now)
 	g.reportRollouts()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
@@ -40,6 +41,7 @@
 	}
 	g.state.mutex.Unlock()
 	g.reportShares(quotas, services, repeats)
+	g.reportAdmissions(admissions)
 	m := g.metrics
 	ready := 0.0
 	if g.ready() {
@@ -75,6 +77,14 @@
 	}
 }
 
+// reportAdmissions updates the metrics of admission control.
+func (g *Gateway) reportAdmissions(admissions []dispatch.AdmissionLoad) {
+	for _, a := range admissions {
+		g.metrics.Set(telemetry.GatewayClosedRanks, float64(a.Closed), a.Service)
+		g.metrics.SetTotal(telemetry.GatewayPromisedReturns, a.Promises, a.Service)
+	}
+}
+
 // reportShares updates the gauges of what all entries share: quotas, services and retry
 // budgets.
 func (g *Gateway) reportShares(quotas map[string]quota.Result, services []dispatch.ServiceLoad, repeats map[string]float64) {
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -40,6 +40,10 @@
 		"Targets of other cells that this entry's cell has borrowed.", "service")
 	GatewayDroppedAnnouncements = declare(KindCounter, "gateway_dropped_announcements_total",
 		"Announcements of leases that were not applied, by reason.", "reason")
+	GatewayClosedRanks = declare(KindGauge, "gateway_closed_ranks",
+		"Ranks of a service that this entry refuses at the door, as their requests would be late.", "service")
+	GatewayPromisedReturns = declare(KindCounter, "gateway_promised_returns_total",
+		"Refused callers that were told a time at which there is room for them.", "service")
 	GatewayRepeatsLeft = declare(KindGauge, "gateway_retry_budget_left",
 		"Repeats that this entry may make now.", "service")
 	GatewayRolloutPhase = declare(KindGauge, "gateway_rollout_phase",
