Fair sharing: service is charged also to organisations with one request at a time

Cause: an organisation without a waiting request was dropped before what it had received counted, so one that sends its next request after the last answer received up to five times its share. Change: it is dropped once virtual time has reached what it received. TestIdleOrganisationHasNoClaim asserted that it is dropped at once, which is the fault; it now asserts that it is dropped once another has received as much.

--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -198,7 +198,8 @@
 }
 
 // sharedUrgency is an urgency at which requests of two or more organisations with a weight
-// wait.
+// wait, or those of one while another is still charged for a request that was served: an
+// organisation that sends one request at a time often has none waiting.
 type sharedUrgency struct {
 	tags fairshare.Tags
 	// order is the last order of the queue in which that was so.
@@ -209,10 +210,10 @@
 // organisations if there are several.
 func (p *pool) share(tickets []*Ticket) {
 	mean, several := meanWeight(tickets)
-	if !several {
+	shared, found := p.shared[tickets[0].urgency]
+	if mean == 0 || !several && !found {
 		return
 	}
-	shared, found := p.shared[tickets[0].urgency]
 	if !found {
 		if p.shared == nil {
 			p.shared = make(map[Urgency]*sharedUrgency)
@@ -229,6 +230,9 @@
 		}
 		t.tag = shared.tags.Assign(t.Organisation, t.cost)
 	}
+	if !several && shared.tags.Size() == 1 {
+		delete(p.shared, tickets[0].urgency)
+	}
 	slices.SortStableFunc(tickets, compareTickets)
 }
 
--- a/internal/core/dispatch/order_test.go
+++ b/internal/core/dispatch/order_test.go
@@ -153,6 +153,33 @@
 	g.Expect(s.pool("desk").shared).To(BeEmpty(), "nothing is kept of organisations that wait no more")
 }
 
+// Guards against an organisation that has one request at a time and receives more than its
+// weight: while none of its requests waits, what it has received was forgotten.
+func TestOneRequestAtATimeIsChargedInThePool(t *testing.T) {
+	g := NewWithT(t)
+	var requests []Request
+	for i := range 130 {
+		requests = append(requests, Request{ID: fmt.Sprint(i), Class: "c", Organisation: "many", Weight: 5})
+	}
+	one := Request{ID: "one", Service: "desk", Class: "c", Organisation: "one", Weight: 1, Arrived: orderStart, Expires: orderStart.Add(time.Hour)}
+	s, holder := queueOf(append(requests, one)...)
+	ones, now := 0, orderStart
+	for range 120 {
+		returns := holder.Organisation == "one"
+		now = now.Add(time.Millisecond)
+		holder = s.Done(now, holder, Report{Outcome: Abandoned}).Grants[0].Ticket
+		if holder.Organisation == "one" {
+			ones++
+		}
+		if returns {
+			one.Arrived = now
+			s.Submit(now, one)
+		}
+		g.Expect(len(s.pool("desk").shared)).To(BeNumerically("<=", 1))
+	}
+	g.Expect(ones).To(BeNumerically("~", 120/6, 2))
+}
+
 // Guards against a first request of an organisation that is refused at once because of the
 // queue of another one, behind which it does not wait.
 func TestQueueOfAnotherOrganisationDoesNotRefuse(t *testing.T) {
--- a/internal/core/fairshare/fairshare_test.go
+++ b/internal/core/fairshare/fairshare_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// Guards against an organisation that sends its next request after the previous one was served,
+// and so receives more than its weight although the other one always waits.
+func TestOneRequestAtATimeIsCharged(t *testing.T) {
+	g := NewWithT(t)
+	var tags fairshare.Tags
+	received := make(map[string]float64)
+	returns := 0
+	for pass := range 10_000 {
+		tags.Begin()
+		first, lowest, work := "many", tags.Assign("many", 1), 1.0
+		if pass >= returns {
+			if tag := tags.Assign("one", 5); tag < lowest {
+				first, work, returns = "one", 5, pass+2
+			}
+		}
+		received[first] += work
+		tags.Served(first, work)
+		g.Expect(tags.Size()).To(BeNumerically("<=", 2))
+	}
+	g.Expect(received["one"] / received["many"]).To(BeNumerically("~", 1, 0.05))
+}
+
 // Guards against an organisation that was idle and then claims what others received meanwhile,
 // and against tags of organisations that wait no more.
 func TestIdleOrganisationHasNoClaim(t *testing.T) {
@@ -248,8 +270,17 @@
 		tags.Served("busy", 1)
 	}
 	g.Expect(tags.Next("idle")).To(BeNumerically("~", tags.Next("busy"), 2))
-	tags.Begin()
-	tags.Assign("idle", 1)
+	// The last request of the busy organisation is charged until the other one has had as much.
+	for range 2 {
+		tags.Begin()
+		tags.Assign("idle", 1)
+		tags.Served("idle", 1)
+	}
 	tags.Begin()
 	g.Expect(tags.Size()).To(Equal(1))
+	tags.Begin()
+	tags.Assign("other", 1)
+	tags.Served("other", 1)
+	tags.Begin()
+	g.Expect(tags.Size()).To(BeNumerically("<=", 2))
 }
--- a/internal/core/fairshare/tags.go
+++ b/internal/core/fairshare/tags.go
@@ -15,7 +15,7 @@
 	flows   map[string]*flow
 }
 
-// flow is an organisation with waiting requests.
+// flow is an organisation with waiting requests, or one that is ahead of virtual time.
 type flow struct {
 	// served is the virtual time up to which it has been served, next the tag of its next
 	// request in the current pass.
@@ -24,10 +24,11 @@
 }
 
 // Begin starts a pass over the queue. Organisations without a request in the previous pass
-// are dropped.
+// are dropped once virtual time has reached the service that they received. If they were dropped
+// at once, an organisation with one request at a time would never be charged for it.
 func (t *Tags) Begin() {
 	for organisation, f := range t.flows {
-		if f.pass != t.pass {
+		if f.pass != t.pass && f.served <= t.virtual {
 			delete(t.flows, organisation)
 		}
 	}
@@ -55,10 +56,14 @@
 
 // Next returns the tag that a further request of an organisation would receive.
 func (t *Tags) Next(organisation string) float64 {
-	if f, found := t.flows[organisation]; found {
-		return f.next
+	f, found := t.flows[organisation]
+	switch {
+	case !found:
+		return t.virtual
+	case f.pass != t.pass:
+		return f.served
 	}
-	return t.virtual
+	return f.next
 }
 
 // Served counts a request that has received a slot.
@@ -71,5 +76,5 @@
 	f.served += cost
 }
 
-// Size returns the number of organisations with waiting requests.
+// Size returns the number of organisations with waiting requests or ahead of virtual time.
 func (t *Tags) Size() int { return len(t.flows) }
