Admission: only the least urgent rank is turned away at the door

Cause: at the crests of one deployment rank 1 was refused at the door (319 instead of 88) that the queue would have served, late or in time. Change: at most one rank is closed at a time; the ranks above keep to the order of the queue.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -102,6 +102,9 @@
 // Controller decides on the requests of one pool at one entry. The zero Controller is ready
 // for use.
 type Controller struct {
+	// MaxClosed is the largest number of ranks that are closed at once; 0 means all.
+	MaxClosed int
+
 	ranks [poolview.Ranks]rankState
 	// closed is the number of closed ranks of those in use.
 	closed int
@@ -171,7 +174,7 @@
 	if now.Sub(c.changed) < stepPause {
 		return Change{}, false
 	}
-	if !c.over.IsZero() && now.Sub(c.over) >= closeAfter {
+	if c.mayClose() && !c.over.IsZero() && now.Sub(c.over) >= closeAfter {
 		return c.close(now)
 	}
 	return c.open(now)
@@ -212,7 +215,7 @@
 // Reset opens all ranks and forgets all promises.
 func (c *Controller) Reset() (Change, bool) {
 	change, changed := c.openAll()
-	*c = Controller{promises: c.promises}
+	*c = Controller{MaxClosed: c.MaxClosed, promises: c.promises}
 	return change, changed
 }
 
@@ -290,6 +293,9 @@
 	return !seen.IsZero() && now.Sub(seen) <= inUseFor
 }
 
+// mayClose reports whether one more rank may be closed.
+func (c *Controller) mayClose() bool { return c.MaxClosed == 0 || c.closed < c.MaxClosed }
+
 // close closes the least urgent open rank.
 func (c *Controller) close(now time.Time) (Change, bool) {
 	for rank := poolview.Ranks - 1; rank >= 0; rank-- {
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -59,6 +59,19 @@
 	g.Expect(observe(c, start.Add(closeAfter+2*tick), closeAfter-tick, overload)).To(BeEmpty())
 }
 
+// Guards against ranks that are turned away although the queue would serve them late.
+func TestOnlyAsManyRanksAsAllowedAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	c := inUse()
+	c.MaxClosed = 1
+	closing := observe(c, start, 2*time.Second, view(poolview.Work{80}, poolview.Work{60, 0, 0}))
+	g.Expect(closing).To(HaveLen(1))
+	g.Expect(closing[0].Rank).To(Equal(2))
+	g.Expect(c.Decide(start.Add(2*time.Second), request(0)).Admit).To(BeTrue())
+	g.Expect(c.Decide(start.Add(2*time.Second), request(1)).Admit).To(BeTrue())
+	g.Expect(c.Decide(start.Add(2*time.Second), request(2)).Admit).To(BeFalse())
+}
+
 // Guards against a rank that is closed while a lower one is open, and against jumps of the
 // level.
 func TestLeastUrgentRankIsClosedFirstAndOpenedLast(t *testing.T) {
--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -20,6 +20,10 @@
 	Scheduled bool
 }
 
+// maxClosedRanks leaves all ranks but the least urgent one to the order of the queue: a late
+// answer of those is worth more than what the least urgent rank would get instead.
+const maxClosedRanks = 1
+
 // LevelChange is a change of the ranks that a pool accepts.
 type LevelChange struct {
 	Service string
@@ -72,7 +76,7 @@
 		return Refusal{}, false
 	}
 	if p.admission == nil {
-		p.admission = &admission.Controller{}
+		p.admission = &admission.Controller{MaxClosed: maxClosedRanks}
 	}
 	view := s.view(now, p)
 	s.observeLevel(now, p, view)
