--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -95,11 +95,6 @@
 		p.lowestPriority = max(p.lowestPriority, ticket.Priority)
 	}
 	ticket.queueTime = ticket.Arrived.Add(time.Duration(longWorkDelay * float64(expected)))
-	if p.rankWork.several() {
-		// A caller that is told to return waits at most maxRetryAfter. One that declares less
-		// time than the route allows looks as if it had waited longer.
-		ticket.queueTime = ticket.queueTime.Add(-min(ticket.Waited, maxRetryAfter))
-	}
 	if ticket.Objective.IsZero() {
 		return
 	}
