--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -77,7 +77,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		MemoryMB: 256, MaxDescriptors: 4096, LogLevel: "info",
-		Load: GatewayLoad{FairShare: true, Admission: true},
+		Load: GatewayLoad{FairShare: true},
 		Bounds: GatewayBounds{
 			DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, ListLifeS: 5,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, QuotaWindowS: 8,
