--- a/internal/core/dispatch/shed.go
+++ b/internal/core/dispatch/shed.go
@@ -7,10 +7,10 @@
 )
 
 // Under overload, requests that have missed their objective wait behind those of their rank
-// that can still be in time, and most of them are refused in the end. If they were held until then, their
-// callers would wait for seconds, retry and be held again. So the pool measures how many
-// late requests of each rank get a slot, and while hardly any does, it refuses a request as soon as it
-// is late, so that its caller is informed at once.
+// that can still be in time, and most of them are refused in the end. If they were held until
+// then, their callers would wait for seconds, retry and be held again. So the pool measures how
+// many late requests of each rank get a slot, and while hardly any does, it refuses a request as
+// soon as it is late, so that its caller is informed at once.
 
 const (
 	// minPlacedShare is the part of late requests that must get a slot for them to be
