--- a/internal/core/dispatch/order_property_test.go
+++ b/internal/core/dispatch/order_property_test.go
@@ -53,12 +53,20 @@
 
 // Guards against decisions that change where the configuration calls for none of the parts: one
 // rank, and one organisation, or fair sharing off, so that no request has a weight.
-func TestOrderIsAsBeforeWithOneRank(t *testing.T) {
+func TestOrderIsAsBeforeWithOneRank(t *testing.T) { expectEarlierOrder(t, false) }
+
+// Guards against a setting that does not restore the decisions of several ranks.
+func TestOrderIsAsBeforeWithLateLast(t *testing.T) { expectEarlierOrder(t, true) }
+
+// expectEarlierOrder compares decisions on random queues with the earlier ones: with requests of
+// one rank, or of several with the setting that serves late ones last.
+func expectEarlierOrder(t *testing.T, lateLast bool) {
+	t.Helper()
 	for seed := range uint64(200) {
 		g := NewWithT(t)
 		random := rand.New(rand.NewPCG(seed, 1))
 		oneOrganisation, rank := seed%2 == 0, random.IntN(5)
-		s := New(Config{Name: "a", Zone: "a"})
+		s := New(Config{Name: "a", Zone: "a", LateLast: lateLast})
 		s.SetTargets(orderStart, []catalog.Target{{ID: "t", Service: "desk", Zone: "a", Slots: 4}})
 		p := s.pool("desk")
 		for i := range 40 {
@@ -69,6 +77,9 @@
 				Waited: time.Duration(random.IntN(2)*random.IntN(1000)) * time.Millisecond,
 				Work:   Work{Prompt: random.IntN(5000), Output: random.IntN(300)},
 			}
+			if lateLast {
+				request.Rank = random.IntN(5)
+			}
 			if random.IntN(4) > 0 {
 				request.Objective = request.Arrived.Add(time.Duration(random.IntN(1000)) * time.Millisecond)
 			}
--- a/internal/core/dispatch/order_test.go
+++ b/internal/core/dispatch/order_test.go
@@ -270,3 +270,33 @@
 	g.Expect(UrgencyOf(math.MaxInt, math.MaxInt)).To(BeNumerically("<", lateUrgency))
 	g.Expect(UrgencyOf(-1, -1)).To(Equal(UrgencyOf(0, 0)))
 }
+
+// Guards against load reports that tell what no part reads.
+func TestDemandIsReportedOnlyWhereAPartNeedsIt(t *testing.T) {
+	for _, config := range []Config{{}, {Admission: true}, {Lending: true}, {LateLast: true}} {
+		g := NewWithT(t)
+		s := New(config)
+		s.SetTargets(orderStart, []catalog.Target{{ID: "t", Service: "desk", Slots: 1}})
+		s.Submit(orderStart, Request{ID: "1", Service: "desk", Arrived: orderStart, Expires: orderStart.Add(time.Hour)})
+		g.Expect(len(s.OwnLoad(orderStart).Pools) > 0).To(Equal(config.Admission || config.Lending))
+	}
+}
+
+// Guards against demand that a redirection hides from admission and lending.
+func TestRedirectedRequestCountsAsArrival(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := queueOf(Request{ID: "1", Rank: 1})
+	s.Redirect(orderStart, "desk", "new desk")
+	g.Expect(s.View(orderStart, "new desk").Arriving[1]).To(BeNumerically(">", 0))
+}
+
+// Guards against operators who cannot see that late requests get slots.
+func TestGrantTellsThatARequestIsLate(t *testing.T) {
+	g := NewWithT(t)
+	s, holder := queueOf(Request{ID: "late", Rank: 0, Objective: late}, Request{ID: "in time", Rank: 0, Objective: timely})
+	now := orderStart.Add(time.Second)
+	first := s.Done(now, holder, Report{Outcome: Abandoned}).Grants[0]
+	g.Expect(first.Ticket.ID).To(Equal("in time"))
+	g.Expect(first.Late).To(BeFalse())
+	g.Expect(s.Done(now, first.Ticket, Report{Outcome: Abandoned}).Grants[0].Late).To(BeTrue())
+}
--- a/internal/gateway/fairshare_test.go
+++ b/internal/gateway/fairshare_test.go
@@ -182,6 +182,20 @@
 	w.Expect(c.schedulerRequest().Waited).To(Equal(time.Second))
 }
 
+// Guards against a stream that has begun and is served last when it continues at another target:
+// its caller would disconnect.
+func TestResumedStreamIsNotExcess(t *testing.T) {
+	w := NewWithT(t)
+	g, _ := newLoggingGateway()
+	w.Expect(g.apply(sharedConfiguration(), 1, "test")).To(BeTrue())
+	c := callOf(g, "large", 0, 0, 1)
+	c.excess = true
+	w.Expect(c.schedulerRequest().Excess).To(BeTrue())
+	c.events = 1
+	w.Expect(c.schedulerRequest().Excess).To(BeFalse())
+	w.Expect(c.schedulerRequest().Priority).To(Equal(c.priority))
+}
+
 // BenchmarkAdmitWithManyOrganisations measures the check of a request's quota and pace with 666
 // organisations and 78 other entries.
 func BenchmarkAdmitWithManyOrganisations(b *testing.B) {
