--- a/internal/core/fairshare/hotorganisation_test.go
+++ b/internal/core/fairshare/hotorganisation_test.go
@@ -19,16 +19,16 @@
 // hotWorld simulates an organisation of the highest priority that sends seven times as much as
 // usual, while its quota allows 1.8 times. The others need three fifths of the engines' capacity.
 func hotWorld(seed uint64, fair bool) *world {
-	tenants := []*tenant{{name: "hot", priority: 0, surge: 7}}
+	organisations := []*organisation{{name: "hot", priority: 0, surge: 7}}
 	for i := range 11 {
-		tenants = append(tenants, &tenant{name: fmt.Sprintf("o-%02d", i), priority: 1, surge: 1})
+		organisations = append(organisations, &organisation{name: fmt.Sprintf("o-%02d", i), priority: 1, surge: 1})
 	}
-	w := newWorld(seed, fair, 3, 9, tenants)
+	w := newWorld(seed, fair, 3, 9, organisations)
 	capacity := w.capacity()
-	for _, each := range tenants {
-		each.usual = 0.6 * capacity / float64(len(tenants)-1)
+	for _, each := range organisations {
+		each.usual = 0.6 * capacity / float64(len(organisations)-1)
 	}
-	tenants[0].usual = 0.18 * capacity
+	organisations[0].usual = 0.18 * capacity
 	w.setQuotas()
 	w.run(burstFrom, burstUntil, 20*time.Second)
 	return w
@@ -46,7 +46,7 @@
 	return worlds, first, all
 }
 
-func isHot(j *job) bool { return j.tenant.name == "hot" }
+func isHot(j *job) bool { return j.organisation.name == "hot" }
 
 func isOther(j *job) bool { return !isHot(j) }
 
@@ -95,8 +95,8 @@
 	_, unshared, _ := hotWorlds(false)
 	g.Expect(part(keep(keep(unshared, isOther), ofRank(0)), (*job).inTime)).To(BeNumerically("<", 0.9))
 
-	for _, each := range worlds[0].tenants {
-		own := keep(admitted, func(j *job) bool { return j.tenant.name == each.name })
+	for _, each := range worlds[0].organisations {
+		own := keep(admitted, func(j *job) bool { return j.organisation.name == each.name })
 		g.Expect(part(own, (*job).answered)).To(BeNumerically(">=", served/4), each.name)
 	}
 }
--- a/internal/core/fairshare/world_test.go
+++ b/internal/core/fairshare/world_test.go
@@ -50,8 +50,8 @@
 	{part: 0.35, prompt: 1110, fewest: 29, most: 43, objective: time.Second, deadline: 12 * time.Second},
 }
 
-// tenant is an organisation of the simulation.
-type tenant struct {
+// organisation is an organisation of the simulation.
+type organisation struct {
 	name     string
 	priority int
 	// usual is its usual number of requests a second, surge the factor during the burst.
@@ -60,7 +60,7 @@
 
 // job is one request of a caller, over both of its attempts.
 type job struct {
-	tenant   *tenant
+	organisation   *organisation
 	rank     int
 	prompt   int
 	events   int
@@ -127,8 +127,8 @@
 	pending simEvents
 	random  *rand.Rand
 	fair    bool
-	tenants []*tenant
-	// paceFactor is the rate of a quota as a multiple of the tenant's usual use.
+	organisations []*organisation
+	// paceFactor is the rate of a quota as a multiple of the organisation's usual use.
 	paceFactor float64
 	lowest     int
 	limiter    *quota.Limiter
@@ -141,9 +141,9 @@
 	from, until time.Duration
 }
 
-func newWorld(seed uint64, fair bool, entries, engines int, tenants []*tenant) *world {
+func newWorld(seed uint64, fair bool, entries, engines int, organisations []*organisation) *world {
 	w := &world{
-		now: start, random: rand.New(rand.NewPCG(seed, 7)), fair: fair, tenants: tenants, paceFactor: 1.8,
+		now: start, random: rand.New(rand.NewPCG(seed, 7)), fair: fair, organisations: organisations, paceFactor: 1.8,
 		limiter: quota.New(quota.Config{Window: worldWindow}, start.Add(-time.Minute)),
 		rates:   make(map[string]float64), engines: make(map[string]*simEngine), sent: make(map[string][]sent),
 	}
@@ -163,10 +163,10 @@
 	return w
 }
 
-// setQuotas sets the quotas as multiples of the tenants' usual use.
+// setQuotas sets the quotas as multiples of the organisations' usual use.
 func (w *world) setQuotas() {
 	var organisations []catalog.Organisation
-	for _, t := range w.tenants {
+	for _, t := range w.organisations {
 		w.lowest = max(w.lowest, t.priority)
 		w.rates[t.name] = t.usual * meanCost() * w.paceFactor
 		organisations = append(organisations, catalog.Organisation{Name: t.name, Rate: w.rates[t.name], CountsTokens: true})
@@ -203,7 +203,7 @@
 // run simulates a burst within a time.
 func (w *world) run(from, until, length time.Duration) {
 	w.from, w.until = from, until
-	for _, t := range w.tenants {
+	for _, t := range w.organisations {
 		w.offer(t, length)
 	}
 	w.tick(length + 13*time.Second)
@@ -214,7 +214,7 @@
 	}
 }
 
-func (w *world) offer(t *tenant, length time.Duration) {
+func (w *world) offer(t *organisation, length time.Duration) {
 	at := w.now.Sub(start)
 	if at >= length {
 		return
@@ -235,8 +235,8 @@
 	})
 }
 
-func (w *world) arrive(t *tenant) {
-	j := &job{tenant: t, arrived: w.now}
+func (w *world) arrive(t *organisation) {
+	j := &job{organisation: t, arrived: w.now}
 	draw := w.random.Float64()
 	for draw -= kinds[0].part; draw > 0 && j.rank < len(kinds)-1; draw -= kinds[j.rank].part {
 		j.rank++
@@ -257,22 +257,22 @@
 		return
 	}
 	e := w.entries[w.random.IntN(len(w.entries))]
-	result := w.limiter.Admit(w.now, j.tenant.name, j.cost(), j.rank)
+	result := w.limiter.Admit(w.now, j.organisation.name, j.cost(), j.rank)
 	if !result.Admitted {
 		w.retry(j, max(dispatch.MinRetryAfter, result.RetryAfter))
 		return
 	}
 	j.admitted = true
 	request := dispatch.Request{
-		ID: fmt.Sprint(len(w.jobs), j.attempts), Service: service, Class: fmt.Sprint(j.rank), Priority: j.tenant.priority, Rank: j.rank,
-		Organisation: j.tenant.name, Arrived: w.now, Objective: w.now.Add(k.objective), Expires: expires,
+		ID: fmt.Sprint(len(w.jobs), j.attempts), Service: service, Class: fmt.Sprint(j.rank), Priority: j.organisation.priority, Rank: j.rank,
+		Organisation: j.organisation.name, Arrived: w.now, Objective: w.now.Add(k.objective), Expires: expires,
 		BeginBy: w.now.Add(max(2*time.Second, 4*k.objective)), Waited: w.now.Sub(j.arrived),
 		Work: dispatch.Work{Prompt: j.prompt, Output: j.events * eventTokens},
 	}
 	if w.fair {
-		request.Weight = w.rates[j.tenant.name]
+		request.Weight = w.rates[j.organisation.name]
 		profile := e.policer.Classify(w.now, fairshare.Demand{
-			Organisation: j.tenant.name, Rank: j.rank, Cost: j.cost(), Entries: len(w.entries), Used: result.Used, Limit: result.Limit,
+			Organisation: j.organisation.name, Rank: j.rank, Cost: j.cost(), Entries: len(w.entries), Used: result.Used, Limit: result.Limit,
 		})
 		if profile.Excess {
 			j.excess, request.Excess, request.Priority = true, true, w.lowest
@@ -294,13 +294,13 @@
 	for _, r := range effects.Refusals {
 		j := e.jobs[r.Ticket]
 		delete(e.jobs, r.Ticket)
-		w.limiter.Withdraw(w.now, j.tenant.name, j.cost())
+		w.limiter.Withdraw(w.now, j.organisation.name, j.cost())
 		w.retry(j, r.RetryAfter)
 	}
 	for _, grant := range effects.Grants {
 		j := e.jobs[grant.Ticket]
-		w.limiter.Sent(w.now, j.tenant.name, j.cost())
-		w.sent[j.tenant.name] = append(w.sent[j.tenant.name], sent{w.now, j.cost()})
+		w.limiter.Sent(w.now, j.organisation.name, j.cost())
+		w.sent[j.organisation.name] = append(w.sent[j.organisation.name], sent{w.now, j.cost()})
 		at := w.engines[grant.Target.ID]
 		at.queue = append(at.queue, func() { w.start(e, at, grant.Ticket) })
 		w.next(at)
@@ -390,7 +390,7 @@
 	return sorted[:len(sorted)/10]
 }
 
-// mostUsed returns the largest cost that a tenant has sent within a window.
+// mostUsed returns the largest cost that a organisation has sent within a window.
 func (w *world) mostUsed(name string) float64 {
 	most, sum, from := 0.0, 0.0, 0
 	all := w.sent[name]
