--- a/internal/core/fairshare/world_test.go
+++ b/internal/core/fairshare/world_test.go
@@ -60,12 +60,12 @@
 
 // job is one request of a caller, over both of its attempts.
 type job struct {
-	organisation   *organisation
-	rank     int
-	prompt   int
-	events   int
-	arrived  time.Time
-	attempts int
+	organisation *organisation
+	rank         int
+	prompt       int
+	events       int
+	arrived      time.Time
+	attempts     int
 	// admitted and excess are set if that is so for any attempt.
 	admitted, excess bool
 	first, ended     time.Time
@@ -123,10 +123,10 @@
 // world is the simulation. fair turns fair sharing on. The entries share one limiter, as if
 // reports of usage took no time.
 type world struct {
-	now     time.Time
-	pending simEvents
-	random  *rand.Rand
-	fair    bool
+	now           time.Time
+	pending       simEvents
+	random        *rand.Rand
+	fair          bool
 	organisations []*organisation
 	// paceFactor is the rate of a quota as a multiple of the organisation's usual use.
 	paceFactor float64
