--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -65,6 +65,9 @@
 		fields["prompt"], fields["output"], fields["expected"] = c.envelope.PromptTokens, c.envelope.OutputTokens, c.envelope.ExpectedOutput
 		fields["events"] = c.events
 	}
+	if c.envelope.Resumes != "" || c.envelope.LastEvent != "" {
+		fields["resumes"], fields["after_event"] = c.envelope.Resumes, c.envelope.LastEvent
+	}
 	if c.route != nil {
 		fields["route"] = c.route.Prefix
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -59,6 +59,8 @@
 	ExpectedOutput int
 	// LastEvent is the id of the last event that the caller received of an earlier stream.
 	LastEvent string
+	// Resumes is the id of the attempt that brought the first event of that stream.
+	Resumes string
 }
 
 // ForwardInfo holds what the gateway adds to a request that it forwards to a target.
