A broken stream is continued at the software version that began it

The class: work goes on from one run to another although what ties it to the first was dropped between them.

A call remembers the version of the target that brought its first event, and the scheduler gives a bound request only targets of that version; under a roll-out it looks in that version's pool, and while the new version is a canary only as far as its share of requests allows. Where the entry's cell has none, targets of other cells serve: of these it knows its own load only, and they reject what doesn't fit. Without any target of the version the request is refused at once and the answer ends truncated.

Weighed: hand the stream to an entry of a cell that has the version (exact loads, but one more hop, a second repeat of the budget, and nobody to ask where the cell is cut off); wait for a target to come back (holds callers for what mostly doesn't return; a crashed target stays registered for some seconds, and that long the request waits). State: one pointer a call; no messages. Cost of a decision unchanged without bound requests in the queue.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -42,9 +42,10 @@
 // updateSnapshots computes the snapshots of a pool's targets.
 func (s *Scheduler) updateSnapshots(now time.Time, p *pool) {
 	p.refreshLeases(now)
+	beyondCell := p.versionsBeyondCell()
 	for _, t := range p.targets {
 		t.snapshot = snapshot{}
-		if !t.usedByCell() {
+		if !t.usedByCell() && (t.Leaving || !slices.Contains(beyondCell, t.Version)) {
 			continue
 		}
 		load, _ := s.load(now, t)
@@ -76,7 +77,7 @@
 
 // eligible reports whether the target may receive this request.
 func (t *target) eligible(ticket *Ticket) bool {
-	return t.snapshot.available && !slices.Contains(ticket.Tried, t.incarnation)
+	return t.snapshot.available && t.suits(ticket) && !slices.Contains(ticket.Tried, t.incarnation)
 }
 
 // choose picks the target that should answer soonest among those with a free slot. It
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	Waited time.Duration
 	// Tried lists the incarnations of targets that this request has been sent to.
 	Tried []string
+	// Version is the only software version that may run the request; nil means any.
+	Version *string
 }
 
 // Ticket is a request between Submit and Done or Cancel.
@@ -102,8 +104,10 @@
 
 // The reasons of refusals. In all cases the request has not run.
 const (
-	// ReasonNoTarget means that the service has no usable target.
-	ReasonNoTarget Reason = "no_target"
+	// ReasonNoTarget means that the service has no usable target, ReasonNoVersion that it has
+	// none of the version that the request is bound to.
+	ReasonNoTarget  Reason = "no_target"
+	ReasonNoVersion Reason = "no_version"
 	// ReasonOverload means that the estimated wait exceeds the remaining time.
 	ReasonOverload Reason = "overload"
 	// ReasonPaused means that all targets requested a pause longer than it can wait.
@@ -283,19 +287,25 @@
 	return ticket, s.advance(now, p)
 }
 
-// Redirect moves the waiting requests of one service to the queue of another.
+// Redirect moves the waiting requests of one service to the queue of another, except for those
+// that are bound to a version.
 func (s *Scheduler) Redirect(now time.Time, from, to string) Effects {
 	source, destination := s.pool(from), s.pool(to)
 	if source == destination {
 		return Effects{}
 	}
+	var bound []*Ticket
 	for _, ticket := range source.waiting {
+		if ticket.Version != nil {
+			bound = append(bound, ticket)
+			continue
+		}
 		ticket.Service = to
 		destination.schedule(ticket)
 		destination.arriving.Add(now, ticket.servedRank(), ticket.expected.Seconds())
 		destination.waiting = append(destination.waiting, ticket)
 	}
-	source.waiting = nil
+	source.waiting = bound
 	return s.advance(now, destination)
 }
 
--- a/internal/core/dispatch/refuse.go
+++ b/internal/core/dispatch/refuse.go
@@ -22,6 +22,9 @@
 	if p.slots() == 0 {
 		return Refusal{Ticket: ticket, Reason: ReasonNoTarget, RetryAfter: time.Second}, true
 	}
+	if ticket.Version != nil && !p.serves(*ticket.Version) {
+		return Refusal{Ticket: ticket, Reason: ReasonNoVersion, RetryAfter: time.Second}, true
+	}
 	if refusal, refused := s.refusePaused(now, p, ticket, p.pausedUntil(now)); refused {
 		return refusal, true
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,9 @@
 	tried       []string
 	// failure is an error answer of a target, which is passed on if no other answer comes.
 	failure *bufferedAnswer
+	// version is the software version of the target that began the stream; nil: it has not
+	// begun, or the version is not known.
+	version *string
 	// lastEvent is the id of the last event that was passed to the caller.
 	lastEvent string
 	// events is the number of events that were passed to the caller.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -195,6 +195,26 @@
 	return t.NewVersionPool(), known.current
 }
 
+// poolOfVersion returns the pool of a service's targets of one version. A roll-out may leave no
+// targets of the version there.
+func (s *state) poolOfVersion(service string, route *catalog.Route, version string) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, found := s.rollouts.services[service]
+	if !found {
+		return service
+	}
+	t := known.tracker
+	if t.Phase() == rollout.Completed {
+		return t.NewVersionPool()
+	}
+	// The draw of 0 chooses the new version as long as its share of the requests allows one more.
+	if version == t.Order().To && t.UsesNew(time.Now(), rollout.RouteKey(route.Host, route.Prefix), 0) {
+		return t.NewVersionPool()
+	}
+	return known.current
+}
+
 // recordObservation records what an answer shows of a version under roll-out.
 func (s *state) recordObservation(service string, route *catalog.Route, grant *dispatch.Grant, report dispatch.Report, took time.Duration) {
 	s.mutex.Lock()
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -11,6 +11,9 @@
 // acquireSlot waits for a slot at a target. A request chosen for the canary of a new version
 // falls back to the previous version if the canary has no free slot.
 func (c *call) acquireSlot() (*dispatch.Grant, *reply) {
+	if c.version != nil {
+		return c.acquireSlotIn(c.gateway.state.poolOfVersion(c.service, c.route, *c.version))
+	}
 	pool, fallback := c.gateway.state.poolOf(c.service, c.route, c.sends == 0)
 	grant, refusal := c.acquireSlotIn(pool)
 	if refusal != nil && refusal != callerDisconnected && refusal != isolatedWhileWaiting && fallback != "" {
@@ -59,7 +62,7 @@
 	request := dispatch.Request{
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
 		Priority: c.priority, Rank: c.route.Priority, RoutePriority: c.routePriority, Weight: shares.weight(c.organisation),
-		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
+		Arrived: c.arrived, Expires: c.expires, Tried: c.tried, Version: c.version,
 		Gap: c.route.Gap, Work: c.work(), Organisation: c.organisation, Waited: c.waitedBefore(),
 	}
 	if c.excess && shares != nil && c.events == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 		return c.handleFailure(grant, began, err)
 	}
 	c.firstAt = time.Now()
+	c.version = &grant.Target.Version
 	c.copyHead(answer.Status, answer.Header)
 	s.ready = first
 	s.complete = errors.Is(err, io.EOF)
