A stream that its caller takes up continues at the version that began it

Before the first event is passed on, the entry tells three others, by rendezvous hashing over zones and then entries, by which service and version the stream was begun. An entry that is asked to continue one looks it up, asks eight others if need be (60 ms apart, 0.4 s at most, at once done if all say no), and binds the request. An entry that joins is told of the running streams that it has to know, so that entries that restart in turn forget none. Streams of a split route stay at their service.

Weighed: a choice of version by a hash of the request (no state, but it changes with each release); records in the store (20,000 writes a second at 985 entries); telling the whole cell (a cell goes down with its zone, and 15 datagrams a stream); asking all entries when a stream is taken up (985 datagrams each, and nobody knows what a killed entry began).

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -61,6 +61,11 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+// UsesService reports whether the route sends requests to a service.
+func (r *Route) UsesService(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service returns the service for a random number in [0, 1).
 func (r *Route) Service(draw float64) string {
 	total := 0.0
--- a/internal/core/peerset/peerset.go
+++ b/internal/core/peerset/peerset.go
@@ -229,6 +229,15 @@
 	return members
 }
 
+// Entry returns another entry by name.
+func (s *Set) Entry(name string) (Entry, bool) {
+	m, found := s.members[name]
+	if !found {
+		return Entry{}, false
+	}
+	return m.Entry, true
+}
+
 // Live reports whether there was contact with an entry within the failure-detection timeout.
 func (s *Set) Live(now time.Time, name string) bool {
 	m, found := s.members[name]
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/quota"
+	"sycamoretrail/internal/core/streams"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/upstream"
@@ -57,9 +58,9 @@
 	tried       []string
 	// failure is an error answer of a target, which is passed on if no other answer comes.
 	failure *bufferedAnswer
-	// version is the software version of the target that began the stream; nil: it has not
-	// begun, or the version is not known.
-	version *string
+	// origin is the service and software version that began the stream; nil: it has not begun, or
+	// any may continue it.
+	origin *streams.Origin
 	// lastEvent is the id of the last event that was passed to the caller.
 	lastEvent string
 	// events is the number of events that were passed to the caller.
@@ -155,7 +156,10 @@
 	if !c.gateway.shutdown.Load().accepts(c.arrived, c.expires) {
 		return entryStopping
 	}
-	c.service = route.Service(float64(maphash.String(splitSeed, envelope.ID)%1000) / 1000)
+	c.chooseService()
+	if reply := c.findOrigin(); reply != nil {
+		return reply
+	}
 	c.fingerprint = c.computeFingerprint()
 	if c.gateway.state.quarantined(c.fingerprint) {
 		return crashesTargets
@@ -163,6 +167,15 @@
 	return c.checkQuota()
 }
 
+// chooseService chooses the service that runs the request. A stream that has begun stays at its own.
+func (c *call) chooseService() {
+	if c.origin != nil && c.route.UsesService(c.origin.Service) {
+		c.service = c.origin.Service
+		return
+	}
+	c.service = c.route.Service(float64(maphash.String(splitSeed, c.envelope.ID)%1000) / 1000)
+}
+
 // hostAndPath returns the host without port, in lower case, and the path without query.
 func hostAndPath(header *fasthttp.RequestHeader) (host, path string) {
 	host = strings.ToLower(string(header.Host()))
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,8 +10,8 @@
 // Names of log events, one per line of the log. Lines about a request carry its id.
 const (
 	// Requests: a slot was granted or refused, the quota was used up, or the organisation's pace
-	// was exceeded; a repeat was allowed or denied; a target was tried; a run was aborted; the
-	// request ended.
+	// was exceeded; a repeat was allowed or denied; a target was tried; a run was aborted; a
+	// caller took up a stream; the request ended.
 	eventGranted   = "granted"
 	eventRefused   = "refused"
 	eventQuota     = "over_quota"
@@ -21,6 +21,7 @@
 	eventHandedOff = "handed_off"
 	eventBroken    = "run_broken"
 	eventSettled   = "settled"
+	eventTakenUp   = "taken_up"
 
 	// The process.
 	eventStart       = "start"
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -344,6 +344,7 @@
 	for _, target := range targets {
 		f.addresses[target.Address] = true
 	}
+	f.gateway.origins.observeTargets(targets)
 	f.gateway.state.setTargets(f.gateway.state.rollouts.assignPools(targets, ordersAsOf))
 	for _, fields := range f.pendingLines {
 		f.gateway.log.Write(eventlog.StateChange, eventTarget, fields)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs tally }
+	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, takenUp tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -92,6 +92,7 @@
 	// isolation tracks whether targets can be reached.
 	isolation *isolation
 	handoffs  *handoffs
+	origins   *origins
 
 	// applying serializes changes of the configuration, so that versions stay in order when
 	// two sources deliver one at the same time.
@@ -162,6 +163,7 @@
 	g.feeds = newFeeds(g)
 	g.isolation = newIsolation(g)
 	g.handoffs = newHandoffs(g)
+	g.origins = newOrigins(g)
 	return g
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,6 +65,8 @@
 	m.SetTotal(telemetry.GatewayDatagramsReceived, g.links.conn.Received.Load())
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
 	g.counters.handoffs.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayHandoffs, n, key) })
+	g.counters.takenUp.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTakenUp, n, key) })
+	m.Set(telemetry.GatewayOrigins, float64(g.origins.size()))
 	g.counters.excess.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayExcess, n, key) })
 	g.counters.late.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayLateGrants, n, key) })
 	g.counters.updates.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayStoreCalls, n, key) })
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,342 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/core/streams"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/gossip"
+)
+
+const (
+	// originCopies is the number of other entries that are told of a stream, originQueries the
+	// number that are asked: more, since entries may have joined or left meanwhile.
+	originCopies  = 3
+	originQueries = 8
+	// originWait bounds the wait for an origin, originQueryPause is the time after which those
+	// that have not replied are asked again.
+	originWait       = 400 * time.Millisecond
+	originQueryPause = 60 * time.Millisecond
+	// originMargin is how long an origin is kept after its caller's time is up: clocks differ, and
+	// the request that takes the stream up is on its way.
+	originMargin = 2 * time.Second
+	// originsPerMessage is the number of origins that fit a datagram.
+	originsPerMessage = 8
+	// maxOriginName bounds the names of services and versions that are told.
+	maxOriginName = 64
+)
+
+// origins tracks by which service and version streams were begun, at this entry and at others.
+type origins struct {
+	gateway *Gateway
+	mutex   sync.Mutex
+	known   *streams.Registry
+	// versions are those of all targets.
+	versions *streams.Versions
+	queries  map[streams.Key]*originQuery
+}
+
+// originQuery is a query to other entries. Several callers may wait for the same one.
+type originQuery struct {
+	waiting int
+	// answered is closed when an origin has been found.
+	answered chan struct{}
+	// unknownAt are the entries that don't know the stream.
+	unknownAt map[string]bool
+	// replied receives a signal with each of them.
+	replied chan struct{}
+}
+
+func newOrigins(g *Gateway) *origins {
+	return &origins{gateway: g, known: streams.NewRegistry(), versions: streams.NewVersions(), queries: make(map[streams.Key]*originQuery)}
+}
+
+// recordBegin remembers the origin of a stream at this entry and at others.
+func (o *origins) recordBegin(key streams.Key, origin streams.Origin, keep time.Duration) {
+	o.mutex.Lock()
+	o.known.Record(time.Now(), key, origin, keep, true)
+	o.mutex.Unlock()
+	l := o.gateway.links
+	m := l.message()
+	m.Origins = []gossip.Origin{originMessage(streams.Record{Key: key, Origin: origin, Keep: keep})}
+	l.send(m, o.holders(key, originCopies, false))
+}
+
+func (o *origins) holders(key streams.Key, n int, draining bool) []peerset.Entry {
+	s := o.gateway.state
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.peers.Holders(time.Now(), binary.BigEndian.Uint64(key[:]), n, draining)
+}
+
+func originMessage(r streams.Record) gossip.Origin {
+	return gossip.Origin{Key: r.Key[:], Service: r.Origin.Service, Version: r.Origin.Version, KeepMS: r.Keep.Milliseconds()}
+}
+
+// greet tells an entry that has joined of the streams that it is to know: the process before it
+// may have known them.
+func (o *origins) greet(entry peerset.Entry) {
+	o.mutex.Lock()
+	own := o.known.Own(time.Now())
+	o.mutex.Unlock()
+	var messages []gossip.Origin
+	for _, r := range own {
+		if slices.ContainsFunc(o.holders(r.Key, originCopies, false), func(e peerset.Entry) bool { return e.Name == entry.Name }) {
+			messages = append(messages, originMessage(r))
+		}
+	}
+	for part := range slices.Chunk(messages, originsPerMessage) {
+		m := o.gateway.links.message()
+		m.Origins = part
+		o.gateway.links.send(m, []peerset.Entry{entry})
+	}
+}
+
+// find returns the origin of a stream, which it queries from other entries if need be.
+func (o *origins) find(key streams.Key, limit time.Duration, cancelled <-chan struct{}) (streams.Origin, bool) {
+	o.mutex.Lock()
+	if origin, found := o.known.Lookup(time.Now(), key); found {
+		o.mutex.Unlock()
+		return origin, true
+	}
+	query, found := o.queries[key]
+	if !found {
+		query = &originQuery{answered: make(chan struct{}), unknownAt: make(map[string]bool), replied: make(chan struct{}, 1)}
+		o.queries[key] = query
+	}
+	query.waiting++
+	o.mutex.Unlock()
+	o.await(key, query, limit, cancelled)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if query.waiting--; query.waiting == 0 {
+		delete(o.queries, key)
+	}
+	return o.known.Lookup(time.Now(), key)
+}
+
+// await queries the entries that may know a stream until one does, none does, or time is up.
+func (o *origins) await(key streams.Key, query *originQuery, limit time.Duration, cancelled <-chan struct{}) {
+	end := time.NewTimer(limit)
+	defer end.Stop()
+	for {
+		asked := o.holders(key, originQueries, true)
+		pending := o.withoutReply(query, asked)
+		if len(asked) > 0 && len(pending) == 0 {
+			return
+		}
+		m := o.gateway.links.message()
+		m.OriginQuery = key[:]
+		o.gateway.links.send(m, pending)
+		again := time.NewTimer(originQueryPause)
+		for waits := true; waits; {
+			select {
+			case <-query.answered:
+				again.Stop()
+				return
+			case <-cancelled:
+				again.Stop()
+				return
+			case <-end.C:
+				again.Stop()
+				return
+			case <-query.replied:
+				waits = len(o.withoutReply(query, asked)) > 0
+			case <-again.C:
+				waits = false
+			}
+		}
+		again.Stop()
+	}
+}
+
+func (o *origins) withoutReply(query *originQuery, asked []peerset.Entry) []peerset.Entry {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(asked), func(e peerset.Entry) bool { return query.unknownAt[e.Name] })
+}
+
+// handleOrigins remembers streams that another entry has begun.
+func (o *origins) handleOrigins(messages []gossip.Origin) {
+	for i := range messages {
+		o.learn(&messages[i])
+	}
+}
+
+func (o *origins) learn(m *gossip.Origin) {
+	if len(m.Key) != len(streams.Key{}) || len(m.Service) > maxOriginName || len(m.Version) > maxOriginName {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	key := streams.Key(m.Key)
+	o.known.Record(time.Now(), key, streams.Origin{Service: m.Service, Version: m.Version}, milliseconds(m.KeepMS), false)
+	if query, found := o.queries[key]; found {
+		select {
+		case <-query.answered:
+		default:
+			close(query.answered)
+		}
+	}
+}
+
+// handleQuery replies to an entry that asks for a stream's origin.
+func (o *origins) handleQuery(from string, key []byte) {
+	if len(key) != len(streams.Key{}) {
+		return
+	}
+	o.mutex.Lock()
+	record, found := o.known.Get(time.Now(), streams.Key(key))
+	o.mutex.Unlock()
+	reply := &gossip.OriginReply{Key: key}
+	if found {
+		origin := originMessage(record)
+		reply.Origin = &origin
+	}
+	s := o.gateway.state
+	s.mutex.Lock()
+	entry, known := s.peers.Entry(from)
+	s.mutex.Unlock()
+	if known {
+		m := o.gateway.links.message()
+		m.OriginReply = reply
+		o.gateway.links.send(m, []peerset.Entry{entry})
+	}
+}
+
+func (o *origins) handleReply(from string, reply *gossip.OriginReply) {
+	if reply.Origin != nil {
+		o.learn(reply.Origin)
+		return
+	}
+	if len(reply.Key) != len(streams.Key{}) {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if query, found := o.queries[streams.Key(reply.Key)]; found {
+		query.unknownAt[from] = true
+		signal(query.replied)
+	}
+}
+
+// observeTargets records the versions of all targets.
+func (o *origins) observeTargets(targets []catalog.Target) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.versions.Observe(time.Now(), targets)
+}
+
+func (o *origins) onlyVersion(service string) (string, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.versions.Only(time.Now(), service)
+}
+
+// size returns the number of streams whose origin is known here.
+func (o *origins) size() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.known.Size()
+}
+
+// How the origin of a stream that its caller takes up was determined, for logs and metrics.
+const (
+	originKnown       = "known"
+	originOnlyVersion = "only_version"
+	originMoved       = "moved"
+	originUnknown     = "unknown"
+)
+
+// unknownStream refuses to continue a stream of which nobody knows the version that began it.
+var unknownStream = &reply{
+	503, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", time.Second,
+}
+
+// takesUpStream reports whether the caller continues a stream of an earlier attempt.
+func (c *call) takesUpStream() bool {
+	return c.route.Kind == catalog.Stream && c.route.Resumable && c.envelope.LastEvent != ""
+}
+
+// findOrigin binds a request that takes a stream up to the service and version that began it. A
+// stream is refused rather than continued at a version that may be another one.
+func (c *call) findOrigin() *reply {
+	if !c.takesUpStream() || c.origin != nil {
+		return nil
+	}
+	began := time.Now()
+	origin, found := streams.Origin{}, false
+	if c.envelope.Resumes != "" {
+		origin, found = c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2), c.disconnected)
+	}
+	source := originKnown
+	switch {
+	case found && c.route.UsesService(origin.Service):
+		c.service, c.origin = origin.Service, &origin
+	case found:
+		// The operators have moved the route; versions of two services are not comparable.
+		source = originMoved
+	default:
+		source = originOnlyVersion
+		version, only := c.gateway.origins.onlyVersion(c.service)
+		if !only {
+			source = originUnknown
+			break
+		}
+		c.origin = &streams.Origin{Service: c.service, Version: version}
+	}
+	importance := eventlog.StateChange
+	if source == originUnknown {
+		importance = eventlog.Failure
+	}
+	c.gateway.log.Write(importance, eventTakenUp, eventlog.Fields{
+		"id": c.envelope.ID, "resumes": c.envelope.Resumes, "source": source, "service": c.service,
+		"origin_service": origin.Service, "origin_version": origin.Version, "took_ms": time.Since(began).Milliseconds(),
+	})
+	c.gateway.counters.takenUp.add(source)
+	if source == originUnknown {
+		return unknownStream
+	}
+	return nil
+}
+
+// streamKey identifies the stream: by the request that brought its first event.
+func (c *call) streamKey() streams.Key {
+	id := c.envelope.ID
+	if c.envelope.Resumes != "" && c.envelope.LastEvent != "" {
+		id = c.envelope.Resumes
+	}
+	return streams.KeyOf(c.organisation, id)
+}
+
+// recordOrigin binds the call to the service and version that brought the stream's first event,
+// and makes them known before the event is passed on.
+func (c *call) recordOrigin(origin streams.Origin) {
+	c.origin = &origin
+	if c.route.Resumable {
+		c.gateway.origins.recordBegin(c.streamKey(), origin, time.Until(c.arrived.Add(c.waitLimit()))+originMargin)
+	}
+}
+
+// encodeOrigin returns an origin as the value of a header between entries.
+func encodeOrigin(origin *streams.Origin) string {
+	if origin == nil {
+		return ""
+	}
+	return url.Values{"service": {origin.Service}, "version": {origin.Version}}.Encode()
+}
+
+// decodeOrigin returns nil for a value that is no origin.
+func decodeOrigin(text string) *streams.Origin {
+	values, err := url.ParseQuery(text)
+	if err != nil || !values.Has("service") || !values.Has("version") {
+		return nil
+	}
+	return &streams.Origin{Service: values.Get("service"), Version: values.Get("version")}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -55,6 +55,13 @@
 	if m.History != nil {
 		l.handleHistory(m)
 	}
+	l.gateway.origins.handleOrigins(m.Origins)
+	if m.OriginQuery != nil {
+		l.gateway.origins.handleQuery(m.From, m.OriginQuery)
+	}
+	if m.OriginReply != nil {
+		l.gateway.origins.handleReply(m.From, m.OriginReply)
+	}
 	if m.RolloutStep != nil {
 		l.handleRolloutStep(m.RolloutStep)
 	}
@@ -75,6 +82,7 @@
 	l.gateway.state.mutex.Unlock()
 	if change.Joined || change.Replaced {
 		l.greet(status.Entry, change)
+		l.gateway.origins.greet(status.Entry)
 	}
 	l.catchUp(h.Version)
 }
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -11,8 +11,8 @@
 // acquireSlot waits for a slot at a target. A request chosen for the canary of a new version
 // falls back to the previous version if the canary has no free slot.
 func (c *call) acquireSlot() (*dispatch.Grant, *reply) {
-	if c.version != nil {
-		return c.acquireSlotIn(c.gateway.state.poolOfVersion(c.service, c.route, *c.version))
+	if c.origin != nil {
+		return c.acquireSlotIn(c.gateway.state.poolOfVersion(c.service, c.route, c.origin.Version))
 	}
 	pool, fallback := c.gateway.state.poolOf(c.service, c.route, c.sends == 0)
 	grant, refusal := c.acquireSlotIn(pool)
@@ -62,9 +62,12 @@
 	request := dispatch.Request{
 		ID: c.envelope.ID, Service: c.service, Class: c.route.Prefix,
 		Priority: c.priority, Rank: c.route.Priority, RoutePriority: c.routePriority, Weight: shares.weight(c.organisation),
-		Arrived: c.arrived, Expires: c.expires, Tried: c.tried, Version: c.version,
+		Arrived: c.arrived, Expires: c.expires, Tried: c.tried,
 		Gap: c.route.Gap, Work: c.work(), Organisation: c.organisation, Waited: c.waitedBefore(),
 	}
+	if c.origin != nil {
+		request.Version = &c.origin.Version
+	}
 	if c.excess && shares != nil && c.events == 0 {
 		// A stream that has begun and continues at another target is no longer served last: its
 		// caller would disconnect.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/core/streams"
 	"sycamoretrail/internal/eventstream"
 	"sycamoretrail/internal/upstream"
 )
@@ -47,7 +48,7 @@
 		return c.handleFailure(grant, began, err)
 	}
 	c.firstAt = time.Now()
-	c.version = &grant.Target.Version
+	c.recordOrigin(streams.Origin{Service: c.service, Version: grant.Target.Version})
 	c.copyHead(answer.Status, answer.Header)
 	s.ready = first
 	s.complete = errors.Is(err, io.EOF)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,6 +49,11 @@
 	// RolloutStep is sent by the leader of a roll-out, RolloutReport to it.
 	RolloutStep   *RolloutStep   `cbor:"12,keyasint,omitempty"`
 	RolloutReport *RolloutReport `cbor:"13,keyasint,omitempty"`
+	// Origins are streams that the sender has begun. OriginQuery is the key of a stream whose
+	// origin the sender needs.
+	Origins     []Origin     `cbor:"16,keyasint,omitempty"`
+	OriginQuery []byte       `cbor:"17,keyasint,omitempty"`
+	OriginReply *OriginReply `cbor:"18,keyasint,omitempty"`
 }
 
 // Heartbeat is the status of the sender. It is sent often to the entries of its cell, and
--- /dev/null
+++ b/internal/gossip/origin.go
@@ -0,0 +1,18 @@
+package gossip
+
+// Origin states by which service and version a stream was begun, and for how long callers may
+// take it up.
+type Origin struct {
+	_       struct{} `cbor:",toarray"`
+	Key     []byte
+	Service string
+	Version string
+	KeepMS  int64
+}
+
+// OriginReply answers a query for the origin of a stream; Origin is nil if the sender does not
+// know it.
+type OriginReply struct {
+	Key    []byte  `cbor:"1,keyasint"`
+	Origin *Origin `cbor:"2,keyasint,omitempty"`
+}
