A stream that is handed off continues at the version that began it

The service and version go with a handed-off request and come back with the first event of a handed-off stream, in X-Handoff-Origin; a caller's own header of that name is not passed on. Weighed: the entry that takes over looks the stream up as for a caller (a query more, and lost where the cut entry is the only one that knows).

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -28,6 +28,9 @@
 	// HeaderHandoffVersion is the version of the configuration by which a request was accepted.
 	// An entry with an older one might refuse it.
 	HeaderHandoffVersion = "X-Handoff-Version"
+	// HeaderHandoffOrigin is the service and version that began a stream, in requests that
+	// continue it and in answers that begin one.
+	HeaderHandoffOrigin = "X-Handoff-Origin"
 	// headerHandoffDeclined marks a reply to a handed-off request that another entry may be
 	// able to serve.
 	headerHandoffDeclined = "X-Handoff-Declined"
@@ -139,7 +142,7 @@
 		Body:   body,
 		Head: c.gateway.platform.AppendHandoffHead(nil, &request.Header, HandoffInfo{
 			Remaining: time.Until(c.expires), LastEvent: c.lastEvent, BodyLength: len(body), Runs: c.runs,
-			Version: c.config.Version,
+			Version: c.config.Version, Origin: encodeOrigin(c.origin),
 		}),
 		Deadline: c.expires,
 		Matches:  func(http.Header) bool { return true },
@@ -196,6 +199,10 @@
 		c.closeAnswer(answer)
 		return c.retryOrEnd(targetAborted)
 	}
+	if origin := decodeOrigin(answer.Header.Get(HeaderHandoffOrigin)); origin != nil {
+		c.recordOrigin(*origin)
+	}
+	answer.Header.Del(HeaderHandoffOrigin)
 	c.firstAt = time.Now()
 	c.copyHead(answer.Status, answer.Header)
 	s.ready, s.complete = first, errors.Is(err, io.EOF)
@@ -242,6 +249,7 @@
 	if version, err := strconv.ParseInt(string(ctx.Request.Header.Peek(HeaderHandoffVersion)), 10, 64); err == nil {
 		c.requiredVersion = version
 	}
+	c.origin = decodeOrigin(string(ctx.Request.Header.Peek(HeaderHandoffOrigin)))
 	if g.isolation.isolated() {
 		c.refuse(notReachable)
 		return
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -89,6 +89,8 @@
 	Runs int
 	// Version is the version of the configuration by which the request was accepted.
 	Version int64
+	// Origin is the value of HeaderHandoffOrigin; empty: none is sent.
+	Origin string
 }
 
 // AnswerHead holds what the head of a target's answer declares.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,6 +50,9 @@
 	c.firstAt = time.Now()
 	c.recordOrigin(streams.Origin{Service: c.service, Version: grant.Target.Version})
 	c.copyHead(answer.Status, answer.Header)
+	if c.handedOff {
+		c.ctx.Response.Header.Set(HeaderHandoffOrigin, encodeOrigin(c.origin))
+	}
 	s.ready = first
 	s.complete = errors.Is(err, io.EOF)
 	c.ctx.Response.SetBodyStream(s, -1)
