A retry after a broken connection opens a new one

Traced in the entry's lines: the partition reset the stream's connection; 0 ms later its rest was sent on an idle connection to another target, which had been cut too but not shown it yet, broke, and used up the second of two attempts. Nothing was left for the hand-off. Real networks reset connections one after the other as well.

After a connection broke, the next sends of that request open a new connection: one that can't be opened has not been sent, uses up no attempt, and leads to the hand-off. Weighed: not counting a run whose target can't be reached afterwards (a request that crashes targets would reach more of them); letting a stream go on beyond its attempts while the entry is isolated (more targets than the route allows run it, if the break was the target's own). Cost: one new connection a retry after a break.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,8 +82,10 @@
 	handedOff bool
 	// requiredVersion is the least version of the configuration by which the request may be handled.
 	requiredVersion int64
-	// unreached is the number of targets that could not be reached.
-	unreached int
+	// unreached is the number of targets that could not be reached. connectionBroke: the connection
+	// of a run broke.
+	unreached       int
+	connectionBroke bool
 }
 
 // answerEnding is how the body of a target's answer ended.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -101,7 +101,7 @@
 	if !c.route.Idempotent() {
 		maxAge = maxIdleUnrepeatable
 	}
-	conn, err := c.gateway.pool.Get(grant.Target.Address, maxAge)
+	conn, err := c.connect(grant, maxAge)
 	if err != nil {
 		c.noteUnreached(grant, err)
 		return nil, AnswerHead{}, err
@@ -143,6 +143,15 @@
 	return answer, head, nil
 }
 
+// connect returns a connection to the target. After one has broken, idle ones may be broken too
+// without having shown it; a request lost on one would use up an attempt.
+func (c *call) connect(grant *dispatch.Grant, maxAge time.Duration) (*upstream.Conn, error) {
+	if c.connectionBroke {
+		return c.gateway.pool.GetNew(grant.Target.Address)
+	}
+	return c.gateway.pool.Get(grant.Target.Address, maxAge)
+}
+
 // noteUnreached records that the connection to a target failed, unless the caller has ended the
 // request or the target is merely slow.
 func (c *call) noteUnreached(grant *dispatch.Grant, err error) {
@@ -211,6 +220,7 @@
 		c.report(grant, began, dispatch.TimedOut, 0, err)
 	} else {
 		c.report(grant, began, dispatch.Broken, 0, err)
+		c.connectionBroke = true
 		c.countBrokenRun()
 	}
 	return c.retryOrEnd(targetAborted)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -253,6 +253,7 @@
 	case errors.Is(cause, os.ErrDeadlineExceeded):
 		outcome = dispatch.Failed
 	case s.grant != nil:
+		c.connectionBroke = true
 		c.countBrokenRun()
 	}
 	if s.grant != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,6 +85,9 @@
 	return p.open(address)
 }
 
+// GetNew returns a new connection. Its errors wrap ErrNotSent.
+func (p *Pool) GetNew(address string) (*Conn, error) { return p.open(address) }
+
 // open opens a connection. Its errors wrap ErrNotSent.
 func (p *Pool) open(address string) (*Conn, error) {
 	raw, err := p.options.Dial(address)
