A stream whose events have no ids is not continued by the entry

After a break an entry sent the request again with the last id that it had seen; events without one (the last, or all) came twice: data piece 1, piece 1 in the test, which failed before.

The entry continues a stream only if the last event that it passed on has an id of its own; otherwise the answer ends truncated. Position reads it from whole events, with all three line ends; the id of an incomplete event counts no longer.

--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -56,3 +56,26 @@
 		g.Expect(eventstream.HasContentType(header)).To(Equal(want), header)
 	}
 }
+
+// Guards against a stream being continued after an event that is not the last one.
+func TestPosition(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]struct {
+		id           string
+		numbered, ok bool
+	}{
+		"":                              {},
+		": comment\n\n":                 {},
+		"id: 1\ndata: x\n":              {},
+		"id: 1\ndata: x\n\n":            {"1", true, true},
+		"data: x\r\nid:2\r\n\r\n":       {"2", true, true},
+		"id: 1\rdata: x\r\r: ping\r\r":  {"1", true, true},
+		"id: 1\ndata: x\n\ndata: y\n\n": {"1", false, true},
+		"data: y\n\nid: 3\n\n":          {"3", true, true},
+		"id: 1\ndata: x\n\nid: 2\ndata": {"1", true, true},
+		"id: 1\n\nid:\ndata: x\n\n":     {"1", false, true},
+	} {
+		id, numbered, ok := eventstream.Position([]byte(text))
+		g.Expect([]any{id, numbered, ok}).To(Equal([]any{want.id, want.numbered, want.ok}), "%q", text)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,9 @@
 	origin *streams.Origin
 	// lastEvent is the id of the last event that was passed to the caller.
 	lastEvent string
+	// positionUnknown: an event without an id has been passed to the caller since, so that no
+	// target can continue after it.
+	positionUnknown bool
 	// events is the number of events that were passed to the caller.
 	events  int
 	firstAt time.Time
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -187,12 +187,14 @@
 // noteEvents records the id of the last event and when events arrived.
 func (s *eventStream) noteEvents(events []byte) {
 	for line := range eventstream.Lines(events) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			s.call.lastEvent = string(bytes.TrimSpace(id))
+		if bytes.HasPrefix(line, []byte("id:")) {
 			s.events++
 			s.call.events++
 		}
 	}
+	if id, numbered, ok := eventstream.Position(events); ok {
+		s.call.lastEvent, s.call.positionUnknown = id, !numbered
+	}
 	if len(events) > 0 {
 		s.observe(time.Now())
 	}
@@ -260,7 +262,7 @@
 		c.tried = append(c.tried, s.grant.Target.Incarnation())
 	}
 	s.release(outcome, cause)
-	if outcome == dispatch.Abandoned || !c.route.Resumable || !time.Now().Before(c.expires) {
+	if outcome == dispatch.Abandoned || !c.route.Resumable || c.positionUnknown || !time.Now().Before(c.expires) {
 		return false
 	}
 	for c.runs < c.route.Attempts && c.sends < c.route.Attempts+extraSends {
