Broken connections of targets that live on don't count as crashes

A broken run was taken for a crash; nothing spoke for the request.

A target counts once; it counts no longer once it answers a request that was sent to it within a second after; and an answer to the request itself drops all evidence, at all entries. A request that crashes its targets is never answered and its targets don't answer, so it is refused after three as before: the tests of that stand unchanged. Refusals say when the evidence ends.

--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -60,3 +60,69 @@
 	g.Expect(m.QuarantinedRuns(now, 5)).To(HaveLen(3))
 	g.Expect(m.QuarantinedRuns(now.Add(time.Hour), 6)).To(BeEmpty())
 }
+
+// Guards against the broken connections of a target that lives on counting as its crash, and against a target
+// that is back after a crash passing for one that lived on.
+func TestTargetThatAnswersDidNotCrash(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	for _, target := range []string{"a", "b", "c"} {
+		m.RecordFailure(now, 7, target)
+	}
+	g.Expect(m.Quarantined(now, 7)).To(BeTrue())
+	g.Expect(m.RecordLife("a", now.Add(-time.Millisecond))).To(BeZero(), "sent before the run broke")
+	g.Expect(m.RecordLife("a", now.Add(2*time.Second))).To(BeZero(), "may have been restarted")
+	g.Expect(m.RecordLife("a", now.Add(time.Millisecond))).To(Equal(1))
+	g.Expect(m.RecordLife("a", now.Add(time.Millisecond))).To(BeZero())
+	g.Expect(m.Quarantined(now, 7)).To(BeFalse())
+	g.Expect(m.Count(now, 7)).To(Equal(2))
+}
+
+// Guards against one crash with many equal requests in flight counting as many.
+func TestTargetCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	for range 100 {
+		m.RecordFailure(now, 7, "a")
+	}
+	g.Expect(m.Count(now, 7)).To(Equal(1))
+}
+
+// Guards against a request that targets answer being refused because some of its connections break.
+func TestAnswerClearsEvidence(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	for i := range crashes.QuarantineThreshold {
+		m.RecordFailure(now, 7, fmt.Sprint(i))
+	}
+	g.Expect(m.RetryAfter(now.Add(time.Second), 7)).To(Equal(59 * time.Second))
+	g.Expect(m.Clear(now, 7)).To(BeTrue())
+	g.Expect(m.Clear(now, 7)).To(BeFalse())
+	g.Expect(m.Quarantined(now, 7)).To(BeFalse())
+	g.Expect(m.RetryAfter(now, 7)).To(BeZero())
+	g.Expect(m.QuarantinedRuns(now, 10)).To(BeEmpty())
+}
+
+// Guards against one request that breaks at many targets using up the memory.
+func TestTargetsOfRequestAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	for i := range 10_000 {
+		m.RecordFailure(now, 7, fmt.Sprint(i))
+	}
+	g.Expect(m.Count(now, 7)).To(BeNumerically("<=", 64))
+}
+
+func BenchmarkRecordLife(b *testing.B) {
+	for _, held := range []int{0, 4000} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			m := crashes.New()
+			for i := range held {
+				m.RecordFailure(now, crashes.Fingerprint(i), fmt.Sprint(i%1000))
+			}
+			for b.Loop() {
+				m.RecordLife("none", now)
+			}
+		})
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,8 +166,8 @@
 		return reply
 	}
 	c.fingerprint = c.computeFingerprint()
-	if c.gateway.state.quarantined(c.fingerprint) {
-		return crashesTargets
+	if refused, retryAfter := c.gateway.state.quarantined(c.fingerprint); refused {
+		return crashesTargetsUntil(retryAfter)
 	}
 	return c.checkQuota()
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -47,6 +47,8 @@
 	eventReader        = "reader"
 	eventOwnRead       = "own_read"
 	eventSuspect       = "suspect"
+	eventRefuted       = "crash_refuted"
+	eventCleared       = "cleared"
 	eventRollout       = "rollout"
 	eventLease         = "lease"
 )
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -288,9 +288,19 @@
 	}
 }
 
-func (l *links) announceCrash(fingerprint crashes.Fingerprint, id string) {
+func (l *links) announceCrash(fingerprint crashes.Fingerprint, id, target string) {
 	m := l.message()
-	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id}
+	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id, Target: target}
+	members := l.members()
+	for range crashCopies {
+		l.send(m, members)
+	}
+}
+
+// announceCleared announces that a target has answered a request that was suspected of crashing them.
+func (l *links) announceCleared(fingerprint crashes.Fingerprint) {
+	m := l.message()
+	m.Cleared = uint64(fingerprint)
 	members := l.members()
 	for range crashCopies {
 		l.send(m, members)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -31,6 +31,9 @@
 	if m.Crash != nil {
 		l.handleCrash(m.Crash)
 	}
+	if m.Cleared != 0 {
+		l.gateway.state.clearCrashes(crashes.Fingerprint(m.Cleared))
+	}
 	if d := m.Departure; d != nil {
 		l.gateway.feeds.applyDeparture(catalog.Target{ID: d.Target, StartedMS: d.StartedMS}, m.From)
 	}
@@ -132,7 +135,7 @@
 	}
 	for _, run := range crashed {
 		m := l.message()
-		m.Crash = &gossip.Crash{Fingerprint: uint64(run.Fingerprint), ID: run.ID}
+		m.Crash = &gossip.Crash{Fingerprint: uint64(run.Fingerprint), ID: run.ID, Target: run.ID}
 		l.send(m, []peerset.Entry{entry})
 	}
 }
@@ -204,8 +207,14 @@
 }
 
 func (l *links) handleCrash(c *gossip.Crash) {
-	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), c.ID)
+	target := c.Target
+	if target == "" {
+		target = c.ID
+	}
+	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), target)
 	if isNew {
-		l.gateway.log.Write(eventlog.StateChange, eventSuspect, eventlog.Fields{"id": c.ID, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count})
+		l.gateway.log.Write(eventlog.StateChange, eventSuspect, eventlog.Fields{
+			"id": c.ID, "target": target, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count,
+		})
 	}
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -34,8 +34,8 @@
 	entryStopping  = &reply{fasthttp.StatusServiceUnavailable, "leaving", "this entry stops; the request was not run", dispatch.MinRetryAfter}
 	noRoute        = &reply{fasthttp.StatusNotFound, "no_route", "no route for this host and path", 0}
 	unknownKey     = &reply{fasthttp.StatusUnauthorized, "unknown_key", "the key is not known", 0}
-	tooLarge       = &reply{fasthttp.StatusRequestEntityTooLarge, "too_large", "the body exceeds the limit", 0}
 	crashesTargets = &reply{fasthttp.StatusServiceUnavailable, "crashes_targets", "each target that ran this request broke off; it was not run again", 0}
+	tooLarge       = &reply{fasthttp.StatusRequestEntityTooLarge, "too_large", "the body exceeds the limit", 0}
 )
 
 // Replies to requests whose outcome at a target is unknown.
@@ -49,6 +49,13 @@
 	return &reply{fasthttp.StatusBadRequest, "bad_request", text, 0}
 }
 
+// crashesTargetsUntil refuses a request that crashes targets while the evidence counts.
+func crashesTargetsUntil(retryAfter time.Duration) *reply {
+	r := *crashesTargets
+	r.retryAfter = retryAfter
+	return &r
+}
+
 func overQuota(retryAfter time.Duration) *reply {
 	return &reply{fasthttp.StatusTooManyRequests, "over_quota", "the organisation's quota is used up; the request was not run", retryAfter}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -127,6 +127,7 @@
 			return c.gateway.platform.ReadAnswerHead(0, h).ID == c.envelope.ID && h.Get("Content-Encoding") == ""
 		},
 	}
+	sent := time.Now()
 	answer, err := c.gateway.pool.Send(conn, exchange)
 	if err != nil {
 		c.setSending(nil)
@@ -138,6 +139,7 @@
 		return nil, AnswerHead{}, err
 	}
 	c.gateway.isolation.recordContact()
+	c.gateway.state.recordLife(grant.Target.Incarnation(), sent)
 	head := c.gateway.platform.ReadAnswerHead(answer.Status, answer.Header)
 	c.applyAnswerHead(grant, head)
 	return answer, head, nil
@@ -221,7 +223,7 @@
 	} else {
 		c.report(grant, began, dispatch.Broken, 0, err)
 		c.connectionBroke = true
-		c.countBrokenRun()
+		c.countBrokenRun(grant)
 	}
 	return c.retryOrEnd(targetAborted)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -256,7 +256,7 @@
 		outcome = dispatch.Failed
 	case s.grant != nil:
 		c.connectionBroke = true
-		c.countBrokenRun()
+		c.countBrokenRun(s.grant)
 	}
 	if s.grant != nil {
 		c.tried = append(c.tried, s.grant.Target.Incarnation())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -54,6 +54,8 @@
 	Origins     []Origin     `cbor:"16,keyasint,omitempty"`
 	OriginQuery []byte       `cbor:"17,keyasint,omitempty"`
 	OriginReply *OriginReply `cbor:"18,keyasint,omitempty"`
+	// Cleared is the fingerprint of a request against which earlier Crash messages count no longer.
+	Cleared uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // Heartbeat is the status of the sender. It is sent often to the entries of its cell, and
@@ -162,6 +164,8 @@
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	ID          string `cbor:"2,keyasint"`
+	// Target is the incarnation of the target that the run was at.
+	Target string `cbor:"3,keyasint,omitempty"`
 }
 
 // Departure reports that a target has announced its departure in an answer.
