Read-through: a stream of a moved route is bound to no version; shorter functions

A continued stream whose route had moved to another service kept the version of the old one and would have been refused where it arrived by hand-off; now it goes on there as one that its caller takes up. The query loop is two functions.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -172,12 +172,14 @@
 	return c.checkQuota()
 }
 
-// chooseService chooses the service that runs the request. A stream that has begun stays at its own.
+// chooseService chooses the service that runs the request. A stream that has begun stays at its own,
+// unless the operators have moved the route to others: versions of two services are not comparable.
 func (c *call) chooseService() {
 	if c.origin != nil && c.route.UsesService(c.origin.Service) {
 		c.service = c.origin.Service
 		return
 	}
+	c.origin = nil
 	c.service = c.route.Service(float64(maphash.String(splitSeed, c.envelope.ID)%1000) / 1000)
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/streams"
@@ -134,25 +136,32 @@
 		m := o.gateway.links.message()
 		m.OriginQuery = key[:]
 		o.gateway.links.send(m, pending)
-		again := time.NewTimer(originQueryPause)
-		for waits := true; waits; {
-			select {
-			case <-query.answered:
-				again.Stop()
-				return
-			case <-cancelled:
-				again.Stop()
-				return
-			case <-end.C:
-				again.Stop()
-				return
-			case <-query.replied:
-				waits = len(o.withoutReply(query, asked)) > 0
-			case <-again.C:
-				waits = false
+		if o.awaitReplies(query, asked, end.C, cancelled) {
+			return
+		}
+	}
+}
+
+// awaitReplies waits for a while until all entries that were asked have replied. It returns true if
+// the query is to end.
+func (o *origins) awaitReplies(query *originQuery, asked []peerset.Entry, end <-chan time.Time, cancelled <-chan struct{}) bool {
+	again := time.NewTimer(originQueryPause)
+	defer again.Stop()
+	for {
+		select {
+		case <-query.answered:
+			return true
+		case <-cancelled:
+			return true
+		case <-end:
+			return true
+		case <-query.replied:
+			if len(o.withoutReply(query, asked)) == 0 {
+				return false
 			}
+		case <-again.C:
+			return false
 		}
-		again.Stop()
 	}
 }
 
@@ -250,13 +259,13 @@
 const (
 	originKnown       = "known"
 	originOnlyVersion = "only_version"
-	originMoved       = "moved"
+	originMoved       = "moved" // the route leads to other services now
 	originUnknown     = "unknown"
 )
 
 // unknownStream refuses to continue a stream of which nobody knows the version that began it.
 var unknownStream = &reply{
-	503, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", time.Second,
+	fasthttp.StatusServiceUnavailable, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", time.Second,
 }
 
 // takesUpStream reports whether the caller continues a stream of an earlier attempt.
@@ -280,7 +289,6 @@
 	case found && c.route.UsesService(origin.Service):
 		c.service, c.origin = origin.Service, &origin
 	case found:
-		// The operators have moved the route; versions of two services are not comparable.
 		source = originMoved
 	default:
 		source = originOnlyVersion
