--- a/internal/core/crashes/crashes.go
+++ b/internal/core/crashes/crashes.go
@@ -10,6 +10,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sort"
 	"time"
 )
 
@@ -37,8 +39,14 @@
 type Tracker struct {
 	failed map[Fingerprint][]failedRun
 	order  []Fingerprint
-	// byTarget lists the fingerprints with evidence that the target may still refute.
-	byTarget map[string][]Fingerprint
+	// byTarget lists the evidence that a target may still refute, by time.
+	byTarget map[string][]suspicion
+}
+
+// suspicion is a failed run as listed by target.
+type suspicion struct {
+	fingerprint Fingerprint
+	at          time.Time
 }
 
 // failedRun is a run that ended with a broken connection.
@@ -51,11 +59,11 @@
 
 // New returns an empty Tracker.
 func New() *Tracker {
-	return &Tracker{failed: make(map[Fingerprint][]failedRun), byTarget: make(map[string][]Fingerprint)}
+	return &Tracker{failed: make(map[Fingerprint][]failedRun), byTarget: make(map[string][]suspicion)}
 }
 
-// RecordFailure records that a run at a target broke. It returns false if a run of the request at
-// that target is known already.
+// RecordFailure records that a run at a target broke. It returns false if that adds nothing to what
+// is known: an earlier run of the request broke there, and the target has not answered since.
 func (m *Tracker) RecordFailure(now time.Time, fingerprint Fingerprint, target string) bool {
 	all, found := m.failed[fingerprint]
 	known := unexpired(all, now)
@@ -63,10 +71,11 @@
 		m.forget(r.target, fingerprint)
 	}
 	m.failed[fingerprint] = known
-	for _, r := range known {
-		if r.target == target {
+	if i := slices.IndexFunc(known, func(r failedRun) bool { return r.target == target }); i >= 0 {
+		if !known[i].refuted {
 			return false
 		}
+		known = slices.Delete(known, i, i+1)
 	}
 	if !found {
 		m.order = append(m.order, fingerprint)
@@ -80,7 +89,7 @@
 		known = known[1:]
 	}
 	m.failed[fingerprint] = append(known, failedRun{target: target, at: now})
-	m.byTarget[target] = append(m.byTarget[target], fingerprint)
+	m.byTarget[target] = append(m.byTarget[target], suspicion{fingerprint, now})
 	return true
 }
 
@@ -93,33 +102,46 @@
 }
 
 func (m *Tracker) forget(target string, fingerprint Fingerprint) {
-	kept := m.byTarget[target][:0]
-	for _, f := range m.byTarget[target] {
-		if f != fingerprint {
-			kept = append(kept, f)
-		}
-	}
-	if m.byTarget[target] = kept; len(kept) == 0 {
+	m.setRefutable(target, slices.DeleteFunc(m.byTarget[target], func(s suspicion) bool { return s.fingerprint == fingerprint }))
+}
+
+func (m *Tracker) setRefutable(target string, suspicions []suspicion) {
+	if len(suspicions) == 0 {
 		delete(m.byTarget, target)
+		return
 	}
+	m.byTarget[target] = suspicions
 }
 
 // RecordLife records that a target has answered a request that was sent to it at a time. It
 // returns the number of failed runs that no longer count as crashes of the target.
 func (m *Tracker) RecordLife(target string, sent time.Time) (refuted int) {
-	for _, fingerprint := range m.byTarget[target] {
-		runs := m.failed[fingerprint]
-		for i := range runs {
-			r := &runs[i]
-			if r.target == target && !r.refuted && sent.After(r.at) && sent.Sub(r.at) < restartTime {
-				r.refuted = true
-				refuted++
-			}
+	suspicions := m.byTarget[target]
+	first := indexAfter(suspicions, sent.Add(-restartTime))
+	end := indexFrom(suspicions, sent)
+	if first >= end {
+		return 0
+	}
+	for _, s := range suspicions[first:end] {
+		runs := m.failed[s.fingerprint]
+		if i := slices.IndexFunc(runs, func(r failedRun) bool { return r.target == target }); i >= 0 {
+			runs[i].refuted = true
+			refuted++
 		}
 	}
+	m.setRefutable(target, slices.Delete(suspicions, first, end))
 	return refuted
 }
 
+// indexAfter returns the first suspicion after a time, indexFrom the first at or after it.
+func indexAfter(suspicions []suspicion, at time.Time) int {
+	return sort.Search(len(suspicions), func(i int) bool { return suspicions[i].at.After(at) })
+}
+
+func indexFrom(suspicions []suspicion, at time.Time) int {
+	return sort.Search(len(suspicions), func(i int) bool { return !suspicions[i].at.Before(at) })
+}
+
 // Clear drops all evidence against a request that has been answered, and reports whether there was
 // any.
 func (m *Tracker) Clear(now time.Time, fingerprint Fingerprint) bool {
@@ -129,24 +151,26 @@
 	}
 	had := len(unexpired(runs, now)) > 0
 	m.drop(fingerprint)
-	for i, f := range m.order {
-		if f == fingerprint {
-			m.order = append(m.order[:i], m.order[i+1:]...)
-			break
-		}
+	if i := slices.Index(m.order, fingerprint); i >= 0 {
+		m.order = slices.Delete(m.order, i, i+1)
 	}
 	return had
 }
 
 // Count returns the number of targets that are suspected to have crashed within the retention time.
 func (m *Tracker) Count(now time.Time, fingerprint Fingerprint) int {
-	n := 0
+	return len(m.counted(now, fingerprint))
+}
+
+// counted returns the failed runs that count, oldest first.
+func (m *Tracker) counted(now time.Time, fingerprint Fingerprint) []failedRun {
+	var runs []failedRun
 	for _, r := range unexpired(m.failed[fingerprint], now) {
 		if !r.refuted {
-			n++
+			runs = append(runs, r)
 		}
 	}
-	return n
+	return runs
 }
 
 // Quarantined reports whether the request must be refused.
@@ -156,16 +180,11 @@
 
 // RetryAfter returns the time after which a refused request is allowed again.
 func (m *Tracker) RetryAfter(now time.Time, fingerprint Fingerprint) time.Duration {
-	var counted []failedRun
-	for _, r := range unexpired(m.failed[fingerprint], now) {
-		if !r.refuted {
-			counted = append(counted, r)
-		}
-	}
-	if len(counted) < QuarantineThreshold {
+	runs := m.counted(now, fingerprint)
+	if len(runs) < QuarantineThreshold {
 		return 0
 	}
-	return counted[len(counted)-QuarantineThreshold].at.Add(retention).Sub(now)
+	return runs[len(runs)-QuarantineThreshold].at.Add(retention).Sub(now)
 }
 
 // FailedRun is a run of a request that ended with a broken connection.
@@ -179,20 +198,17 @@
 // latest request first, and at most limit runs.
 func (m *Tracker) QuarantinedRuns(now time.Time, limit int) []FailedRun {
 	var runs []FailedRun
-	for i := len(m.order) - 1; i >= 0; i-- {
-		fingerprint := m.order[i]
-		if !m.Quarantined(now, fingerprint) {
+	for _, fingerprint := range slices.Backward(m.order) {
+		failed := m.counted(now, fingerprint)
+		if len(failed) < QuarantineThreshold {
 			continue
 		}
-		if len(runs)+QuarantineThreshold > limit {
+		failed = failed[len(failed)-QuarantineThreshold:]
+		if len(runs)+len(failed) > limit {
 			break
 		}
-		failed, n := unexpired(m.failed[fingerprint], now), 0
-		for k := len(failed) - 1; k >= 0 && n < QuarantineThreshold; k-- {
-			if !failed[k].refuted {
-				runs = append(runs, FailedRun{Fingerprint: fingerprint, ID: failed[k].target})
-				n++
-			}
+		for _, r := range failed {
+			runs = append(runs, FailedRun{Fingerprint: fingerprint, ID: r.target})
 		}
 	}
 	return runs
--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -126,3 +126,25 @@
 		})
 	}
 }
+
+// Guards against a crash not counting because an earlier run at the same target broke for another reason.
+func TestCrashAfterRefutedRunCounts(t *testing.T) {
+	g := NewWithT(t)
+	m := crashes.New()
+	m.RecordFailure(now, 7, "a")
+	g.Expect(m.RecordLife("a", now.Add(time.Millisecond))).To(Equal(1))
+	g.Expect(m.RecordFailure(now.Add(time.Second), 7, "a")).To(BeTrue())
+	g.Expect(m.Count(now.Add(time.Second), 7)).To(Equal(1))
+	g.Expect(m.RecordLife("a", now.Add(time.Second+time.Millisecond))).To(Equal(1))
+}
+
+// Guards against each answer of a target costing a look at all runs that ever broke there.
+func BenchmarkRecordLifeAfterManyBrokenRuns(b *testing.B) {
+	m := crashes.New()
+	for i := range 4000 {
+		m.RecordFailure(now, crashes.Fingerprint(i), "a")
+	}
+	for b.Loop() {
+		m.RecordLife("a", now.Add(time.Minute))
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,7 +167,7 @@
 	}
 	c.fingerprint = c.computeFingerprint()
 	if refused, retryAfter := c.gateway.state.quarantined(c.fingerprint); refused {
-		return crashesTargetsUntil(retryAfter)
+		return crashesTargets.after(retryAfter)
 	}
 	return c.checkQuota()
 }
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -97,6 +97,7 @@
 		outcome, err = "unreachable", errDeclined
 	case err != nil:
 		outcome = "broken"
+		c.connectionBroke = true
 	case answer.Header.Get(headerHandoffDeclined) != "":
 		_, _ = io.CopyN(io.Discard, answer, maxBufferedAnswer)
 		c.closeAnswer(answer)
@@ -127,7 +128,7 @@
 		maxAge = maxIdleUnrepeatable
 	}
 	pool := c.gateway.handoffs.pool
-	conn, err := pool.Get(peer.Links, maxAge)
+	conn, err := c.connect(pool, peer.Links, maxAge)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/streams"
@@ -101,7 +99,7 @@
 }
 
 // find returns the origin of a stream, which it queries from other entries if need be.
-func (o *origins) find(key streams.Key, limit time.Duration, cancelled <-chan struct{}) (streams.Origin, bool) {
+func (o *origins) find(key streams.Key, limit time.Duration) (streams.Origin, bool) {
 	o.mutex.Lock()
 	if origin, found := o.known.Lookup(time.Now(), key); found {
 		o.mutex.Unlock()
@@ -114,7 +112,7 @@
 	}
 	query.waiting++
 	o.mutex.Unlock()
-	o.await(key, query, limit, cancelled)
+	o.await(key, query, limit)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if query.waiting--; query.waiting == 0 {
@@ -124,7 +122,7 @@
 }
 
 // await queries the entries that may know a stream until one does, none does, or time is up.
-func (o *origins) await(key streams.Key, query *originQuery, limit time.Duration, cancelled <-chan struct{}) {
+func (o *origins) await(key streams.Key, query *originQuery, limit time.Duration) {
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
@@ -136,7 +134,7 @@
 		m := o.gateway.links.message()
 		m.OriginQuery = key[:]
 		o.gateway.links.send(m, pending)
-		if o.awaitReplies(query, asked, end.C, cancelled) {
+		if o.awaitReplies(query, asked, end.C) {
 			return
 		}
 	}
@@ -144,15 +142,13 @@
 
 // awaitReplies waits for a while until all entries that were asked have replied. It returns true if
 // the query is to end.
-func (o *origins) awaitReplies(query *originQuery, asked []peerset.Entry, end <-chan time.Time, cancelled <-chan struct{}) bool {
+func (o *origins) awaitReplies(query *originQuery, asked []peerset.Entry, end <-chan time.Time) bool {
 	again := time.NewTimer(originQueryPause)
 	defer again.Stop()
 	for {
 		select {
 		case <-query.answered:
 			return true
-		case <-cancelled:
-			return true
 		case <-end:
 			return true
 		case <-query.replied:
@@ -263,11 +259,6 @@
 	originUnknown     = "unknown"
 )
 
-// unknownStream refuses to continue a stream of which nobody knows the version that began it.
-var unknownStream = &reply{
-	fasthttp.StatusServiceUnavailable, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", time.Second,
-}
-
 // takesUpStream reports whether the caller continues a stream of an earlier attempt.
 func (c *call) takesUpStream() bool {
 	return c.route.Kind == catalog.Stream && c.route.Resumable && c.envelope.LastEvent != ""
@@ -282,7 +273,7 @@
 	began := time.Now()
 	origin, found := streams.Origin{}, false
 	if c.envelope.Resumes != "" {
-		origin, found = c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2), c.disconnected)
+		origin, found = c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
 	}
 	source := originKnown
 	switch {
@@ -309,7 +300,8 @@
 	})
 	c.gateway.counters.takenUp.add(source)
 	if source == originUnknown {
-		return unknownStream
+		// Callers that lost an entry ask at the same moment.
+		return unknownStream.after(jitter(time.Second))
 	}
 	return nil
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -209,6 +209,7 @@
 func (l *links) handleCrash(c *gossip.Crash) {
 	target := c.Target
 	if target == "" {
+		// Entries of earlier releases do not name the target: each of their runs counts by itself.
 		target = c.ID
 	}
 	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), target)
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -34,8 +34,9 @@
 	entryStopping  = &reply{fasthttp.StatusServiceUnavailable, "leaving", "this entry stops; the request was not run", dispatch.MinRetryAfter}
 	noRoute        = &reply{fasthttp.StatusNotFound, "no_route", "no route for this host and path", 0}
 	unknownKey     = &reply{fasthttp.StatusUnauthorized, "unknown_key", "the key is not known", 0}
-	crashesTargets = &reply{fasthttp.StatusServiceUnavailable, "crashes_targets", "each target that ran this request broke off; it was not run again", 0}
 	tooLarge       = &reply{fasthttp.StatusRequestEntityTooLarge, "too_large", "the body exceeds the limit", 0}
+	crashesTargets = &reply{fasthttp.StatusServiceUnavailable, "crashes_targets", "each target that ran this request broke off; it was not run again", 0}
+	unknownStream  = &reply{fasthttp.StatusServiceUnavailable, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", 0}
 )
 
 // Replies to requests whose outcome at a target is unknown.
@@ -49,11 +50,11 @@
 	return &reply{fasthttp.StatusBadRequest, "bad_request", text, 0}
 }
 
-// crashesTargetsUntil refuses a request that crashes targets while the evidence counts.
-func crashesTargetsUntil(retryAfter time.Duration) *reply {
-	r := *crashesTargets
-	r.retryAfter = retryAfter
-	return &r
+// after returns the reply with the time after which the caller may retry.
+func (r *reply) after(retryAfter time.Duration) *reply {
+	delayed := *r
+	delayed.retryAfter = retryAfter
+	return &delayed
 }
 
 func overQuota(retryAfter time.Duration) *reply {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -101,7 +101,7 @@
 	if !c.route.Idempotent() {
 		maxAge = maxIdleUnrepeatable
 	}
-	conn, err := c.connect(grant, maxAge)
+	conn, err := c.connect(c.gateway.pool, grant.Target.Address, maxAge)
 	if err != nil {
 		c.noteUnreached(grant, err)
 		return nil, AnswerHead{}, err
@@ -145,13 +145,13 @@
 	return answer, head, nil
 }
 
-// connect returns a connection to the target. After one has broken, idle ones may be broken too
-// without having shown it; a request lost on one would use up an attempt.
-func (c *call) connect(grant *dispatch.Grant, maxAge time.Duration) (*upstream.Conn, error) {
+// connect returns a connection to a target or another entry. After one has broken, idle ones may be
+// broken too without having shown it; a request lost on one would use up an attempt.
+func (c *call) connect(pool *upstream.Pool, address string, maxAge time.Duration) (*upstream.Conn, error) {
 	if c.connectionBroke {
-		return c.gateway.pool.GetNew(grant.Target.Address)
+		return pool.GetNew(address)
 	}
-	return c.gateway.pool.Get(grant.Target.Address, maxAge)
+	return pool.Get(address, maxAge)
 }
 
 // noteUnreached records that the connection to a target failed, unless the caller has ended the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -254,9 +254,11 @@
 		outcome = dispatch.Abandoned
 	case errors.Is(cause, os.ErrDeadlineExceeded):
 		outcome = dispatch.Failed
-	case s.grant != nil:
+	default:
 		c.connectionBroke = true
-		c.countBrokenRun(s.grant)
+		if s.grant != nil {
+			c.countBrokenRun(s.grant)
+		}
 	}
 	if s.grant != nil {
 		c.tried = append(c.tried, s.grant.Target.Incarnation())
