Read-through: a cut-off entry doesn't guess a version; a setting; longer names

It refuses now once its view of the targets is 5 s old. - Versions longer than 64 bytes, such as image digests, were dropped without a word by the entries that were told; 128 fit, and what is longer is logged. - load.bind_streams switches it all.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -26,10 +26,13 @@
 	// originMargin is how long an origin is kept after its caller's time is up: clocks differ, and
 	// the request that takes the stream up is on its way.
 	originMargin = 2 * time.Second
-	// originsPerMessage is the number of origins that fit a datagram.
-	originsPerMessage = 8
-	// maxOriginName bounds the names of services and versions that are told.
-	maxOriginName = 64
+	// originsPerMessage is the number of origins that fit a datagram, with names of maxOriginName
+	// bytes. A version may be an image digest, of 71 bytes.
+	originsPerMessage = 4
+	maxOriginName     = 128
+	// maxTargetsAge is the age of what is known of the targets from which on an entry without contact
+	// to any other may have missed a version.
+	maxTargetsAge = 5 * time.Second
 )
 
 // origins tracks by which service and version streams were begun, at this entry and at others.
@@ -168,14 +171,17 @@
 }
 
 // handleOrigins remembers streams that another entry has begun.
-func (o *origins) handleOrigins(messages []gossip.Origin) {
+func (o *origins) handleOrigins(from string, messages []gossip.Origin) {
 	for i := range messages {
-		o.learn(&messages[i])
+		o.learn(from, &messages[i])
 	}
 }
 
-func (o *origins) learn(m *gossip.Origin) {
+func (o *origins) learn(from string, m *gossip.Origin) {
 	if len(m.Key) != len(streams.Key{}) || len(m.Service) > maxOriginName || len(m.Version) > maxOriginName {
+		o.gateway.log.Write(eventlog.StateChange, eventUndecodable, eventlog.Fields{
+			"peer": from, "key_bytes": len(m.Key), "service_bytes": len(m.Service), "version_bytes": len(m.Version),
+		})
 		return
 	}
 	o.mutex.Lock()
@@ -217,7 +223,7 @@
 
 func (o *origins) handleReply(from string, reply *gossip.OriginReply) {
 	if reply.Origin != nil {
-		o.learn(reply.Origin)
+		o.learn(from, reply.Origin)
 		return
 	}
 	if len(reply.Key) != len(streams.Key{}) {
@@ -238,12 +244,25 @@
 	o.versions.Observe(time.Now(), targets)
 }
 
+// onlyVersion returns the version of a service that had no other lately. Cut off from the store and
+// all other entries, this entry cannot know.
 func (o *origins) onlyVersion(service string) (string, bool) {
+	if time.Since(o.gateway.targetsAsOf()) > maxTargetsAge && o.isAlone() {
+		return "", false
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.versions.Only(time.Now(), service)
 }
 
+// isAlone reports whether there are other entries and none of them is live.
+func (o *origins) isAlone() bool {
+	s := o.gateway.state
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.peers.Size() > 1 && len(s.peers.Holders(time.Now(), 0, 1, true)) == 0
+}
+
 // size returns the number of streams whose origin is known here.
 func (o *origins) size() int {
 	o.mutex.Lock()
@@ -261,7 +280,7 @@
 
 // takesUpStream reports whether the caller continues a stream of an earlier attempt.
 func (c *call) takesUpStream() bool {
-	return c.route.Kind == catalog.Stream && c.route.Resumable && c.envelope.LastEvent != ""
+	return c.gateway.settings.Load.BindStreams && c.route.Kind == catalog.Stream && c.route.Resumable && c.envelope.LastEvent != ""
 }
 
 // findOrigin binds a request that takes a stream up to the service and version that began it. A
@@ -318,6 +337,9 @@
 // recordOrigin binds the call to the service and version that brought the stream's first event,
 // and makes them known before the event is passed on.
 func (c *call) recordOrigin(origin streams.Origin) {
+	if !c.gateway.settings.Load.BindStreams {
+		return
+	}
 	c.origin = &origin
 	if c.route.Resumable {
 		c.gateway.origins.recordBegin(c.streamKey(), origin, time.Until(c.arrived.Add(c.waitLimit()))+originMargin)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -58,7 +58,7 @@
 	if m.History != nil {
 		l.handleHistory(m)
 	}
-	l.gateway.origins.handleOrigins(m.Origins)
+	l.gateway.origins.handleOrigins(m.From, m.Origins)
 	if m.OriginQuery != nil {
 		l.gateway.origins.handleQuery(m.From, m.OriginQuery)
 	}
--- a/internal/gossip/origin_test.go
+++ b/internal/gossip/origin_test.go
@@ -13,9 +13,9 @@
 // Guards against the origins of one message, with names as long as are told, not fitting a datagram.
 func TestOriginsFitOneDatagram(t *testing.T) {
 	g := NewWithT(t)
-	const perMessage, longestName = 8, 64
+	const perMessage, longestName = 4, 128
 	name := fmt.Sprintf("%0*d", longestName, 1)
-	m := gossip.Message{From: name, Incarnation: 1 << 63, AgeMS: 1 << 50, Sequence: 1 << 40}
+	m := gossip.Message{From: name[:64], Incarnation: 1 << 63, AgeMS: 1 << 50, Sequence: 1 << 40}
 	for range perMessage {
 		m.Origins = append(m.Origins, gossip.Origin{Key: make([]byte, 16), Service: name, Version: name, KeepMS: 120_000})
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -58,6 +58,9 @@
 	Admission bool `json:"admission"`
 	// HandOff hands requests off to other entries while this entry reaches no target for them.
 	HandOff bool `json:"hand_off"`
+	// BindStreams continues streams only at the service and software version that began them, and
+	// tells other entries of streams that begin.
+	BindStreams bool `json:"bind_streams"`
 	// Lending lends targets between cells.
 	Lending bool `json:"lending"`
 }
@@ -93,7 +96,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		MemoryMB: 256, MaxDescriptors: 4096, LogLevel: "info",
-		Load: GatewayLoad{FairShare: true, HandOff: true},
+		Load: GatewayLoad{FairShare: true, HandOff: true, BindStreams: true},
 		Bounds: GatewayBounds{
 			DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, ListLifeS: 5,
 			RetryRatio: 0.2, RetryExtra: 50, RetryWindowS: 10, QuotaWindowS: 8,
