Read-through: a restarted entry asks the others for versions that are gone

An entry that does not know a stream now says of which services it has seen several versions (8 at most); callers that name no beginning are checked the same way. Open as before: a loss of all entries.

--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -86,6 +86,7 @@
 	v.Observe(now, []catalog.Target{target("desk", "v1"), target("desk", "v2"), target("chat", "v1")})
 	_, only := v.Only(now, "desk")
 	g.Expect(only).To(BeFalse())
+	g.Expect(v.Several(now)).To(Equal([]string{"desk"}))
 	version, only := v.Only(now, "chat")
 	g.Expect(only).To(BeTrue())
 	g.Expect(version).To(Equal("v1"))
@@ -94,6 +95,7 @@
 	g.Expect(only).To(BeFalse(), "v1 was listed until an hour later")
 	_, only = v.Only(now.Add(2*time.Hour), "desk")
 	g.Expect(only).To(BeTrue())
+	g.Expect(v.Several(now.Add(2 * time.Hour))).To(BeEmpty())
 	_, only = v.Only(now, "unheard")
 	g.Expect(only).To(BeFalse())
 }
--- a/internal/core/streams/versions.go
+++ b/internal/core/streams/versions.go
@@ -1,6 +1,7 @@
 package streams
 
 import (
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
@@ -59,12 +60,31 @@
 // Only returns the version of a service if all of its targets have had the same one for as long as
 // streams are taken up.
 func (v *Versions) Only(now time.Time, service string) (version string, ok bool) {
-	n := 0
+	recent := v.recent(now, service)
+	if len(recent) != 1 {
+		return "", false
+	}
+	return recent[0], true
+}
+
+// Several returns the services that have had several versions in that time, sorted.
+func (v *Versions) Several(now time.Time) []string {
+	var services []string
+	for service := range v.lastSeen {
+		if len(v.recent(now, service)) > 1 {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+func (v *Versions) recent(now time.Time, service string) []string {
+	var versions []string
 	for each, seen := range v.lastSeen[service] {
 		if v.listed[service][each] || now.Sub(seen) <= versionMemory {
-			version = each
-			n++
+			versions = append(versions, each)
 		}
 	}
-	return version, n == 1
+	return versions
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net/url"
 	"slices"
 	"sync"
@@ -30,6 +31,8 @@
 	// bytes. A version may be an image digest, of 71 bytes.
 	originsPerMessage = 4
 	maxOriginName     = 128
+	// maxSeveral bounds the services of a reply, so that it fits a datagram.
+	maxSeveral = 8
 	// maxTargetsAge is the age of what is known of the targets from which on an entry without contact
 	// to any other may have missed a version.
 	maxTargetsAge = 5 * time.Second
@@ -50,8 +53,9 @@
 	waiting int
 	// answered is closed when an origin has been found.
 	answered chan struct{}
-	// unknownAt are the entries that don't know the stream.
-	unknownAt map[string]bool
+	// unknownAt are the entries that don't know the stream, several the services of which they know
+	// several versions: this entry may have started since.
+	unknownAt, several map[string]bool
 	// replied receives a signal with each of them.
 	replied chan struct{}
 }
@@ -101,16 +105,17 @@
 	}
 }
 
-// find returns the origin of a stream, which it queries from other entries if need be.
-func (o *origins) find(key streams.Key, limit time.Duration) (streams.Origin, bool) {
+// find returns the origin of a stream, which it queries from other entries if need be. Of a stream
+// that nobody knows it returns the services of which other entries know several versions.
+func (o *origins) find(key streams.Key, limit time.Duration) (origin streams.Origin, found bool, several map[string]bool) {
 	o.mutex.Lock()
-	if origin, found := o.known.Lookup(time.Now(), key); found {
+	if origin, found = o.known.Lookup(time.Now(), key); found {
 		o.mutex.Unlock()
-		return origin, true
+		return origin, true, nil
 	}
 	query, found := o.queries[key]
 	if !found {
-		query = &originQuery{answered: make(chan struct{}), unknownAt: make(map[string]bool), replied: make(chan struct{}, 1)}
+		query = &originQuery{answered: make(chan struct{}), unknownAt: make(map[string]bool), several: make(map[string]bool), replied: make(chan struct{}, 1)}
 		o.queries[key] = query
 	}
 	query.waiting++
@@ -121,7 +126,8 @@
 	if query.waiting--; query.waiting == 0 {
 		delete(o.queries, key)
 	}
-	return o.known.Lookup(time.Now(), key)
+	origin, found = o.known.Lookup(time.Now(), key)
+	return origin, found, maps.Clone(query.several)
 }
 
 // await queries the entries that may know a stream until one does, none does, or time is up.
@@ -204,11 +210,14 @@
 	}
 	o.mutex.Lock()
 	record, found := o.known.Get(time.Now(), streams.Key(key))
+	several := o.versions.Several(time.Now())
 	o.mutex.Unlock()
 	reply := &gossip.OriginReply{Key: key}
 	if found {
 		origin := originMessage(record)
 		reply.Origin = &origin
+	} else {
+		reply.Several = several[:min(len(several), maxSeveral)]
 	}
 	s := o.gateway.state
 	s.mutex.Lock()
@@ -233,6 +242,9 @@
 	defer o.mutex.Unlock()
 	if query, found := o.queries[streams.Key(reply.Key)]; found {
 		query.unknownAt[from] = true
+		for _, service := range reply.Several {
+			query.several[service] = true
+		}
 		signal(query.replied)
 	}
 }
@@ -290,10 +302,7 @@
 		return nil
 	}
 	began := time.Now()
-	origin, found := streams.Origin{}, false
-	if c.envelope.Resumes != "" {
-		origin, found = c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
-	}
+	origin, found, several := c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
 	source := originKnown
 	switch {
 	case found && c.route.UsesService(origin.Service):
@@ -303,7 +312,7 @@
 	default:
 		source = originOnlyVersion
 		version, only := c.gateway.origins.onlyVersion(c.service)
-		if !only {
+		if !only || several[c.service] {
 			source = originUnknown
 			break
 		}
--- a/internal/gossip/origin.go
+++ b/internal/gossip/origin.go
@@ -15,4 +15,6 @@
 type OriginReply struct {
 	Key    []byte  `cbor:"1,keyasint"`
 	Origin *Origin `cbor:"2,keyasint,omitempty"`
+	// Several are services that have had targets of several versions lately, if Origin is nil.
+	Several []string `cbor:"3,keyasint,omitempty"`
 }
