--- a/internal/core/streams/streams.go
+++ b/internal/core/streams/streams.go
@@ -1,5 +1,5 @@
 // Package streams remembers by which service and software version streams were begun, so that a
-// stream that its caller takes up at any entry continues at the same version. Entries tell each
+// stream that its caller reconnects to, at any entry, continues at the same version. Entries tell each
 // other of the streams that they begin; see peerset.Holders for which ones.
 //
 // Time is passed as an argument. The types are not safe for concurrent use.
@@ -35,7 +35,7 @@
 	maxKeep = 2 * time.Minute
 )
 
-// Registry holds the origins of streams until callers no longer take them up.
+// Registry holds the origins of streams until callers no longer reconnect to them.
 type Registry struct {
 	records map[Key]record
 	// order lists the keys by insertion; a key that was recorded again may stand in it twice.
--- a/internal/core/streams/streams_test.go
+++ b/internal/core/streams/streams_test.go
@@ -38,7 +38,7 @@
 	g.Expect(found).To(BeFalse())
 }
 
-// Guards against a stream that is taken up again, and so recorded again, being forgotten by its first record.
+// Guards against a stream that its caller reconnects to twice, and that is recorded again, being forgotten by its first record.
 func TestLaterRecordReplacesEarlierOne(t *testing.T) {
 	g := NewWithT(t)
 	r := streams.NewRegistry()
--- a/internal/core/streams/versions.go
+++ b/internal/core/streams/versions.go
@@ -7,8 +7,8 @@
 	"sycamoretrail/internal/core/catalog"
 )
 
-// versionMemory is how long a version counts after its last target: callers may take up streams of
-// targets that are gone.
+// versionMemory is how long a version counts after its last target: callers may reconnect to
+// streams of targets that are gone.
 const versionMemory = maxKeep
 
 // Versions tracks the software versions of each service's targets.
@@ -58,7 +58,7 @@
 }
 
 // Only returns the version of a service if all of its targets have had the same one for as long as
-// streams are taken up.
+// callers reconnect to streams.
 func (v *Versions) Only(now time.Time, service string) (version string, ok bool) {
 	recent := v.recent(now, service)
 	if len(recent) != 1 {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -11,7 +11,7 @@
 const (
 	// Requests: a slot was granted or refused, the quota was used up, or the organisation's pace
 	// was exceeded; a repeat was allowed or denied; a target was tried; a run was aborted; a
-	// caller took up a stream; the request ended.
+	// caller reconnected to a stream; the request ended.
 	eventGranted   = "granted"
 	eventRefused   = "refused"
 	eventQuota     = "over_quota"
@@ -21,7 +21,7 @@
 	eventHandedOff = "handed_off"
 	eventBroken    = "run_broken"
 	eventSettled   = "settled"
-	eventTakenUp   = "taken_up"
+	eventReconnect = "reconnect"
 
 	// The process.
 	eventStart       = "start"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,7 +65,7 @@
 	m.SetTotal(telemetry.GatewayDatagramsReceived, g.links.conn.Received.Load())
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
 	g.counters.handoffs.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayHandoffs, n, key) })
-	g.counters.takenUp.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTakenUp, n, key) })
+	g.counters.reconnects.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayReconnects, n, key) })
 	m.Set(telemetry.GatewayOrigins, float64(g.origins.size()))
 	g.counters.excess.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayExcess, n, key) })
 	g.counters.late.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayLateGrants, n, key) })
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -16,6 +16,9 @@
 //     observe), and to the other entries with the next load report (loadreport.go).
 //  6. end settles quota and metrics and writes the request's final log line.
 //
+// A stream continues only at the version that began it (reconnect.go); entries tell each other of
+// the streams that they begin (origins.go).
+//
 // A request that can be brought to no target is handed off to another entry (handoff.go), which
 // handoffpeers.go chooses; isolation.go tracks whether this entry reaches any target.
 //
--- a/internal/gateway/rolloutlinks_test.go
+++ b/internal/gateway/rolloutlinks_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/gossip"
 )
@@ -38,3 +39,24 @@
 	})
 	w.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against the rest of a stream going to the other version's targets during a roll-out.
+func TestBoundRequestsUseThePoolOfTheirVersion(t *testing.T) {
+	w := NewWithT(t)
+	gateway, _ := newLoggingGateway()
+	route := &catalog.Route{Host: "h", Prefix: "/p/"}
+	pool := func(version string) string { return gateway.state.poolOfVersion("desk", route, version) }
+	w.Expect(pool("v1")).To(Equal("desk"), "without a roll-out")
+	gateway.state.rollouts.addOrder(rollout.Order{ID: 1, Service: "desk", To: "v2", Duration: time.Minute}, 1, false)
+	for _, each := range []struct {
+		phase    rollout.Phase
+		old, new string
+	}{
+		{rollout.Unknown, "desk", "desk"},
+		{rollout.Shifting, "desk", "desk@v2"},
+		{rollout.Completed, "desk@v2", "desk@v2"},
+	} {
+		gateway.state.rollouts.services["desk"].tracker.ApplyStep(time.Now(), rollout.Step{Service: "desk", Order: 1, Phase: each.phase})
+		w.Expect([]string{pool("v1"), pool("v2")}).To(Equal([]string{each.old, each.new}), each.phase.String())
+	}
+}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -19,8 +19,8 @@
 	GatewayTargetConns = declare(KindCounter, "gateway_target_connections_total", "Connections opened to targets.")
 	GatewayHandoffs    = declare(KindCounter, "gateway_handoffs_total",
 		"Requests handed off to another entry, by outcome.", "outcome")
-	GatewayTakenUp = declare(KindCounter, "gateway_streams_taken_up_total",
-		"Streams that callers took up, by how their version was determined.", "source")
+	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
+		"Streams to which callers reconnected, by how their version was determined.", "source")
 	GatewayOrigins           = declare(KindGauge, "gateway_stream_origins", "Streams whose version this entry remembers.")
 	GatewayIsolated          = declare(KindGauge, "gateway_isolated", "1 while this entry reaches no target, else 0.")
 	GatewayDatagramsSent     = declare(KindCounter, "gateway_datagrams_sent_total", "Datagrams to other entries.")
