--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,7 +55,9 @@
 	if !isNew {
 		return
 	}
-	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{"id": c.envelope.ID, "target": target, "fingerprint": c.fingerprint.String(), "count": count})
+	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{
+		"id": c.envelope.ID, "target": target, "fingerprint": c.fingerprint.String(), "count": count, "parts": c.envelope.SharedParts,
+	})
 	c.gateway.links.announceCrash(c.fingerprint, c.envelope.ID, target)
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -68,6 +68,9 @@
 		fields["prompt"], fields["output"], fields["expected"] = c.envelope.PromptTokens, c.envelope.OutputTokens, c.envelope.ExpectedOutput
 		fields["events"] = c.events
 	}
+	if len(c.envelope.SharedParts) > 0 {
+		fields["parts"] = c.envelope.SharedParts
+	}
 	if c.envelope.Resumes != "" || c.envelope.LastEvent != "" {
 		fields["resumes"], fields["after_event"] = c.envelope.Resumes, c.envelope.LastEvent
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -58,6 +58,9 @@
 	// tokens to generate, where declared.
 	PromptTokens, OutputTokens int
 	DeclaresTokens             bool
+	// SharedParts names the parts of the prompt that other requests may share, in order. The last
+	// part of a prompt, which belongs to the request or its session, is left out.
+	SharedParts []string
 	// ExpectedOutput is the caller's estimate of the tokens that will be generated; 0: none.
 	ExpectedOutput int
 	// LastEvent is the id of the last event that the caller received of an earlier stream.
