Parts of prompts that crash targets are refused, at all entries

Cause: evidence of crashes was kept for organisation, URI and body, and what crashes is a part of the prompt that requests of no two bodies share.

Change: a broken run is evidence against each shared part of its prompt, at the entry and, in the message that it sends anyway, at all others. Three crashes in a row without an answer between them convict a part (six where an answer is remembered at any entry). Answers drop the evidence at all entries; crashes with a convicted part in flight don't count against others; crashes within 10 ms count once. Parts that reach the threshold with the same crash are tried one by one from a second on. A conviction stays while such requests come; one request of the whole fleet is let through after 30 s, 10 min, 1 h and each 6 h. It is checked at the door, before each send, repeat, continuation and hand-off, and entries that join are told.

Also: a stream that breaks at the target where it is continued counts as a broken run.

--- /dev/null
+++ b/internal/core/crashes/cause.go
@@ -0,0 +1,95 @@
+package crashes
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind is the kind of thing that requests have in common.
+type Kind uint8
+
+const (
+	// Part is a part of a prompt that several requests may share.
+	Part Kind = iota + 1
+)
+
+// String returns the kind as it is written to logs.
+func (k Kind) String() string {
+	if k == Part {
+		return "part"
+	}
+	return "unknown"
+}
+
+// Cause is something that requests to a service have in common and that may crash its targets.
+type Cause struct {
+	Kind    Kind
+	Service string
+	// ID names the cause among those of its kind.
+	ID string
+}
+
+// key returns a hash for sets that are too large to hold the names.
+func (c Cause) key() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write([]byte{byte(c.Kind)})
+	_, _ = digest.WriteString(c.Service)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(c.ID)
+	return digest.Sum64()
+}
+
+// policy holds the bounds for causes of one kind.
+type policy struct {
+	// threshold is the number of crashes since its last answer from which a cause is convicted,
+	// answeredThreshold that of a cause of which an answer is remembered.
+	threshold, answeredThreshold int
+	// settle is how long after a crash its evidence is judged: until then other entries report
+	// what else was in flight at the target.
+	settle time.Duration
+	// simultaneous is the time within which crashes of several targets count as one: they have
+	// something else in common, such as a link.
+	simultaneous time.Duration
+	// repeatThreshold is the number of crashes from which a request is not sent to a further
+	// target after its run broke; answeredRepeatThreshold as above.
+	repeatThreshold, answeredRepeatThreshold int
+}
+
+var policies = map[Kind]policy{
+	Part: {
+		threshold: 3, answeredThreshold: 6, repeatThreshold: 2, answeredRepeatThreshold: 4,
+		settle: 50 * time.Millisecond, simultaneous: 10 * time.Millisecond,
+	},
+}
+
+const (
+	// evidenceLife is how long a crash counts against a cause that is not convicted.
+	evidenceLife = 10 * time.Minute
+	// convictionLife is how long a conviction outlasts the last request with the cause.
+	convictionLife = 6 * time.Hour
+	// maxSuspects and maxConvicted bound the causes held, maxCrashes the crashes; those seen
+	// longest ago are dropped first.
+	maxSuspects  = 4096
+	maxConvicted = 512
+	maxCrashes   = 1024
+	// maxCrashesOfCause bounds the crashes held for a cause.
+	maxCrashesOfCause = 8
+)
+
+// trialPauses are the pauses before the trials of a convicted cause; the last one repeats. A trial
+// may cost a target.
+var trialPauses = []time.Duration{30 * time.Second, 10 * time.Minute, time.Hour, 6 * time.Hour}
+
+// rivalTrialPause is the first pause of a cause that was convicted with others on the same
+// crashes; it grows fourfold with each trial. All but one of them are probably sound.
+const rivalTrialPause = time.Second
+
+// trialPause returns the pause before a trial.
+func trialPause(stage int, rivals bool) time.Duration {
+	pause := trialPauses[min(stage, len(trialPauses)-1)]
+	if !rivals {
+		return pause
+	}
+	return min(pause, rivalTrialPause<<(2*min(stage, len(trialPauses))))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
@@ -42,32 +41,7 @@
 	}
 	c.gateway.log.Write(importance, eventTried, fields)
 	c.gateway.counters.tries.add(report.Outcome.String())
-	c.clearIfAnswered(report.Outcome, status)
+	c.recordVerdict(report.Outcome, status)
 	c.gateway.state.recordObservation(c.service, c.route, grant, report, took)
 	c.gateway.state.release(grant.Ticket, report)
 }
-
-// countBrokenRun counts an aborted run against the request's fingerprint, at this entry and at
-// the others.
-func (c *call) countBrokenRun(grant *dispatch.Grant) {
-	target := grant.Target.Incarnation()
-	isNew, count := c.gateway.state.countBroken(c.fingerprint, target)
-	if !isNew {
-		return
-	}
-	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{
-		"id": c.envelope.ID, "target": target, "fingerprint": c.fingerprint.String(), "count": count, "parts": c.envelope.SharedParts,
-	})
-	c.gateway.links.announceCrash(c.fingerprint, c.envelope.ID, target)
-}
-
-// clearIfAnswered drops the evidence that the request crashes targets, here and at the other
-// entries, once a target has answered it.
-func (c *call) clearIfAnswered(outcome dispatch.Outcome, status int) {
-	ran := outcome == dispatch.Answered && status < http.StatusBadRequest || outcome == dispatch.Failed && status >= http.StatusInternalServerError
-	if !ran || !c.gateway.state.clearCrashes(c.fingerprint) {
-		return
-	}
-	c.gateway.log.Write(eventlog.StateChange, eventCleared, eventlog.Fields{"id": c.envelope.ID, "fingerprint": c.fingerprint.String()})
-	c.gateway.links.announceCleared(c.fingerprint)
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"sycamoretrail/internal/core/catalog"
@@ -43,6 +42,10 @@
 	cost              float64
 	metered, reserved bool
 	fingerprint       crashes.Fingerprint
+	// causes are what the request has in common with others and might crash targets. onTrial is the
+	// one that the current run tries.
+	causes  []crashes.Cause
+	onTrial *crashes.Cause
 
 	// disconnected is closed when the caller has disconnected.
 	disconnected chan struct{}
@@ -165,9 +168,8 @@
 	if reply := c.findOrigin(); reply != nil {
 		return reply
 	}
-	c.fingerprint = c.computeFingerprint()
-	if refused, retryAfter := c.gateway.state.quarantined(c.fingerprint); refused {
-		return crashesTargets.after(retryAfter)
+	if reply := c.checkCrashes(); reply != nil {
+		return reply
 	}
 	return c.checkQuota()
 }
@@ -248,17 +250,6 @@
 	c.expires = c.arrived.Add(limit)
 }
 
-// computeFingerprint returns a hash of what repeated attempts of one request have in common:
-// organisation, request URI and body.
-func (c *call) computeFingerprint() crashes.Fingerprint {
-	digest := xxhash.New()
-	for _, part := range [][]byte{[]byte(c.organisation), c.ctx.Request.Header.RequestURI(), c.ctx.Request.Body()} {
-		_, _ = digest.Write(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	return crashes.Fingerprint(digest.Sum64())
-}
-
 func (c *call) checkQuota() *reply {
 	if c.organisation == "" {
 		return nil
@@ -343,6 +334,7 @@
 	if c.reserved {
 		c.charge((*quota.Limiter).Withdraw)
 	}
+	c.endTrial()
 	c.gateway.settle(c, status, reason)
 	c.gateway.running.Add(-1)
 }
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamoretrail/internal/core/crashes"
+	"sycamoretrail/internal/core/dispatch"
+	"sycamoretrail/internal/eventlog"
+)
+
+// Requests that crash the targets that run them, and what such requests have in common.
+
+// checkCrashes refuses a request that crashes targets. It returns nil if the request may run.
+func (c *call) checkCrashes() *reply {
+	c.fingerprint = c.computeFingerprint()
+	if refused, retryAfter := c.gateway.state.quarantined(c.fingerprint); refused {
+		return crashesTargets.after(retryAfter)
+	}
+	c.causes = causesOf(c.service, c.envelope.SharedParts)
+	if d := c.gateway.state.checkCauses(c.causes); d.Refused {
+		return crashingPart.after(d.RetryAfter)
+	}
+	return nil
+}
+
+// computeFingerprint returns a hash of what repeated attempts of one request have in common:
+// organisation, request URI and body.
+func (c *call) computeFingerprint() crashes.Fingerprint {
+	digest := xxhash.New()
+	for _, part := range [][]byte{[]byte(c.organisation), c.ctx.Request.Header.RequestURI(), c.ctx.Request.Body()} {
+		_, _ = digest.Write(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return crashes.Fingerprint(digest.Sum64())
+}
+
+// maxPartID bounds the ids of parts in messages, in bytes; longer ones are replaced by a hash.
+const maxPartID = 32
+
+// causesOf returns what a request to a service has in common with others.
+func causesOf(service string, parts []string) []crashes.Cause {
+	causes := make([]crashes.Cause, 0, len(parts))
+	for _, id := range parts {
+		if len(id) > maxPartID {
+			id = crashes.Fingerprint(xxhash.Sum64String(id)).String()
+		}
+		causes = append(causes, crashes.Cause{Kind: crashes.Part, Service: service, ID: id})
+	}
+	return causes
+}
+
+// claimRun returns the reply to a request that must not run because of what it has in common with
+// requests that crashed targets, or nil. A run that is let through as a trial is announced.
+func (c *call) claimRun() *reply {
+	if c.runs > 0 && !c.mayRunAgain() {
+		return crashingPart
+	}
+	d := c.gateway.state.claimRun(c.causes)
+	switch {
+	case d.Refused:
+		return crashingPart.after(d.RetryAfter)
+	case d.Trial:
+		c.onTrial = &d.Cause
+		c.gateway.log.Write(eventlog.StateChange, eventTrial, eventlog.Fields{"id": c.envelope.ID, "part": d.Cause.ID, "service": d.Cause.Service, "trial": d.Stage})
+		c.gateway.links.announceTrial(d.Cause, d.Stage)
+	}
+	return nil
+}
+
+// mayRunAgain reports whether a request whose run broke may go to a further target.
+func (c *call) mayRunAgain() bool { return c.gateway.state.mayRunAgain(c.causes) }
+
+// countBrokenRun counts a run that broke against the request's fingerprint and its causes, at this
+// entry and at the others.
+func (c *call) countBrokenRun(grant *dispatch.Grant) {
+	c.onTrial = nil
+	target := grant.Target.Incarnation()
+	isNew, count := c.gateway.state.countBroken(c.fingerprint, target)
+	evidence := c.gateway.state.evidenceOf(c.causes)
+	added := c.gateway.state.countCauses(target, evidence)
+	if !isNew && len(added) == 0 {
+		return
+	}
+	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{
+		"id": c.envelope.ID, "target": target, "fingerprint": c.fingerprint.String(), "count": count, "parts": c.envelope.SharedParts,
+	})
+	c.gateway.links.announceCrash(c, target, evidence)
+}
+
+// recordVerdict drops what counts against a request, here and at the other entries, once a target has
+// answered it.
+func (c *call) recordVerdict(outcome dispatch.Outcome, status int) {
+	answered := outcome == dispatch.Answered && status < http.StatusBadRequest
+	if answered {
+		c.onTrial = nil
+		cleared := c.gateway.state.recordAnswer(c.causes)
+		c.gateway.links.announceClearedCauses(cleared)
+	}
+	ran := answered || outcome == dispatch.Failed && status >= http.StatusInternalServerError
+	if !ran || !c.gateway.state.clearCrashes(c.fingerprint) {
+		return
+	}
+	c.gateway.log.Write(eventlog.StateChange, eventCleared, eventlog.Fields{"id": c.envelope.ID, "fingerprint": c.fingerprint.String()})
+	c.gateway.links.announceCleared(c.fingerprint)
+}
+
+// endTrial gives up a trial that has shown nothing.
+func (c *call) endTrial() {
+	if c.onTrial != nil {
+		c.gateway.state.endTrial(*c.onTrial)
+	}
+}
+
+// randomPart returns a random part of a duration.
+func randomPart(d time.Duration) time.Duration { return rand.N(d + 1) }
--- /dev/null
+++ b/internal/gateway/crashlinks.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sycamoretrail/internal/core/crashes"
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/gossip"
+)
+
+// What entries tell each other of crashes of targets and of their causes.
+
+// vouchDelay bounds the random time after which an entry tells that it remembers answers, unless
+// another one has done so.
+const vouchDelay = 200 * time.Millisecond
+
+func (l *links) announceCrash(c *call, target string, evidence []crashes.Evidence) {
+	m := l.message()
+	m.Crash = &gossip.Crash{Fingerprint: uint64(c.fingerprint), ID: c.envelope.ID, Target: target, Service: c.service}
+	for _, e := range evidence {
+		m.Crash.Causes = append(m.Crash.Causes, gossip.CauseEvidence{Kind: uint8(e.Cause.Kind), ID: e.Cause.ID, Answered: e.Answered})
+	}
+	l.sendCopies(m)
+}
+
+// announceCleared announces that a target has answered a request that was suspected of crashing them.
+func (l *links) announceCleared(fingerprint crashes.Fingerprint) {
+	m := l.message()
+	m.Cleared = uint64(fingerprint)
+	l.sendCopies(m)
+}
+
+// sendCopies sends a message to all entries, several times in case datagrams are lost.
+func (l *links) sendCopies(m *gossip.Message) {
+	members := l.members()
+	for range crashCopies {
+		l.send(m, members)
+	}
+}
+
+// announceClearedCauses announces that requests with causes of crashes were answered.
+func (l *links) announceClearedCauses(causes []crashes.Cause) {
+	l.announceCauses(gossip.CauseCleared, causes)
+}
+
+// announceCauses announces the state of causes, which are all of one service and kind.
+func (l *links) announceCauses(state gossip.CauseState, causes []crashes.Cause) {
+	if len(causes) == 0 {
+		return
+	}
+	m := l.message()
+	m.CauseReport = &gossip.CauseReport{State: state, Kind: uint8(causes[0].Kind), Service: causes[0].Service}
+	for _, cause := range causes {
+		m.CauseReport.IDs = append(m.CauseReport.IDs, cause.ID)
+	}
+	l.sendCopies(m)
+}
+
+func (l *links) announceTrial(cause crashes.Cause, stage int) {
+	m := l.message()
+	m.CauseReport = &gossip.CauseReport{State: gossip.CauseOnTrial, Kind: uint8(cause.Kind), Service: cause.Service, IDs: []string{cause.ID}, Stage: stage}
+	l.sendCopies(m)
+}
+
+func (l *links) sendConviction(conviction crashes.Conviction, to []peerset.Entry) {
+	m := l.message()
+	m.CauseReport = &gossip.CauseReport{
+		State: gossip.CauseConvicted, Kind: uint8(conviction.Cause.Kind), Service: conviction.Cause.Service, IDs: []string{conviction.Cause.ID},
+		Stage: conviction.Stage, TrialInMS: conviction.TrialIn.Milliseconds(), DespiteAnswers: conviction.DespiteAnswers,
+	}
+	l.send(m, to)
+}
+
+func (l *links) handleCrash(from string, c *gossip.Crash) {
+	target := c.Target
+	if target == "" {
+		// Entries of earlier releases do not name the target: each of their runs counts by itself.
+		target = c.ID
+	}
+	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), target)
+	var causes []crashes.Cause
+	var evidence []crashes.Evidence
+	for _, e := range c.Causes {
+		cause := crashes.Cause{Kind: crashes.Kind(e.Kind), Service: c.Service, ID: e.ID}
+		causes = append(causes, cause)
+		evidence = append(evidence, crashes.Evidence{Cause: cause, Answered: e.Answered})
+	}
+	added := l.gateway.state.countCauses(target, evidence)
+	if isNew || len(added) > 0 {
+		fields := eventlog.Fields{"id": c.ID, "target": target, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count, "peer": from}
+		if len(added) > 0 {
+			fields["parts"] = idsOf(added)
+		}
+		l.gateway.log.Write(eventlog.StateChange, eventSuspect, fields)
+	}
+	if len(added) > 0 {
+		l.remind(from, causes)
+		l.vouchLater(added)
+	}
+}
+
+func idsOf(causes []crashes.Cause) []string {
+	ids := make([]string, 0, len(causes))
+	for _, cause := range causes {
+		ids = append(ids, cause.ID)
+	}
+	return ids
+}
+
+// remind tells an entry of the own cell that ran a request which this one refuses: it has missed the conviction.
+func (l *links) remind(name string, causes []crashes.Cause) {
+	i := slices.IndexFunc(l.cells.Load().Audience, func(e peerset.Entry) bool { return e.Name == name })
+	if i < 0 {
+		return
+	}
+	l.gateway.state.mutex.Lock()
+	convictions := l.gateway.state.causes.Convictions(time.Now(), maxGreetedRuns)
+	l.gateway.state.mutex.Unlock()
+	for _, conviction := range convictions {
+		if slices.Contains(causes, conviction.Cause) {
+			l.sendConviction(conviction, l.cells.Load().Audience[i:i+1])
+		}
+	}
+}
+
+// vouchLater announces that this entry remembers answers to requests with these causes, unless others
+// do so before.
+func (l *links) vouchLater(causes []crashes.Cause) {
+	toVouch := func() []crashes.Cause {
+		return withCauses(l.gateway.state, func(now time.Time) []crashes.Cause { return l.gateway.state.causes.ToVouch(now, causes) })
+	}
+	if len(toVouch()) == 0 {
+		return
+	}
+	time.AfterFunc(rand.N(vouchDelay), func() {
+		vouched := toVouch()
+		l.announceCauses(gossip.CauseVouched, vouched)
+		l.gateway.state.changeCauses(func(now time.Time) { l.gateway.state.causes.Vouch(now, vouched) })
+	})
+}
+
+// handleCauseReport applies what another entry knows of causes.
+func (l *links) handleCauseReport(report *gossip.CauseReport) {
+	var causes []crashes.Cause
+	for _, id := range report.IDs {
+		causes = append(causes, crashes.Cause{Kind: crashes.Kind(report.Kind), Service: report.Service, ID: id})
+	}
+	s := l.gateway.state
+	switch report.State {
+	case gossip.CauseCleared:
+		s.changeCauses(func(now time.Time) { s.causes.Clear(now, causes) })
+	case gossip.CauseVouched:
+		s.changeCauses(func(now time.Time) { s.causes.Vouch(now, causes) })
+	case gossip.CauseOnTrial:
+		s.changeCauses(func(now time.Time) {
+			for _, cause := range causes {
+				s.causes.ApplyTrial(now, cause, report.Stage)
+			}
+		})
+	case gossip.CauseConvicted:
+		l.applyConvictions(causes, report)
+	}
+}
+
+// applyConvictions applies convictions by another entry. Those of causes that were answered are
+// answered with a report of that: the other entry has missed it.
+func (l *links) applyConvictions(causes []crashes.Cause, report *gossip.CauseReport) {
+	s := l.gateway.state
+	answered := withCauses(s, func(now time.Time) (answered []crashes.Cause) {
+		for _, cause := range causes {
+			conviction := crashes.Conviction{Cause: cause, Stage: report.Stage, TrialIn: milliseconds(report.TrialInMS), DespiteAnswers: report.DespiteAnswers}
+			if !s.causes.ApplyConviction(now, conviction) {
+				answered = append(answered, cause)
+			}
+		}
+		return answered
+	})
+	l.announceCauses(gossip.CauseVouched, answered)
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -49,6 +49,9 @@
 	eventSuspect       = "suspect"
 	eventRefuted       = "crash_refuted"
 	eventCleared       = "cleared"
+	eventConvicted     = "part_refused"
+	eventAcquitted     = "part_answered"
+	eventTrial         = "part_trial"
 	eventRollout       = "rollout"
 	eventLease         = "lease"
 )
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -57,8 +57,8 @@
 		if !found {
 			return false
 		}
-		if (c.runs > 0 || c.sends > 0) && !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
-			c.giveUp(notRun("retry_budget", time.Second))
+		if reply := c.mayHandOff(); reply != nil {
+			c.giveUp(reply)
 			return true
 		}
 		answer, err := c.handOffTo(peer)
@@ -83,6 +83,21 @@
 	return false
 }
 
+// mayHandOff returns the reply to a request that must not be handed off, or nil. The entry that takes
+// it decides itself whether its first run may crash a target.
+func (c *call) mayHandOff() *reply {
+	switch {
+	case c.runs == 0 && c.sends == 0:
+		return nil
+	case !c.mayRunAgain():
+		return crashingPart
+	case !c.gateway.state.mayRepeat(c.envelope.ID, c.service):
+		return notRun("retry_budget", time.Second)
+	default:
+		return nil
+	}
+}
+
 // errDeclined is returned if an entry has not taken a request: it was not reached, or declined.
 var errDeclined = errors.New("the entry has not taken the request")
 
@@ -214,7 +229,7 @@
 // resumeHandedOff continues the stream through another entry.
 func (s *eventStream) resumeHandedOff() bool {
 	c := s.call
-	if !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
+	if c.mayHandOff() != nil {
 		return false
 	}
 	for range maxHandoffs {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
-	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/quota"
@@ -287,22 +286,3 @@
 		l.send(m, l.cells.Load().Audience)
 	}
 }
-
-func (l *links) announceCrash(fingerprint crashes.Fingerprint, id, target string) {
-	m := l.message()
-	m.Crash = &gossip.Crash{Fingerprint: uint64(fingerprint), ID: id, Target: target}
-	members := l.members()
-	for range crashCopies {
-		l.send(m, members)
-	}
-}
-
-// announceCleared announces that a target has answered a request that was suspected of crashing them.
-func (l *links) announceCleared(fingerprint crashes.Fingerprint) {
-	m := l.message()
-	m.Cleared = uint64(fingerprint)
-	members := l.members()
-	for range crashCopies {
-		l.send(m, members)
-	}
-}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -13,7 +13,7 @@
 	"sycamoretrail/internal/gossip"
 )
 
-// maxGreetedRuns bounds the failed runs that an entry reports to one that has joined, each in a
+// maxGreetedRuns bounds the failed runs, and the convictions, that an entry reports to one that has joined, each in a
 // datagram of its own.
 const maxGreetedRuns = 30
 
@@ -29,11 +29,14 @@
 		return
 	}
 	if m.Crash != nil {
-		l.handleCrash(m.Crash)
+		l.handleCrash(m.From, m.Crash)
 	}
 	if m.Cleared != 0 {
 		l.gateway.state.clearCrashes(crashes.Fingerprint(m.Cleared))
 	}
+	if m.CauseReport != nil {
+		l.handleCauseReport(m.CauseReport)
+	}
 	if d := m.Departure; d != nil {
 		l.gateway.feeds.applyDeparture(catalog.Target{ID: d.Target, StartedMS: d.StartedMS}, m.From)
 	}
@@ -127,6 +130,7 @@
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(now)
 	crashed := l.gateway.state.crashes.QuarantinedRuns(now, maxGreetedRuns)
+	convictions := l.gateway.state.causes.Convictions(now, maxGreetedRuns)
 	l.gateway.state.mutex.Unlock()
 	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := l.message()
@@ -138,6 +142,9 @@
 		m.Crash = &gossip.Crash{Fingerprint: uint64(run.Fingerprint), ID: run.ID, Target: run.ID}
 		l.send(m, []peerset.Entry{entry})
 	}
+	for _, conviction := range convictions {
+		l.sendConviction(conviction, []peerset.Entry{entry})
+	}
 }
 
 func (l *links) handleHistory(m *gossip.Message) {
@@ -205,17 +212,3 @@
 		l.handleReplica(update)
 	}
 }
-
-func (l *links) handleCrash(c *gossip.Crash) {
-	target := c.Target
-	if target == "" {
-		// Entries of earlier releases do not name the target: each of their runs counts by itself.
-		target = c.ID
-	}
-	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), target)
-	if isNew {
-		l.gateway.log.Write(eventlog.StateChange, eventSuspect, eventlog.Fields{
-			"id": c.ID, "target": target, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count,
-		})
-	}
-}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,9 +49,9 @@
 			c.giveUp(reply)
 			return
 		}
-		if c.sends > 0 && !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
+		if reply := c.maySend(); reply != nil {
 			c.gateway.state.release(grant.Ticket, dispatch.Report{Outcome: dispatch.Abandoned})
-			c.giveUp(notRun("retry_budget", time.Second))
+			c.giveUp(reply)
 			return
 		}
 		if c.try(grant) {
@@ -60,6 +60,17 @@
 	}
 }
 
+// maySend returns the reply to a request that must not be sent to a target now, or nil.
+func (c *call) maySend() *reply {
+	if reply := c.claimRun(); reply != nil {
+		return reply
+	}
+	if c.sends > 0 && !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
+		return notRun("retry_budget", time.Second)
+	}
+	return nil
+}
+
 // giveUp ends a request that has no successful answer. It passes on a target's error answer if
 // there is one, and otherwise refuses with r; if the request may have run, the reply does not
 // claim the opposite.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -30,6 +30,7 @@
 	policer  *fairshare.Policer
 	budget   *budget.Budget
 	crashes  *crashes.Tracker
+	causes   *crashes.Causes
 	rollouts *rollouts
 	// leases is nil if lending is off.
 	leases *lending.Ledger
@@ -254,37 +255,3 @@
 	})
 	return d.Allowed
 }
-
-// quarantined reports whether a request crashes targets and must be refused, and for how long.
-func (s *state) quarantined(fingerprint crashes.Fingerprint) (refused bool, retryAfter time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	return s.crashes.Quarantined(now, fingerprint), s.crashes.RetryAfter(now, fingerprint)
-}
-
-// countBroken counts an aborted run at a target against a fingerprint; isNew: none of that target
-// had been counted yet.
-func (s *state) countBroken(fingerprint crashes.Fingerprint, target string) (isNew bool, count int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	return s.crashes.RecordFailure(now, fingerprint, target), s.crashes.Count(now, fingerprint)
-}
-
-// recordLife records that a target has answered a request that was sent at a time.
-func (s *state) recordLife(target string, sent time.Time) {
-	s.mutex.Lock()
-	refuted := s.crashes.RecordLife(target, sent)
-	s.mutex.Unlock()
-	if refuted > 0 {
-		s.log.Write(eventlog.StateChange, eventRefuted, eventlog.Fields{"target": target, "runs": refuted})
-	}
-}
-
-// clearCrashes drops the evidence against a request, and reports whether there was any.
-func (s *state) clearCrashes(fingerprint crashes.Fingerprint) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.crashes.Clear(time.Now(), fingerprint)
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -278,7 +278,7 @@
 		if refused != nil {
 			return false
 		}
-		if !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
+		if c.claimRun() != nil || !c.gateway.state.mayRepeat(c.envelope.ID, c.service) {
 			c.gateway.state.release(grant.Ticket, dispatch.Report{Outcome: dispatch.Abandoned})
 			return false
 		}
@@ -305,6 +305,7 @@
 		} else {
 			c.runs++
 			c.tried = append(c.tried, grant.Target.Incarnation())
+			c.countBrokenRun(grant)
 		}
 		c.report(grant, began, outcome, 0, err)
 		return false
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,6 +56,8 @@
 	OriginReply *OriginReply `cbor:"18,keyasint,omitempty"`
 	// Cleared is the fingerprint of a request against which earlier Crash messages count no longer.
 	Cleared uint64 `cbor:"19,keyasint,omitempty"`
+	// CauseReport is what the sender knows of causes of crashes.
+	CauseReport *CauseReport `cbor:"20,keyasint,omitempty"`
 }
 
 // Heartbeat is the status of the sender. It is sent often to the entries of its cell, and
@@ -166,6 +168,46 @@
 	ID          string `cbor:"2,keyasint"`
 	// Target is the incarnation of the target that the run was at.
 	Target string `cbor:"3,keyasint,omitempty"`
+	// Service is the service of the target, Causes what the request has in common with others.
+	Service string          `cbor:"4,keyasint,omitempty"`
+	Causes  []CauseEvidence `cbor:"5,keyasint,omitempty"`
+}
+
+// CauseEvidence is one cause of a run that broke. Answered: the sender remembers an answer to a
+// request with it.
+type CauseEvidence struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     uint8
+	ID       string
+	Answered bool
+}
+
+// CauseState is what an entry reports of causes.
+type CauseState uint8
+
+const (
+	// CauseCleared: requests with them were answered after crashes.
+	CauseCleared CauseState = iota + 1
+	// CauseVouched: the sender remembers earlier answers.
+	CauseVouched
+	// CauseOnTrial: the sender runs a request to try them.
+	CauseOnTrial
+	// CauseConvicted: requests with them are refused.
+	CauseConvicted
+)
+
+// CauseReport is what the sender knows of causes of one kind at a service. Stage counts the trials;
+// TrialInMS is the time to the next one. DespiteAnswers: they were convicted although earlier answers
+// are remembered.
+type CauseReport struct {
+	State     CauseState `cbor:"1,keyasint"`
+	Kind      uint8      `cbor:"2,keyasint"`
+	Service   string     `cbor:"3,keyasint"`
+	IDs       []string   `cbor:"4,keyasint"`
+	Stage     int        `cbor:"5,keyasint,omitempty"`
+	TrialInMS int64      `cbor:"6,keyasint,omitempty"`
+
+	DespiteAnswers bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Departure reports that a target has announced its departure in an answer.
