Entries tell each other of each answer that drops evidence against a part

An entry told the others of an answer to a part that is remembered as answered only from three crashes on, and its own answers had dropped the evidence before.

Answers are now announced each time that they drop evidence: at once where none is remembered, else within 100 ms unless another entry does so before. TestEntryWithoutAnswersOfItsOwnServes fails without the announcement.

--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -30,6 +30,8 @@
 	crashOrder []string
 	unsettled  []*crash
 	answered   *recent
+	// untold are causes that were answered here, of which other entries are to hear.
+	untold map[Cause]struct{}
 	// jitter returns a random part of a duration, so that entries do not begin trials together.
 	jitter  func(time.Duration) time.Duration
 	changes []Change
@@ -88,7 +90,7 @@
 	return &Causes{
 		suspects: make(map[Cause]*suspect), unconvicted: list.New(), convicted: list.New(),
 		convictedParts: make(map[string]int), crashes: make(map[string]*crash),
-		answered: newRecent(), jitter: jitter,
+		answered: newRecent(), untold: make(map[Cause]struct{}), jitter: jitter,
 	}
 }
 
@@ -214,32 +216,41 @@
 }
 
 // RecordAnswer records a complete answer to a request with these causes. It returns the causes of
-// which the other entries should hear that they were answered.
-func (s *Causes) RecordAnswer(now time.Time, causes []Cause) (cleared []Cause) {
+// which the other entries should hear that they were answered: at once, or soon, if nobody else tells
+// them before (see Untold).
+func (s *Causes) RecordAnswer(now time.Time, causes []Cause) (atOnce, soon []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
 		known, found := s.suspects[cause]
-		if found && (known.convicted || len(known.crashes) >= s.announcedFrom(cause)) {
-			cleared = append(cleared, cause)
+		switch {
+		case !found:
+		case known.convicted || !s.answered.has(cause.key()):
+			atOnce = append(atOnce, cause)
+		default:
+			s.untold[cause] = struct{}{}
+			soon = append(soon, cause)
 		}
 		s.clear(now, cause)
 	}
-	return cleared
+	return atOnce, soon
 }
 
-// announcedFrom returns the number of crashes from which an answer is announced: less evidence
-// against a cause that all entries know as answered has no effect.
-func (s *Causes) announcedFrom(cause Cause) int {
-	if s.answered.has(cause.key()) {
-		return policies[cause.Kind].answeredRepeatThreshold - 1
+// Untold returns those of the causes of which no other entry has told since RecordAnswer returned them.
+func (s *Causes) Untold(causes []Cause) (untold []Cause) {
+	for _, cause := range causes {
+		if _, found := s.untold[cause]; found {
+			delete(s.untold, cause)
+			untold = append(untold, cause)
+		}
 	}
-	return 1
+	return untold
 }
 
 // Clear records that requests with these causes were answered through other entries.
 func (s *Causes) Clear(now time.Time, causes []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
+		delete(s.untold, cause)
 		s.clear(now, cause)
 	}
 }
--- a/internal/core/crashes/causes_test.go
+++ b/internal/core/crashes/causes_test.go
@@ -92,7 +92,8 @@
 	g.Expect(s.Claim(at, partsOf("bad", "sound")).Refused).To(BeTrue(), "shows nothing of either")
 	g.Expect(s.Claim(at, partsOf("sound")).Trial).To(BeTrue())
 	g.Expect(s.Claim(at, partsOf("sound")).Refused).To(BeTrue(), "one trial at a time")
-	g.Expect(s.RecordAnswer(at, partsOf("sound"))).To(HaveLen(1))
+	told, _ := s.RecordAnswer(at, partsOf("sound"))
+	g.Expect(told).To(HaveLen(1))
 	g.Expect(s.Check(at, partsOf("sound")).Refused).To(BeFalse())
 	g.Expect(s.Check(at.Add(20*time.Second), partsOf("bad", "sound")).Refused).To(BeTrue())
 	g.Expect(s.Check(at.Add(40*time.Second), partsOf("bad", "sound")).Trial).To(BeTrue())
@@ -174,6 +175,26 @@
 	g.Expect(s.Check(now, partsOf("p")).Refused).To(BeTrue())
 }
 
+// Guards against each answer to a request with a popular part being announced by all entries.
+func TestAnswerIsAnnouncedOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newCauses()
+	s.RecordAnswer(now, partsOf("p"))
+	for _, byOther := range []bool{false, true} {
+		crashInTurn(s, now, 1, "p")
+		atOnce, soon := s.RecordAnswer(now, partsOf("p"))
+		g.Expect(atOnce).To(BeEmpty())
+		g.Expect(soon).To(Equal(partsOf("p")))
+		if byOther {
+			s.Clear(now, partsOf("p"))
+			g.Expect(s.Untold(soon)).To(BeEmpty())
+			continue
+		}
+		g.Expect(s.Untold(soon)).To(Equal(partsOf("p")))
+		g.Expect(s.Untold(soon)).To(BeEmpty())
+	}
+}
+
 // Guards against an operator being unable to free a part that is refused by mistake.
 func TestLiftedPartIsNotRefused(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/core/crashes/fleet_test.go
+++ b/internal/core/crashes/fleet_test.go
@@ -20,8 +20,10 @@
 	simRestart = 1500 * time.Millisecond
 	simVouch   = 200 * time.Millisecond
 	simCell    = 12
-	badPart    = "bad"
-	simService = "s"
+	// simTellSoon is the time within which entries announce answers.
+	simTellSoon = 100 * time.Millisecond
+	badPart     = "bad"
+	simService  = "s"
 	// boundAfter, crashesBefore and allowedLater are the users' bound: from some seconds after the fifth
 	// crash on, three requests with the part may reach targets.
 	boundAfter    = 3 * time.Second
@@ -41,6 +43,8 @@
 	restarted map[int]time.Time
 	targets   []*simTarget
 	loss      float64
+	// idle entries get no sound requests.
+	idle int
 	// sound is set while the bad part is sound.
 	sound bool
 	// number counts the processes of targets and the requests.
@@ -168,7 +172,7 @@
 func (f *fleet) sendSound(n int) {
 	second := f.now.Sub(now).Truncate(time.Second)
 	f.sent[second]++
-	if f.arrive(&simRequest{entry: f.random.IntN(len(f.entries)), causes: partsOf("first", fmt.Sprint("a", n%5))}) {
+	if f.arrive(&simRequest{entry: f.random.IntN(len(f.entries) - f.idle), causes: partsOf("first", fmt.Sprint("a", n%5))}) {
 		f.begun[second]++
 	}
 }
@@ -217,9 +221,17 @@
 }
 
 func (f *fleet) answer(r *simRequest) {
-	cleared := f.entries[r.entry].RecordAnswer(f.now, r.causes)
-	if len(cleared) > 0 {
-		f.tell(r.entry, func(other *crashes.Causes) { other.Clear(f.now, cleared) })
+	entry := f.entries[r.entry]
+	atOnce, soon := entry.RecordAnswer(f.now, r.causes)
+	f.tellAnswered(r.entry, atOnce)
+	if len(soon) > 0 {
+		f.after(time.Duration(f.random.Int64N(int64(simTellSoon))), func() { f.tellAnswered(r.entry, entry.Untold(soon)) })
+	}
+}
+
+func (f *fleet) tellAnswered(from int, causes []crashes.Cause) {
+	if len(causes) > 0 {
+		f.tell(from, func(other *crashes.Causes) { other.Clear(f.now, causes) })
 	}
 }
 
@@ -348,7 +360,8 @@
 				f.greet(0)
 			})
 		},
-		"targets crash for other reasons": func(f *fleet) {
+		"targets crash for other reasons, some entries are idle": func(f *fleet) {
+			f.idle = len(f.entries) / 2
 			f.each(400*time.Millisecond, func(n int) {
 				if t := f.targets[n%len(f.targets)]; t.up {
 					f.end(t)
@@ -372,6 +385,9 @@
 				t.Logf("%d crashes, %d requests reached targets, %d of them late; sound begun %.3f, %.3f; %d datagrams", len(f.crashed), len(f.arrived), f.later(), before, after, f.datagrams)
 				g.Expect(f.later()).To(BeNumerically("<=", allowedLater))
 				g.Expect(after).To(BeNumerically(">=", before/2))
+				for _, e := range f.entries {
+					g.Expect(e.Check(f.now, partsOf("first")).Refused).To(BeFalse())
+				}
 			})
 		}
 	}
@@ -445,3 +461,29 @@
 		}
 	}
 }
+
+// Guards against an entry that runs no requests with a part refusing it, as it hears of all crashes and of
+// no answers.
+func TestEntryWithoutAnswersOfItsOwnServes(t *testing.T) {
+	for _, entries := range []int{6, 985} {
+		g := NewWithT(t)
+		f := newFleet(entries, 14, 1)
+		f.idle = 1
+		f.each(10*time.Millisecond, f.sendSound)
+		f.run(5 * time.Second)
+		f.each(150*time.Millisecond, func(int) {
+			for _, target := range f.targets {
+				if len(target.running) > 0 {
+					f.end(target)
+					return
+				}
+			}
+		})
+		for range 20 {
+			f.run(time.Second)
+			for _, e := range f.entries {
+				g.Expect(e.Check(f.now, partsOf("first")).Refused).To(BeFalse())
+			}
+		}
+	}
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -97,8 +97,9 @@
 	answered := outcome == dispatch.Answered && status < http.StatusBadRequest
 	if answered {
 		c.onTrial = nil
-		cleared := c.gateway.state.recordAnswer(c.causes)
+		cleared, soon := c.gateway.state.recordAnswer(c.causes)
 		c.gateway.links.announceClearedCauses(cleared)
+		c.gateway.links.announceClearedSoon(soon)
 	}
 	ran := answered || outcome == dispatch.Failed && status >= http.StatusInternalServerError
 	if !ran || !c.gateway.state.clearCrashes(c.fingerprint) {
--- a/internal/gateway/crashlinks.go
+++ b/internal/gateway/crashlinks.go
@@ -13,6 +13,9 @@
 
 // What entries tell each other of crashes of targets and of their causes.
 
+// clearDelay bounds the random time after which an entry tells of an answer that others may have had too.
+const clearDelay = 100 * time.Millisecond
+
 // vouchDelay bounds the random time after which an entry tells that it remembers answers, unless
 // another one has done so.
 const vouchDelay = 200 * time.Millisecond
@@ -46,6 +49,16 @@
 	l.announceCauses(gossip.CauseCleared, causes)
 }
 
+// announceClearedSoon does so after a random time, unless another entry does before.
+func (l *links) announceClearedSoon(causes []crashes.Cause) {
+	if len(causes) == 0 {
+		return
+	}
+	time.AfterFunc(rand.N(clearDelay), func() {
+		l.announceClearedCauses(withCauses(l.gateway.state, func(time.Time) []crashes.Cause { return l.gateway.state.causes.Untold(causes) }))
+	})
+}
+
 // announceCauses announces the state of causes, which are all of one service and kind.
 func (l *links) announceCauses(state gossip.CauseState, causes []crashes.Cause) {
 	if len(causes) == 0 {
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -72,9 +72,10 @@
 }
 
 // recordAnswer records an answer to a request with these causes, and returns those of which the other
-// entries should hear it.
-func (s *state) recordAnswer(causes []crashes.Cause) (cleared []crashes.Cause) {
-	return withCauses(s, func(now time.Time) []crashes.Cause { return s.causes.RecordAnswer(now, causes) })
+// entries should hear it, at once or soon.
+func (s *state) recordAnswer(causes []crashes.Cause) (atOnce, soon []crashes.Cause) {
+	s.changeCauses(func(now time.Time) { atOnce, soon = s.causes.RecordAnswer(now, causes) })
+	return atOnce, soon
 }
 
 func (s *state) endTrial(cause crashes.Cause) {
