Requests that crash targets stay refused while they come, with rare trials

Cause: the same as with parts, in time instead of identity.

Change: a whole request is one more kind of cause in crashes.Causes, and the tracker of its own is gone. It is refused from three crashes on as before; the refusal ends with an answer anywhere, or when a target that had counted as crashed answers, and not with time. One request is let through after 30 s (before: all after 60 s), 10 min, 1 h and each 6 h: 5 targets in the first hour at either pace (TestRequestIsRefusedAsLongAsItComes). A crash that a refused part explains no longer counts against the requests in flight.

Tests: those of the tracker run against the new one with the same bounds, but for two that stated the 60 s: a refusal now ends after six hours without such a request, and Retry-After names the next trial. TestRestartedEntryRefusesRequestThatCrashesServers waited for three lines on failed runs that the other entry told it; it is now told the refusal in one.

--- a/internal/core/crashes/cause.go
+++ b/internal/core/crashes/cause.go
@@ -1,6 +1,8 @@
 package crashes
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,19 +14,44 @@
 const (
 	// Part is a part of a prompt that several requests may share.
 	Part Kind = iota + 1
+	// Request is a request as a whole, however often it is sent.
+	Request
 )
 
 // String returns the kind as it is written to logs.
 func (k Kind) String() string {
-	if k == Part {
+	switch k {
+	case Part:
 		return "part"
+	case Request:
+		return "request"
+	default:
+		return "unknown"
 	}
-	return "unknown"
+}
+
+// Fingerprint identifies organisation, path and body of a request.
+type Fingerprint uint64
+
+// String returns the fingerprint as it is written to logs.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
+// Cause returns the request as a cause of crashes.
+func (f Fingerprint) Cause() Cause { return Cause{Kind: Request, ID: f.String()} }
+
+// Fingerprint returns the fingerprint of a Request; 0 for causes of other kinds.
+func (c Cause) Fingerprint() Fingerprint {
+	value, err := strconv.ParseUint(c.ID, 16, 64)
+	if c.Kind != Request || err != nil {
+		return 0
+	}
+	return Fingerprint(value)
 }
 
 // Cause is something that requests to a service have in common and that may crash its targets.
 type Cause struct {
-	Kind    Kind
+	Kind Kind
+	// Service is the service of the targets; empty for a Request, whose path leads to one.
 	Service string
 	// ID names the cause among those of its kind.
 	ID string
@@ -48,6 +75,12 @@
 	// settle is how long after a crash its evidence is judged: until then other entries report
 	// what else was in flight at the target.
 	settle time.Duration
+	// remembered: that a cause was answered is remembered after the answer, so that the thresholds
+	// for answered causes hold.
+	remembered bool
+	// explains: the crashes with such a cause in flight, once it is convicted, do not count against
+	// others. A request does not explain them: it may crash targets because of a part of its prompt.
+	explains bool
 	// simultaneous is the time within which crashes of several targets count as one: they have
 	// something else in common, such as a link.
 	simultaneous time.Duration
@@ -59,11 +92,18 @@
 var policies = map[Kind]policy{
 	Part: {
 		threshold: 3, answeredThreshold: 6, repeatThreshold: 2, answeredRepeatThreshold: 4,
-		settle: 50 * time.Millisecond, simultaneous: 10 * time.Millisecond,
+		settle: maxSettle, simultaneous: 10 * time.Millisecond, remembered: true, explains: true,
 	},
+	Request: {threshold: 3, answeredThreshold: 3, repeatThreshold: 3, answeredRepeatThreshold: 3},
 }
 
+// maxSettle is the longest time after which a crash is judged.
+const maxSettle = 50 * time.Millisecond
+
 const (
+	// restartTime is how soon a target that crashed may be back under its name: answers after
+	// that don't show that it lived on.
+	restartTime = time.Second
 	// evidenceLife is how long a crash counts against a cause that is not convicted.
 	evidenceLife = 10 * time.Minute
 	// convictionLife is how long a conviction outlasts the last request with the cause.
--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -1,7 +1,13 @@
+// Package crashes recognises requests that crash each target that runs them, and what such requests
+// have in common. Their callers would take down one more target for seconds with each of them.
+//
+// Other requests have broken connections too. Evidence of one target counts once, however many runs
+// broke with it, and is void once the target answers a request that was sent to it afterwards.
 package crashes
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"time"
 )
@@ -65,8 +71,39 @@
 	target string
 	at     time.Time
 	causes map[Cause]*suspect
+	// explaining is the number of its causes that are convicted and explain it.
+	explaining int
+	// unsettled: the crash is judged at settlesAt.
+	unsettled bool
+	settlesAt time.Time
+}
+
+func (c *crash) add(known *suspect) {
+	c.causes[known.cause] = known
+	if known.explains() {
+		c.explaining++
+	}
 }
 
+func (c *crash) remove(known *suspect) {
+	delete(c.causes, known.cause)
+	if known.explains() {
+		c.explaining--
+	}
+}
+
+// explainedWithout reports whether another cause explains the crash.
+func (c *crash) explainedWithout(known *suspect) bool {
+	others := c.explaining
+	if known.explains() {
+		others--
+	}
+	return others > 0
+}
+
+// explains reports whether crashes with the cause in flight do not count against others.
+func (s *suspect) explains() bool { return s.convicted && policies[s.cause.Kind].explains }
+
 // Evidence is one cause of a broken run. Answered: the entry that reports it remembers an answer.
 type Evidence struct {
 	Cause    Cause
@@ -102,14 +139,10 @@
 		return nil
 	}
 	c := s.crashAt(now, target)
-	defer func() {
-		if len(added) > 0 && !slices.Contains(s.unsettled, c) {
-			s.unsettled = append(s.unsettled, c)
-		}
-	}()
+	var atOnce []*suspect
 	for _, e := range evidence {
 		if e.Answered {
-			s.answered.add(e.Cause.key())
+			s.remember(e.Cause)
 		}
 		known := s.findOrAdd(e.Cause)
 		known.vouched = known.vouched || e.Answered
@@ -117,17 +150,30 @@
 		if _, found := c.causes[e.Cause]; found {
 			continue
 		}
-		c.causes[e.Cause] = known
-		known.crashes = append(known.crashes, c)
-		if len(known.crashes) > maxCrashesOfCause {
-			delete(known.crashes[0].causes, e.Cause)
-			known.crashes = known.crashes[1:]
-		}
+		s.addCrash(known, c)
 		added = append(added, e.Cause)
+		if policies[e.Cause.Kind].settle == 0 {
+			atOnce = append(atOnce, known)
+		}
+	}
+	s.judge(now, atOnce)
+	if len(added) > 0 && !c.unsettled {
+		c.unsettled, c.settlesAt = true, now.Add(maxSettle)
+		s.unsettled = append(s.unsettled, c)
 	}
 	return added
 }
 
+// addCrash counts a crash against a cause.
+func (s *Causes) addCrash(known *suspect, c *crash) {
+	c.add(known)
+	known.crashes = append(known.crashes, c)
+	if len(known.crashes) > maxCrashesOfCause {
+		known.crashes[0].remove(known)
+		known.crashes = known.crashes[1:]
+	}
+}
+
 // crashAt returns the crash of a target. Its runs may break one after the other.
 func (s *Causes) crashAt(now time.Time, target string) *crash {
 	if c, found := s.crashes[target]; found {
@@ -184,14 +230,27 @@
 
 // drop forgets a suspect and what its crashes hold against it.
 func (s *Causes) drop(known *suspect) {
+	s.acquit(known)
 	for _, c := range known.crashes {
-		delete(c.causes, known.cause)
+		c.remove(known)
 	}
-	s.listOf(known).Remove(known.element)
+	s.unconvicted.Remove(known.element)
 	delete(s.suspects, known.cause)
+}
+
+// acquit ends a conviction; the crashes go on to count.
+func (s *Causes) acquit(known *suspect) {
 	if !known.convicted {
 		return
 	}
+	if known.explains() {
+		for _, c := range known.crashes {
+			c.explaining--
+		}
+	}
+	s.convicted.Remove(known.element)
+	known.convicted = false
+	known.element = s.unconvicted.PushBack(known)
 	if s.convictedParts[known.cause.ID]--; s.convictedParts[known.cause.ID] <= 0 {
 		delete(s.convictedParts, known.cause.ID)
 	}
@@ -200,6 +259,8 @@
 			delete(rival.rivals, known.cause)
 		}
 	}
+	known.rivals = make(map[Cause]struct{})
+	s.changes = append(s.changes, Change{Cause: known.cause, Answered: s.answered.has(known.cause.key()), Stage: known.stage})
 }
 
 // RecordLife records that a target has answered a request that was sent to it at a time, so that
@@ -211,7 +272,13 @@
 		return 0
 	}
 	refuted = len(c.causes)
+	suspects := slices.Collect(maps.Values(c.causes))
 	s.forgetCrash(target)
+	for _, known := range suspects {
+		if known.convicted && known.stage == 0 && len(known.crashes) < s.threshold(known.cause) {
+			s.acquit(known)
+		}
+	}
 	return refuted
 }
 
@@ -255,18 +322,22 @@
 	}
 }
 
+// remember records that a cause has been answered.
+func (s *Causes) remember(cause Cause) {
+	if policies[cause.Kind].remembered {
+		s.answered.add(cause.key())
+	}
+}
+
 func (s *Causes) clear(now time.Time, cause Cause) {
-	s.answered.add(cause.key())
+	s.remember(cause)
 	known, found := s.suspects[cause]
 	if !found {
 		return
 	}
+	rivals := known.rivals
 	s.drop(known)
-	if !known.convicted {
-		return
-	}
-	s.changes = append(s.changes, Change{Cause: cause, Answered: true, Stage: known.stage})
-	for rival := range known.rivals {
+	for rival := range rivals {
 		if r, found := s.suspects[rival]; found && len(r.rivals) == 0 {
 			r.stage = 0
 			s.scheduleTrial(now, r)
@@ -280,7 +351,7 @@
 	simultaneous := policies[known.cause.Kind].simultaneous
 	n, last := 0, time.Time{}
 	for _, c := range known.crashes {
-		if now.Sub(c.at) > evidenceLife || c.explainedWithout(known.cause) {
+		if now.Sub(c.at) > evidenceLife || c.explainedWithout(known) {
 			continue
 		}
 		if n == 0 || c.at.Sub(last).Abs() >= simultaneous {
@@ -290,34 +361,23 @@
 	return n
 }
 
-// explainedWithout reports whether another convicted cause was in flight at the target.
-func (c *crash) explainedWithout(cause Cause) bool {
-	for other, known := range c.causes {
-		if known.convicted && other != cause {
-			return true
-		}
-	}
-	return false
-}
-
 // settle judges the crashes of which all entries should have reported their runs.
 func (s *Causes) settle(now time.Time) {
-	for len(s.unsettled) > 0 {
+	for len(s.unsettled) > 0 && !now.Before(s.unsettled[0].settlesAt) {
 		c := s.unsettled[0]
-		var crossed []*suspect
-		for cause, known := range c.causes {
-			if now.Sub(c.at) < policies[cause.Kind].settle {
-				return
-			}
-			if !known.convicted && s.count(now, known) >= s.threshold(cause) {
-				crossed = append(crossed, known)
-			}
-		}
+		c.unsettled = false
 		s.unsettled = s.unsettled[1:]
-		s.convict(now, crossed)
+		s.judge(now, slices.Collect(maps.Values(c.causes)))
 	}
 }
 
+// judge convicts those of the suspects that have reached their thresholds.
+func (s *Causes) judge(now time.Time, suspects []*suspect) {
+	s.convict(now, slices.DeleteFunc(suspects, func(known *suspect) bool {
+		return known.convicted || s.count(now, known) < s.threshold(known.cause)
+	}))
+}
+
 func (s *Causes) threshold(cause Cause) int {
 	p := policies[cause.Kind]
 	if s.answered.has(cause.key()) {
@@ -333,6 +393,15 @@
 	return changes
 }
 
+// Count returns the number of crashes that count against a cause.
+func (s *Causes) Count(now time.Time, cause Cause) int {
+	known, found := s.suspects[cause]
+	if !found {
+		return 0
+	}
+	return s.count(now, known)
+}
+
 // Convicted returns the number of convicted causes, Suspected that of all others with evidence.
 func (s *Causes) Convicted() int { return s.convicted.Len() }
 
--- a/internal/core/crashes/conviction.go
+++ b/internal/core/crashes/conviction.go
@@ -7,7 +7,7 @@
 
 // Decision says whether a request may be sent to a target.
 type Decision struct {
-	// Refused: the request holds a convicted cause. RetryAfter is the time to its next trial.
+	// Refused: the request has a convicted cause. RetryAfter is the time to its next trial.
 	Refused    bool
 	RetryAfter time.Duration
 	// Cause is the cause of a refusal or of a trial.
@@ -143,7 +143,7 @@
 			change.Targets = append(change.Targets, c.target)
 		}
 		for _, other := range crossed {
-			if other != known {
+			if other != known && other.cause.Kind == known.cause.Kind {
 				known.rivals[other.cause] = struct{}{}
 			}
 		}
@@ -164,6 +164,11 @@
 	}
 	s.unconvicted.Remove(known.element)
 	known.convicted = true
+	if known.explains() {
+		for _, c := range known.crashes {
+			c.explaining++
+		}
+	}
 	known.element = s.convicted.PushBack(known)
 	s.convictedParts[known.cause.ID]++
 	known.seen = now
@@ -181,7 +186,7 @@
 func (s *Causes) Vouch(now time.Time, causes []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
-		s.answered.add(cause.key())
+		s.remember(cause)
 		known, found := s.suspects[cause]
 		if !found {
 			continue
@@ -189,7 +194,6 @@
 		known.vouched = true
 		if known.convicted && !known.despiteAnswers && known.stage == 0 {
 			s.drop(known)
-			s.changes = append(s.changes, Change{Cause: cause, Answered: true})
 		}
 	}
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,16 +18,21 @@
 // checkCrashes refuses a request that crashes targets. It returns nil if the request may run.
 func (c *call) checkCrashes() *reply {
 	c.fingerprint = c.computeFingerprint()
-	if refused, retryAfter := c.gateway.state.quarantined(c.fingerprint); refused {
-		return crashesTargets.after(retryAfter)
-	}
-	c.causes = causesOf(c.service, c.envelope.SharedParts)
+	c.causes = append(sharedCauses(c.service, c.envelope.SharedParts), c.fingerprint.Cause())
 	if d := c.gateway.state.checkCauses(c.causes); d.Refused {
-		return crashingPart.after(d.RetryAfter)
+		return refusalFor(d)
 	}
 	return nil
 }
 
+// refusalFor returns the reply to a request that is refused because of one of its causes.
+func refusalFor(d crashes.Decision) *reply {
+	if d.Cause.Kind == crashes.Request {
+		return crashesTargets.after(d.RetryAfter)
+	}
+	return crashingPart.after(d.RetryAfter)
+}
+
 // computeFingerprint returns a hash of what repeated attempts of one request have in common:
 // organisation, request URI and body.
 func (c *call) computeFingerprint() crashes.Fingerprint {
@@ -41,9 +47,9 @@
 // maxPartID bounds the ids of parts in messages, in bytes; longer ones are replaced by a hash.
 const maxPartID = 32
 
-// causesOf returns what a request to a service has in common with others.
-func causesOf(service string, parts []string) []crashes.Cause {
-	causes := make([]crashes.Cause, 0, len(parts))
+// sharedCauses returns the parts of a prompt that requests to a service have in common with others.
+func sharedCauses(service string, parts []string) []crashes.Cause {
+	causes := make([]crashes.Cause, 0, len(parts)+1)
 	for _, id := range parts {
 		if len(id) > maxPartID {
 			id = crashes.Fingerprint(xxhash.Sum64String(id)).String()
@@ -62,10 +68,12 @@
 	d := c.gateway.state.claimRun(c.causes)
 	switch {
 	case d.Refused:
-		return crashingPart.after(d.RetryAfter)
+		return refusalFor(d)
 	case d.Trial:
 		c.onTrial = &d.Cause
-		c.gateway.log.Write(eventlog.StateChange, eventTrial, eventlog.Fields{"id": c.envelope.ID, "part": d.Cause.ID, "service": d.Cause.Service, "trial": d.Stage})
+		c.gateway.log.Write(eventlog.StateChange, d.Cause.Kind.String()+eventTrial, eventlog.Fields{
+			"id": c.envelope.ID, d.Cause.Kind.String(): d.Cause.ID, "service": d.Cause.Service, "trial": d.Stage,
+		})
 		c.gateway.links.announceTrial(d.Cause, d.Stage)
 	}
 	return nil
@@ -74,15 +82,14 @@
 // mayRunAgain reports whether a request whose run broke may go to a further target.
 func (c *call) mayRunAgain() bool { return c.gateway.state.mayRunAgain(c.causes) }
 
-// countBrokenRun counts a run that broke against the request's fingerprint and its causes, at this
-// entry and at the others.
+// countBrokenRun counts a run that broke against the request and its parts, at this entry and at the
+// others.
 func (c *call) countBrokenRun(grant *dispatch.Grant) {
 	c.onTrial = nil
 	target := grant.Target.Incarnation()
-	isNew, count := c.gateway.state.countBroken(c.fingerprint, target)
 	evidence := c.gateway.state.evidenceOf(c.causes)
-	added := c.gateway.state.countCauses(target, evidence)
-	if !isNew && len(added) == 0 {
+	added, count := c.gateway.state.countCauses(target, evidence)
+	if len(added) == 0 {
 		return
 	}
 	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{
@@ -92,21 +99,27 @@
 }
 
 // recordVerdict drops what counts against a request, here and at the other entries, once a target has
-// answered it.
+// answered it. A failure of the target's own speaks for the request only: it may come before the
+// target has looked at the prompt.
 func (c *call) recordVerdict(outcome dispatch.Outcome, status int) {
-	answered := outcome == dispatch.Answered && status < http.StatusBadRequest
-	if answered {
+	var answered []crashes.Cause
+	switch {
+	case outcome == dispatch.Answered && status < http.StatusBadRequest:
+		answered = c.causes
+	case outcome == dispatch.Failed && status >= http.StatusInternalServerError:
+		answered = c.causes[len(c.causes)-1:]
+	default:
+		return
+	}
+	if c.onTrial != nil && slices.Contains(answered, *c.onTrial) {
 		c.onTrial = nil
-		cleared, soon := c.gateway.state.recordAnswer(c.causes)
-		c.gateway.links.announceClearedCauses(cleared)
-		c.gateway.links.announceClearedSoon(soon)
 	}
-	ran := answered || outcome == dispatch.Failed && status >= http.StatusInternalServerError
-	if !ran || !c.gateway.state.clearCrashes(c.fingerprint) {
-		return
+	cleared, soon := c.gateway.state.recordAnswer(answered)
+	for _, cause := range cleared {
+		c.gateway.log.Write(eventlog.StateChange, eventCleared, eventlog.Fields{"id": c.envelope.ID, "kind": cause.Kind.String(), "cause": cause.ID})
 	}
-	c.gateway.log.Write(eventlog.StateChange, eventCleared, eventlog.Fields{"id": c.envelope.ID, "fingerprint": c.fingerprint.String()})
-	c.gateway.links.announceCleared(c.fingerprint)
+	c.gateway.links.announceCleared(cleared)
+	c.gateway.links.announceClearedSoon(soon)
 }
 
 // endTrial gives up a trial that has shown nothing.
--- a/internal/gateway/crashlinks.go
+++ b/internal/gateway/crashlinks.go
@@ -24,29 +24,24 @@
 	m := l.message()
 	m.Crash = &gossip.Crash{Fingerprint: uint64(c.fingerprint), ID: c.envelope.ID, Target: target, Service: c.service}
 	for _, e := range evidence {
-		m.Crash.Causes = append(m.Crash.Causes, gossip.CauseEvidence{Kind: uint8(e.Cause.Kind), ID: e.Cause.ID, Answered: e.Answered})
+		if e.Cause.Kind != crashes.Request { // the fingerprint stands for it
+			m.Crash.Causes = append(m.Crash.Causes, gossip.CauseEvidence{Kind: uint8(e.Cause.Kind), ID: e.Cause.ID, Answered: e.Answered})
+		}
 	}
 	l.sendCopies(m)
 }
 
-// announceCleared announces that a target has answered a request that was suspected of crashing them.
-func (l *links) announceCleared(fingerprint crashes.Fingerprint) {
-	m := l.message()
-	m.Cleared = uint64(fingerprint)
-	l.sendCopies(m)
-}
-
-// sendCopies sends a message to all entries, several times in case datagrams are lost.
-func (l *links) sendCopies(m *gossip.Message) {
-	members := l.members()
-	for range crashCopies {
-		l.send(m, members)
+// announceCleared announces that requests with causes of crashes were answered.
+func (l *links) announceCleared(causes []crashes.Cause) {
+	parts := make([]crashes.Cause, 0, len(causes))
+	for _, cause := range causes {
+		if cause.Kind == crashes.Request {
+			l.announceAnswered(cause)
+			continue
+		}
+		parts = append(parts, cause)
 	}
-}
-
-// announceClearedCauses announces that requests with causes of crashes were answered.
-func (l *links) announceClearedCauses(causes []crashes.Cause) {
-	l.announceCauses(gossip.CauseCleared, causes)
+	l.announceCauses(gossip.CauseCleared, parts)
 }
 
 // announceClearedSoon does so after a random time, unless another entry does before.
@@ -55,10 +50,25 @@
 		return
 	}
 	time.AfterFunc(rand.N(clearDelay), func() {
-		l.announceClearedCauses(withCauses(l.gateway.state, func(time.Time) []crashes.Cause { return l.gateway.state.causes.Untold(causes) }))
+		l.announceCleared(withCauses(l.gateway.state, func(time.Time) []crashes.Cause { return l.gateway.state.causes.Untold(causes) }))
 	})
 }
 
+// announceAnswered announces that a target has answered a request that was suspected of crashing them.
+func (l *links) announceAnswered(request crashes.Cause) {
+	m := l.message()
+	m.Cleared = uint64(request.Fingerprint())
+	l.sendCopies(m)
+}
+
+// sendCopies sends a message to all entries, several times in case datagrams are lost.
+func (l *links) sendCopies(m *gossip.Message) {
+	members := l.members()
+	for range crashCopies {
+		l.send(m, members)
+	}
+}
+
 // announceCauses announces the state of causes, which are all of one service and kind.
 func (l *links) announceCauses(state gossip.CauseState, causes []crashes.Cause) {
 	if len(causes) == 0 {
@@ -93,34 +103,30 @@
 		// Entries of earlier releases do not name the target: each of their runs counts by itself.
 		target = c.ID
 	}
-	isNew, count := l.gateway.state.countBroken(crashes.Fingerprint(c.Fingerprint), target)
+	var parts []string
 	var causes []crashes.Cause
 	var evidence []crashes.Evidence
 	for _, e := range c.Causes {
 		cause := crashes.Cause{Kind: crashes.Kind(e.Kind), Service: c.Service, ID: e.ID}
-		causes = append(causes, cause)
+		parts, causes = append(parts, e.ID), append(causes, cause)
 		evidence = append(evidence, crashes.Evidence{Cause: cause, Answered: e.Answered})
 	}
-	added := l.gateway.state.countCauses(target, evidence)
-	if isNew || len(added) > 0 {
-		fields := eventlog.Fields{"id": c.ID, "target": target, "fingerprint": crashes.Fingerprint(c.Fingerprint).String(), "count": count, "peer": from}
-		if len(added) > 0 {
-			fields["parts"] = idsOf(added)
-		}
-		l.gateway.log.Write(eventlog.StateChange, eventSuspect, fields)
-	}
-	if len(added) > 0 {
-		l.remind(from, causes)
-		l.vouchLater(added)
+	fingerprint := crashes.Fingerprint(c.Fingerprint)
+	causes, evidence = append(causes, fingerprint.Cause()), append(evidence, crashes.Evidence{Cause: fingerprint.Cause()})
+	added, count := l.gateway.state.countCauses(target, evidence)
+	if len(added) == 0 {
+		return
 	}
+	l.gateway.log.Write(eventlog.StateChange, eventSuspect, eventlog.Fields{
+		"id": c.ID, "target": target, "fingerprint": fingerprint.String(), "count": count, "parts": parts, "peer": from,
+	})
+	l.remind(from, causes)
+	l.vouchLater(added)
 }
 
-func idsOf(causes []crashes.Cause) []string {
-	ids := make([]string, 0, len(causes))
-	for _, cause := range causes {
-		ids = append(ids, cause.ID)
-	}
-	return ids
+func (l *links) handleCleared(request crashes.Fingerprint) {
+	s := l.gateway.state
+	s.changeCauses(func(now time.Time) { s.causes.Clear(now, []crashes.Cause{request.Cause()}) })
 }
 
 // remind tells an entry of the own cell that ran a request which this one refuses: it has missed the conviction.
@@ -130,7 +136,7 @@
 		return
 	}
 	l.gateway.state.mutex.Lock()
-	convictions := l.gateway.state.causes.Convictions(time.Now(), maxGreetedRuns)
+	convictions := l.gateway.state.causes.Convictions(time.Now(), maxGreetedConvictions)
 	l.gateway.state.mutex.Unlock()
 	for _, conviction := range convictions {
 		if slices.Contains(causes, conviction.Cause) {
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -7,40 +7,14 @@
 	"sycamoretrail/internal/eventlog"
 )
 
-// quarantined reports whether a request crashes targets and must be refused, and for how long.
-func (s *state) quarantined(fingerprint crashes.Fingerprint) (refused bool, retryAfter time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	return s.crashes.Quarantined(now, fingerprint), s.crashes.RetryAfter(now, fingerprint)
-}
-
-// countBroken counts an aborted run at a target against a fingerprint; isNew: none of that target
-// had been counted yet.
-func (s *state) countBroken(fingerprint crashes.Fingerprint, target string) (isNew bool, count int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	return s.crashes.RecordFailure(now, fingerprint, target), s.crashes.Count(now, fingerprint)
-}
-
 // recordLife records that a target has answered a request that was sent at a time.
 func (s *state) recordLife(target string, sent time.Time) {
-	s.mutex.Lock()
-	refuted := s.crashes.RecordLife(target, sent)
-	s.mutex.Unlock()
+	refuted := withCauses(s, func(time.Time) int { return s.causes.RecordLife(target, sent) })
 	if refuted > 0 {
-		s.log.Write(eventlog.StateChange, eventRefuted, eventlog.Fields{"target": target, "runs": refuted})
+		s.log.Write(eventlog.StateChange, eventRefuted, eventlog.Fields{"target": target, "causes": refuted})
 	}
 }
 
-// clearCrashes drops the evidence against a request, and reports whether there was any.
-func (s *state) clearCrashes(fingerprint crashes.Fingerprint) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.crashes.Clear(time.Now(), fingerprint)
-}
-
 // checkCauses decides whether a request may run, claimRun also begins a trial that is due.
 func (s *state) checkCauses(causes []crashes.Cause) crashes.Decision {
 	return withCauses(s, func(now time.Time) crashes.Decision { return s.causes.Check(now, causes) })
@@ -66,9 +40,15 @@
 	return evidence
 }
 
-// countCauses counts a broken run against its causes and returns those that it adds to.
-func (s *state) countCauses(target string, evidence []crashes.Evidence) (added []crashes.Cause) {
-	return withCauses(s, func(now time.Time) []crashes.Cause { return s.causes.RecordBroken(now, target, evidence) })
+// countCauses counts a broken run against its causes. It returns those that it adds to, and the
+// number of crashes of the last one, the request.
+func (s *state) countCauses(target string, evidence []crashes.Evidence) (added []crashes.Cause, count int) {
+	added = withCauses(s, func(now time.Time) []crashes.Cause {
+		added := s.causes.RecordBroken(now, target, evidence)
+		count = s.causes.Count(now, evidence[len(evidence)-1].Cause)
+		return added
+	})
+	return added, count
 }
 
 // recordAnswer records an answer to a request with these causes, and returns those of which the other
@@ -105,9 +85,9 @@
 func (s *state) logCause(change crashes.Change) {
 	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered, "trials": change.Stage}
 	if !change.Convicted {
-		s.log.Write(eventlog.StateChange, eventAcquitted, fields)
+		s.log.Write(eventlog.StateChange, change.Cause.Kind.String()+eventAcquitted, fields)
 		return
 	}
 	fields["crashes"], fields["targets"], fields["trial_in_ms"] = change.Crashes, change.Targets, change.TrialIn.Milliseconds()
-	s.log.Write(eventlog.StateChange, eventConvicted, fields)
+	s.log.Write(eventlog.StateChange, change.Cause.Kind.String()+eventConvicted, fields)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -49,11 +49,13 @@
 	eventSuspect       = "suspect"
 	eventRefuted       = "crash_refuted"
 	eventCleared       = "cleared"
-	eventConvicted     = "part_refused"
-	eventAcquitted     = "part_answered"
-	eventTrial         = "part_trial"
-	eventRollout       = "rollout"
-	eventLease         = "lease"
+
+	// Causes of crashes; the kind of the cause comes before.
+	eventConvicted = "_refused"
+	eventAcquitted = "_allowed"
+	eventTrial     = "_trial"
+	eventRollout   = "rollout"
+	eventLease     = "lease"
 )
 
 // settle writes the final log line of a request and counts it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,6 @@
 		quota:       quota.New(quotaConfig(s.Bounds), now),
 		policer:     fairshare.NewPolicer(settings.Seconds(s.Bounds.QuotaWindowS)),
 		budget:      budget.New(budgetConfig(s.Bounds), now),
-		crashes:     crashes.New(),
 		causes:      crashes.NewCauses(randomPart),
 		peers:       peerset.New(peerset.Config{FailureTimeout: failureTimeout, RelayedFailureTimeout: relayedFailureTimeout, Removal: removalTimeout}, g.self),
 		waiters:     make(map[*dispatch.Ticket]chan slotResult),
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -13,9 +13,9 @@
 	"sycamoretrail/internal/gossip"
 )
 
-// maxGreetedRuns bounds the failed runs, and the convictions, that an entry reports to one that has joined, each in a
+// maxGreetedConvictions bounds the convictions that an entry reports to one that has joined, each in a
 // datagram of its own.
-const maxGreetedRuns = 30
+const maxGreetedConvictions = 30
 
 // receive handles messages of the other entries until the socket is closed.
 func (l *links) receive() {
@@ -32,7 +32,7 @@
 		l.handleCrash(m.From, m.Crash)
 	}
 	if m.Cleared != 0 {
-		l.gateway.state.clearCrashes(crashes.Fingerprint(m.Cleared))
+		l.handleCleared(crashes.Fingerprint(m.Cleared))
 	}
 	if m.CauseReport != nil {
 		l.handleCauseReport(m.CauseReport)
@@ -129,19 +129,13 @@
 	now := time.Now()
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(now)
-	crashed := l.gateway.state.crashes.QuarantinedRuns(now, maxGreetedRuns)
-	convictions := l.gateway.state.causes.Convictions(now, maxGreetedRuns)
+	convictions := l.gateway.state.causes.Convictions(now, maxGreetedConvictions)
 	l.gateway.state.mutex.Unlock()
 	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := l.message()
 		m.History = mapValues(part, historyMessage)
 		l.send(m, []peerset.Entry{entry})
 	}
-	for _, run := range crashed {
-		m := l.message()
-		m.Crash = &gossip.Crash{Fingerprint: uint64(run.Fingerprint), ID: run.ID, Target: run.ID}
-		l.send(m, []peerset.Entry{entry})
-	}
 	for _, conviction := range convictions {
 		l.sendConviction(conviction, []peerset.Entry{entry})
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -29,7 +29,6 @@
 	quota    *quota.Limiter
 	policer  *fairshare.Policer
 	budget   *budget.Budget
-	crashes  *crashes.Tracker
 	causes   *crashes.Causes
 	rollouts *rollouts
 	// leases is nil if lending is off.
