--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -41,7 +41,7 @@
 	// jitter returns a random part of a duration, so that entries do not begin trials together.
 	jitter  func(time.Duration) time.Duration
 	changes []Change
-	// lifted are the ids of the parts that operators have freed.
+	// lifted are the ids of the causes that operators have freed.
 	lifted map[string]bool
 }
 
--- a/internal/core/crashes/conviction.go
+++ b/internal/core/crashes/conviction.go
@@ -66,7 +66,7 @@
 	return decision
 }
 
-// SetLifted names the parts that are not refused, whatever counts against them.
+// SetLifted names the causes that are not refused, whatever counts against them.
 func (s *Causes) SetLifted(ids []string) {
 	s.lifted = make(map[string]bool, len(ids))
 	for _, id := range ids {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,7 @@
 	services := g.state.sched.Services(now)
 	admissions := g.state.sched.AdmissionLoads(now)
 	g.reportRollouts()
+	refused, suspected := g.state.causes.Convicted(), g.state.causes.Suspected()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
 		repeats[service] = g.state.budget.Left(now, service)
@@ -66,6 +67,8 @@
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
 	g.counters.handoffs.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayHandoffs, n, key) })
 	g.counters.reconnects.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayReconnects, n, key) })
+	m.Set(telemetry.GatewayRefusedCauses, float64(refused))
+	m.Set(telemetry.GatewaySuspectedCauses, float64(suspected))
 	m.Set(telemetry.GatewayOrigins, float64(g.origins.size()))
 	g.counters.excess.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayExcess, n, key) })
 	g.counters.late.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayLateGrants, n, key) })
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -10,8 +10,8 @@
 	"sycamoretrail/internal/telemetry"
 )
 
-// Reload applies changed settings without interruption: the log level, the retry budget and
-// the quota's window and slack are in force at once. Addresses, names and the intervals of
+// Reload applies changed settings without interruption: the log level, the retry budget,
+// the quota's window and slack and the allowed causes are in force at once. Addresses, names and the intervals of
 // reads change only with a restart of the process; the log line reports whether one is needed.
 func (g *Gateway) Reload(s settings.Gateway) {
 	err := telemetry.SetLevel(g.logger, s.LogLevel)
@@ -19,9 +19,10 @@
 	g.state.quota.SetConfig(quotaConfig(s.Bounds))
 	g.state.policer.SetWindow(settings.Seconds(s.Bounds.QuotaWindowS))
 	g.state.budget.SetConfig(budgetConfig(s.Bounds))
+	g.state.causes.SetLifted(s.AllowedCauses)
 	g.state.mutex.Unlock()
 	kept := g.settings
-	kept.LogLevel, kept.Bounds = s.LogLevel, s.Bounds
+	kept.LogLevel, kept.Bounds, kept.AllowedCauses = s.LogLevel, s.Bounds, s.AllowedCauses
 	fields := eventlog.Fields{"accepted": true, "restart_needed": !reflect.DeepEqual(kept, s)}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"time"
 )
 
@@ -41,6 +42,9 @@
 	Bounds GatewayBounds `json:"bounds"`
 	// Load switches decisions under load.
 	Load GatewayLoad `json:"load"`
+	// AllowedCauses are parts of prompts, by id, and requests, by fingerprint, that are not refused
+	// for crashing targets.
+	AllowedCauses []string `json:"allowed_causes"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 }
@@ -112,6 +116,11 @@
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Gateway) check(faults *Faults) {
+	for i, id := range s.AllowedCauses {
+		if id == "" || strings.Trim(id, "0123456789abcdef") != "" {
+			faults.add(fmt.Sprintf("allowed_causes[%d]", i), fmt.Sprintf("%q is not a hexadecimal id in lower case", id), "copy the value of part or request from a log line")
+		}
+	}
 	checkName("name", s.Name, faults)
 	checkName("zone", s.Zone, faults)
 	checkOwnAddress("callers_address", s.CallersAddress, faults)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -22,6 +22,8 @@
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
 		"Streams to which callers reconnected, by how their version was determined.", "source")
 	GatewayOrigins           = declare(KindGauge, "gateway_stream_origins", "Streams whose version this entry remembers.")
+	GatewayRefusedCauses     = declare(KindGauge, "gateway_refused_causes", "Parts of prompts and whole requests that are refused because targets crashed under them.")
+	GatewaySuspectedCauses   = declare(KindGauge, "gateway_suspected_causes", "Parts of prompts and whole requests with evidence of crashes that are not refused.")
 	GatewayIsolated          = declare(KindGauge, "gateway_isolated", "1 while this entry reaches no target, else 0.")
 	GatewayDatagramsSent     = declare(KindCounter, "gateway_datagrams_sent_total", "Datagrams to other entries.")
 	GatewayDatagramsReceived = declare(KindCounter, "gateway_datagrams_received_total", "Datagrams from other entries.")
