--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -44,7 +44,7 @@
 	Load GatewayLoad `json:"load"`
 	// AllowedCauses are parts of prompts, by id, and requests, by fingerprint, that are not refused
 	// for crashing targets.
-	AllowedCauses []string `json:"allowed_causes"`
+	AllowedCauses []string `json:"allowed_causes,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 }
