Runs that an entry loses together count as one crash

Callers of sound entries were refused a request for as long as the evidence lived, because a cut entry had lost equal runs at several targets at once, and reported each as the crash of its target.

Targets whose connections break within 10 ms, under runs that had begun before, have an entry's links in common rather than the request: they count as one crash. A request that crashes targets one after the other is not affected, as its next run begins after the crash. The message that reports a broken run says how long it ran.

--- a/internal/core/crashes/cause.go
+++ b/internal/core/crashes/cause.go
@@ -81,8 +81,8 @@
 	// explains: the crashes with such a cause in flight, once it is convicted, do not count against
 	// others. A request does not explain them: it may crash targets because of a part of its prompt.
 	explains bool
-	// simultaneous is the time within which crashes of several targets count as one: they have
-	// something else in common, such as a link.
+	// simultaneous is the time within which crashes of several targets count as one if the runs at
+	// them had begun before: they have something else in common, such as the links of an entry.
 	simultaneous time.Duration
 	// repeatThreshold is the number of crashes from which a request is not sent to a further
 	// target after its run broke; answeredRepeatThreshold as above.
@@ -92,11 +92,15 @@
 var policies = map[Kind]policy{
 	Part: {
 		threshold: 3, answeredThreshold: 6, repeatThreshold: 2, answeredRepeatThreshold: 4,
-		settle: maxSettle, simultaneous: 10 * time.Millisecond, remembered: true, explains: true,
+		settle: maxSettle, simultaneous: simultaneousCrashes, remembered: true, explains: true,
 	},
-	Request: {threshold: 3, answeredThreshold: 3, repeatThreshold: 3, answeredRepeatThreshold: 3},
+	Request: {threshold: 3, answeredThreshold: 3, repeatThreshold: 3, answeredRepeatThreshold: 3, simultaneous: simultaneousCrashes},
 }
 
+// simultaneousCrashes is the time within which the connections of one entry to several targets break
+// if it loses its links.
+const simultaneousCrashes = 10 * time.Millisecond
+
 // maxSettle is the longest time after which a crash is judged.
 const maxSettle = 50 * time.Millisecond
 
--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -50,7 +50,7 @@
 	cause   Cause
 	element *list.Element
 	// crashes are those since the last answer, oldest first.
-	crashes []*crash
+	crashes []brokenRun
 	// vouched: the entries know whether the cause has been answered before.
 	vouched bool
 
@@ -66,6 +66,12 @@
 	trialAt, ownTrialAt time.Time
 }
 
+// brokenRun is the run with a cause at a target that crashed; of several, the one that began last.
+type brokenRun struct {
+	*crash
+	began time.Time
+}
+
 // crash is the end of a target's process, as far as broken connections show it.
 type crash struct {
 	target string
@@ -131,9 +137,9 @@
 	}
 }
 
-// RecordBroken records that a run broke at a target, here or at another entry. It returns the
-// causes against which the target's crash did not count yet.
-func (s *Causes) RecordBroken(now time.Time, target string, evidence []Evidence) (added []Cause) {
+// RecordBroken records that a run, which began some time ago, broke at a target, here or at another
+// entry. It returns the causes against which the target's crash did not count yet.
+func (s *Causes) RecordBroken(now time.Time, target string, ran time.Duration, evidence []Evidence) (added []Cause) {
 	s.settle(now)
 	if len(evidence) == 0 {
 		return nil
@@ -147,10 +153,9 @@
 		known := s.findOrAdd(e.Cause)
 		known.vouched = known.vouched || e.Answered
 		s.touch(now, known)
-		if _, found := c.causes[e.Cause]; found {
+		if !s.addCrash(known, brokenRun{c, now.Add(-ran)}) {
 			continue
 		}
-		s.addCrash(known, c)
 		added = append(added, e.Cause)
 		if policies[e.Cause.Kind].settle == 0 {
 			atOnce = append(atOnce, known)
@@ -164,14 +169,21 @@
 	return added
 }
 
-// addCrash counts a crash against a cause.
-func (s *Causes) addCrash(known *suspect, c *crash) {
-	c.add(known)
-	known.crashes = append(known.crashes, c)
+// addCrash counts a crash against a cause. It returns false if it counted already.
+func (s *Causes) addCrash(known *suspect, run brokenRun) bool {
+	if i := slices.IndexFunc(known.crashes, func(other brokenRun) bool { return other.crash == run.crash }); i >= 0 {
+		if run.began.After(known.crashes[i].began) {
+			known.crashes[i].began = run.began
+		}
+		return false
+	}
+	run.add(known)
+	known.crashes = append(known.crashes, run)
 	if len(known.crashes) > maxCrashesOfCause {
 		known.crashes[0].remove(known)
 		known.crashes = known.crashes[1:]
 	}
+	return true
 }
 
 // crashAt returns the crash of a target. Its runs may break one after the other.
@@ -195,7 +207,7 @@
 		return
 	}
 	for _, known := range c.causes {
-		known.crashes = slices.DeleteFunc(known.crashes, func(other *crash) bool { return other == c })
+		known.crashes = slices.DeleteFunc(known.crashes, func(other brokenRun) bool { return other.crash == c })
 	}
 	delete(s.crashes, target)
 	s.crashOrder = slices.DeleteFunc(s.crashOrder, func(other string) bool { return other == target })
@@ -350,12 +362,12 @@
 func (s *Causes) count(now time.Time, known *suspect) int {
 	simultaneous := policies[known.cause.Kind].simultaneous
 	n, last := 0, time.Time{}
-	for _, c := range known.crashes {
-		if now.Sub(c.at) > evidenceLife || c.explainedWithout(known) {
+	for _, run := range known.crashes {
+		if now.Sub(run.at) > evidenceLife || run.explainedWithout(known) {
 			continue
 		}
-		if n == 0 || c.at.Sub(last).Abs() >= simultaneous {
-			n, last = n+1, c.at
+		if n == 0 || !run.began.Before(last) || run.at.Sub(last).Abs() >= simultaneous {
+			n, last = n+1, run.at
 		}
 	}
 	return n
--- a/internal/core/crashes/causes_test.go
+++ b/internal/core/crashes/causes_test.go
@@ -25,7 +25,7 @@
 // crashInTurn records crashes of targets, a second apart, and returns the time after them.
 func crashInTurn(s *crashes.Causes, at time.Time, targets int, ids ...string) time.Time {
 	for i := range targets {
-		s.RecordBroken(at, fmt.Sprint(at.Unix(), "-", i), evidence(ids...))
+		s.RecordBroken(at, fmt.Sprint(at.Unix(), "-", i), simRun, evidence(ids...))
 		at = at.Add(time.Second)
 	}
 	return at
@@ -37,7 +37,7 @@
 	g := NewWithT(t)
 	s := newCauses()
 	for range 10 {
-		s.RecordBroken(now, "t", evidence("p"))
+		s.RecordBroken(now, "t", simRun, evidence("p"))
 	}
 	at := crashInTurn(s, now.Add(time.Second), 1, "p")
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeFalse())
@@ -52,7 +52,7 @@
 	g := NewWithT(t)
 	s := newCauses()
 	for i := range 10 {
-		s.RecordBroken(now, fmt.Sprint(i), evidence("p"))
+		s.RecordBroken(now, fmt.Sprint(i), simRun, evidence("p"))
 	}
 	g.Expect(s.Check(now.Add(time.Second), partsOf("p")).Refused).To(BeFalse())
 }
@@ -128,7 +128,7 @@
 	s := newCauses()
 	at := now
 	for i := range 10 {
-		s.RecordBroken(at, fmt.Sprint(i), evidence("p"))
+		s.RecordBroken(at, fmt.Sprint(i), simRun, evidence("p"))
 		g.Expect(s.RecordLife(fmt.Sprint(i), at.Add(500*time.Millisecond))).To(Equal(1))
 		at = at.Add(time.Second)
 	}
@@ -213,7 +213,7 @@
 	at := crashInTurn(s, now, 3, "bad")
 	g.Expect(s.Check(at, partsOf("bad")).Refused).To(BeTrue())
 	for i := range 10_000 {
-		s.RecordBroken(at, fmt.Sprint("t", i%3000), evidence(fmt.Sprint("p", i)))
+		s.RecordBroken(at, fmt.Sprint("t", i%3000), simRun, evidence(fmt.Sprint("p", i)))
 		s.RecordAnswer(at, partsOf(fmt.Sprint("q", i)))
 	}
 	g.Expect(s.Suspected()).To(BeNumerically("<=", 4096))
@@ -227,7 +227,7 @@
 		b.Run(fmt.Sprint(suspects), func(b *testing.B) {
 			s := newCauses()
 			for i := range suspects {
-				s.RecordBroken(now, fmt.Sprint("t", i%1000), evidence(fmt.Sprint("p", i)))
+				s.RecordBroken(now, fmt.Sprint("t", i%1000), simRun, evidence(fmt.Sprint("p", i)))
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -17,7 +17,7 @@
 
 // recordFailure records that a run of a request broke, and returns whether that adds anything.
 func recordFailure(s *crashes.Causes, at time.Time, fingerprint crashes.Fingerprint, target string) bool {
-	return len(s.RecordBroken(at, target, []crashes.Evidence{{Cause: fingerprint.Cause()}})) > 0
+	return len(s.RecordBroken(at, target, 0, []crashes.Evidence{{Cause: fingerprint.Cause()}})) > 0
 }
 
 func quarantined(s *crashes.Causes, at time.Time, fingerprint crashes.Fingerprint) bool {
@@ -149,6 +149,17 @@
 	g.Expect(m.Count(now, crashes.Fingerprint(7).Cause())).To(BeNumerically("<=", 64))
 }
 
+// Guards against a request being refused because an entry lost its links to several targets that ran it.
+func TestRunsLostTogetherCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := newCauses()
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 500 * time.Microsecond)
+		m.RecordBroken(at, fmt.Sprint(i), time.Second, []crashes.Evidence{{Cause: crashes.Fingerprint(7).Cause()}})
+	}
+	g.Expect(m.Count(now.Add(time.Second), crashes.Fingerprint(7).Cause())).To(Equal(1))
+}
+
 func BenchmarkRecordLife(b *testing.B) {
 	for _, held := range []int{0, 4000} {
 		b.Run(fmt.Sprint(held), func(b *testing.B) {
--- a/internal/core/crashes/fleet_test.go
+++ b/internal/core/crashes/fleet_test.go
@@ -65,6 +65,7 @@
 
 type simRequest struct {
 	entry  int
+	began  time.Time
 	causes []crashes.Cause
 	bad    bool
 	again  bool
@@ -203,7 +204,7 @@
 		return false
 	}
 	t := up[f.random.IntN(len(up))]
-	t.running[r] = true
+	t.running[r], r.began = true, f.now
 	if r.bad {
 		if f.inTouch(r.entry) {
 			f.arrived = append(f.arrived, f.now)
@@ -260,9 +261,9 @@
 	for _, cause := range r.causes {
 		evidence = append(evidence, crashes.Evidence{Cause: cause, Answered: entry.Remembers(cause)})
 	}
-	entry.RecordBroken(f.now, target, evidence)
+	entry.RecordBroken(f.now, target, f.now.Sub(r.began), evidence)
 	f.tell(r.entry, func(other *crashes.Causes) {
-		added := other.RecordBroken(f.now, target, evidence)
+		added := other.RecordBroken(f.now, target, f.now.Sub(r.began), evidence)
 		if len(other.ToVouch(f.now, added)) > 0 {
 			f.vouchLater(other, added)
 		}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -84,18 +84,18 @@
 
 // countBrokenRun counts a run that broke against the request and its parts, at this entry and at the
 // others.
-func (c *call) countBrokenRun(grant *dispatch.Grant) {
+func (c *call) countBrokenRun(grant *dispatch.Grant, began time.Time) {
 	c.onTrial = nil
-	target := grant.Target.Incarnation()
+	target, ran := grant.Target.Incarnation(), time.Since(began)
 	evidence := c.gateway.state.evidenceOf(c.causes)
-	added, count := c.gateway.state.countCauses(target, evidence)
+	added, count := c.gateway.state.countCauses(target, ran, evidence)
 	if len(added) == 0 {
 		return
 	}
 	c.gateway.log.Write(eventlog.Failure, eventBroken, eventlog.Fields{
 		"id": c.envelope.ID, "target": target, "fingerprint": c.fingerprint.String(), "count": count, "parts": c.envelope.SharedParts,
 	})
-	c.gateway.links.announceCrash(c, target, evidence)
+	c.gateway.links.announceCrash(c, target, ran, evidence)
 }
 
 // recordVerdict drops what counts against a request, here and at the other entries, once a target has
--- a/internal/gateway/crashlinks.go
+++ b/internal/gateway/crashlinks.go
@@ -20,9 +20,9 @@
 // another one has done so.
 const vouchDelay = 200 * time.Millisecond
 
-func (l *links) announceCrash(c *call, target string, evidence []crashes.Evidence) {
+func (l *links) announceCrash(c *call, target string, ran time.Duration, evidence []crashes.Evidence) {
 	m := l.message()
-	m.Crash = &gossip.Crash{Fingerprint: uint64(c.fingerprint), ID: c.envelope.ID, Target: target, Service: c.service}
+	m.Crash = &gossip.Crash{Fingerprint: uint64(c.fingerprint), ID: c.envelope.ID, Target: target, Service: c.service, RanMS: ran.Milliseconds()}
 	for _, e := range evidence {
 		if e.Cause.Kind != crashes.Request { // the fingerprint stands for it
 			m.Crash.Causes = append(m.Crash.Causes, gossip.CauseEvidence{Kind: uint8(e.Cause.Kind), ID: e.Cause.ID, Answered: e.Answered})
@@ -113,7 +113,7 @@
 	}
 	fingerprint := crashes.Fingerprint(c.Fingerprint)
 	causes, evidence = append(causes, fingerprint.Cause()), append(evidence, crashes.Evidence{Cause: fingerprint.Cause()})
-	added, count := l.gateway.state.countCauses(target, evidence)
+	added, count := l.gateway.state.countCauses(target, milliseconds(c.RanMS), evidence)
 	if len(added) == 0 {
 		return
 	}
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -42,9 +42,9 @@
 
 // countCauses counts a broken run against its causes. It returns those that it adds to, and the
 // number of crashes of the last one, the request.
-func (s *state) countCauses(target string, evidence []crashes.Evidence) (added []crashes.Cause, count int) {
+func (s *state) countCauses(target string, ran time.Duration, evidence []crashes.Evidence) (added []crashes.Cause, count int) {
 	added = withCauses(s, func(now time.Time) []crashes.Cause {
-		added := s.causes.RecordBroken(now, target, evidence)
+		added := s.causes.RecordBroken(now, target, ran, evidence)
 		count = s.causes.Count(now, evidence[len(evidence)-1].Cause)
 		return added
 	})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -234,7 +234,7 @@
 	} else {
 		c.report(grant, began, dispatch.Broken, 0, err)
 		c.connectionBroke = true
-		c.countBrokenRun(grant)
+		c.countBrokenRun(grant, began)
 	}
 	return c.retryOrEnd(targetAborted)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -257,7 +257,7 @@
 	default:
 		c.connectionBroke = true
 		if s.grant != nil {
-			c.countBrokenRun(s.grant)
+			c.countBrokenRun(s.grant, s.began)
 		}
 	}
 	if s.grant != nil {
@@ -305,7 +305,7 @@
 		} else {
 			c.runs++
 			c.tried = append(c.tried, grant.Target.Incarnation())
-			c.countBrokenRun(grant)
+			c.countBrokenRun(grant, began)
 		}
 		c.report(grant, began, outcome, 0, err)
 		return false
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -171,6 +171,8 @@
 	// Service is the service of the target, Causes what the request has in common with others.
 	Service string          `cbor:"4,keyasint,omitempty"`
 	Causes  []CauseEvidence `cbor:"5,keyasint,omitempty"`
+	// RanMS is how long the run had taken.
+	RanMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // CauseEvidence is one cause of a run that broke. Answered: the sender remembers an answer to a
