Entries of a small fleet that start together follow the store at once

Where all entries started at once, none followed the store until a reader was chosen some 0.9 s later.

Up to twelve entries now read the store themselves until they know the reader. Above, they wait as before: 195 that started together made 1,160 of 2,180 calls that way.

--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -32,6 +32,10 @@
 	return reader == g.self.Name
 }
 
+// maxReadersAtStart is the size of a fleet up to which entries that start read the store themselves
+// until they know the reader: nobody else may be following it.
+const maxReadersAtStart = 12
+
 // isDiscovering reports whether this entry has just started and may not have had contact with
 // the others yet. When 195 entries started together, most took themselves for the reader
 // before they had contact with any other: they made 1,160 of the 2,180 calls to the store in
@@ -42,7 +46,7 @@
 	}
 	g.state.mutex.Lock()
 	defer g.state.mutex.Unlock()
-	return g.feeds.entriesReadAt.Load() == 0 || g.state.peers.Size() > 1
+	return g.feeds.entriesReadAt.Load() == 0 || g.state.peers.Size() > maxReadersAtStart
 }
 
 // copyWriters is the number of entries that write copies of the configuration: one of them may
