--- a/internal/gateway/crashlinks.go
+++ b/internal/gateway/crashlinks.go
@@ -107,6 +107,9 @@
 	var causes []crashes.Cause
 	var evidence []crashes.Evidence
 	for _, e := range c.Causes {
+		if !crashes.Kind(e.Kind).Known() {
+			continue // of a later release
+		}
 		cause := crashes.Cause{Kind: crashes.Kind(e.Kind), Service: c.Service, ID: e.ID}
 		parts, causes = append(parts, e.ID), append(causes, cause)
 		evidence = append(evidence, crashes.Evidence{Cause: cause, Answered: e.Answered})
@@ -163,6 +166,9 @@
 
 // handleCauseReport applies what another entry knows of causes.
 func (l *links) handleCauseReport(report *gossip.CauseReport) {
+	if !crashes.Kind(report.Kind).Known() {
+		return // of a later release
+	}
 	var causes []crashes.Cause
 	for _, id := range report.IDs {
 		causes = append(causes, crashes.Cause{Kind: crashes.Kind(report.Kind), Service: report.Service, ID: id})
