--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -71,7 +71,7 @@
 		return refusalFor(d)
 	case d.Trial:
 		c.onTrial = &d.Cause
-		c.gateway.log.Write(eventlog.StateChange, d.Cause.Kind.String()+eventTrial, eventlog.Fields{
+		c.gateway.log.Write(eventlog.StateChange, eventsOfCauses[d.Cause.Kind].trial, eventlog.Fields{
 			"id": c.envelope.ID, d.Cause.Kind.String(): d.Cause.ID, "service": d.Cause.Service, "trial": d.Stage,
 		})
 		c.gateway.links.announceTrial(d.Cause, d.Stage)
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -85,9 +85,9 @@
 func (s *state) logCause(change crashes.Change) {
 	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered, "trials": change.Stage}
 	if !change.Convicted {
-		s.log.Write(eventlog.StateChange, change.Cause.Kind.String()+eventAcquitted, fields)
+		s.log.Write(eventlog.StateChange, eventsOfCauses[change.Cause.Kind].allowed, fields)
 		return
 	}
 	fields["crashes"], fields["targets"], fields["trial_in_ms"] = change.Crashes, change.Targets, change.TrialIn.Milliseconds()
-	s.log.Write(eventlog.StateChange, change.Cause.Kind.String()+eventConvicted, fields)
+	s.log.Write(eventlog.StateChange, eventsOfCauses[change.Cause.Kind].refused, fields)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"sycamoretrail/internal/core/crashes"
 	"sycamoretrail/internal/eventlog"
 )
 
@@ -49,15 +50,19 @@
 	eventSuspect       = "suspect"
 	eventRefuted       = "crash_refuted"
 	eventCleared       = "cleared"
-
-	// Causes of crashes; the kind of the cause comes before.
-	eventConvicted = "_refused"
-	eventAcquitted = "_allowed"
-	eventTrial     = "_trial"
-	eventRollout   = "rollout"
-	eventLease     = "lease"
+	eventRollout       = "rollout"
+	eventLease         = "lease"
 )
 
+// causeEvents are the events of a cause of crashes.
+type causeEvents struct{ refused, allowed, trial string }
+
+// eventsOfCauses holds them by kind.
+var eventsOfCauses = map[crashes.Kind]causeEvents{
+	crashes.Part:    {"part_refused", "part_allowed", "part_trial"},
+	crashes.Request: {"request_refused", "request_allowed", "request_trial"},
+}
+
 // settle writes the final log line of a request and counts it.
 func (g *Gateway) settle(c *call, status int, reason string) {
 	importance := eventlog.Failure
