--- a/internal/core/crashes/answers.go
+++ b/internal/core/crashes/answers.go
@@ -1,22 +1,20 @@
 package crashes
 
-import (
-	"time"
-)
+import "time"
 
 // RecordAnswer records a complete answer to a request with these causes. It returns the causes of
 // which the other entries should hear that they were answered: at once, or soon, if nobody else tells
-// them before (see Untold).
+// them before (see Unreported).
 func (s *Causes) RecordAnswer(now time.Time, causes []Cause) (atOnce, soon []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
 		known, found := s.suspects[cause]
 		switch {
 		case !found:
-		case known.convicted || !s.answered.has(cause.key()):
+		case known.quarantined || !s.answered.has(cause.key()):
 			atOnce = append(atOnce, cause)
 		default:
-			s.untold[cause] = struct{}{}
+			s.unreported[cause] = struct{}{}
 			soon = append(soon, cause)
 		}
 		s.clear(now, cause)
@@ -24,22 +22,22 @@
 	return atOnce, soon
 }
 
-// Untold returns those of the causes of which no other entry has told since RecordAnswer returned them.
-func (s *Causes) Untold(causes []Cause) (untold []Cause) {
+// Unreported returns those of the causes of which no other entry has told since RecordAnswer returned them.
+func (s *Causes) Unreported(causes []Cause) (unreported []Cause) {
 	for _, cause := range causes {
-		if _, found := s.untold[cause]; found {
-			delete(s.untold, cause)
-			untold = append(untold, cause)
+		if _, found := s.unreported[cause]; found {
+			delete(s.unreported, cause)
+			unreported = append(unreported, cause)
 		}
 	}
-	return untold
+	return unreported
 }
 
 // Clear records that requests with these causes were answered through other entries.
 func (s *Causes) Clear(now time.Time, causes []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
-		delete(s.untold, cause)
+		delete(s.unreported, cause)
 		s.clear(now, cause)
 	}
 }
@@ -50,12 +48,12 @@
 	if !found {
 		return
 	}
-	rivals := known.rivals
+	coSuspects := known.coSuspects
 	s.drop(known)
-	for rival := range rivals {
-		if r, found := s.suspects[rival]; found && len(r.rivals) == 0 {
+	for coSuspect := range coSuspects {
+		if r, found := s.suspects[coSuspect]; found && len(r.coSuspects) == 0 {
 			r.stage = 0
-			s.scheduleTrial(now, r)
+			s.scheduleProbe(now, r)
 		}
 	}
 }
@@ -70,9 +68,9 @@
 // Remembers reports whether an answer to a request with a cause is remembered.
 func (s *Causes) Remembers(cause Cause) bool { return s.answered.has(cause.key()) }
 
-// Vouch records that other entries remember answers to requests with these causes. A conviction that
-// needed fewer crashes than these causes take is lifted.
-func (s *Causes) Vouch(now time.Time, causes []Cause) {
+// ConfirmAnswered records that other entries remember answers to requests with these causes. A quarantine that
+// needed fewer crashes than these causes take is allowed.
+func (s *Causes) ConfirmAnswered(now time.Time, causes []Cause) {
 	s.settle(now)
 	for _, cause := range causes {
 		s.remember(cause)
@@ -80,22 +78,22 @@
 		if !found {
 			continue
 		}
-		known.vouched = true
-		if known.convicted && !known.despiteAnswers && known.stage == 0 {
+		known.confirmed = true
+		if known.quarantined && !known.despiteAnswers && known.stage == 0 {
 			s.drop(known)
 		}
 	}
 }
 
-// ToVouch returns those of the causes that this entry remembers as answered while others, as far as
-// it has heard, do not, and that may soon be convicted there.
-func (s *Causes) ToVouch(now time.Time, causes []Cause) []Cause {
-	var vouchable []Cause
+// ToConfirm returns those of the causes that this entry remembers as answered while others, as far as
+// it has heard, do not, and that may soon be quarantined there.
+func (s *Causes) ToConfirm(now time.Time, causes []Cause) []Cause {
+	var unconfirmed []Cause
 	for _, cause := range causes {
 		known, found := s.suspects[cause]
-		if found && !known.convicted && !known.vouched && s.answered.has(cause.key()) && s.count(now, known) >= policies[cause.Kind].threshold-1 {
-			vouchable = append(vouchable, cause)
+		if found && !known.quarantined && !known.confirmed && s.answered.has(cause.key()) && s.count(now, known) >= policies[cause.Kind].threshold-1 {
+			unconfirmed = append(unconfirmed, cause)
 		}
 	}
-	return vouchable
+	return unconfirmed
 }
--- a/internal/core/crashes/cause.go
+++ b/internal/core/crashes/cause.go
@@ -75,7 +75,7 @@
 
 // policy holds the bounds for causes of one kind.
 type policy struct {
-	// threshold is the number of crashes since its last answer from which a cause is convicted,
+	// threshold is the number of crashes since its last answer from which a cause is quarantined,
 	// answeredThreshold that of a cause of which an answer is remembered.
 	threshold, answeredThreshold int
 	// settle is how long after a crash its evidence is judged: until then other entries report
@@ -84,7 +84,7 @@
 	// remembered: that a cause was answered is remembered after the answer, so that the thresholds
 	// for answered causes hold.
 	remembered bool
-	// explains: the crashes with such a cause in flight, once it is convicted, do not count against
+	// explains: the crashes with such a cause in flight, once it is quarantined, do not count against
 	// others. A request does not explain them: it may crash targets because of a part of its prompt.
 	explains bool
 	// simultaneous is the time within which crashes of several targets count as one if the runs at
@@ -114,32 +114,32 @@
 	// restartTime is how soon a target that crashed may be back under its name: answers after
 	// that don't show that it lived on.
 	restartTime = time.Second
-	// evidenceLife is how long a crash counts against a cause that is not convicted.
+	// evidenceLife is how long a crash counts against a cause that is not quarantined.
 	evidenceLife = 10 * time.Minute
-	// convictionLife is how long a conviction outlasts the last request with the cause.
-	convictionLife = 6 * time.Hour
-	// maxSuspects and maxConvicted bound the causes held, maxCrashes the crashes; those seen
+	// quarantineLife is how long a quarantine outlasts the last request with the cause.
+	quarantineLife = 6 * time.Hour
+	// maxSuspects and maxQuarantined bound the causes held, maxCrashes the crashes; those seen
 	// longest ago are dropped first.
-	maxSuspects  = 4096
-	maxConvicted = 512
-	maxCrashes   = 1024
+	maxSuspects    = 4096
+	maxQuarantined = 512
+	maxCrashes     = 1024
 	// maxCrashesOfCause bounds the crashes held for a cause.
 	maxCrashesOfCause = 8
 )
 
-// trialPauses are the pauses before the trials of a convicted cause; the last one repeats. A trial
+// probePauses are the pauses before the probes of a quarantined cause; the last one repeats. A probe
 // may cost a target.
-var trialPauses = []time.Duration{30 * time.Second, 10 * time.Minute, time.Hour, 6 * time.Hour}
+var probePauses = []time.Duration{30 * time.Second, 10 * time.Minute, time.Hour, 6 * time.Hour}
 
-// rivalTrialPause is the first pause of a cause that was convicted with others on the same
-// crashes; it grows fourfold with each trial. All but one of them are probably sound.
-const rivalTrialPause = time.Second
+// coSuspectProbePause is the first pause of a cause that was quarantined with others on the same
+// crashes; it grows fourfold with each probe. All but one of them are probably sound.
+const coSuspectProbePause = time.Second
 
-// trialPause returns the pause before a trial.
-func trialPause(stage int, rivals bool) time.Duration {
-	pause := trialPauses[min(stage, len(trialPauses)-1)]
-	if !rivals {
+// probePause returns the pause before a probe.
+func probePause(stage int, coSuspects bool) time.Duration {
+	pause := probePauses[min(stage, len(probePauses)-1)]
+	if !coSuspects {
 		return pause
 	}
-	return min(pause, rivalTrialPause<<(2*min(stage, len(trialPauses))))
+	return min(pause, coSuspectProbePause<<(2*min(stage, len(probePauses))))
 }
--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -15,34 +15,34 @@
 // Causes finds out what the requests that crash targets have in common. A run that broke when its
 // target crashed is evidence against each of its causes, and a complete answer drops the evidence
 // against all of its causes: what crashes each target that runs it is never answered. A cause is
-// convicted by several crashes in a row without an answer between them. Requests with a convicted
-// cause are refused, except for rare trials, until one of them is answered.
+// quarantined by several crashes in a row without an answer between them. Requests with a quarantined
+// cause are refused, except for rare probes, until one of them is answered.
 //
 // Many sound requests share causes with those that crash targets, and break with them. Three
 // things tell their causes apart: answers, which all entries hear of; the memory of earlier
 // answers, for times in which no target lives long enough to answer anything; and crashes with a
-// convicted cause in flight, which do not count against others.
+// quarantined cause in flight, which do not count against others.
 //
 // It is not safe for concurrent use.
 type Causes struct {
 	suspects map[Cause]*suspect
-	// unconvicted and convicted list the suspects, those seen longest ago first.
-	unconvicted, convicted *list.List
-	// convictedParts counts the services for which a part is convicted, by its id.
-	convictedParts map[string]int
-	crashes        map[string]*crash
+	// suspected and quarantined list the suspects, those seen longest ago first.
+	suspected, quarantined *list.List
+	// quarantinedParts counts the services for which a part is quarantined, by its id.
+	quarantinedParts map[string]int
+	crashes          map[string]*crash
 	// crashOrder lists the targets of crashes, oldest first; unsettled the crashes that are not
 	// judged yet.
 	crashOrder []string
 	unsettled  []*crash
 	answered   *recent
-	// untold are causes that were answered here, of which other entries are to hear.
-	untold map[Cause]struct{}
-	// jitter returns a random part of a duration, so that entries do not begin trials together.
+	// unreported are causes that were answered here, of which other entries are to hear.
+	unreported map[Cause]struct{}
+	// jitter returns a random part of a duration, so that entries do not begin probes together.
 	jitter  func(time.Duration) time.Duration
 	changes []Change
-	// lifted are the ids of the causes that operators have freed.
-	lifted map[string]bool
+	// allowed are the ids of the causes that operators have freed.
+	allowed map[string]bool
 }
 
 // Evidence is one cause of a broken run. Answered: the entry that reports it remembers an answer.
@@ -53,22 +53,22 @@
 
 // Change is a change of what is known of a cause, for the log.
 type Change struct {
-	Cause     Cause
-	Convicted bool
-	Crashes   int
-	Targets   []string
-	Answered  bool
-	Stage     int
-	// TrialIn is the time to the next trial.
-	TrialIn time.Duration
+	Cause       Cause
+	Quarantined bool
+	Crashes     int
+	Targets     []string
+	Answered    bool
+	Stage       int
+	// ProbeIn is the time to the next probe.
+	ProbeIn time.Duration
 }
 
 // NewCauses returns an empty Causes.
 func NewCauses(jitter func(time.Duration) time.Duration) *Causes {
 	return &Causes{
-		suspects: make(map[Cause]*suspect), unconvicted: list.New(), convicted: list.New(),
-		convictedParts: make(map[string]int), crashes: make(map[string]*crash),
-		answered: newRecent(), untold: make(map[Cause]struct{}), jitter: jitter,
+		suspects: make(map[Cause]*suspect), suspected: list.New(), quarantined: list.New(),
+		quarantinedParts: make(map[string]int), crashes: make(map[string]*crash),
+		answered: newRecent(), unreported: make(map[Cause]struct{}), jitter: jitter,
 	}
 }
 
@@ -86,7 +86,7 @@
 			s.remember(e.Cause)
 		}
 		known := s.findOrAdd(e.Cause)
-		known.vouched = known.vouched || e.Answered
+		known.confirmed = known.confirmed || e.Answered
 		s.touch(now, known)
 		if !s.addCrash(known, brokenRun{c, now.Add(-ran)}) {
 			continue
@@ -105,7 +105,7 @@
 }
 
 // count returns the number of crashes that count against a cause: those since its last answer, but
-// not those during which another convicted cause was in flight.
+// not those during which another quarantined cause was in flight.
 func (s *Causes) count(now time.Time, known *suspect) int {
 	simultaneous := policies[known.cause.Kind].simultaneous
 	n, last := 0, time.Time{}
@@ -130,10 +130,10 @@
 	}
 }
 
-// judge convicts those of the suspects that have reached their thresholds.
+// judge quarantines those of the suspects that have reached their thresholds.
 func (s *Causes) judge(now time.Time, suspects []*suspect) {
-	s.convict(now, slices.DeleteFunc(suspects, func(known *suspect) bool {
-		return known.convicted || s.count(now, known) < s.threshold(known.cause)
+	s.quarantine(now, slices.DeleteFunc(suspects, func(known *suspect) bool {
+		return known.quarantined || s.count(now, known) < s.threshold(known.cause)
 	}))
 }
 
@@ -161,8 +161,8 @@
 	return s.count(now, known)
 }
 
-// Convicted returns the number of convicted causes, Suspected that of all others with evidence.
-func (s *Causes) Convicted() int { return s.convicted.Len() }
+// Quarantined returns the number of quarantined causes, Suspected that of all others with evidence.
+func (s *Causes) Quarantined() int { return s.quarantined.Len() }
 
-// Suspected returns the number of causes with evidence that are not convicted.
-func (s *Causes) Suspected() int { return s.unconvicted.Len() }
+// Suspected returns the number of causes with evidence that are not quarantined.
+func (s *Causes) Suspected() int { return s.suspected.Len() }
--- a/internal/core/crashes/causes_test.go
+++ b/internal/core/crashes/causes_test.go
@@ -44,7 +44,7 @@
 	at = crashInTurn(s, at, 1, "p")
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue())
 	g.Expect(s.Check(at, partsOf("other")).Refused).To(BeFalse())
-	g.Expect(s.Convicted()).To(Equal(1))
+	g.Expect(s.Quarantined()).To(Equal(1))
 }
 
 // Guards against an entry that loses its links to several targets at once counting that as several crashes.
@@ -83,29 +83,29 @@
 
 // Guards against parts of which one crashes targets, and that nothing tells apart yet, being refused for
 // longer than it takes to try them one by one.
-func TestRivalsAreTriedOneByOne(t *testing.T) {
+func TestCoSuspectsAreTriedOneByOne(t *testing.T) {
 	g := NewWithT(t)
 	s := newCauses()
 	at := crashInTurn(s, now, 3, "bad", "sound")
 	g.Expect(s.Check(at, partsOf("bad", "sound")).Refused).To(BeTrue())
 	at = at.Add(2 * time.Second)
 	g.Expect(s.Claim(at, partsOf("bad", "sound")).Refused).To(BeTrue(), "shows nothing of either")
-	g.Expect(s.Claim(at, partsOf("sound")).Trial).To(BeTrue())
-	g.Expect(s.Claim(at, partsOf("sound")).Refused).To(BeTrue(), "one trial at a time")
-	told, _ := s.RecordAnswer(at, partsOf("sound"))
-	g.Expect(told).To(HaveLen(1))
+	g.Expect(s.Claim(at, partsOf("sound")).Probe).To(BeTrue())
+	g.Expect(s.Claim(at, partsOf("sound")).Refused).To(BeTrue(), "one probe at a time")
+	answered, _ := s.RecordAnswer(at, partsOf("sound"))
+	g.Expect(answered).To(HaveLen(1))
 	g.Expect(s.Check(at, partsOf("sound")).Refused).To(BeFalse())
 	g.Expect(s.Check(at.Add(20*time.Second), partsOf("bad", "sound")).Refused).To(BeTrue())
-	g.Expect(s.Check(at.Add(40*time.Second), partsOf("bad", "sound")).Trial).To(BeTrue())
+	g.Expect(s.Check(at.Add(40*time.Second), partsOf("bad", "sound")).Probe).To(BeTrue())
 }
 
-// Guards against callers being told to come back long before or after the next trial.
+// Guards against callers being told to come back long before or after the next probe.
 func TestRetryAfterOfRefusedPart(t *testing.T) {
 	g := NewWithT(t)
 	s := newCauses()
 	at := crashInTurn(s, now, 3, "p")
 	g.Expect(s.Check(at, partsOf("p")).RetryAfter).To(Equal(30 * time.Second))
-	g.Expect(s.Claim(at.Add(31*time.Second), partsOf("p")).Trial).To(BeTrue())
+	g.Expect(s.Claim(at.Add(31*time.Second), partsOf("p")).Probe).To(BeTrue())
 	g.Expect(s.Check(at.Add(31*time.Second), partsOf("p")).RetryAfter).To(Equal(10 * time.Minute))
 }
 
@@ -148,30 +148,30 @@
 }
 
 // Guards against an entry refusing a part that others remember as answered.
-func TestVouchedPartTakesMoreCrashes(t *testing.T) {
+func TestConfirmedPartTakesMoreCrashes(t *testing.T) {
 	g := NewWithT(t)
 	s := newCauses()
 	at := crashInTurn(s, now, 3, "p")
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue())
-	s.Vouch(at, partsOf("p"))
+	s.ConfirmAnswered(at, partsOf("p"))
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeFalse())
 	at = crashInTurn(s, at, 5, "p")
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeFalse())
 	at = crashInTurn(s, at, 1, "p")
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue())
-	s.Vouch(at, partsOf("p"))
+	s.ConfirmAnswered(at, partsOf("p"))
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue(), "refused although it had been answered")
 }
 
 // Guards against an entry that has missed an answer making others refuse the part again.
-func TestConvictionOfAnsweredPartIsNotTakenOver(t *testing.T) {
+func TestQuarantineOfAnsweredPartIsNotTakenOver(t *testing.T) {
 	g := NewWithT(t)
 	s := newCauses()
 	s.RecordAnswer(now, partsOf("p"))
-	told := crashes.Conviction{Cause: partsOf("p")[0]}
-	g.Expect(s.ApplyConviction(now, told)).To(BeFalse())
-	told.DespiteAnswers = true
-	g.Expect(s.ApplyConviction(now, told)).To(BeTrue())
+	reported := crashes.Quarantine{Cause: partsOf("p")[0]}
+	g.Expect(s.ApplyQuarantine(now, reported)).To(BeFalse())
+	reported.DespiteAnswers = true
+	g.Expect(s.ApplyQuarantine(now, reported)).To(BeTrue())
 	g.Expect(s.Check(now, partsOf("p")).Refused).To(BeTrue())
 }
 
@@ -187,22 +187,22 @@
 		g.Expect(soon).To(Equal(partsOf("p")))
 		if byOther {
 			s.Clear(now, partsOf("p"))
-			g.Expect(s.Untold(soon)).To(BeEmpty())
+			g.Expect(s.Unreported(soon)).To(BeEmpty())
 			continue
 		}
-		g.Expect(s.Untold(soon)).To(Equal(partsOf("p")))
-		g.Expect(s.Untold(soon)).To(BeEmpty())
+		g.Expect(s.Unreported(soon)).To(Equal(partsOf("p")))
+		g.Expect(s.Unreported(soon)).To(BeEmpty())
 	}
 }
 
 // Guards against an operator being unable to free a part that is refused by mistake.
-func TestLiftedPartIsNotRefused(t *testing.T) {
+func TestAllowedPartIsNotRefused(t *testing.T) {
 	g := NewWithT(t)
 	s := newCauses()
 	at := crashInTurn(s, now, 3, "p")
-	s.SetLifted([]string{"p"})
+	s.SetAllowed([]string{"p"})
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeFalse())
-	s.SetLifted(nil)
+	s.SetAllowed(nil)
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue())
 }
 
--- a/internal/core/crashes/crash.go
+++ b/internal/core/crashes/crash.go
@@ -11,7 +11,7 @@
 	target string
 	at     time.Time
 	causes map[Cause]*suspect
-	// explaining is the number of its causes that are convicted and explain it.
+	// explaining is the number of its causes that are quarantined and explain it.
 	explaining int
 	// unsettled: the crash is judged at settlesAt.
 	unsettled bool
@@ -104,8 +104,8 @@
 	suspects := slices.Collect(maps.Values(c.causes))
 	s.forgetCrash(target)
 	for _, known := range suspects {
-		if known.convicted && known.stage == 0 && len(known.crashes) < s.threshold(known.cause) {
-			s.acquit(known)
+		if known.quarantined && known.stage == 0 && len(known.crashes) < s.threshold(known.cause) {
+			s.release(known)
 		}
 	}
 	return refuted
--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -45,7 +45,7 @@
 
 // Guards against a request that goes on to crash targets being let through each time that its evidence ends.
 func TestRequestIsRefusedAsLongAsItComes(t *testing.T) {
-	const allowed, trials = 3, 2
+	const allowed, probes = 3, 2
 	for _, pause := range []time.Duration{2 * time.Second, 30 * time.Second} {
 		g := NewWithT(t)
 		m := newCauses()
@@ -57,7 +57,7 @@
 				recordFailure(m, at, 7, fmt.Sprint(crashed))
 			}
 		}
-		g.Expect(crashed).To(BeNumerically("<=", allowed+trials))
+		g.Expect(crashed).To(BeNumerically("<=", allowed+probes))
 	}
 }
 
@@ -73,8 +73,8 @@
 }
 
 // Guards against an entry that has just started and runs requests which others refuse: it is told
-// the convictions, and nothing else.
-func TestConvictionsMakeAnotherEntryRefuse(t *testing.T) {
+// the quarantines, and nothing else.
+func TestQuarantinesMakeAnotherEntryRefuse(t *testing.T) {
 	g := NewWithT(t)
 	m := newCauses()
 	for fingerprint := range crashes.Fingerprint(5) {
@@ -82,15 +82,15 @@
 			recordFailure(m, now, fingerprint, fmt.Sprint(i))
 		}
 	}
-	told := newCauses()
-	for _, conviction := range m.Convictions(now, 6) {
-		g.Expect(told.ApplyConviction(now, conviction)).To(BeTrue())
+	joined := newCauses()
+	for _, quarantine := range m.Quarantines(now, 6) {
+		g.Expect(joined.ApplyQuarantine(now, quarantine)).To(BeTrue())
 	}
 	for fingerprint := range crashes.Fingerprint(5) {
-		g.Expect(quarantined(told, now, fingerprint)).To(Equal(quarantined(m, now, fingerprint)))
+		g.Expect(quarantined(joined, now, fingerprint)).To(Equal(quarantined(m, now, fingerprint)))
 	}
-	g.Expect(told.Count(now, crashes.Fingerprint(2).Cause())).To(BeZero())
-	g.Expect(m.Convictions(now, 1)).To(HaveLen(1))
+	g.Expect(joined.Count(now, crashes.Fingerprint(2).Cause())).To(BeZero())
+	g.Expect(m.Quarantines(now, 1)).To(HaveLen(1))
 }
 
 // Guards against the broken connections of a target that lives on counting as its crash, and against a target
@@ -130,13 +130,13 @@
 	}
 	g.Expect(retryAfter(m, now, 7)).To(Equal(30 * time.Second))
 	g.Expect(retryAfter(m, now.Add(time.Second), 7)).To(Equal(29 * time.Second))
-	told, _ := m.RecordAnswer(now, causes)
-	g.Expect(told).To(Equal(causes))
-	told, _ = m.RecordAnswer(now, causes)
-	g.Expect(told).To(BeEmpty())
+	answered, _ := m.RecordAnswer(now, causes)
+	g.Expect(answered).To(Equal(causes))
+	answered, _ = m.RecordAnswer(now, causes)
+	g.Expect(answered).To(BeEmpty())
 	g.Expect(quarantined(m, now, 7)).To(BeFalse())
 	g.Expect(retryAfter(m, now, 7)).To(BeZero())
-	g.Expect(m.Convictions(now, 10)).To(BeEmpty())
+	g.Expect(m.Quarantines(now, 10)).To(BeEmpty())
 }
 
 // Guards against one request that breaks at many targets using up the memory.
--- a/internal/core/crashes/decision.go
+++ b/internal/core/crashes/decision.go
@@ -7,22 +7,22 @@
 
 // Decision says whether a request may be sent to a target.
 type Decision struct {
-	// Refused: the request has a convicted cause. RetryAfter is the time to its next trial.
+	// Refused: the request has a quarantined cause. RetryAfter is the time to its next probe.
 	Refused    bool
 	RetryAfter time.Duration
-	// Cause is the cause of a refusal or of a trial.
+	// Cause is the cause of a refusal or of a probe.
 	Cause Cause
-	// Trial: the request may run once, as a trial of its only convicted cause. Stage counts the trials.
-	Trial bool
+	// Probe: the request may run once, as a probe of its only quarantined cause. Stage counts the probes.
+	Probe bool
 	Stage int
 }
 
-// Check decides whether a request may be sent. It begins no trial.
+// Check decides whether a request may be sent. It begins no probe.
 func (s *Causes) Check(now time.Time, causes []Cause) Decision {
 	s.settle(now)
 	var held *suspect
 	for _, cause := range causes {
-		known := s.convictedFor(now, cause)
+		known := s.quarantineFor(now, cause)
 		if known == nil || known == held {
 			continue
 		}
@@ -35,50 +35,50 @@
 	switch {
 	case held == nil:
 		return Decision{}
-	case now.Before(held.ownTrialAt):
+	case now.Before(held.ownProbeAt):
 		return refusal(now, held)
 	default:
-		return Decision{Cause: held.cause, Trial: true, Stage: held.stage + 1}
+		return Decision{Cause: held.cause, Probe: true, Stage: held.stage + 1}
 	}
 }
 
 func refusal(now time.Time, known *suspect) Decision {
-	return Decision{Refused: true, Cause: known.cause, RetryAfter: max(time.Second, known.trialAt.Sub(now))}
+	return Decision{Refused: true, Cause: known.cause, RetryAfter: max(time.Second, known.probeAt.Sub(now))}
 }
 
-// Claim decides whether a request may be sent now. If it is a trial, later ones wait for the next.
+// Claim decides whether a request may be sent now. If it is a probe, later ones wait for the next.
 func (s *Causes) Claim(now time.Time, causes []Cause) Decision {
 	decision := s.Check(now, causes)
-	if decision.Trial {
+	if decision.Probe {
 		known := s.suspects[decision.Cause]
 		known.stage = decision.Stage
-		s.scheduleTrial(now, known)
+		s.scheduleProbe(now, known)
 	}
 	return decision
 }
 
-// SetLifted names the causes that are not refused, whatever counts against them.
-func (s *Causes) SetLifted(ids []string) {
-	s.lifted = make(map[string]bool, len(ids))
+// SetAllowed names the causes that are not refused, whatever counts against them.
+func (s *Causes) SetAllowed(ids []string) {
+	s.allowed = make(map[string]bool, len(ids))
 	for _, id := range ids {
-		s.lifted[id] = true
+		s.allowed[id] = true
 	}
 }
 
-// convictedFor returns the conviction that concerns a cause. That of a part holds for all services
+// quarantineFor returns the quarantine that concerns a cause. That of a part holds for all services
 // but those that have answered it: they may run the same software.
-func (s *Causes) convictedFor(now time.Time, cause Cause) *suspect {
-	if s.lifted[cause.ID] {
+func (s *Causes) quarantineFor(now time.Time, cause Cause) *suspect {
+	if s.allowed[cause.ID] {
 		return nil
 	}
 	known, found := s.suspects[cause]
-	if found && known.convicted {
+	if found && known.quarantined {
 		return s.unlessLapsed(now, known)
 	}
-	if cause.Kind != Part || s.convictedParts[cause.ID] == 0 || s.answered.has(cause.key()) {
+	if cause.Kind != Part || s.quarantinedParts[cause.ID] == 0 || s.answered.has(cause.key()) {
 		return nil
 	}
-	for e := s.convicted.Front(); e != nil; e = e.Next() {
+	for e := s.quarantined.Front(); e != nil; e = e.Next() {
 		if other := e.Value.(*suspect); other.cause.Kind == Part && other.cause.ID == cause.ID {
 			return s.unlessLapsed(now, other)
 		}
@@ -86,9 +86,9 @@
 	return nil
 }
 
-// unlessLapsed drops a conviction with which no request has come for long.
+// unlessLapsed drops a quarantine with which no request has come for long.
 func (s *Causes) unlessLapsed(now time.Time, known *suspect) *suspect {
-	if now.Sub(known.seen) <= convictionLife {
+	if now.Sub(known.seen) <= quarantineLife {
 		return known
 	}
 	s.drop(known)
@@ -105,28 +105,28 @@
 		if s.answered.has(cause.key()) {
 			threshold = p.answeredRepeatThreshold
 		}
-		return found && (known.convicted || s.count(now, known) >= threshold)
+		return found && (known.quarantined || s.count(now, known) >= threshold)
 	})
 }
 
-// EndTrial records that a trial ended without showing anything: another one is due after the first pause.
-func (s *Causes) EndTrial(now time.Time, cause Cause) {
-	if known, found := s.suspects[cause]; found && known.convicted {
-		known.trialAt = now.Add(trialPauses[0])
-		known.ownTrialAt = known.trialAt
+// EndProbe records that a probe ended without showing anything: another one is due after the first pause.
+func (s *Causes) EndProbe(now time.Time, cause Cause) {
+	if known, found := s.suspects[cause]; found && known.quarantined {
+		known.probeAt = now.Add(probePauses[0])
+		known.ownProbeAt = known.probeAt
 	}
 }
 
-// ApplyTrial records that another entry has begun a trial.
-func (s *Causes) ApplyTrial(now time.Time, cause Cause, stage int) {
-	if known, found := s.suspects[cause]; found && known.convicted {
+// ApplyProbe records that another entry has begun a probe.
+func (s *Causes) ApplyProbe(now time.Time, cause Cause, stage int) {
+	if known, found := s.suspects[cause]; found && known.quarantined {
 		known.stage = max(known.stage, stage)
-		s.scheduleTrial(now, known)
+		s.scheduleProbe(now, known)
 	}
 }
 
-func (s *Causes) scheduleTrial(now time.Time, known *suspect) {
-	pause := trialPause(known.stage, len(known.rivals) > 0)
-	known.trialAt = now.Add(pause)
-	known.ownTrialAt = known.trialAt.Add(s.jitter(pause / 2))
+func (s *Causes) scheduleProbe(now time.Time, known *suspect) {
+	pause := probePause(known.stage, len(known.coSuspects) > 0)
+	known.probeAt = now.Add(pause)
+	known.ownProbeAt = known.probeAt.Add(s.jitter(pause / 2))
 }
--- a/internal/core/crashes/fleet_test.go
+++ b/internal/core/crashes/fleet_test.go
@@ -16,10 +16,10 @@
 // A fleet of entries on a virtual clock, whose targets crash under requests with one part.
 
 const (
-	simRun     = 30 * time.Millisecond
-	simRestart = 1500 * time.Millisecond
-	simVouch   = 200 * time.Millisecond
-	simCell    = 12
+	simRun             = 30 * time.Millisecond
+	simRestart         = 1500 * time.Millisecond
+	simConfirmAnswered = 200 * time.Millisecond
+	simCell            = 12
 	// simTellSoon is the time within which entries announce answers.
 	simTellSoon = 100 * time.Millisecond
 	badPart     = "bad"
@@ -203,8 +203,8 @@
 	if r.claim = entry.Claim(f.now, r.causes); r.claim.Refused {
 		return false
 	}
-	if d := r.claim; d.Trial {
-		f.tell(r.entry, func(other *crashes.Causes) { other.ApplyTrial(f.now, d.Cause, d.Stage) })
+	if d := r.claim; d.Probe {
+		f.tell(r.entry, func(other *crashes.Causes) { other.ApplyProbe(f.now, d.Cause, d.Stage) })
 	}
 	var up []*simTarget
 	for _, t := range f.targets {
@@ -238,7 +238,7 @@
 	atOnce, soon := entry.RecordAnswer(f.now, r.causes)
 	f.tellAnswered(r.entry, atOnce)
 	if len(soon) > 0 {
-		f.after(time.Duration(f.random.Int64N(int64(simTellSoon))), func() { f.tellAnswered(r.entry, entry.Untold(soon)) })
+		f.after(time.Duration(f.random.Int64N(int64(simTellSoon))), func() { f.tellAnswered(r.entry, entry.Unreported(soon)) })
 	}
 }
 
@@ -276,11 +276,11 @@
 	entry.RecordBroken(f.now, target, f.now.Sub(r.began), evidence)
 	f.tell(r.entry, func(other *crashes.Causes) {
 		added := other.RecordBroken(f.now, target, f.now.Sub(r.began), evidence)
-		if len(other.ToVouch(f.now, added)) > 0 {
-			f.vouchLater(other, added)
+		if len(other.ToConfirm(f.now, added)) > 0 {
+			f.confirmLater(other, added)
 		}
 		if i := slices.Index(f.entries, other); !f.cut[i] && f.inCell(i, r.entry) {
-			f.tellConvictions(i, r.entry, r.causes)
+			f.tellQuarantines(i, r.entry, r.causes)
 		}
 	})
 	if !r.again {
@@ -290,13 +290,13 @@
 
 func (f *fleet) inCell(a, b int) bool { return a/simCell == b/simCell }
 
-func (f *fleet) vouchLater(entry *crashes.Causes, causes []crashes.Cause) {
-	f.after(time.Duration(f.random.Int64N(int64(simVouch))), func() {
-		vouched := entry.ToVouch(f.now, causes)
+func (f *fleet) confirmLater(entry *crashes.Causes, causes []crashes.Cause) {
+	f.after(time.Duration(f.random.Int64N(int64(simConfirmAnswered))), func() {
+		confirmed := entry.ToConfirm(f.now, causes)
 		for i, e := range f.entries {
-			if e == entry && len(vouched) > 0 {
-				e.Vouch(f.now, vouched)
-				f.tell(i, func(other *crashes.Causes) { other.Vouch(f.now, vouched) })
+			if e == entry && len(confirmed) > 0 {
+				e.ConfirmAnswered(f.now, confirmed)
+				f.tell(i, func(other *crashes.Causes) { other.ConfirmAnswered(f.now, confirmed) })
 			}
 		}
 	})
@@ -312,17 +312,17 @@
 // greet brings an entry to know what those of its cell tell it.
 func (f *fleet) greet(entry int) {
 	for i := 1; i < min(simCell, len(f.entries)); i++ {
-		f.tellConvictions((entry+i)%len(f.entries), entry, nil)
+		f.tellQuarantines((entry+i)%len(f.entries), entry, nil)
 	}
 }
 
-// tellConvictions tells an entry what another one refuses; only some causes, if given.
-func (f *fleet) tellConvictions(from, to int, causes []crashes.Cause) {
-	for _, conviction := range f.entries[from].Convictions(f.now, 30) {
-		if causes != nil && !slices.Contains(causes, conviction.Cause) {
+// tellQuarantines tells an entry what another one refuses; only some causes, if given.
+func (f *fleet) tellQuarantines(from, to int, causes []crashes.Cause) {
+	for _, quarantine := range f.entries[from].Quarantines(f.now, 30) {
+		if causes != nil && !slices.Contains(causes, quarantine.Cause) {
 			continue
 		}
-		f.after(5*time.Millisecond, func() { f.entries[to].ApplyConviction(f.now, conviction) })
+		f.after(5*time.Millisecond, func() { f.entries[to].ApplyQuarantine(f.now, quarantine) })
 	}
 }
 
@@ -393,7 +393,7 @@
 				disturb(f)
 				f.each(150*time.Millisecond, f.sendBad)
 				f.run(length)
-				f.run(4 * boundAfter) // the fifth crash may be a trial at the end
+				f.run(4 * boundAfter) // the fifth crash may be a probe at the end
 				before, after := f.soundShares()
 				t.Logf("%d crashes, %d requests reached targets, %d of them late; sound begun %.3f, %.3f; %d datagrams", len(f.crashed), len(f.arrived), f.later(), before, after, f.datagrams)
 				g.Expect(f.later()).To(BeNumerically("<=", allowedLater))
@@ -461,9 +461,9 @@
 	}
 }
 
-// Guards against trials of a part that goes on to crash targets costing more of them than the bound allows,
+// Guards against probes of a part that goes on to crash targets costing more of them than the bound allows,
 // and against evidence that ends while its requests still come.
-func TestTrialsOverHoursCostFewTargets(t *testing.T) {
+func TestProbesOverHoursCostFewTargets(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(6, 14, 1)
 	f.each(time.Second, f.sendSound)
@@ -475,7 +475,7 @@
 }
 
 // Guards against a sound part that was refused by mistake staying refused.
-func TestTrialLiftsMistakenConviction(t *testing.T) {
+func TestProbeLiftsMistakenQuarantine(t *testing.T) {
 	for _, entries := range []int{6, 985} {
 		g := NewWithT(t)
 		f := newFleet(entries, 14, 1)
--- a/internal/core/crashes/suspect.go
+++ b/internal/core/crashes/suspect.go
@@ -11,43 +11,43 @@
 	element *list.Element
 	// crashes are those since the last answer, oldest first.
 	crashes []brokenRun
-	// vouched: the entries know whether the cause has been answered before.
-	vouched bool
+	// confirmed: the entries know whether the cause has been answered before.
+	confirmed bool
 
-	convicted bool
-	// despiteAnswers: it was convicted although earlier answers are remembered.
+	quarantined bool
+	// despiteAnswers: it was quarantined although earlier answers are remembered.
 	despiteAnswers bool
 	seen           time.Time
-	// rivals were convicted with the cause on the same crashes.
-	rivals map[Cause]struct{}
-	// stage counts the trials. Callers are told that one is due at trialAt; this entry makes it
-	// from ownTrialAt on.
+	// coSuspects were quarantined with the cause on the same crashes.
+	coSuspects map[Cause]struct{}
+	// stage counts the probes. Callers are told that one is due at probeAt; this entry makes it
+	// from ownProbeAt on.
 	stage               int
-	trialAt, ownTrialAt time.Time
+	probeAt, ownProbeAt time.Time
 }
 
 // explains reports whether crashes with the cause in flight do not count against others.
-func (s *suspect) explains() bool { return s.convicted && policies[s.cause.Kind].explains }
+func (s *suspect) explains() bool { return s.quarantined && policies[s.cause.Kind].explains }
 
 // findOrAdd returns a suspect, and drops another one if there are too many.
 func (s *Causes) findOrAdd(cause Cause) *suspect {
 	if known, found := s.suspects[cause]; found {
 		return known
 	}
-	if s.unconvicted.Len() >= maxSuspects {
-		s.drop(s.unconvicted.Front().Value.(*suspect))
+	if s.suspected.Len() >= maxSuspects {
+		s.drop(s.suspected.Front().Value.(*suspect))
 	}
-	known := &suspect{cause: cause, rivals: make(map[Cause]struct{})}
-	known.element = s.unconvicted.PushBack(known)
+	known := &suspect{cause: cause, coSuspects: make(map[Cause]struct{})}
+	known.element = s.suspected.PushBack(known)
 	s.suspects[cause] = known
 	return known
 }
 
 func (s *Causes) listOf(known *suspect) *list.List {
-	if known.convicted {
-		return s.convicted
+	if known.quarantined {
+		return s.quarantined
 	}
-	return s.unconvicted
+	return s.suspected
 }
 
 func (s *Causes) touch(now time.Time, known *suspect) {
@@ -57,17 +57,17 @@
 
 // drop forgets a suspect and what its crashes hold against it.
 func (s *Causes) drop(known *suspect) {
-	s.acquit(known)
+	s.release(known)
 	for _, c := range known.crashes {
 		c.remove(known)
 	}
-	s.unconvicted.Remove(known.element)
+	s.suspected.Remove(known.element)
 	delete(s.suspects, known.cause)
 }
 
-// acquit ends a conviction; the crashes go on to count.
-func (s *Causes) acquit(known *suspect) {
-	if !known.convicted {
+// release ends a quarantine; the crashes go on to count.
+func (s *Causes) release(known *suspect) {
+	if !known.quarantined {
 		return
 	}
 	if known.explains() {
@@ -75,17 +75,17 @@
 			c.explaining--
 		}
 	}
-	s.convicted.Remove(known.element)
-	known.convicted = false
-	known.element = s.unconvicted.PushBack(known)
-	if s.convictedParts[known.cause.ID]--; s.convictedParts[known.cause.ID] <= 0 {
-		delete(s.convictedParts, known.cause.ID)
+	s.quarantined.Remove(known.element)
+	known.quarantined = false
+	known.element = s.suspected.PushBack(known)
+	if s.quarantinedParts[known.cause.ID]--; s.quarantinedParts[known.cause.ID] <= 0 {
+		delete(s.quarantinedParts, known.cause.ID)
 	}
-	for cause := range known.rivals {
-		if rival, found := s.suspects[cause]; found {
-			delete(rival.rivals, known.cause)
+	for cause := range known.coSuspects {
+		if coSuspect, found := s.suspects[cause]; found {
+			delete(coSuspect.coSuspects, known.cause)
 		}
 	}
-	known.rivals = make(map[Cause]struct{})
+	known.coSuspects = make(map[Cause]struct{})
 	s.changes = append(s.changes, Change{Cause: known.cause, Answered: s.answered.has(known.cause.key()), Stage: known.stage})
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,10 +42,10 @@
 	cost              float64
 	metered, reserved bool
 	fingerprint       crashes.Fingerprint
-	// causes are what the request has in common with others and might crash targets. onTrial is the
+	// causes are what the request has in common with others and might crash targets. onProbe is the
 	// one that the current run tries.
 	causes  []crashes.Cause
-	onTrial *crashes.Cause
+	onProbe *crashes.Cause
 
 	// disconnected is closed when the caller has disconnected.
 	disconnected chan struct{}
@@ -334,7 +334,7 @@
 	if c.reserved {
 		c.charge((*quota.Limiter).Withdraw)
 	}
-	c.endTrial()
+	c.endProbe()
 	c.gateway.settle(c, status, reason)
 	c.gateway.running.Add(-1)
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -60,7 +60,7 @@
 }
 
 // claimRun returns the reply to a request that must not run because of what it has in common with
-// requests that crashed targets, or nil. A run that is let through as a trial is announced.
+// requests that crashed targets, or nil. A run that is let through as a probe is announced.
 func (c *call) claimRun() *reply {
 	if c.runs > 0 && !c.mayRunAgain() {
 		return crashingPart
@@ -69,12 +69,12 @@
 	switch {
 	case d.Refused:
 		return refusalFor(d)
-	case d.Trial:
-		c.onTrial = &d.Cause
-		c.gateway.log.Write(eventlog.StateChange, eventsOfCauses[d.Cause.Kind].trial, eventlog.Fields{
-			"id": c.envelope.ID, d.Cause.Kind.String(): d.Cause.ID, "service": d.Cause.Service, "trial": d.Stage,
+	case d.Probe:
+		c.onProbe = &d.Cause
+		c.gateway.log.Write(eventlog.StateChange, eventsOfCauses[d.Cause.Kind].probe, eventlog.Fields{
+			"id": c.envelope.ID, d.Cause.Kind.String(): d.Cause.ID, "service": d.Cause.Service, "probe": d.Stage,
 		})
-		c.gateway.links.announceTrial(d.Cause, d.Stage)
+		c.gateway.links.announceProbe(d.Cause, d.Stage)
 	}
 	return nil
 }
@@ -85,7 +85,7 @@
 // countBrokenRun counts a run that broke against the request and its parts, at this entry and at the
 // others.
 func (c *call) countBrokenRun(grant *dispatch.Grant, began time.Time) {
-	c.onTrial = nil
+	c.onProbe = nil
 	target, ran := grant.Target.Incarnation(), time.Since(began)
 	evidence := c.gateway.state.evidenceOf(c.causes)
 	added, count := c.gateway.state.countCauses(target, ran, evidence)
@@ -111,8 +111,8 @@
 	default:
 		return
 	}
-	if c.onTrial != nil && slices.Contains(answered, *c.onTrial) {
-		c.onTrial = nil
+	if c.onProbe != nil && slices.Contains(answered, *c.onProbe) {
+		c.onProbe = nil
 	}
 	cleared, soon := c.gateway.state.recordAnswer(answered)
 	for _, cause := range cleared {
@@ -122,10 +122,10 @@
 	c.gateway.links.announceClearedSoon(soon)
 }
 
-// endTrial gives up a trial that has shown nothing.
-func (c *call) endTrial() {
-	if c.onTrial != nil {
-		c.gateway.state.endTrial(*c.onTrial)
+// endProbe gives up a probe that has shown nothing.
+func (c *call) endProbe() {
+	if c.onProbe != nil {
+		c.gateway.state.endProbe(*c.onProbe)
 	}
 }
 
--- a/internal/gateway/crashlinks.go
+++ b/internal/gateway/crashlinks.go
@@ -16,9 +16,9 @@
 // clearDelay bounds the random time after which an entry tells of an answer that others may have had too.
 const clearDelay = 100 * time.Millisecond
 
-// vouchDelay bounds the random time after which an entry tells that it remembers answers, unless
+// confirmDelay bounds the random time after which an entry tells that it remembers answers, unless
 // another one has done so.
-const vouchDelay = 200 * time.Millisecond
+const confirmDelay = 200 * time.Millisecond
 
 func (l *links) announceCrash(c *call, target string, ran time.Duration, evidence []crashes.Evidence) {
 	m := l.message()
@@ -50,7 +50,7 @@
 		return
 	}
 	time.AfterFunc(rand.N(clearDelay), func() {
-		l.announceCleared(withCauses(l.gateway.state, func(time.Time) []crashes.Cause { return l.gateway.state.causes.Untold(causes) }))
+		l.announceCleared(withCauses(l.gateway.state, func(time.Time) []crashes.Cause { return l.gateway.state.causes.Unreported(causes) }))
 	})
 }
 
@@ -82,17 +82,17 @@
 	l.sendCopies(m)
 }
 
-func (l *links) announceTrial(cause crashes.Cause, stage int) {
+func (l *links) announceProbe(cause crashes.Cause, stage int) {
 	m := l.message()
-	m.CauseReport = &gossip.CauseReport{State: gossip.CauseOnTrial, Kind: uint8(cause.Kind), Service: cause.Service, IDs: []string{cause.ID}, Stage: stage}
+	m.CauseReport = &gossip.CauseReport{State: gossip.CauseProbed, Kind: uint8(cause.Kind), Service: cause.Service, IDs: []string{cause.ID}, Stage: stage}
 	l.sendCopies(m)
 }
 
-func (l *links) sendConviction(conviction crashes.Conviction, to []peerset.Entry) {
+func (l *links) sendQuarantine(quarantine crashes.Quarantine, to []peerset.Entry) {
 	m := l.message()
 	m.CauseReport = &gossip.CauseReport{
-		State: gossip.CauseConvicted, Kind: uint8(conviction.Cause.Kind), Service: conviction.Cause.Service, IDs: []string{conviction.Cause.ID},
-		Stage: conviction.Stage, TrialInMS: conviction.TrialIn.Milliseconds(), DespiteAnswers: conviction.DespiteAnswers,
+		State: gossip.CauseQuarantined, Kind: uint8(quarantine.Cause.Kind), Service: quarantine.Cause.Service, IDs: []string{quarantine.Cause.ID},
+		Stage: quarantine.Stage, ProbeInMS: quarantine.ProbeIn.Milliseconds(), DespiteAnswers: quarantine.DespiteAnswers,
 	}
 	l.send(m, to)
 }
@@ -124,7 +124,7 @@
 		"id": c.ID, "target": target, "fingerprint": fingerprint.String(), "count": count, "parts": parts, "peer": from,
 	})
 	l.remind(from, causes)
-	l.vouchLater(added)
+	l.confirmLater(added)
 }
 
 func (l *links) handleCleared(request crashes.Fingerprint) {
@@ -132,35 +132,35 @@
 	s.changeCauses(func(now time.Time) { s.causes.Clear(now, []crashes.Cause{request.Cause()}) })
 }
 
-// remind tells an entry of the own cell that ran a request which this one refuses: it has missed the conviction.
+// remind tells an entry of the own cell that ran a request which this one refuses: it has missed the quarantine.
 func (l *links) remind(name string, causes []crashes.Cause) {
 	i := slices.IndexFunc(l.cells.Load().Audience, func(e peerset.Entry) bool { return e.Name == name })
 	if i < 0 {
 		return
 	}
 	l.gateway.state.mutex.Lock()
-	convictions := l.gateway.state.causes.Convictions(time.Now(), maxGreetedConvictions)
+	quarantines := l.gateway.state.causes.Quarantines(time.Now(), maxGreetedQuarantines)
 	l.gateway.state.mutex.Unlock()
-	for _, conviction := range convictions {
-		if slices.Contains(causes, conviction.Cause) {
-			l.sendConviction(conviction, l.cells.Load().Audience[i:i+1])
+	for _, quarantine := range quarantines {
+		if slices.Contains(causes, quarantine.Cause) {
+			l.sendQuarantine(quarantine, l.cells.Load().Audience[i:i+1])
 		}
 	}
 }
 
-// vouchLater announces that this entry remembers answers to requests with these causes, unless others
+// confirmLater announces that this entry remembers answers to requests with these causes, unless others
 // do so before.
-func (l *links) vouchLater(causes []crashes.Cause) {
-	toVouch := func() []crashes.Cause {
-		return withCauses(l.gateway.state, func(now time.Time) []crashes.Cause { return l.gateway.state.causes.ToVouch(now, causes) })
+func (l *links) confirmLater(causes []crashes.Cause) {
+	toConfirm := func() []crashes.Cause {
+		return withCauses(l.gateway.state, func(now time.Time) []crashes.Cause { return l.gateway.state.causes.ToConfirm(now, causes) })
 	}
-	if len(toVouch()) == 0 {
+	if len(toConfirm()) == 0 {
 		return
 	}
-	time.AfterFunc(rand.N(vouchDelay), func() {
-		vouched := toVouch()
-		l.announceCauses(gossip.CauseVouched, vouched)
-		l.gateway.state.changeCauses(func(now time.Time) { l.gateway.state.causes.Vouch(now, vouched) })
+	time.AfterFunc(rand.N(confirmDelay), func() {
+		confirmed := toConfirm()
+		l.announceCauses(gossip.CauseAnsweredBefore, confirmed)
+		l.gateway.state.changeCauses(func(now time.Time) { l.gateway.state.causes.ConfirmAnswered(now, confirmed) })
 	})
 }
 
@@ -177,31 +177,31 @@
 	switch report.State {
 	case gossip.CauseCleared:
 		s.changeCauses(func(now time.Time) { s.causes.Clear(now, causes) })
-	case gossip.CauseVouched:
-		s.changeCauses(func(now time.Time) { s.causes.Vouch(now, causes) })
-	case gossip.CauseOnTrial:
+	case gossip.CauseAnsweredBefore:
+		s.changeCauses(func(now time.Time) { s.causes.ConfirmAnswered(now, causes) })
+	case gossip.CauseProbed:
 		s.changeCauses(func(now time.Time) {
 			for _, cause := range causes {
-				s.causes.ApplyTrial(now, cause, report.Stage)
+				s.causes.ApplyProbe(now, cause, report.Stage)
 			}
 		})
-	case gossip.CauseConvicted:
-		l.applyConvictions(causes, report)
+	case gossip.CauseQuarantined:
+		l.applyQuarantines(causes, report)
 	}
 }
 
-// applyConvictions applies convictions by another entry. Those of causes that were answered are
+// applyQuarantines applies quarantines by another entry. Those of causes that were answered are
 // answered with a report of that: the other entry has missed it.
-func (l *links) applyConvictions(causes []crashes.Cause, report *gossip.CauseReport) {
+func (l *links) applyQuarantines(causes []crashes.Cause, report *gossip.CauseReport) {
 	s := l.gateway.state
 	answered := withCauses(s, func(now time.Time) (answered []crashes.Cause) {
 		for _, cause := range causes {
-			conviction := crashes.Conviction{Cause: cause, Stage: report.Stage, TrialIn: milliseconds(report.TrialInMS), DespiteAnswers: report.DespiteAnswers}
-			if !s.causes.ApplyConviction(now, conviction) {
+			quarantine := crashes.Quarantine{Cause: cause, Stage: report.Stage, ProbeIn: milliseconds(report.ProbeInMS), DespiteAnswers: report.DespiteAnswers}
+			if !s.causes.ApplyQuarantine(now, quarantine) {
 				answered = append(answered, cause)
 			}
 		}
 		return answered
 	})
-	l.announceCauses(gossip.CauseVouched, answered)
+	l.announceCauses(gossip.CauseAnsweredBefore, answered)
 }
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -15,7 +15,7 @@
 	}
 }
 
-// checkCauses decides whether a request may run, claimRun also begins a trial that is due.
+// checkCauses decides whether a request may run, claimRun also begins a probe that is due.
 func (s *state) checkCauses(causes []crashes.Cause) crashes.Decision {
 	return withCauses(s, func(now time.Time) crashes.Decision { return s.causes.Check(now, causes) })
 }
@@ -58,8 +58,8 @@
 	return atOnce, soon
 }
 
-func (s *state) endTrial(cause crashes.Cause) {
-	s.changeCauses(func(now time.Time) { s.causes.EndTrial(now, cause) })
+func (s *state) endProbe(cause crashes.Cause) {
+	s.changeCauses(func(now time.Time) { s.causes.EndProbe(now, cause) })
 }
 
 // changeCauses calls a function under the lock and logs what it changes.
@@ -83,11 +83,11 @@
 }
 
 func (s *state) logCause(change crashes.Change) {
-	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered, "trials": change.Stage}
-	if !change.Convicted {
+	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered, "probes": change.Stage}
+	if !change.Quarantined {
 		s.log.Write(eventlog.StateChange, eventsOfCauses[change.Cause.Kind].allowed, fields)
 		return
 	}
-	fields["crashes"], fields["targets"], fields["trial_in_ms"] = change.Crashes, change.Targets, change.TrialIn.Milliseconds()
+	fields["crashes"], fields["targets"], fields["probe_in_ms"] = change.Crashes, change.Targets, change.ProbeIn.Milliseconds()
 	s.log.Write(eventlog.StateChange, eventsOfCauses[change.Cause.Kind].refused, fields)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -55,12 +55,12 @@
 )
 
 // causeEvents are the events of a cause of crashes.
-type causeEvents struct{ refused, allowed, trial string }
+type causeEvents struct{ refused, allowed, probe string }
 
 // eventsOfCauses holds them by kind.
 var eventsOfCauses = map[crashes.Kind]causeEvents{
-	crashes.Part:    {"part_refused", "part_allowed", "part_trial"},
-	crashes.Request: {"request_refused", "request_allowed", "request_trial"},
+	crashes.Part:    {"part_refused", "part_allowed", "part_probe"},
+	crashes.Request: {"request_refused", "request_allowed", "request_probe"},
 }
 
 // settle writes the final log line of a request and counts it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,7 @@
 	if s.Load.Lending {
 		g.state.leases = lending.New()
 	}
-	g.state.causes.SetLifted(s.AllowedCauses)
+	g.state.causes.SetAllowed(s.AllowedCauses)
 	g.state.quota.SetPeersKnown(false)
 	g.state.rollouts = newRollouts(g)
 	g.feeds = newFeeds(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,7 +35,7 @@
 	services := g.state.sched.Services(now)
 	admissions := g.state.sched.AdmissionLoads(now)
 	g.reportRollouts()
-	refused, suspected := g.state.causes.Convicted(), g.state.causes.Suspected()
+	refused, suspected := g.state.causes.Quarantined(), g.state.causes.Suspected()
 	repeats := make(map[string]float64)
 	for _, service := range g.state.budget.Services() {
 		repeats[service] = g.state.budget.Left(now, service)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -13,9 +13,9 @@
 	"sycamoretrail/internal/gossip"
 )
 
-// maxGreetedConvictions bounds the convictions that an entry reports to one that has joined, each in a
+// maxGreetedQuarantines bounds the quarantines that an entry reports to one that has joined, each in a
 // datagram of its own.
-const maxGreetedConvictions = 30
+const maxGreetedQuarantines = 30
 
 // receive handles messages of the other entries until the socket is closed.
 func (l *links) receive() {
@@ -129,15 +129,15 @@
 	now := time.Now()
 	l.gateway.state.mutex.Lock()
 	histories := l.gateway.state.quota.History(now)
-	convictions := l.gateway.state.causes.Convictions(now, maxGreetedConvictions)
+	quarantines := l.gateway.state.causes.Quarantines(now, maxGreetedQuarantines)
 	l.gateway.state.mutex.Unlock()
 	for _, part := range partsOf(histories, heartbeatBytes, historyBytes) {
 		m := l.message()
 		m.History = mapValues(part, historyMessage)
 		l.send(m, []peerset.Entry{entry})
 	}
-	for _, conviction := range convictions {
-		l.sendConviction(conviction, []peerset.Entry{entry})
+	for _, quarantine := range quarantines {
+		l.sendQuarantine(quarantine, []peerset.Entry{entry})
 	}
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -19,7 +19,7 @@
 	g.state.quota.SetConfig(quotaConfig(s.Bounds))
 	g.state.policer.SetWindow(settings.Seconds(s.Bounds.QuotaWindowS))
 	g.state.budget.SetConfig(budgetConfig(s.Bounds))
-	g.state.causes.SetLifted(s.AllowedCauses)
+	g.state.causes.SetAllowed(s.AllowedCauses)
 	g.state.mutex.Unlock()
 	kept := g.settings
 	kept.LogLevel, kept.Bounds, kept.AllowedCauses = s.LogLevel, s.Bounds, s.AllowedCauses
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -190,16 +190,16 @@
 const (
 	// CauseCleared: requests with them were answered after crashes.
 	CauseCleared CauseState = iota + 1
-	// CauseVouched: the sender remembers earlier answers.
-	CauseVouched
-	// CauseOnTrial: the sender runs a request to try them.
-	CauseOnTrial
-	// CauseConvicted: requests with them are refused.
-	CauseConvicted
+	// CauseAnsweredBefore: the sender remembers earlier answers.
+	CauseAnsweredBefore
+	// CauseProbed: the sender runs a request to try them.
+	CauseProbed
+	// CauseQuarantined: requests with them are refused.
+	CauseQuarantined
 )
 
-// CauseReport is what the sender knows of causes of one kind at a service. Stage counts the trials;
-// TrialInMS is the time to the next one. DespiteAnswers: they were convicted although earlier answers
+// CauseReport is what the sender knows of causes of one kind at a service. Stage counts the probes;
+// ProbeInMS is the time to the next one. DespiteAnswers: they are quarantined although earlier answers
 // are remembered.
 type CauseReport struct {
 	State     CauseState `cbor:"1,keyasint"`
@@ -207,7 +207,7 @@
 	Service   string     `cbor:"3,keyasint"`
 	IDs       []string   `cbor:"4,keyasint"`
 	Stage     int        `cbor:"5,keyasint,omitempty"`
-	TrialInMS int64      `cbor:"6,keyasint,omitempty"`
+	ProbeInMS int64      `cbor:"6,keyasint,omitempty"`
 
 	DespiteAnswers bool `cbor:"7,keyasint,omitempty"`
 }
