Quarantines outlast a loss of all entries, by records in the store

Entries had quarantines only from each other: when all lost power, a part of prompts took down three targets again. TestPartStaysRefusedAfterLossOfAllEntries failed with 502 where 503 is due.

The reader writes them, 64 at most, into the topic of usage, which each entry reads when it starts: no call more at a start, a write when one begins, is probed or ends. Records that an entry finds and that have ended are dropped by the reader. Entries of the release before take them for usage from long ago and pass over them.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,7 +18,8 @@
 	Targets
 	// Entries holds a record with the status of each entry.
 	Entries
-	// Usage holds the usage of organisations that are close to their quota.
+	// Usage holds what entries have only from each other and must not lose with all of them: the usage
+	// of organisations that are close to their quota, and quarantined causes of crashes.
 	Usage
 	// Copies holds a copy of the configuration in force, for entries that start while
 	// Operators cannot be read. SecondCopies and ThirdCopies hold the same, since topics
--- /dev/null
+++ b/internal/gateway/quarantinerecords.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"sycamoretrail/internal/core/crashes"
+	"sycamoretrail/internal/feed"
+)
+
+// The store's records of quarantined causes. Entries otherwise have them only from each other; if all
+// restarted at once, each cause would take down as many targets again.
+
+const (
+	// quarantineKeys begins the keys of these records, among those of organisations.
+	quarantineKeys = "quarantine/"
+	// maxQuarantineRecords bounds the records.
+	maxQuarantineRecords = 64
+)
+
+// quarantineRecord is the store's record of a quarantined cause.
+type quarantineRecord struct {
+	Kind           uint8  `json:"kind"`
+	Service        string `json:"service,omitempty"`
+	ID             string `json:"id"`
+	Stage          int    `json:"stage"`
+	DespiteAnswers bool   `json:"despite_answers,omitempty"`
+	// ProbeAtMS is when the next probe is due, in Unix milliseconds.
+	ProbeAtMS int64 `json:"probe_at_ms"`
+}
+
+// quarantineRecords returns the records of the quarantined causes, by key. That of a cause changes with
+// its probes.
+func quarantineRecords(now time.Time, quarantines []crashes.Quarantine) map[string]quarantineRecord {
+	records := make(map[string]quarantineRecord, len(quarantines))
+	for _, q := range quarantines {
+		key := quarantineKeys + q.Cause.Kind.String() + "/" + q.Cause.Service + "/" + q.Cause.ID
+		records[key] = quarantineRecord{
+			Kind: uint8(q.Cause.Kind), Service: q.Cause.Service, ID: q.Cause.ID, Stage: q.Stage,
+			DespiteAnswers: q.DespiteAnswers, ProbeAtMS: now.Add(q.ProbeIn).UnixMilli(),
+		}
+	}
+	return records
+}
+
+// recordQuarantines writes the quarantines that changed since the last call, and drops those that ended.
+func (f *feeds) recordQuarantines(recorded map[string]quarantineRecord) map[string]quarantineRecord {
+	s := f.gateway.state
+	s.mutex.Lock()
+	now := time.Now()
+	records := quarantineRecords(now, s.causes.Quarantines(now, maxQuarantineRecords))
+	s.mutex.Unlock()
+	var changed []feed.Record
+	for key, record := range records {
+		if before, found := recorded[key]; found && before.Stage == record.Stage {
+			records[key] = before
+			continue
+		}
+		value, err := json.Marshal(record)
+		if err != nil {
+			f.logStoreError(feed.Usage, err)
+			continue
+		}
+		changed = append(changed, feed.Record{Key: key, Value: value})
+	}
+	for key := range recorded {
+		if _, found := records[key]; !found {
+			changed = append(changed, feed.Record{Key: key})
+		}
+	}
+	if len(changed) == 0 {
+		return records
+	}
+	if err := f.gateway.platform.Put(feed.Usage, changed...); err != nil {
+		f.logStoreError(feed.Usage, err)
+		return recorded
+	}
+	return records
+}
+
+// restoreQuarantine applies a record from before this entry started, and adds it to the restored ones.
+// It returns false if the record is not one of a quarantine.
+func (f *feeds) restoreQuarantine(record feed.Record, restored map[string]quarantineRecord) bool {
+	if !strings.HasPrefix(record.Key, quarantineKeys) {
+		return false
+	}
+	var stored quarantineRecord
+	if err := json.Unmarshal(record.Value, &stored); err != nil {
+		f.logUndecodable(feed.Usage, record, err)
+		return true
+	}
+	restored[record.Key] = stored
+	cause := crashes.Cause{Kind: crashes.Kind(stored.Kind), Service: stored.Service, ID: stored.ID}
+	if !cause.Kind.Known() {
+		return true // of a later release
+	}
+	s := f.gateway.state
+	s.changeCauses(func(now time.Time) {
+		probeIn := max(0, time.UnixMilli(stored.ProbeAtMS).Sub(now))
+		s.causes.ApplyQuarantine(now, crashes.Quarantine{Cause: cause, Stage: stored.Stage, ProbeIn: probeIn, DespiteAnswers: stored.DespiteAnswers})
+	})
+	return true
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/core/quota"
@@ -32,11 +33,11 @@
 	return now.Sub(time.UnixMilli(r.AtMS)) > window+usageClockSlack
 }
 
-// recordUsage writes the usage of organisations close to their quota to the store. Entries
-// otherwise have this only from each other; if all restarted at once it would be lost, and
+// recordUsage writes the usage of organisations close to their quota, and quarantines, to the store.
+// Entries otherwise have these only from each other; if all restarted at once they would be lost, and
 // such an organisation could use its quota twice.
 func (f *feeds) recordUsage(ctx context.Context) {
-	f.restoreUsage(ctx)
+	quarantines := f.restoreUsage(ctx)
 	ticker := time.NewTicker(quota.RecordEvery)
 	defer ticker.Stop()
 	recorded := make(map[string]quota.History)
@@ -48,9 +49,11 @@
 		}
 		if f.usageLost.Swap(false) {
 			clear(recorded)
+			clear(quarantines)
 		}
 		if f.gateway.recordsUsage() {
 			recorded = f.record(recorded)
+			quarantines = f.recordQuarantines(quarantines)
 		}
 	}
 }
@@ -89,10 +92,12 @@
 	return records
 }
 
-// restoreUsage reads the usage from before this entry started. If the store does not answer
-// within the window, that usage has expired and nothing is left to restore.
-func (f *feeds) restoreUsage(ctx context.Context) {
+// restoreUsage reads the usage and the quarantines from before this entry started. If the store does
+// not answer within the window, that usage has expired, and other entries have told the quarantines.
+// It returns the records of the quarantines, so that those which have ended are dropped.
+func (f *feeds) restoreUsage(ctx context.Context) map[string]quarantineRecord {
 	g := f.gateway
+	quarantines := make(map[string]quarantineRecord)
 	window := settings.Seconds(g.settings.Bounds.QuotaWindowS)
 	for ctx.Err() == nil && time.Since(g.started) < window {
 		records, _, err := g.platform.Snapshot(feed.Usage)
@@ -101,6 +106,7 @@
 			time.Sleep(registerRetry)
 			continue
 		}
+		records = slices.DeleteFunc(records, func(record feed.Record) bool { return f.restoreQuarantine(record, quarantines) })
 		g.state.mutex.Lock()
 		for _, record := range records {
 			var usage usageRecord
@@ -117,8 +123,9 @@
 			}
 		}
 		g.state.mutex.Unlock()
-		return
+		break
 	}
+	return quarantines
 }
 
 // totalMessage converts a total for other entries. Rounding up makes the sum too high by less
