Quarantines that have lapsed are told to nobody; records of many stay at their bound

The check that a list ends with its time, which the tests of the tracker before had, is back (TestQuarantinesMakeAnotherEntryRefuse). - With more than 64 quarantines, the 64 seen last displaced each other in the store, with a write each 0.4 s.

--- a/internal/core/crashes/crashes_test.go
+++ b/internal/core/crashes/crashes_test.go
@@ -91,6 +91,7 @@
 	}
 	g.Expect(joined.Count(now, crashes.Fingerprint(2).Cause())).To(BeZero())
 	g.Expect(m.Quarantines(now, 1)).To(HaveLen(1))
+	g.Expect(m.Quarantines(now.Add(24*time.Hour), 6)).To(BeEmpty())
 }
 
 // Guards against the broken connections of a target that lives on counting as its crash, and against a target
--- a/internal/core/crashes/decision.go
+++ b/internal/core/crashes/decision.go
@@ -88,11 +88,11 @@
 
 // unlessLapsed drops a quarantine with which no request has come for long.
 func (s *Causes) unlessLapsed(now time.Time, known *suspect) *suspect {
-	if now.Sub(known.seen) <= quarantineLife {
-		return known
+	if known.lapsed(now) {
+		s.drop(known)
+		return nil
 	}
-	s.drop(known)
-	return nil
+	return known
 }
 
 // MayRepeat reports whether a request whose run broke may be sent to a further target.
--- a/internal/core/crashes/quarantine.go
+++ b/internal/core/crashes/quarantine.go
@@ -58,6 +58,9 @@
 	var quarantines []Quarantine
 	for e := s.quarantined.Back(); e != nil && len(quarantines) < limit; e = e.Prev() {
 		known := e.Value.(*suspect)
+		if known.lapsed(now) {
+			continue
+		}
 		quarantines = append(quarantines, Quarantine{Cause: known.cause, Stage: known.stage, ProbeIn: max(0, known.probeAt.Sub(now)), DespiteAnswers: known.despiteAnswers})
 	}
 	return quarantines
@@ -77,6 +80,8 @@
 	known := s.findOrAdd(reported.Cause)
 	known.despiteAnswers = reported.DespiteAnswers
 	s.startQuarantine(now, known)
+	// Without a probe so far the full first pause holds, also where the other entry plans an early
+	// probe: this one does not know the co-suspects.
 	s.mergeProbes(now, known, reported)
 	s.changes = append(s.changes, Change{Cause: reported.Cause, Quarantined: true, Stage: reported.Stage, ProbeIn: known.probeAt.Sub(now)})
 	return true
--- a/internal/core/crashes/suspect.go
+++ b/internal/core/crashes/suspect.go
@@ -29,6 +29,9 @@
 // explains reports whether crashes with the cause in flight do not count against others.
 func (s *suspect) explains() bool { return s.quarantined && policies[s.cause.Kind].explains }
 
+// lapsed reports whether no request with the quarantined cause has come for long.
+func (s *suspect) lapsed(now time.Time) bool { return now.Sub(s.seen) > quarantineLife }
+
 // findOrAdd returns a suspect, and drops another one if there are too many.
 func (s *Causes) findOrAdd(cause Cause) *suspect {
 	if known, found := s.suspects[cause]; found {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -116,7 +116,11 @@
 	}
 	cleared, soon := c.gateway.state.recordAnswer(answered)
 	for _, cause := range cleared {
-		c.gateway.log.Write(eventlog.StateChange, eventCleared, eventlog.Fields{"id": c.envelope.ID, "kind": cause.Kind.String(), "cause": cause.ID})
+		fields := eventlog.Fields{"id": c.envelope.ID, "kind": cause.Kind.String(), "cause": cause.ID}
+		if cause.Kind == crashes.Request {
+			fields["fingerprint"] = cause.ID
+		}
+		c.gateway.log.Write(eventlog.StateChange, eventCleared, fields)
 	}
 	c.gateway.links.announceCleared(cleared)
 	c.gateway.links.announceClearedSoon(soon)
--- a/internal/gateway/quarantinerecords.go
+++ b/internal/gateway/quarantinerecords.go
@@ -44,13 +44,35 @@
 	return records
 }
 
+// limitNew removes new records beyond the bound. Those already written stay, so that they don't displace
+// each other with each write.
+func limitNew(records, recorded map[string]quarantineRecord) {
+	written := 0
+	for key := range records {
+		if _, found := recorded[key]; found {
+			written++
+		}
+	}
+	for key := range records {
+		if _, found := recorded[key]; found {
+			continue
+		}
+		if written >= maxQuarantineRecords {
+			delete(records, key)
+			continue
+		}
+		written++
+	}
+}
+
 // recordQuarantines writes the quarantines that changed since the last call, and drops those that ended.
 func (f *feeds) recordQuarantines(recorded map[string]quarantineRecord) map[string]quarantineRecord {
 	s := f.gateway.state
 	s.mutex.Lock()
 	now := time.Now()
-	records := quarantineRecords(now, s.causes.Quarantines(now, maxQuarantineRecords))
+	records := quarantineRecords(now, s.causes.Quarantines(now, s.causes.Quarantined()))
 	s.mutex.Unlock()
+	limitNew(records, recorded)
 	var changed []feed.Record
 	for key, record := range records {
 		if before, found := recorded[key]; found && before.Stage == record.Stage {
@@ -90,11 +112,11 @@
 		f.logUndecodable(feed.Usage, record, err)
 		return true
 	}
-	restored[record.Key] = stored
 	cause := crashes.Cause{Kind: crashes.Kind(stored.Kind), Service: stored.Service, ID: stored.ID}
 	if !cause.Kind.Known() {
-		return true // of a later release
+		return true // of a later release, which drops it
 	}
+	restored[record.Key] = stored
 	s := f.gateway.state
 	s.changeCauses(func(now time.Time) {
 		probeIn := max(0, time.UnixMilli(stored.ProbeAtMS).Sub(now))
