Crashes count for six hours, so that rare requests are refused too

An answer ends evidence long before where there is one. TestRarePartIsRefused, a crash each hour, fails with ten minutes and passes with six hours. The memory's bounds are as they were.

--- a/internal/core/crashes/cause.go
+++ b/internal/core/crashes/cause.go
@@ -114,8 +114,9 @@
 	// restartTime is how soon a target that crashed may be back under its name: answers after
 	// that don't show that it lived on.
 	restartTime = time.Second
-	// evidenceLife is how long a crash counts against a cause that is not quarantined.
-	evidenceLife = 10 * time.Minute
+	// evidenceLife is how long a crash counts against a cause that is not quarantined. Answers end
+	// it before; requests that crash targets may come at long intervals.
+	evidenceLife = 6 * time.Hour
 	// quarantineLife is how long a quarantine outlasts the last request with the cause.
 	quarantineLife = 6 * time.Hour
 	// maxSuspects and maxQuarantined bound the causes held, maxCrashes the crashes; those seen
--- a/internal/core/crashes/causes_test.go
+++ b/internal/core/crashes/causes_test.go
@@ -47,6 +47,20 @@
 	g.Expect(s.Quarantined()).To(Equal(1))
 }
 
+// Guards against a part that comes at long intervals taking down a target each time, as its evidence ends before.
+func TestRarePartIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	s := newCauses()
+	at := now
+	for i := range 3 {
+		g.Expect(s.Claim(at, partsOf("p")).Refused).To(BeFalse())
+		s.RecordBroken(at, fmt.Sprint(i), simRun, evidence("p"))
+		at = at.Add(time.Hour)
+	}
+	s.Check(at, partsOf("p"))
+	g.Expect(s.Quarantined()).To(Equal(1))
+}
+
 // Guards against an entry that loses its links to several targets at once counting that as several crashes.
 func TestSimultaneousCrashesCountOnce(t *testing.T) {
 	g := NewWithT(t)
