One function writes what changed of usage and of quarantines

Both compared records with what had been written, dropped what was gone and kept the old state where the store failed, in the same lines.

--- a/internal/gateway/quarantinerecords.go
+++ b/internal/gateway/quarantinerecords.go
@@ -73,32 +73,8 @@
 	records := quarantineRecords(now, s.causes.Quarantines(now, s.causes.Quarantined()))
 	s.mutex.Unlock()
 	limitNew(records, recorded)
-	var changed []feed.Record
-	for key, record := range records {
-		if before, found := recorded[key]; found && before.Stage == record.Stage {
-			records[key] = before
-			continue
-		}
-		value, err := json.Marshal(record)
-		if err != nil {
-			f.logStoreError(feed.Usage, err)
-			continue
-		}
-		changed = append(changed, feed.Record{Key: key, Value: value})
-	}
-	for key := range recorded {
-		if _, found := records[key]; !found {
-			changed = append(changed, feed.Record{Key: key})
-		}
-	}
-	if len(changed) == 0 {
-		return records
-	}
-	if err := f.gateway.platform.Put(feed.Usage, changed...); err != nil {
-		f.logStoreError(feed.Usage, err)
-		return recorded
-	}
-	return records
+	same := func(a, b quarantineRecord) bool { return a.Stage == b.Stage }
+	return putChanges(f, recorded, records, same, func(record quarantineRecord) any { return record })
 }
 
 // restoreQuarantine applies a record from before this entry started, and adds it to the restored ones.
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -65,27 +65,36 @@
 	g.state.mutex.Lock()
 	records := g.state.quota.Records(time.Now())
 	g.state.mutex.Unlock()
+	same := func(a, b quota.History) bool { return a == b }
+	return putChanges(f, recorded, records, same, func(history quota.History) any {
+		return usageRecord{Older: history.Older, Recent: history.Recent, AtMS: time.Now().UnixMilli()}
+	})
+}
+
+// putChanges writes the records that changed to the topic of usage and drops those that are gone. It
+// returns what is recorded then.
+func putChanges[R any](f *feeds, recorded, records map[string]R, same func(a, b R) bool, stored func(R) any) map[string]R {
 	var changed []feed.Record
-	for organisation, history := range records {
-		if history == recorded[organisation] {
+	for key, record := range records {
+		if before, found := recorded[key]; found && same(before, record) {
 			continue
 		}
-		value, err := json.Marshal(usageRecord{Older: history.Older, Recent: history.Recent, AtMS: time.Now().UnixMilli()})
+		value, err := json.Marshal(stored(record))
 		if err != nil {
 			f.logStoreError(feed.Usage, err)
 			continue
 		}
-		changed = append(changed, feed.Record{Key: organisation, Value: value})
+		changed = append(changed, feed.Record{Key: key, Value: value})
 	}
-	for organisation := range recorded {
-		if _, found := records[organisation]; !found {
-			changed = append(changed, feed.Record{Key: organisation})
+	for key := range recorded {
+		if _, found := records[key]; !found {
+			changed = append(changed, feed.Record{Key: key})
 		}
 	}
 	if len(changed) == 0 {
-		return recorded
+		return records
 	}
-	if err := g.platform.Put(feed.Usage, changed...); err != nil {
+	if err := f.gateway.platform.Put(feed.Usage, changed...); err != nil {
 		f.logStoreError(feed.Usage, err)
 		return recorded
 	}
