Reports of broken runs fit a datagram with all parts that are read

32 parts with ids of 32 bytes, and long names beside, made a message that is not sent: the crash counted here only. Ids of more than 16 bytes are replaced by a hash (TestReportOfManyPartsFitsDatagram fails with 32). Comments give the reasons for the higher threshold of answered causes and for the short time in which crashes count as one.

--- a/internal/core/crashes/cause.go
+++ b/internal/core/crashes/cause.go
@@ -76,7 +76,8 @@
 // policy holds the bounds for causes of one kind.
 type policy struct {
 	// threshold is the number of crashes since its last answer from which a cause is quarantined,
-	// answeredThreshold that of a cause of which an answer is remembered.
+	// answeredThreshold that of a cause of which an answer is remembered: many sound requests may
+	// share it, so it takes more.
 	threshold, answeredThreshold int
 	// settle is how long after a crash its evidence is judged: until then other entries report
 	// what else was in flight at the target.
@@ -104,7 +105,8 @@
 }
 
 // simultaneousCrashes is the time within which the connections of one entry to several targets break
-// if it loses its links.
+// if it loses its links. With more, delays of reports could make a request that is repeated at once
+// pass for one that was in flight at both targets.
 const simultaneousCrashes = 5 * time.Millisecond
 
 // maxSettle is the longest time after which a crash is judged.
@@ -124,7 +126,7 @@
 	maxSuspects    = 4096
 	maxQuarantined = 512
 	maxCrashes     = 1024
-	// maxCrashesOfCause bounds the crashes held for a cause.
+	// maxCrashesOfCause bounds the crashes held for a cause; it exceeds each threshold.
 	maxCrashesOfCause = 8
 )
 
--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// RecordBroken records that a run, which began some time ago, broke at a target, here or at another
-// entry. It returns the causes against which the target's crash did not count yet.
+// RecordBroken records that a run broke at a target, here or at another entry; ran is how long it had
+// taken. It returns the causes against which the target's crash did not count yet.
 func (s *Causes) RecordBroken(now time.Time, target string, ran time.Duration, evidence []Evidence) (added []Cause) {
 	s.settle(now)
 	if len(evidence) == 0 {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -44,8 +44,9 @@
 	return crashes.Fingerprint(digest.Sum64())
 }
 
-// maxPartID bounds the ids of parts in messages, in bytes; longer ones are replaced by a hash.
-const maxPartID = 32
+// maxPartID bounds the ids of parts, in bytes, so that all parts of a prompt fit a datagram. Longer ones
+// are replaced by a hash, which log lines and the settings then name.
+const maxPartID = 16
 
 // sharedCauses returns the parts of a prompt that requests to a service have in common with others.
 func sharedCauses(service string, parts []string) []crashes.Cause {
