review: an entry whose descriptors run out accepts nothing any more

The listeners of an entry end when accept fails and nothing starts them again, while the entry stays ready.

--- a/review/standin/frozen.go
+++ b/review/standin/frozen.go
@@ -116,7 +116,7 @@
 }
 
 func playFrozen(r *record, trouble bool) ([]string, error) {
-	w, err := newWorld(r)
+	w, err := newWorld(r, quebracho)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 // cases maps the name of a case to its function, which returns the breaches of the rule that it saw.
 // trouble: the disruption takes place.
 var cases = map[string]func(r *record, trouble bool) (breaches []string, err error){
+	"crowded":  playCrowded,
 	"frozen":   playFrozen,
 	"rejected": playRejected,
 }
--- a/review/standin/rejected.go
+++ b/review/standin/rejected.go
@@ -102,7 +102,7 @@
 }
 
 func playRejected(r *record, trouble bool) ([]string, error) {
-	w, err := newWorld(r)
+	w, err := newWorld(r, quebracho)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -14,16 +15,27 @@
 	"sycamoretrail/platform/platformtest"
 )
 
-// Figures of the site quebracho-estudio that the settings of a gateway take.
+// site holds the figures of a site that the settings of a gateway take.
+type site struct {
+	drainMS, applyMS, memoryMB int
+	// repeats is the fixed part of the retry budget.
+	repeats int
+}
+
+var (
+	quebracho      = site{drainMS: 2000, applyMS: 2000, memoryMB: 284, repeats: 52}
+	quebrachoGrown = site{drainMS: 3000, applyMS: 3000, memoryMB: 184, repeats: 178}
+)
+
+// Figures that the sites share.
 const (
-	drainMS     = 2000
-	applyMS     = 2000
 	graceS      = 8
 	listLifeS   = 5
-	memoryMB    = 284
 	descriptors = 4100
-	// repeats is the fixed part of the retry budget.
-	repeats = 52
+	// sockets is what the platform leaves to sockets and pipes, and files what a gateway holds besides:
+	// its log, its settings and the descriptors of its runtime.
+	sockets = descriptors - 200
+	files   = 20
 )
 
 const (
@@ -36,6 +48,7 @@
 
 // world is a small deployment on loopback: the platform's store and some gateways.
 type world struct {
+	site     site
 	dir      string
 	record   *record
 	store    *platformtest.Store
@@ -53,7 +66,7 @@
 	output                           *os.File
 }
 
-func newWorld(r *record) (*world, error) {
+func newWorld(r *record, at site) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -62,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{dir: dir, record: r, store: store}, nil
+	return &world{site: at, dir: dir, record: r, store: store}, nil
 }
 
 // route adds a route to the configuration that configure writes.
@@ -121,10 +134,10 @@
 	settings := map[string]any{
 		"name": name, "zone": zone, "regions": map[string]string{zone: region},
 		"callers_address": g.callers, "directory_address": g.directory, "ready_address": g.ready,
-		"links_address": g.links, "store_address": w.store.Address(), "memory_mb": memoryMB, "max_descriptors": descriptors,
+		"links_address": g.links, "store_address": w.store.Address(), "memory_mb": w.site.memoryMB, "max_descriptors": descriptors,
 		"bounds": map[string]any{
-			"drain_ms": drainMS, "configuration_ms": applyMS, "grace_s": graceS, "list_life_s": listLifeS,
-			"retry_ratio": 0.2, "retry_extra": repeats, "retry_window_s": 10, "quota_window_s": 8,
+			"drain_ms": w.site.drainMS, "configuration_ms": w.site.applyMS, "grace_s": graceS, "list_life_s": listLifeS,
+			"retry_ratio": 0.2, "retry_extra": w.site.repeats, "retry_window_s": 10, "quota_window_s": 8,
 			"quota_overshoot": 0.1, "quota_slack": 190000,
 		},
 	}
@@ -139,7 +152,8 @@
 	if g.output, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
 		return nil, err
 	}
-	g.process = exec.Command(gatewayBin, "run", "--settings", file)
+	// The platform limits the sockets of a process.
+	g.process = exec.Command("bash", "-c", `ulimit -n "$1" && shift && exec "$@"`, "bash", strconv.Itoa(sockets+files), gatewayBin, "run", "--settings", file)
 	g.process.Env = environment()
 	g.process.Stdout, g.process.Stderr = g.output, g.output
 	g.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
