Attempts name the connection that carried them

Lines of attempts and hand-offs now have the number of the connection, its age, the requests that it carried before, whether it was kept, and the answers skipped. A metric counts these.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 		"id": c.envelope.ID, "target": grant.Target.ID, "address": grant.Target.Address, "outcome": report.Outcome.String(),
 		"status": status, "took_ms": took.Milliseconds(), "send": c.sends, "run": c.runs, "target_version": grant.Target.Version,
 	}
+	c.addUse(fields)
 	if c.ending != nil {
 		fields["framing"] = c.ending.framing
 		fields["unfinished_bytes"] = c.ending.unfinished
@@ -45,3 +46,16 @@
 	c.gateway.state.recordObservation(c.service, c.route, grant, report, took)
 	c.gateway.state.release(grant.Ticket, report)
 }
+
+// addUse adds what is known of the connection that carried the current try.
+func (c *call) addUse(fields eventlog.Fields) {
+	if c.use == nil {
+		return
+	}
+	fields["connection"], fields["connection_age_ms"] = c.use.Connection, c.use.Age.Milliseconds()
+	fields["connection_requests"], fields["connection_kept"] = c.use.Earlier, c.kept
+	if c.use.Skipped > 0 {
+		fields["skipped_answers"] = c.use.Skipped
+	}
+	c.use = nil
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -80,6 +80,10 @@
 	// that was granted to it.
 	waited time.Duration
 	target string
+	// use describes the connection of the current try; nil: none has carried the request. kept: the
+	// connection was returned to the pool.
+	use  *upstream.Use
+	kept bool
 	// ending describes how the body of the current try ended; nil: no body was read to its end.
 	ending *answerEnding
 	ended  bool
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -105,6 +105,7 @@
 func (c *call) handOffTo(peer peerset.Entry) (*upstream.Answer, error) {
 	began := time.Now()
 	c.withdrawQuota()
+	c.use, c.kept = nil, false
 	answer, err := c.sendToPeer(peer)
 	outcome := "answered"
 	switch {
@@ -125,6 +126,7 @@
 	if answer != nil {
 		fields["status"] = answer.Status
 	}
+	c.addUse(fields)
 	importance := eventlog.Routine
 	if err != nil {
 		importance = eventlog.Failure
@@ -153,7 +155,7 @@
 	}
 	request := &c.ctx.Request
 	body := request.Body()
-	answer, err := pool.Send(conn, &upstream.Exchange{
+	exchange := &upstream.Exchange{
 		Method: string(request.Header.Method()),
 		Body:   body,
 		Head: c.gateway.platform.AppendHandoffHead(nil, &request.Header, HandoffInfo{
@@ -162,7 +164,9 @@
 		}),
 		Deadline: c.expires,
 		Matches:  func(http.Header) bool { return true },
-	})
+	}
+	answer, err := pool.Send(conn, exchange)
+	c.use = &exchange.Use
 	if err != nil {
 		c.setSending(nil)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -107,7 +107,7 @@
 
 // send gets a connection, sends the request and reads the head of the answer.
 func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, AnswerHead, error) {
-	c.ending = nil
+	c.ending, c.use, c.kept = nil, nil, false
 	maxAge := time.Hour
 	if !c.route.Idempotent() {
 		maxAge = maxIdleUnrepeatable
@@ -140,6 +140,7 @@
 	}
 	sent := time.Now()
 	answer, err := c.gateway.pool.Send(conn, exchange)
+	c.use = &exchange.Use
 	if err != nil {
 		c.setSending(nil)
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -203,7 +204,7 @@
 // disconnect of the caller must not close a connection that may already carry another request.
 func (c *call) closeAnswer(answer *upstream.Answer) {
 	c.setSending(nil)
-	answer.Close()
+	c.kept = answer.Close()
 }
 
 // tryDeadline returns the time by which this try must be answered.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -16,8 +16,9 @@
 		"Age of what is known of the configuration.")
 	GatewayStoreCalls = declare(KindCounter, "gateway_store_steps_total",
 		"Steps of following the store, by topic and who read it: own or replicated.", "step")
-	GatewayTargetConns = declare(KindCounter, "gateway_target_connections_total", "Connections opened to targets.")
-	GatewayHandoffs    = declare(KindCounter, "gateway_handoffs_total",
+	GatewayTargetConns    = declare(KindCounter, "gateway_target_connections_total", "Connections opened to targets.")
+	GatewaySkippedAnswers = declare(KindCounter, "gateway_skipped_answers_total", "Answers that were skipped because they belong to other requests.")
+	GatewayHandoffs       = declare(KindCounter, "gateway_handoffs_total",
 		"Requests handed off to another entry, by outcome.", "outcome")
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
 		"Streams to which callers reconnected, by how their version was determined.", "source")
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -72,11 +72,27 @@
 	Deadline time.Time
 	// Matches reports whether an answer's head belongs to the request.
 	Matches func(http.Header) bool
+
+	// Use is set by Send.
+	Use Use
+}
+
+// Use describes the connection that carried an exchange.
+type Use struct {
+	// Connection is its number in the order in which the pool opened them, Age the time since then,
+	// Earlier the number of requests that it had carried before.
+	Connection int64
+	Age        time.Duration
+	Earlier    int
+	// Skipped is the number of answers to other requests that were skipped.
+	Skipped int
 }
 
 // Send writes the request and reads the head of its answer. If it fails, it closes the
 // connection, and the error wraps ErrNotSent or ErrBroken.
 func (p *Pool) Send(conn *Conn, x *Exchange) (*Answer, error) {
+	x.Use = Use{Connection: conn.number, Age: time.Since(conn.opened), Earlier: conn.requests}
+	conn.requests++
 	if err := conn.write(x); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -96,6 +112,8 @@
 		}
 		// This may be a late second answer to an earlier request, followed by the answer
 		// to this one.
+		x.Use.Skipped++
+		p.skipped.Add(1)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
 			break
 		}
@@ -212,17 +230,17 @@
 
 // Close returns the connection to the pool if the answer was read to its end and nothing
 // follows it. Otherwise it closes the connection, which signals a target that is still
-// processing the request to stop.
-func (a *Answer) Close() {
+// processing the request to stop. It reports whether the connection is kept.
+func (a *Answer) Close() (kept bool) {
 	if a.conn == nil {
-		return
+		return false
 	}
 	conn := a.conn
 	a.conn = nil
 	if a.finished && a.keep > 0 && conn.reader.Buffered() == 0 && conn.written() {
 		conn.keep = a.keep
-		a.pool.put(conn)
-		return
+		return a.pool.put(conn)
 	}
 	_ = conn.Close()
+	return false
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sycamoretrail/internal/netconn"
@@ -47,6 +48,8 @@
 	mutex  sync.Mutex
 	idle   map[string][]*Conn
 	opened int64
+	// skipped counts the answers to other requests that were skipped.
+	skipped atomic.Int64
 }
 
 // Conn is a connection to a target that carries one request at a time.
@@ -54,6 +57,11 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// number counts the connections of the pool in the order of their opening; opened is when
+	// this one was opened, requests how many it has carried.
+	number   int64
+	opened   time.Time
+	requests int
 	// keep is how long the connection may be idle.
 	keep      time.Duration
 	idleSince time.Time
@@ -96,8 +104,12 @@
 	}
 	p.mutex.Lock()
 	p.opened++
+	number := p.opened
 	p.mutex.Unlock()
-	return &Conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keep: p.options.KeepIdle}, nil
+	return &Conn{
+		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), keep: p.options.KeepIdle,
+		number: number, opened: time.Now(),
+	}, nil
 }
 
 // probeSettle is the time in which a connection that is accepted by something on the way to the
@@ -149,8 +161,9 @@
 	return conn
 }
 
-// put adds an idle connection, on which the last answer has ended cleanly.
-func (p *Pool) put(conn *Conn) {
+// put adds an idle connection, on which the last answer has ended cleanly. It closes the connection
+// and returns false if there are enough of them.
+func (p *Pool) put(conn *Conn) bool {
 	conn.idleSince = time.Now()
 	_ = conn.SetDeadline(time.Time{})
 	p.mutex.Lock()
@@ -158,9 +171,10 @@
 	conns := p.idle[conn.address]
 	if len(conns) >= p.options.MaxIdle {
 		_ = conn.Close()
-		return
+		return false
 	}
 	p.idle[conn.address] = append(conns, conn)
+	return true
 }
 
 // Retain closes idle connections to addresses that are no longer in use, and those that
@@ -195,6 +209,9 @@
 	delete(p.idle, address)
 }
 
+// Skipped returns the number of answers to other requests that were skipped so far.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
 	p.mutex.Lock()
