A connection carries a request id at most once

Cause: an answer is recognised by its request's id, and the retry of a rejected request has the same id. It went over the connection that had carried the rejection, the one used last. Where the target sends a second copy of the rejection late, the copy comes before the answer to the retry and has its id. The lines of attempts show it: both sends on connection 1, the second one rejected after 40 ms of a run of 150 ms.

A connection now remembers the ids that it has carried until those requests expire, and is passed over for a request with such an id: another idle connection is used, or a new one. So an answer that comes on a connection with the id of its request belongs to the send that it follows.

Ruled out: to remember the connections in the call (the second hand-off is a new call), and to recognise the send by the answer (it names the request only).

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -156,6 +156,7 @@
 	request := &c.ctx.Request
 	body := request.Body()
 	exchange := &upstream.Exchange{
+		ID: c.envelope.ID, Expires: c.expires,
 		Method: string(request.Header.Method()),
 		Body:   body,
 		Head: c.gateway.platform.AppendHandoffHead(nil, &request.Header, HandoffInfo{
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -127,6 +127,7 @@
 	body := request.Body()
 	left := time.Until(c.expires)
 	exchange := &upstream.Exchange{
+		ID: c.envelope.ID, Expires: c.expires,
 		Method: string(request.Header.Method()),
 		Body:   body,
 		Head: c.gateway.platform.AppendHead(nil, &request.Header, ForwardInfo{
@@ -163,7 +164,7 @@
 	if c.connectionBroke {
 		return pool.GetNew(address)
 	}
-	return pool.Get(address, maxAge)
+	return pool.Get(address, c.envelope.ID, maxAge)
 }
 
 // noteUnreached records that the connection to a target failed, unless the caller has ended the
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -65,7 +65,10 @@
 
 // Exchange is one request to a target.
 type Exchange struct {
-	Method string
+	// ID is the request's id, Expires when the request is no longer sent to any target.
+	ID      string
+	Expires time.Time
+	Method  string
 	// Head is the request line and the headers, including the empty line. Body follows it.
 	Head, Body []byte
 	// Deadline is the time by which the answer has to be complete.
@@ -93,6 +96,7 @@
 func (p *Pool) Send(conn *Conn, x *Exchange) (*Answer, error) {
 	x.Use = Use{Connection: conn.number, Age: time.Since(conn.opened), Earlier: conn.requests}
 	conn.requests++
+	conn.carried.add(x.ID, time.Now(), x.Expires)
 	if err := conn.write(x); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -237,7 +241,7 @@
 	}
 	conn := a.conn
 	a.conn = nil
-	if a.finished && a.keep > 0 && conn.reader.Buffered() == 0 && conn.written() {
+	if a.finished && a.keep > 0 && conn.reader.Buffered() == 0 && conn.written() && !conn.carried.full(time.Now()) {
 		conn.keep = a.keep
 		return a.pool.put(conn)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,6 +63,7 @@
 	number   int64
 	opened   time.Time
 	requests int
+	carried  carriedIDs
 	// keep is how long the connection may be idle.
 	keep      time.Duration
 	idleSince time.Time
@@ -76,11 +78,12 @@
 	return &Pool{options: options, idle: make(map[string][]*Conn)}
 }
 
-// Get returns an idle connection that has been used within maxAge, or a new one.
-// Its errors wrap ErrNotSent.
-func (p *Pool) Get(address string, maxAge time.Duration) (*Conn, error) {
+// Get returns a connection for a request: an idle one that has been used within maxAge and has not
+// carried a request with this id, or a new one. Its errors wrap ErrNotSent.
+func (p *Pool) Get(address, id string, maxAge time.Duration) (*Conn, error) {
+	hash := hashID(id)
 	for {
-		conn := p.take(address)
+		conn := p.take(address, hash)
 		if conn == nil {
 			break
 		}
@@ -147,18 +150,19 @@
 // a few events.
 const readBuffer = 4 << 10
 
-// take removes and returns the most recently used idle connection, so that the others
-// expire.
-func (p *Pool) take(address string) *Conn {
+// take removes and returns the most recently used idle connection, so that the others expire. It
+// passes over those that have carried a request with this id.
+func (p *Pool) take(address string, hash uint64) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if conn := conns[i]; !conn.carried.contains(hash) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return conn
+		}
 	}
-	conn := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return conn
+	return nil
 }
 
 // put adds an idle connection, on which the last answer has ended cleanly. It closes the connection
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -102,7 +102,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
 	pool := newPool()
-	idle, err := pool.Get(address, time.Hour)
+	idle, err := pool.Get(address, "id-1", time.Hour)
 	g.Expect(err).NotTo(HaveOccurred())
 	idleEnd, err := listener.Accept()
 	g.Expect(err).NotTo(HaveOccurred())
@@ -120,7 +120,7 @@
 		time.Sleep(50 * time.Millisecond)
 		_ = idleEnd.Close()
 	}()
-	busy, err := pool.Get(address, time.Hour)
+	busy, err := pool.Get(address, "id-1", time.Hour)
 	g.Expect(err).NotTo(HaveOccurred())
 	first, err := pool.Send(idle, exchange(nil))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -145,7 +145,7 @@
 }
 
 func sendBody(pool *upstream.Pool, address string, body []byte) (*upstream.Answer, error) {
-	conn, err := pool.Get(address, time.Hour)
+	conn, err := pool.Get(address, "id-1", time.Hour)
 	if err != nil {
 		return nil, err
 	}
