An answer between entries names the send that it belongs to

Hand-offs took any answer that came on the connection to the other entry. An answer to another send, of this or another request, would have been passed on, a 503 also as the promise that the request was not run.

Test that failed before: TestAnswerToAnotherHandoffIsDiscarded (503 in place of 200).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -90,6 +90,8 @@
 
 	// handedOff: the request comes from another entry, which could not bring it to a target.
 	handedOff bool
+	// handoffSend is the value of HeaderHandoffSend in a request from another entry.
+	handoffSend string
 	// requiredVersion is the least version of the configuration by which the request may be handled.
 	requiredVersion int64
 	// unreached is the number of targets that could not be reached. connectionBroke: the connection
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -31,6 +32,9 @@
 	// HeaderHandoffOrigin is the service and version that began a stream, in requests that
 	// continue it and in answers that begin one.
 	HeaderHandoffOrigin = "X-Handoff-Origin"
+	// HeaderHandoffSend identifies one send of a request to another entry, and is returned with the
+	// answer to it.
+	HeaderHandoffSend = "X-Handoff-Send"
 	// headerHandoffDeclined marks a reply to a handed-off request that another entry may be
 	// able to serve.
 	headerHandoffDeclined = "X-Handoff-Declined"
@@ -155,23 +159,26 @@
 	}
 	request := &c.ctx.Request
 	body := request.Body()
+	send := strconv.FormatUint(rand.Uint64(), 16)
 	exchange := &upstream.Exchange{
 		ID: c.envelope.ID, Expires: c.expires,
 		Method: string(request.Header.Method()),
 		Body:   body,
 		Head: c.gateway.platform.AppendHandoffHead(nil, &request.Header, HandoffInfo{
 			Remaining: time.Until(c.expires), LastEvent: c.lastEvent, BodyLength: len(body), Runs: c.runs,
-			Version: c.config.Version, Origin: encodeOrigin(c.origin),
+			Version: c.config.Version, Origin: encodeOrigin(c.origin), Send: send,
 		}),
 		Deadline: c.expires,
-		Matches:  func(http.Header) bool { return true },
+		Matches:  func(h http.Header) bool { return h.Get(HeaderHandoffSend) == send },
 	}
 	answer, err := pool.Send(conn, exchange)
 	c.use = &exchange.Use
 	if err != nil {
 		c.setSending(nil)
+		return nil, err
 	}
-	return answer, err
+	answer.Header.Del(HeaderHandoffSend)
+	return answer, nil
 }
 
 // withdrawQuota stops counting the request as waiting here: the entry that takes it counts it. If no
@@ -264,6 +271,7 @@
 func (g *Gateway) serveHandedOff(ctx *fasthttp.RequestCtx) {
 	c := g.newCall(ctx)
 	c.handedOff = true
+	c.handoffSend = string(ctx.Request.Header.Peek(HeaderHandoffSend))
 	if runs, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderHandoffRuns))); err == nil {
 		c.runs = max(0, runs)
 	}
--- /dev/null
+++ b/internal/gateway/handoff_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/core/catalog"
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/settings"
+)
+
+// handoffHead is a platform that writes the heads of hand-offs only.
+type handoffHead struct{ Platform }
+
+func (handoffHead) AppendHandoffHead(dst []byte, _ *fasthttp.RequestHeader, handoff HandoffInfo) []byte {
+	return fmt.Appendf(dst, "GET / HTTP/1.1\r\nHost: a\r\n%s: %s\r\n\r\n", HeaderHandoffSend, handoff.Send)
+}
+
+// Guards against an entry's answer to another send of a request passing for the answer to this one.
+func TestAnswerToAnotherHandoffIsDiscarded(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 No\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", HeaderHandoffSend)
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderHandoffSend, request.Header.Get(HeaderHandoffSend))
+	}()
+	logger := logrus.New()
+	s := settings.DefaultGateway()
+	s.Name, s.Zone = "entry-1", "a"
+	c := &call{
+		gateway: New(s, handoffHead{}, logger), ctx: &fasthttp.RequestCtx{}, expires: time.Now().Add(time.Second),
+		config: &catalog.Configuration{}, route: &catalog.Route{},
+	}
+	answer, err := c.sendToPeer(peerset.Entry{Name: "entry-2", Links: listener.Addr().String()})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Status).To(Equal(http.StatusOK))
+	g.Expect(answer.Header.Get(HeaderHandoffSend)).To(BeEmpty())
+	g.Expect(c.use.Skipped).To(Equal(2))
+}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -97,6 +97,8 @@
 	Version int64
 	// Origin is the value of HeaderHandoffOrigin; empty: none is sent.
 	Origin string
+	// Send is the value of HeaderHandoffSend.
+	Send string
 }
 
 // AnswerHead holds what the head of a target's answer declares.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -77,10 +77,8 @@
 // refuse sends a reply of the gateway itself.
 func (c *call) refuse(r *reply) {
 	response := &c.ctx.Response
-	response.Reset()
-	if c.gateway.draining.Load() {
-		c.ctx.SetConnectionClose()
-	}
+	c.resetResponse()
+	c.setHandoffSend()
 	response.SetStatusCode(r.status)
 	response.Header.SetContentType("text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
@@ -92,3 +90,18 @@
 	response.SetBodyString(r.text + "\n")
 	c.end(r.status, r.reason)
 }
+
+// resetResponse begins a new answer to the caller.
+func (c *call) resetResponse() {
+	c.ctx.Response.Reset()
+	if c.gateway.draining.Load() {
+		c.ctx.SetConnectionClose()
+	}
+}
+
+// setHandoffSend marks the answer to another entry with the send that it belongs to.
+func (c *call) setHandoffSend() {
+	if c.handoffSend != "" {
+		c.ctx.Response.Header.Set(HeaderHandoffSend, c.handoffSend)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,10 +21,7 @@
 // copyHead copies the target's status and headers to the answer for the caller.
 func (c *call) copyHead(status int, header http.Header) {
 	response := &c.ctx.Response
-	response.Reset()
-	if c.gateway.draining.Load() {
-		c.ctx.SetConnectionClose()
-	}
+	c.resetResponse()
 	response.SetStatusCode(status)
 	response.Header.SetNoDefaultContentType(true)
 	named := ConnectionNames(header["Connection"]...)
@@ -36,6 +33,7 @@
 			response.Header.Add(name, value)
 		}
 	}
+	c.setHandoffSend()
 }
 
 // forwardStream passes the events of an answer on as they arrive. It returns true if the call
