sycamore-entry tells answers apart by their request too

An answer after which the request may be sent again (not admitted, failed, not held, cut) closes its connection: the HTTP client here has no choice among connections, and such answers are rare, as places are granted before a dispatch. An answer that names another request in X-Request-Id is taken for none.

Tests that failed before: TestLateCopyOfRejectionIsNotTheAnswerToTheNextDispatch (not admitted twice in place of complete), TestAnswerToAnotherRequestIsNotPassedOn (complete in place of aborted).

--- a/internal/targets/control.go
+++ b/internal/targets/control.go
@@ -65,6 +65,9 @@
 	if err := t.client(address, request.Engine).Do(req, resp); err != nil {
 		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
 	}
+	if !answersCall(resp, path) {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, errForeign)
+	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
--- a/internal/targets/run.go
+++ b/internal/targets/run.go
@@ -106,9 +106,13 @@
 	if err != nil {
 		return r.recoverUnanswered(err)
 	}
+	if !belongsTo(resp, string(r.f.ID)) {
+		discard(resp)
+		return r.recoverUnanswered(errForeign)
+	}
 	r.answered.Store(true)
 	if refusal := resp.Header.Peek(headerNotAdmitted); resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(refusal) > 0 {
-		_ = resp.CloseBodyStream()
+		discard(resp)
 		// The target reports that it has not admitted the request.
 		if string(refusal) == notAdmittedLeave {
 			return message.ResultLeaving, false
@@ -116,7 +120,7 @@
 		return message.ResultNotAdmitted, false
 	}
 	if r.kind == request.Engine && resp.StatusCode() >= fasthttp.StatusInternalServerError {
-		_ = resp.CloseBodyStream()
+		discard(resp)
 		return message.ResultFailed, true
 	}
 	r.t.outbox.put(entry.RunStarted{ID: r.f.ID})
@@ -222,6 +226,7 @@
 	defer func() { _ = resp.CloseBodyStream() }()
 	body, err := readBody(resp, r.f.MaxAnswer)
 	if err != nil {
+		discard(resp)
 		return err
 	}
 	if isEventStream(resp) && eventstream.EndsInside(body) {
--- a/internal/targets/stream.go
+++ b/internal/targets/stream.go
@@ -94,6 +94,7 @@
 	for {
 		ev, err := events.next()
 		if err != nil {
+			discard(resp)
 			return fmt.Errorf("%w: %w", errBroken, err)
 		}
 		if bytes.Equal(ev.data, doneMarker) {
@@ -222,12 +223,16 @@
 	if err := r.send(req, resp); err != nil {
 		return err
 	}
+	if !belongsTo(resp, string(r.stream.id)) {
+		discard(resp)
+		return errForeign
+	}
 	if resp.StatusCode() == fasthttp.StatusNotFound {
-		_ = resp.CloseBodyStream()
+		discard(resp)
 		return errNotHeld
 	}
 	if resp.StatusCode() != fasthttp.StatusOK || !isEventStream(resp) {
-		_ = resp.CloseBodyStream()
+		discard(resp)
 		return fmt.Errorf("%w: the resumption was answered with status %d", errBroken, resp.StatusCode())
 	}
 	r.answered.Store(true)
