--- a/internal/targets/control.go
+++ b/internal/targets/control.go
@@ -16,6 +16,8 @@
 	// cancelAttempts bounds the calls to cancel one stream.
 	cancelAttempts = 5
 	cancelPause    = 100 * time.Millisecond
+	// maxControlAnswer bounds the answer to a control call, in bytes.
+	maxControlAnswer = 1 << 20
 )
 
 // cancel stops the run at its engine. A plain service has no call for that: it continues
@@ -62,13 +64,20 @@
 		req.SetBodyRaw(body)
 	}
 	req.SetTimeout(t.cfg.ControlTimeout)
+	resp.StreamBody = true
 	if err := t.client(address, request.Engine).Do(req, resp); err != nil {
 		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
 	}
-	if !answersCall(resp, path) {
-		return 0, nil, fmt.Errorf("%s %s: %w", method, path, errForeign)
+	defer func() { _ = resp.CloseBodyStream() }()
+	answer, err = readBody(resp, maxControlAnswer)
+	if err == nil && !answersCall(resp, path) {
+		err = errForeign
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	if err != nil {
+		discard(resp)
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return resp.StatusCode(), answer, nil
 }
 
 // orderBody is the body of an order to an engine. It leaves the engine's role unchanged.
--- a/internal/targets/copies_test.go
+++ b/internal/targets/copies_test.go
@@ -68,3 +68,20 @@
 	status, _, err := targets.call(address, http.MethodGet, "/ready", nil)
 	g.Expect(err).To(MatchError(errForeign), "status %d", status)
 }
+
+// Guards against a control call reading an answer that doesn't end until its timeout, or into all of
+// the memory.
+func TestEndlessAnswerToControlCallIsGivenUp(t *testing.T) {
+	for name, answer := range platformtest.Endless {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			targets := New(Config{Core: &fakeCore{}, Log: discardLogger()})
+			defer targets.Close()
+			began := time.Now()
+			_, body, err := targets.call(serveArrivals(t, answer), http.MethodGet, "/ready", nil)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(len(body)).To(BeNumerically("<=", maxControlAnswer))
+			g.Expect(time.Since(began)).To(BeNumerically("<", targets.cfg.ControlTimeout/2))
+		})
+	}
+}
