A planned stop waits until answers have been written

Cause: a request counted as ended before its buffered answer was written, so the process could end in the middle of it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -345,7 +345,17 @@
 	c.endProbe()
 	c.releaseBody()
 	c.gateway.settle(c, status, reason)
-	c.gateway.running.Add(-1)
+	c.endAfterAnswer()
+}
+
+// endAfterAnswer counts the call as running until its answer has been written.
+func (c *call) endAfterAnswer() {
+	ended := func() { c.gateway.running.Add(-1) }
+	if c.conn == nil {
+		ended()
+		return
+	}
+	c.conn.AfterAnswer(ended)
 }
 
 // jitter randomizes a retry pause around its mean, so that callers refused at the same time do
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -38,6 +38,8 @@
 	// readErr is the error that ended the watcher's read.
 	readErr error
 	watcher chan struct{}
+	// unwritten are called when the answers under way have been handed to the kernel.
+	unwritten []func()
 }
 
 // Watch calls disconnected once, from another goroutine, if the caller closes or resets
@@ -79,8 +81,35 @@
 	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
+// AfterAnswer calls do once the answer to the current request has been handed to the kernel, or the
+// connection has been closed. The server writes an answer completely before it reads the next
+// request.
+func (c *Conn) AfterAnswer(do func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.unwritten = append(c.unwritten, do)
+}
+
+// settleAnswers calls the functions of the answers that are no longer under way.
+func (c *Conn) settleAnswers() {
+	c.mutex.Lock()
+	unwritten := c.unwritten
+	c.unwritten = nil
+	c.mutex.Unlock()
+	for _, do := range unwritten {
+		do()
+	}
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	defer c.settleAnswers()
+	return c.Conn.Close()
+}
+
 // Read returns the data that the watcher has read before any other data.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.settleAnswers()
 	c.mutex.Lock()
 	if len(c.buffered) > 0 {
 		n := copy(p, c.buffered)
