An entry accepts connections again after its descriptors ran out

Cause: each listener bounded its own connections to half of the descriptors, together more than there are; accept failed once, the listener's server took that for permanent, and nothing looked at it again. Idle connections held the descriptors for 75 s.

Callers, the directory and other entries now share 0.7 of the descriptors; a new connection takes the place of the one that has been idle longest, and is closed unread if none is idle. Probes and metrics have connections of their own. A dial for want of descriptors makes room for itself and says nothing about the target.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -31,6 +31,8 @@
 	eventReload      = "reload"
 	eventPaused      = "paused"
 	eventUndecodable = "undecodable"
+	// A listener could not accept a connection, and goes on.
+	eventAcceptFailed = "accept_failed"
 
 	// The entry's view of configuration, targets, other entries and the store.
 	eventConfiguration = "configuration"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects tally }
+	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -106,6 +106,10 @@
 	syncOnce sync.Once
 	running  atomic.Int64
 	draining atomic.Bool
+	// failed: a listener has ended and can't be brought back, so that this entry is not ready.
+	failed atomic.Bool
+	// gate bounds the connections of callers and other entries.
+	gate *ingress.Gate
 	// shutdown is set when this entry is to stop.
 	shutdown atomic.Pointer[shutdownTimes]
 }
@@ -135,14 +139,16 @@
 // NewWithDial is New with another way to open connections to targets.
 func NewWithDial(s settings.Gateway, platform Platform, logger *logrus.Logger, dialTarget func(address string) (net.Conn, error)) *Gateway {
 	now := time.Now()
+	gate := ingress.NewGate(int(callersShare * float64(ingress.Descriptors(s.MaxDescriptors))))
 	g := &Gateway{
+		gate:     gate,
 		settings: s, platform: platform, started: now, logger: logger, syncDone: make(chan struct{}),
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
 			Name: s.Name, Incarnation: rand.Uint64(), Zone: s.Zone, Callers: s.CallersAddress, Links: advertisedLinks(s),
 		},
-		pool: upstream.NewPool(upstream.Options{Dial: dialTarget, KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
+		pool: upstream.NewPool(upstream.Options{Dial: gate.Dialer(dialTarget), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
 	}
 	g.state = &state{
 		log:         g.log,
@@ -229,24 +235,43 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errListen, w.name, err)
 		}
-		descriptors := g.settings.MaxDescriptors
-		if w.name == "handoffs" {
-			descriptors /= 2 // callers' own connections go first
-		}
-		servers = append(servers, &server{name: w.name, listener: ingress.Listener{Listener: listener}, http: newServer(w.handler, descriptors)})
+		servers = append(servers, &server{name: w.name, listener: g.bounded(w.name, listener), http: newServer(w.handler, g.settings.MaxDescriptors)})
 	}
 	return servers, nil
 }
 
-// connectionShare is the share of the process' descriptors available to the connections of one
-// listener; targets, the store and files use the rest. Beyond it a connection is answered 503
-// and closed, whereas a failed accept would leave callers waiting.
-const connectionShare = 0.5
+const (
+	// callersShare is the share of the process' descriptors for connections of callers and of other
+	// entries; targets, the store, probes and files use the rest.
+	callersShare = 0.7
+	// maxProbes bounds the connections of each listener that the platform's own checks use.
+	maxProbes = 64
+)
+
+// bounded returns a listener that goes on after errors that pass, and whose connections are bounded:
+// those of callers and other entries together, those of probes and of collectors of metrics apart from
+// them, so that they always find room.
+func (g *Gateway) bounded(name string, listener net.Listener) net.Listener {
+	gate := g.gate
+	if name == "ready" || name == "metrics" {
+		gate = ingress.NewGate(maxProbes)
+	}
+	retrying := &ingress.RetryingListener{
+		Listener: listener,
+		MakeRoom: func() { g.gate.EvictIdle() },
+		OnError: func(err error) {
+			g.counters.acceptErrors.add(name)
+			g.log.Write(eventlog.Failure, eventAcceptFailed, eventlog.Fields{"listener": name, "error": err.Error(), "connections": g.gate.Open()})
+		},
+	}
+	return ingress.Listener{Listener: retrying, Gate: gate}
+}
 
-func newServer(handler fasthttp.RequestHandler, descriptors int) *fasthttp.Server {
+// newServer returns a server whose listener bounds the connections to less than most.
+func newServer(handler fasthttp.RequestHandler, most int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                       handler,
-		Concurrency:                   int(float64(descriptors) * connectionShare),
+		Concurrency:                   most,
 		ReadBufferSize:                maxHeader,
 		MaxRequestBodySize:            maxBody,
 		IdleTimeout:                   callerIdleTimeout,
@@ -266,9 +291,12 @@
 func (discardLogger) Printf(string, ...any) {}
 
 func (g *Gateway) serveOn(s *server) {
-	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, net.ErrClosed) {
-		g.logger.WithError(err).WithField("listener", s.name).Error("HTTP listener failed")
+	err := s.http.Serve(s.listener)
+	if g.draining.Load() && (err == nil || errors.Is(err, net.ErrClosed)) {
+		return
 	}
+	g.logger.WithError(err).WithField("listener", s.name).Error("HTTP listener failed")
+	g.failed.Store(true)
 }
 
 // synced reports whether this entry has a configuration and the registry of targets.
@@ -277,7 +305,7 @@
 }
 
 // ready reports whether this entry accepts callers' requests.
-func (g *Gateway) ready() bool { return !g.draining.Load() && g.synced() }
+func (g *Gateway) ready() bool { return !g.draining.Load() && !g.failed.Load() && g.synced() }
 
 // noteSynced releases the requests that arrived before this entry was synced.
 func (g *Gateway) noteSynced() {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -15,15 +16,29 @@
 const writeTimeout = 5 * time.Second
 
 // Listener wraps the connections that it accepts in Conn.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// Gate bounds the connections; nil: they are not bounded.
+	Gate *Gate
+}
 
-// Accept returns the next connection, as a *Conn.
+// Accept returns the next connection, as a *Conn. It closes those for which the gate has no room.
 func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.Gate == nil {
+			return &Conn{Conn: accepted}, nil
+		}
+		if l.Gate.admit() {
+			conn := &Conn{Conn: accepted, gate: l.Gate, counted: true, between: true}
+			l.Gate.noteIdle(conn)
+			return conn, nil
+		}
+		_ = accepted.Close()
 	}
-	return &Conn{Conn: conn}, nil
 }
 
 // Conn is a caller's connection. The server does not read from it while a request runs, so
@@ -31,6 +46,14 @@
 // Watch reads during that time.
 type Conn struct {
 	net.Conn
+	// gate is nil if the connection is not counted. Its mutex guards idle and counted.
+	gate    *Gate
+	idle    *list.Element
+	counted bool
+	// between: an answer has been written, or nothing has been read yet, so that the next read waits
+	// for a request. Only the server's goroutine uses it.
+	between bool
+
 	mutex sync.Mutex
 	// buffered holds the data that the watcher read: the beginning of the caller's next
 	// request.
@@ -104,6 +127,9 @@
 // Close closes the connection.
 func (c *Conn) Close() error {
 	defer c.settleAnswers()
+	if c.gate != nil {
+		c.gate.noteClosed(c)
+	}
 	return c.Conn.Close()
 }
 
@@ -114,6 +140,7 @@
 	if len(c.buffered) > 0 {
 		n := copy(p, c.buffered)
 		c.buffered = c.buffered[n:]
+		c.between = false
 		c.mutex.Unlock()
 		return n, nil
 	}
@@ -122,11 +149,26 @@
 	if readErr != nil {
 		return 0, readErr
 	}
-	return c.Conn.Read(p)
+	return c.awaitData(p)
+}
+
+// awaitData reads from the connection, which counts as idle while no request has begun.
+func (c *Conn) awaitData(p []byte) (int, error) {
+	if c.gate == nil || !c.between {
+		return c.Conn.Read(p)
+	}
+	c.gate.noteIdle(c)
+	n, err := c.Conn.Read(p)
+	if !c.gate.noteBusy(c) {
+		return 0, net.ErrClosed // what has arrived meanwhile isn't handled: it could not be answered
+	}
+	c.between = n == 0
+	return n, err
 }
 
 // Write fails if the caller does not read for writeTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.between = true
 	return c.Conn.Write(p)
 }
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -19,6 +19,10 @@
 	GatewayTargetConns    = declare(KindCounter, "gateway_target_connections_total", "Connections opened to targets.")
 	GatewaySkippedAnswers = declare(KindCounter, "gateway_skipped_answers_total", "Answers that were skipped because they belong to other requests.")
 	GatewayBuffered       = declare(KindGauge, "gateway_buffered_bytes", "Memory of the answers that are buffered before they are passed on.")
+	GatewayCallerConns    = declare(KindGauge, "gateway_caller_connections", "Open connections of callers and other entries.")
+	GatewayEvictedConns   = declare(KindCounter, "gateway_evicted_connections_total", "Idle connections that were closed to make room for new ones.")
+	GatewayRefusedConns   = declare(KindCounter, "gateway_refused_connections_total", "New connections that were closed because no connection was idle.")
+	GatewayAcceptErrors   = declare(KindCounter, "gateway_accept_errors_total", "Errors of accepting connections, by listener.", "listener")
 	GatewayHandoffs       = declare(KindCounter, "gateway_handoffs_total",
 		"Requests handed off to another entry, by outcome.", "outcome")
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
