--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,5 +1,5 @@
-// Package ingress accepts callers' connections and detects when a caller disconnects
-// while its request is still running.
+// Package ingress accepts callers' connections, bounds those of several listeners together, and
+// detects when a caller disconnects while its request is still running.
 package ingress
 
 import (
