Buffered bodies are bounded on the wire and read in blocks

A body that grows by doubling leaves as much garbage as it has. It is now read in blocks, joined at its end.

TestBufferedAnswersShareTheMemory has a limit of 5 MB in place of 6: without the unused half of a doubled buffer, two answers of 3 MB would fit, and the test is about two that don't.

--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 
 	"sycamoretrail/internal/upstream"
@@ -14,8 +15,12 @@
 	maxBufferedAnswer = 8 << 20
 	// bufferShare is the part of the process' memory that all buffered answers may use.
 	bufferShare = 0.25
-	// minBuffer is the size of the buffer for a short answer.
-	minBuffer = 4 << 10
+	// maxAnswerWire bounds the bytes of its body on the connection: a chunk may hold a single byte, and
+	// costs as much processor time as a long one.
+	maxAnswerWire = maxBufferedAnswer + maxBufferedAnswer/4
+	// minBlock and maxBlock are the sizes of the blocks in which a body is read.
+	minBlock = 4 << 10
+	maxBlock = 256 << 10
 	// maxEvent bounds an event of a stream. The share of the memory is checked for events beyond
 	// freeEvent only.
 	maxEvent  = 1 << 20
@@ -56,37 +61,49 @@
 	if answer.Length > maxBufferedAnswer {
 		return nil, errAnswerTooLong
 	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			larger, err := c.growBody(body)
-			if err != nil {
-				return nil, err
-			}
-			body = larger
+	answer.LimitWire(maxAnswerWire)
+	var blocks [][]byte
+	for total := 0; total <= maxBufferedAnswer; {
+		block, err := c.newBlock(total)
+		if err != nil {
+			return nil, err
 		}
-		n, err := answer.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := readFull(answer, block)
+		blocks, total = append(blocks, block[:n]), total+n
 		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
+		case errors.Is(err, io.EOF) && total <= maxBufferedAnswer:
+			return slices.Concat(blocks...), nil
+		case errors.Is(err, upstream.ErrTooLong):
+			return nil, errAnswerTooLong
+		case err != nil && !errors.Is(err, io.EOF):
 			return nil, err
 		}
 	}
+	return nil, errAnswerTooLong
 }
 
-// growBody doubles the capacity of a body. One byte beyond the bound shows that a body is too long.
-func (c *call) growBody(body []byte) ([]byte, error) {
-	if len(body) > maxBufferedAnswer {
-		return nil, errAnswerTooLong
-	}
-	size := min(max(minBuffer, 2*cap(body)), maxBufferedAnswer+1)
-	if !c.gateway.buffers.reserve(size - cap(body)) {
+// newBlock returns the next block of a body: each is as long as all before it, up to maxBlock. Blocks
+// leave no garbage while a body grows.
+func (c *call) newBlock(total int) ([]byte, error) {
+	size := min(max(minBlock, total), maxBlock)
+	if !c.gateway.buffers.reserve(size) {
 		return nil, errNoMemory
 	}
-	c.buffered += size - cap(body)
-	return append(make([]byte, 0, size), body...), nil
+	c.buffered += size
+	return make([]byte, size), nil
+}
+
+// readFull reads until p is full or the answer ends.
+func readFull(answer *upstream.Answer, p []byte) (int, error) {
+	read := 0
+	for read < len(p) {
+		n, err := answer.Read(p[read:])
+		read += n
+		if err != nil {
+			return read, err
+		}
+	}
+	return read, nil
 }
 
 // releaseBody releases the memory of the bodies that the call has read.
--- a/internal/gateway/buffers_test.go
+++ b/internal/gateway/buffers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 func TestBufferedAnswersShareTheMemory(t *testing.T) {
 	g := NewWithT(t)
 	gateway, _ := newLoggingGateway()
-	gateway.buffers = &buffers{limit: 6 * oneMB}
+	gateway.buffers = &buffers{limit: 5 * oneMB}
 	read := func() (*call, error) {
 		c := &call{gateway: gateway}
 		return c, c.readFrom(g, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 3*oneMB), 3*oneMB)
@@ -81,3 +82,15 @@
 		}
 	}
 }
+
+// Guards against a body in tiny chunks costing many times the processor time of a body of its length.
+func TestTinyChunksAreBoundedOnTheWire(t *testing.T) {
+	g := NewWithT(t)
+	gateway, _ := newLoggingGateway()
+	chunks := strings.Repeat("1\r\nx\r\n", maxAnswerWire/len("1\r\nx\r\n")+oneMB)
+	c := &call{gateway: gateway}
+	err := c.readFrom(g, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks+"0\r\n\r\n", 0)
+	g.Expect(err).To(MatchError(errAnswerTooLong))
+	c.releaseBody()
+	g.Expect(gateway.buffers.used.Load()).To(BeZero())
+}
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -13,7 +13,7 @@
 	maxHead = 64 << 10
 	// maxSkipped bounds the bodies of the answers to other requests that are skipped, in all.
 	maxSkipped = 8 << 20
-	// unbounded is the number of bytes that a source may bring while no head is read.
+	// unbounded means that a source may bring any number of bytes.
 	unbounded = -1
 )
 
@@ -36,7 +36,7 @@
 		return s.conn.Read(p)
 	}
 	if s.left == 0 {
-		return 0, fmt.Errorf("%w in the head", ErrTooLong)
+		return 0, ErrTooLong
 	}
 	n, err := s.conn.Read(p[:min(len(p), s.left)])
 	s.left -= n
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -119,6 +119,7 @@
 		// to this one.
 		x.Use.Skipped++
 		p.skipped.Add(1)
+		conn.source.left = maxSkipped
 		skipped, err := io.CopyN(io.Discard, response.Body, maxSkipped-x.Use.SkippedBytes+1)
 		x.Use.SkippedBytes += skipped
 		if !errors.Is(err, io.EOF) || response.Close {
@@ -222,6 +223,10 @@
 	}
 }
 
+// LimitWire bounds the bytes that are read from the connection for the rest of the answer. What has been
+// buffered with the head isn't counted.
+func (a *Answer) LimitWire(bytes int) { a.conn.source.left = bytes }
+
 // Drain reads a body that is of no interest, so that Close can keep the connection. It gives up
 // beyond a number of bytes and after a time.
 func (a *Answer) Drain(limit int64, within time.Duration) {
@@ -252,6 +257,7 @@
 		return false
 	}
 	conn := a.conn
+	conn.source.left = unbounded
 	a.conn = nil
 	if a.finished && a.keep > 0 && conn.reader.Buffered() == 0 && conn.written() && !conn.carried.full(time.Now()) {
 		conn.keep = a.keep
