--- a/cmd/sycamore-console/main.go
+++ b/cmd/sycamore-console/main.go
@@ -13,6 +13,7 @@
 
 	"sycamoretrail/internal/cli"
 	"sycamoretrail/internal/console"
+	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/operatorclient"
 	"sycamoretrail/internal/settings"
 )
@@ -60,7 +61,10 @@
 	}
 	logger.WithField("address", listener.Addr().String()).Info("console started")
 	served := make(chan error, 1)
-	go func() { served <- pages.Serve(listener) }()
+	retrying := &ingress.RetryingListener{
+		Listener: listener, OnError: func(err error) { logger.WithError(err).Warn("cannot accept a connection") },
+	}
+	go func() { served <- pages.Serve(retrying) }()
 	select {
 	case err := <-served:
 		return err
--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -13,6 +13,7 @@
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/coreloop"
 	"sycamoretrail/internal/decisionlog"
+	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/logclient"
 	"sycamoretrail/internal/operators"
 	"sycamoretrail/internal/peers"
@@ -108,7 +109,7 @@
 
 // run serves until the drain has completed.
 func (p *process) run(ctx context.Context) error {
-	listeners, err := listen(p.settings)
+	listeners, err := listen(p.settings, p.logger)
 	if err != nil {
 		return err
 	}
@@ -183,8 +184,9 @@
 	callers, peers, operators net.Listener
 }
 
-// listen opens listeners on all addresses. The error names every address that fails.
-func listen(s settings.Entry) (listeners, error) {
+// listen opens listeners on all addresses, which go on after errors that pass. The error names every
+// address that fails.
+func listen(s settings.Entry, logger *logrus.Logger) (listeners, error) {
 	var opened listeners
 	var faults []error
 	for _, opening := range []struct {
@@ -200,7 +202,10 @@
 			faults = append(faults, fmt.Errorf("%w: %w", errListen, err))
 			continue
 		}
-		*opening.into = listener
+		log := logger.WithField("address", opening.address)
+		*opening.into = &ingress.RetryingListener{
+			Listener: listener, OnError: func(err error) { log.WithError(err).Warn("cannot accept a connection") },
+		}
 	}
 	return opened, errors.Join(faults...)
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -21,7 +21,6 @@
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
 	"sycamoretrail/internal/inflight"
-	"sycamoretrail/internal/ingress"
 )
 
 // Core accepts the inputs of the entry's state machine.
@@ -171,7 +170,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.pending.run(done)
-	return s.http.Serve(&limitedListener{Listener: &ingress.RetryingListener{Listener: ln}, server: s})
+	return s.http.Serve(&limitedListener{Listener: ln, server: s})
 }
 
 // Shutdown stops listening and waits for the connections to close.
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -16,7 +16,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/operatorclient"
 )
 
@@ -86,7 +85,7 @@
 
 // Serve serves the listener until Close is called.
 func (c *Console) Serve(listener net.Listener) error {
-	if err := c.server.Serve(&ingress.RetryingListener{Listener: listener}); err != nil {
+	if err := c.server.Serve(listener); err != nil {
 		return fmt.Errorf("%w: %w", ErrListen, err)
 	}
 	return nil
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -33,6 +33,8 @@
 	eventUndecodable = "undecodable"
 	// A listener could not accept a connection, and goes on.
 	eventAcceptFailed = "accept_failed"
+	// Connections were closed to make room, or for want of it.
+	eventConnectionsShort = "connections_short"
 
 	// The entry's view of configuration, targets, other entries and the store.
 	eventConfiguration = "configuration"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,8 +108,7 @@
 	draining atomic.Bool
 	// failed: a listener has ended and can't be brought back, so that this entry is not ready.
 	failed atomic.Bool
-	// gate bounds the connections of callers and other entries.
-	gate *ingress.Gate
+	gates  gates
 	// shutdown is set when this entry is to stop.
 	shutdown atomic.Pointer[shutdownTimes]
 }
@@ -139,16 +138,16 @@
 // NewWithDial is New with another way to open connections to targets.
 func NewWithDial(s settings.Gateway, platform Platform, logger *logrus.Logger, dialTarget func(address string) (net.Conn, error)) *Gateway {
 	now := time.Now()
-	gate := ingress.NewGate(int(callersShare * float64(ingress.Descriptors(s.MaxDescriptors))))
+	gates := newGates(ingress.Descriptors(s.MaxDescriptors))
 	g := &Gateway{
-		gate:     gate,
+		gates:    gates,
 		settings: s, platform: platform, started: now, logger: logger, syncDone: make(chan struct{}),
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
 			Name: s.Name, Incarnation: rand.Uint64(), Zone: s.Zone, Callers: s.CallersAddress, Links: advertisedLinks(s),
 		},
-		pool: upstream.NewPool(upstream.Options{Dial: gate.Dialer(dialTarget), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
+		pool: upstream.NewPool(upstream.Options{Dial: gates.callers.Dialer(dialTarget), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
 	}
 	g.state = &state{
 		log:         g.log,
@@ -241,30 +240,55 @@
 }
 
 const (
-	// callersShare is the share of the process' descriptors for connections of callers and of other
-	// entries; targets, the store, probes and files use the rest.
-	callersShare = 0.7
+	// callersShare is the share of the process' descriptors for connections of callers, to the
+	// directory too, and handoffsShare that for connections of other entries: callers' own go first.
+	// Targets, the store, probes and files use the rest.
+	callersShare  = 0.55
+	handoffsShare = 0.15
 	// maxProbes bounds the connections of each listener that the platform's own checks use.
 	maxProbes = 64
 )
 
-// bounded returns a listener that goes on after errors that pass, and whose connections are bounded:
-// those of callers and other entries together, those of probes and of collectors of metrics apart from
-// them, so that they always find room.
-func (g *Gateway) bounded(name string, listener net.Listener) net.Listener {
-	gate := g.gate
-	if name == "ready" || name == "metrics" {
-		gate = ingress.NewGate(maxProbes)
+// gates bound the connections that the process accepts.
+type gates struct{ callers, handoffs *ingress.Gate }
+
+func newGates(descriptors int) gates {
+	return gates{
+		callers:  ingress.NewGate(int(callersShare * float64(descriptors))),
+		handoffs: ingress.NewGate(int(handoffsShare * float64(descriptors))),
+	}
+}
+
+// of returns the gate of a listener. Probes and collectors of metrics have one each, so that they always
+// find room.
+func (g gates) of(name string) *ingress.Gate {
+	switch name {
+	case "handoffs":
+		return g.handoffs
+	case "ready", "metrics":
+		return ingress.NewGate(maxProbes)
+	default:
+		return g.callers
 	}
+}
+
+func (g gates) open() int { return g.callers.Open() + g.handoffs.Open() }
+
+func (g gates) evicted() int64 { return g.callers.Evicted() + g.handoffs.Evicted() }
+
+func (g gates) refused() int64 { return g.callers.Refused() + g.handoffs.Refused() }
+
+// bounded returns a listener that goes on after errors that pass, and whose connections are bounded.
+func (g *Gateway) bounded(name string, listener net.Listener) net.Listener {
 	retrying := &ingress.RetryingListener{
 		Listener: listener,
-		MakeRoom: func() { g.gate.EvictIdle() },
+		MakeRoom: func() { g.gates.callers.EvictIdle() },
 		OnError: func(err error) {
 			g.counters.acceptErrors.add(name)
-			g.log.Write(eventlog.Failure, eventAcceptFailed, eventlog.Fields{"listener": name, "error": err.Error(), "connections": g.gate.Open()})
+			g.log.Write(eventlog.Failure, eventAcceptFailed, eventlog.Fields{"listener": name, "error": err.Error(), "connections": g.gates.open()})
 		},
 	}
-	return ingress.Listener{Listener: retrying, Gate: gate}
+	return ingress.Listener{Listener: retrying, Gate: g.gates.of(name)}
 }
 
 // newServer returns a server whose listener bounds the connections to less than most.
@@ -371,11 +395,24 @@
 	gaugesEvery = 5 * time.Second
 )
 
+// logRoomMade writes a line if connections were evicted or refused since the last call, which is given the
+// counts of that time. It returns those of now.
+func (g *Gateway) logRoomMade(evictedBefore, refusedBefore int64) (evicted, refused int64) {
+	evicted, refused = g.gates.evicted(), g.gates.refused()
+	if evicted > evictedBefore || refused > refusedBefore {
+		g.log.Write(eventlog.StateChange, eventConnectionsShort, eventlog.Fields{
+			"evicted": evicted - evictedBefore, "refused": refused - refusedBefore, "connections": g.gates.open(),
+		})
+	}
+	return evicted, refused
+}
+
 func (g *Gateway) housekeep(ctx context.Context) {
 	ticker := time.NewTicker(housekeepEvery)
 	defer ticker.Stop()
 	gauges := time.NewTicker(gaugesEvery)
 	defer gauges.Stop()
+	var evicted, refused int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -384,6 +421,7 @@
 			g.pool.Retain(g.feeds.inUse)
 			g.handoffs.pool.Retain(func(string) bool { return true })
 			g.links.prune()
+			evicted, refused = g.logRoomMade(evicted, refused)
 		case <-gauges.C:
 			g.reportGauges()
 		}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -119,7 +119,7 @@
 		outcome = "broken"
 		c.connectionBroke = true
 	case answer.Header.Get(headerHandoffDeclined) != "":
-		answer.Drain(maxDrained, maxDrain)
+		answer.Drain(maxDrainBytes, maxDrainTime)
 		c.closeAnswer(answer)
 		outcome, err = "declined", errDeclined
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/eventstream"
+	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/upstream"
 )
 
@@ -17,10 +18,10 @@
 	// extraSends is the number of sends beyond the route's attempts that are allowed after
 	// targets declared that they did not run the request.
 	extraSends = 2
-	// maxDrained and maxDrain bound the reading of a body that is not passed on, which only serves to
-	// keep the connection.
-	maxDrained = 64 << 10
-	maxDrain   = 50 * time.Millisecond
+	// maxDrainBytes and maxDrainTime bound the reading of a body that is not passed on, which only
+	// serves to keep the connection.
+	maxDrainBytes = 64 << 10
+	maxDrainTime  = 50 * time.Millisecond
 	// minTry and tryShare bound the time of one try of an idempotent request that may still be
 	// sent to another target, so that a hanging target does not use up all of the time.
 	minTry   = 300 * time.Millisecond
@@ -171,9 +172,12 @@
 // noteUnreached records that the connection to a target failed, unless the caller has ended the
 // request or the target is merely slow.
 func (c *call) noteUnreached(grant *dispatch.Grant, err error) {
-	if errors.Is(err, upstream.ErrInvalidAnswer) {
+	switch {
+	case errors.Is(err, upstream.ErrInvalidAnswer):
 		c.gateway.isolation.recordContact()
 		return
+	case ingress.ShortOfDescriptors(err):
+		return
 	}
 	slow := errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, upstream.ErrNotSent)
 	if !slow && !c.hasCallerLeft() {
@@ -231,8 +235,7 @@
 		return true
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		c.unreached++
-		c.report(grant, began, dispatch.Unreachable, 0, err)
+		c.report(grant, began, c.countUnreached(err), 0, err)
 		return c.endIfExpired()
 	}
 	c.tried = append(c.tried, grant.Target.Incarnation())
@@ -241,6 +244,16 @@
 	return c.retryOrEnd(replyFor(err))
 }
 
+// countUnreached counts a target that was not reached, and returns the outcome. That this process has no
+// descriptor left says nothing about the target.
+func (c *call) countUnreached(err error) dispatch.Outcome {
+	if ingress.ShortOfDescriptors(err) {
+		return dispatch.Abandoned
+	}
+	c.unreached++
+	return dispatch.Unreachable
+}
+
 // outcomeOf returns the outcome of a try that ended with an error after it was sent.
 func outcomeOf(err error) dispatch.Outcome {
 	switch {
@@ -248,8 +261,9 @@
 		return dispatch.TimedOut
 	case errors.Is(err, errNoMemory):
 		return dispatch.Abandoned
-	case errors.Is(err, upstream.ErrTooLong) && !errors.Is(err, errAnswerTooLong):
-		// A body may also be too long because the request asks for much.
+	case errors.Is(err, upstream.ErrHeadTooLong):
+		// A body or an event may also be too long because the request asks for much, so that no
+		// request can take sound targets out of use for long.
 		return dispatch.Oversized
 	default:
 		return dispatch.Broken
@@ -308,7 +322,7 @@
 // handleRejection handles an answer which declares that the request was not run.
 func (c *call) handleRejection(grant *dispatch.Grant, began time.Time, answer *upstream.Answer, head AnswerHead) bool {
 	c.countUnsent()
-	answer.Drain(maxDrained, maxDrain)
+	answer.Drain(maxDrainBytes, maxDrainTime)
 	c.closeAnswer(answer)
 	if head.Replaced {
 		c.tried = append(c.tried, grant.Target.Incarnation())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -344,8 +344,7 @@
 	if err != nil {
 		outcome := outcomeOf(err)
 		if errors.Is(err, upstream.ErrNotSent) {
-			outcome = dispatch.Unreachable
-			c.unreached++
+			outcome = c.countUnreached(err)
 		} else {
 			c.runs++
 			c.tried = append(c.tried, grant.Target.Incarnation())
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,7 +33,7 @@
 			return &Conn{Conn: accepted}, nil
 		}
 		if l.Gate.admit() {
-			conn := &Conn{Conn: accepted, gate: l.Gate, counted: true, between: true}
+			conn := &Conn{Conn: accepted, gate: l.Gate, counted: true, awaitingRequest: true}
 			l.Gate.noteIdle(conn)
 			return conn, nil
 		}
@@ -50,9 +50,9 @@
 	gate    *Gate
 	idle    *list.Element
 	counted bool
-	// between: an answer has been written, or nothing has been read yet, so that the next read waits
-	// for a request. Only the server's goroutine uses it.
-	between bool
+	// awaitingRequest: an answer has been written, or nothing has been read yet, so that the next read
+	// waits for a request. Only the server's goroutine uses it.
+	awaitingRequest bool
 
 	mutex sync.Mutex
 	// buffered holds the data that the watcher read: the beginning of the caller's next
@@ -140,7 +140,7 @@
 	if len(c.buffered) > 0 {
 		n := copy(p, c.buffered)
 		c.buffered = c.buffered[n:]
-		c.between = false
+		c.awaitingRequest = false
 		c.mutex.Unlock()
 		return n, nil
 	}
@@ -154,7 +154,7 @@
 
 // awaitData reads from the connection, which counts as idle while no request has begun.
 func (c *Conn) awaitData(p []byte) (int, error) {
-	if c.gate == nil || !c.between {
+	if c.gate == nil || !c.awaitingRequest {
 		return c.Conn.Read(p)
 	}
 	c.gate.noteIdle(c)
@@ -162,13 +162,13 @@
 	if !c.gate.noteBusy(c) {
 		return 0, net.ErrClosed // what has arrived meanwhile isn't handled: it could not be answered
 	}
-	c.between = n == 0
+	c.awaitingRequest = n == 0
 	return n, err
 }
 
 // Write fails if the caller does not read for writeTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	c.between = true
+	c.awaitingRequest = true
 	return c.Conn.Write(p)
 }
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -11,7 +11,8 @@
 )
 
 // Gate bounds the connections of several listeners together. To make room for a new one it closes
-// the connection that has been idle for the longest time.
+// the connection that has been idle for the longest time. If none is idle, the new one is closed
+// unread, so that its caller knows that nothing was run, instead of waiting to be accepted.
 type Gate struct {
 	max int
 
@@ -36,11 +37,10 @@
 // NewGate returns a gate for up to max connections.
 func NewGate(max int) *Gate { return &Gate{max: max} }
 
-// Evicted returns how many idle connections were closed to make room, Refused how many new ones were
-// closed because none was idle.
+// Evicted returns how many idle connections were closed to make room.
 func (g *Gate) Evicted() int64 { return g.evicted.Load() }
 
-// Refused is described with Evicted.
+// Refused returns how many new connections were closed because none was idle.
 func (g *Gate) Refused() int64 { return g.refused.Load() }
 
 // Open returns the number of open connections.
@@ -121,8 +121,12 @@
 	g.remove(conn)
 }
 
-// dialAttempts bounds the attempts to open a connection while descriptors are short.
-const dialAttempts = 10
+// dialAttempts bounds the attempts to open a connection while descriptors are short, dialPause is the time
+// between two of them.
+const (
+	dialAttempts = 10
+	dialPause    = 5 * time.Millisecond
+)
 
 // Dialer returns a dial function that closes idle connections if no descriptor is left for a new one.
 func (g *Gate) Dialer(dial func(address string) (net.Conn, error)) func(address string) (net.Conn, error) {
@@ -133,7 +137,7 @@
 				return conn, err
 			}
 			g.EvictIdle()
-			time.Sleep(minAcceptPause)
+			time.Sleep(dialPause)
 		}
 	}
 }
@@ -148,7 +152,7 @@
 // one.
 type RetryingListener struct {
 	net.Listener
-	// MakeRoom, if not nil, is called when descriptors are short.
+	// MakeRoom, if not nil, is called when descriptors or memory are short.
 	MakeRoom func()
 	// OnError, if not nil, is called with each such error.
 	OnError func(error)
@@ -165,7 +169,7 @@
 		if l.OnError != nil {
 			l.OnError(err)
 		}
-		if l.MakeRoom != nil {
+		if l.MakeRoom != nil && !errors.Is(err, syscall.ECONNABORTED) {
 			l.MakeRoom()
 		}
 		time.Sleep(pause)
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -1,8 +1,6 @@
 package operators
 
 import (
-	"sycamoretrail/internal/ingress"
-
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -80,7 +78,7 @@
 
 // Serve serves the listener until Close is called.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.server.Serve(&ingress.RetryingListener{Listener: listener}); err != nil {
+	if err := s.server.Serve(listener); err != nil {
 		return fmt.Errorf("%w: %w", ErrListen, err)
 	}
 	return nil
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -14,7 +14,6 @@
 	"sycamoretrail/internal/core/entry"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/message"
-	"sycamoretrail/internal/ingress"
 )
 
 // DefaultIdleTimeout is the time without any frame from the peer after which a link is
@@ -90,7 +89,7 @@
 		listener = tls.NewListener(listener, l.options.TLS)
 	}
 	l.group.Go(func() {
-		if err := l.server.Serve(&ingress.RetryingListener{Listener: listener}); err != nil {
+		if err := l.server.Serve(listener); err != nil {
 			l.options.Log.WithError(err).Error("peer listener failed")
 		}
 	})
--- a/internal/upstream/carried_test.go
+++ b/internal/upstream/carried_test.go
@@ -136,3 +136,28 @@
 	g.Expect(x.Use.SkippedBytes).To(Equal(int64(20)))
 	answer.Close()
 }
+
+// Guards against a target that crashes in the middle of a head passing for one that violates the protocol:
+// a request that crashes targets would go unnoticed.
+func TestHeadCutByALostConnectionIsBroken(t *testing.T) {
+	for name, head := range map[string]string{"status_line": "HTTP/1.1 20", "header": "HTTP/1.1 200 OK\r\nX-Req"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = fmt.Fprint(conn, head)
+				_ = conn.Close()
+			}()
+			_, err = sendBody(newPool(), listener.Addr().String(), nil)
+			g.Expect(err).To(MatchError(upstream.ErrBroken))
+			g.Expect(err).NotTo(MatchError(upstream.ErrInvalidAnswer))
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -107,7 +107,7 @@
 		response, err := conn.readHead(x.Method)
 		if err != nil {
 			_ = conn.Close()
-			return nil, readError(err)
+			return nil, conn.readError(err)
 		}
 		if x.Matches(response.Header) {
 			return &Answer{
@@ -136,6 +136,9 @@
 	defer func() { c.source.left = unbounded }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if errors.Is(err, ErrTooLong) {
+			return nil, ErrHeadTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -219,7 +222,7 @@
 		a.finished = true
 		return n, io.EOF
 	default:
-		return n, readError(err)
+		return n, a.conn.readError(err)
 	}
 }
 
