Log lines and a metric for promises that a request has not run

Change: settled lines have answered_by, tried lines declared_not_run; a promise for a request that may have run gives a promise_contradicted line and counts in gateway_contradicted_promises_total by source. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,7 +25,7 @@
 	}
 	fields := eventlog.Fields{
 		"id": c.envelope.ID, "target": grant.Target.ID, "address": grant.Target.Address, "outcome": report.Outcome.String(),
-		"status": status, "took_ms": took.Milliseconds(), "send": c.sends, "run": c.runs, "target_version": grant.Target.Version,
+		"status": status, "declared_not_run": c.declaredNotRun, "took_ms": took.Milliseconds(), "send": c.sends, "run": c.runs, "target_version": grant.Target.Version,
 	}
 	c.addUse(fields)
 	if c.ending != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,6 +89,10 @@
 	// ending describes how the body of the current try ended; nil: no body was read to its end.
 	ending *answerEnding
 	ended  bool
+	// answeredBy is where the answer to the caller comes from. declaredNotRun: the target's answer to the
+	// current try declares that it did not run the request.
+	answeredBy     answerSource
+	declaredNotRun bool
 
 	// handedOff: the request comes from another entry, which could not bring it to a target.
 	handedOff bool
@@ -119,7 +123,7 @@
 }
 
 func (g *Gateway) newCall(ctx *fasthttp.RequestCtx) *call {
-	c := &call{gateway: g, ctx: ctx, arrived: time.Now(), disconnected: make(chan struct{})}
+	c := &call{gateway: g, ctx: ctx, arrived: time.Now(), answeredBy: fromEntry, disconnected: make(chan struct{})}
 	c.conn, _ = ctx.Conn().(*ingress.Conn)
 	g.running.Add(1)
 	return c
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -23,6 +23,8 @@
 	eventBroken    = "run_broken"
 	eventSettled   = "settled"
 	eventReconnect = "reconnect"
+	// An answer promises that a request has not run, which a target may have run.
+	eventContradiction = "promise_contradicted"
 
 	// The process.
 	eventStart       = "start"
@@ -76,7 +78,7 @@
 	now := time.Now()
 	fields := eventlog.Fields{
 		"id": c.envelope.ID, "status": status, "reason": reason, "organisation": c.organisation, "service": c.service,
-		"priority": c.priority, "total_ms": now.Sub(c.arrived).Milliseconds(), "sends": c.sends, "runs": c.runs,
+		"answered_by": c.answeredBy, "priority": c.priority, "total_ms": now.Sub(c.arrived).Milliseconds(), "sends": c.sends, "runs": c.runs,
 	}
 	if c.envelope.DeclaresTokens {
 		fields["prompt"], fields["output"], fields["expected"] = c.envelope.PromptTokens, c.envelope.OutputTokens, c.envelope.ExpectedOutput
@@ -107,6 +109,7 @@
 	g.log.Write(importance, eventSettled, fields)
 	g.counters.settled.add(reason)
 	g.observe(c, reason, now)
+	c.noteContradiction(status)
 }
 
 // tally counts by key; it is safe for concurrent use.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors tally }
+	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions tally }
 
 	state *state
 	pool  *upstream.Pool
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -213,7 +213,7 @@
 		c.giveUp(targetAborted)
 		return true
 	default:
-		c.sendAnswer(&bufferedAnswer{status: answer.Status, header: answer.Header, body: body})
+		c.sendAnswer(&bufferedAnswer{from: fromPeer, status: answer.Status, header: answer.Header, body: body})
 		return true
 	}
 }
@@ -230,6 +230,7 @@
 		c.recordOrigin(*origin)
 	}
 	answer.Header.Del(HeaderHandoffOrigin)
+	c.answeredBy = fromPeer
 	c.firstAt = time.Now()
 	c.copyHead(answer.Status, answer.Header)
 	s.ready, s.complete = first, errors.Is(err, io.EOF)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -109,7 +109,7 @@
 
 // send gets a connection, sends the request and reads the head of the answer.
 func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, AnswerHead, error) {
-	c.ending, c.use, c.kept = nil, nil, false
+	c.ending, c.use, c.kept, c.declaredNotRun = nil, nil, false, false
 	maxAge := time.Hour
 	if !c.route.Idempotent() {
 		maxAge = maxIdleUnrepeatable
@@ -156,6 +156,7 @@
 	c.gateway.isolation.recordContact()
 	c.gateway.state.recordLife(grant.Target.Incarnation(), sent)
 	head := c.gateway.platform.ReadAnswerHead(answer.Status, answer.Header)
+	c.declaredNotRun = head.NotRun
 	c.applyAnswerHead(grant, head)
 	return answer, head, nil
 }
@@ -339,6 +340,7 @@
 
 // bufferedAnswer is an answer that has been read to its end.
 type bufferedAnswer struct {
+	from   answerSource
 	status int
 	header http.Header
 	body   []byte
@@ -362,7 +364,7 @@
 		c.refuse(callerDisconnected)
 		return true
 	}
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	buffered := &bufferedAnswer{from: fromTarget, status: answer.Status, header: answer.Header, body: body}
 	if answer.Status < http.StatusInternalServerError {
 		c.report(grant, began, dispatch.Answered, answer.Status, nil)
 		c.sendAnswer(buffered)
@@ -377,6 +379,7 @@
 // sendAnswer passes a complete answer on unchanged.
 func (c *call) sendAnswer(a *bufferedAnswer) {
 	c.firstAt = time.Now()
+	c.answeredBy = a.from
 	c.copyHead(a.status, a.header)
 	c.ctx.Response.SetBodyRaw(a.body)
 	c.end(a.status, "answered")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,7 @@
 	}
 	c.firstAt = time.Now()
 	c.recordOrigin(streams.Origin{Service: c.service, Version: grant.Target.Version})
+	c.answeredBy = fromTarget
 	c.copyHead(answer.Status, answer.Header)
 	if c.handedOff {
 		c.ctx.Response.Header.Set(HeaderHandoffOrigin, encodeOrigin(c.origin))
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -27,6 +27,8 @@
 		"Requests handed off to another entry, by outcome.", "outcome")
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
 		"Streams to which callers reconnected, by how their version was determined.", "source")
+	GatewayContradictions = declare(KindCounter, "gateway_contradicted_promises_total",
+		"Answers that promise that a request has not run, which a target may have run, by where they came from.", "source")
 	GatewayOrigins           = declare(KindGauge, "gateway_stream_origins", "Streams whose version this entry remembers.")
 	GatewayRefusedCauses     = declare(KindGauge, "gateway_refused_causes", "Parts of prompts and whole requests that are refused because targets crashed under them.")
 	GatewaySuspectedCauses   = declare(KindGauge, "gateway_suspected_causes", "Parts of prompts and whole requests with evidence of crashes that are not refused.")
