An entry trusts another entry's promise only with its record of runs

What callers would see: an entry that reaches no target hands a request off, and the other entry's 503, 429, 408 or 421 was passed on though nothing told whether a target had run the request there.

Cause: the answer between entries carried no record; the first entry counted no run for it.

Evidence: TestPromiseOfPeerNeedsItsRecord (503 without a record, or with one of a run: 503 before, 502 now; with a record of none: 503) and TestHandedOffFailureAfterRunIsNoPromise failed before.

Change: the answer to a hand-off has X-Handoff-Runs, the number of targets that may have run the request; a missing or other value than 0 counts as a run, and the check of promises applies.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -23,8 +23,8 @@
 // an address of their own, and are not handed off again.
 
 const (
-	// HeaderHandoffRuns is the number of targets that may have run a request before it was
-	// handed off.
+	// HeaderHandoffRuns is the number of targets that may have run a request: before it was handed
+	// off and, in the answer, up to then.
 	HeaderHandoffRuns = "X-Handoff-Runs"
 	// HeaderHandoffVersion is the version of the configuration by which a request was accepted.
 	// An entry with an older one might refuse it.
@@ -213,6 +213,10 @@
 		c.giveUp(targetAborted)
 		return true
 	default:
+		if answer.Header.Get(HeaderHandoffRuns) != "0" {
+			c.runs++
+		}
+		answer.Header.Del(HeaderHandoffRuns)
 		c.sendAnswer(&bufferedAnswer{from: fromPeer, status: answer.Status, header: answer.Header, body: body})
 		return true
 	}
@@ -230,6 +234,7 @@
 		c.recordOrigin(*origin)
 	}
 	answer.Header.Del(HeaderHandoffOrigin)
+	answer.Header.Del(HeaderHandoffRuns)
 	c.answeredBy = fromPeer
 	c.firstAt = time.Now()
 	c.copyHead(answer.Status, answer.Header)
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -84,7 +84,7 @@
 func (c *call) refuse(r *reply) {
 	response := &c.ctx.Response
 	c.resetResponse()
-	c.setHandoffSend()
+	c.setHandoffHeaders()
 	response.SetStatusCode(r.status)
 	response.Header.SetContentType("text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
@@ -105,9 +105,14 @@
 	}
 }
 
-// setHandoffSend marks the answer to another entry with the send that it belongs to.
-func (c *call) setHandoffSend() {
+// setHandoffHeaders marks the answer to another entry with the send that it belongs to and with what is
+// known of runs.
+func (c *call) setHandoffHeaders() {
+	if !c.handedOff {
+		return
+	}
 	if c.handoffSend != "" {
 		c.ctx.Response.Header.Set(HeaderHandoffSend, c.handoffSend)
 	}
+	c.ctx.Response.Header.Set(HeaderHandoffRuns, strconv.Itoa(c.runs))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,7 +33,7 @@
 			response.Header.Add(name, value)
 		}
 	}
-	c.setHandoffSend()
+	c.setHandoffHeaders()
 }
 
 // forwardStream passes the events of an answer on as they arrive. It returns true if the call
