Headers of targets don't pass for those between entries

What callers would see: a request that a target has run runs a second time, if its answer has a header X-Handoff-Declined, as one from an entry of another deployment has: the entry that had handed the request off took it for declined and sent it again.

Cause: an entry that takes a hand-off copied all headers of the target's answer, also those by which entries tell each other whether a request was taken, and by whom a stream was begun.

Evidence: TestTargetsSetNoHandoffHeaders failed before (X-Handoff-Declined: isolated in the answer to a hand-off whose target had run it).

Change: headers of hand-offs are never copied from an answer; an entry sets its own.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -46,6 +46,11 @@
 	maxHandoffs = 3
 )
 
+// handoffHeaders are set by entries only. In the answer of a target they mean nothing.
+var handoffHeaders = map[string]bool{
+	HeaderHandoffRuns: true, HeaderHandoffVersion: true, HeaderHandoffOrigin: true, HeaderHandoffSend: true, headerHandoffDeclined: true,
+}
+
 // shouldHandOff reports whether the request should go through another entry.
 func (c *call) shouldHandOff() bool {
 	return c.gateway.settings.Load.HandOff && !c.handedOff && (c.unreached >= maxUnreached || c.gateway.isolation.isolated())
@@ -216,7 +221,6 @@
 		if answer.Header.Get(HeaderHandoffRuns) != "0" {
 			c.runs++
 		}
-		answer.Header.Del(HeaderHandoffRuns)
 		c.sendAnswer(&bufferedAnswer{from: fromPeer, status: answer.Status, header: answer.Header, body: body})
 		return true
 	}
@@ -233,8 +237,6 @@
 	if origin := decodeOrigin(answer.Header.Get(HeaderHandoffOrigin)); origin != nil {
 		c.recordOrigin(*origin)
 	}
-	answer.Header.Del(HeaderHandoffOrigin)
-	answer.Header.Del(HeaderHandoffRuns)
 	c.answeredBy = fromPeer
 	c.firstAt = time.Now()
 	c.copyHead(answer.Status, answer.Header)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,7 +18,7 @@
 // headerProxyChallenge is a proxy's request for credentials, which concerns the next hop only.
 const headerProxyChallenge = "Proxy-Authenticate"
 
-// copyHead copies the target's status and headers to the answer for the caller.
+// copyHead copies the status and headers of a target or another entry to the answer for the caller.
 func (c *call) copyHead(status int, header http.Header) {
 	response := &c.ctx.Response
 	c.resetResponse()
@@ -26,7 +26,7 @@
 	response.Header.SetNoDefaultContentType(true)
 	named := ConnectionNames(header["Connection"]...)
 	for name, values := range header {
-		if ConcernsConnection(name, named) || name == headerProxyChallenge {
+		if ConcernsConnection(name, named) || handoffHeaders[name] || name == headerProxyChallenge {
 			continue
 		}
 		for _, value := range values {
