A success that declares that the request was not run is no rejection

What callers would see: a request that must not run twice runs twice, or is answered 503 though it ran, if its target's answer is a success with the mark of a rejection.

Cause: the mark alone made an answer a rejection, whatever its status.

Evidence: TestSuccessThatDeclaresNoRunIsNotRepeated: 2 arrivals and 503 before, 1 arrival and 502 now.

Change: such an answer counts as a run with an invalid answer.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"time"
@@ -97,6 +98,11 @@
 		}
 		return c.handleFailure(grant, began, err)
 	}
+	if head.NotRun && answer.Status < http.StatusBadRequest {
+		c.runs++
+		c.closeAnswer(answer)
+		return c.handleFailure(grant, began, errContradictory)
+	}
 	if head.NotRun && answer.Status != http.StatusBadRequest {
 		return c.handleRejection(grant, began, answer, head)
 	}
@@ -107,6 +113,9 @@
 	return c.forwardBuffered(grant, began, answer)
 }
 
+// errContradictory: an answer is a success and declares that the request was not run.
+var errContradictory = fmt.Errorf("%w: a success that declares that the request was not run", upstream.ErrInvalidAnswer)
+
 // send gets a connection, sends the request and reads the head of the answer.
 func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, AnswerHead, error) {
 	c.ending, c.use, c.kept, c.declaredNotRun = nil, nil, false, false
