sycamore-entry drains when one of its listeners has ended

What callers and peers would see: an entry whose listener for callers, operators or peers has ended by itself stays in the lists of entries and counts as ready, and answers nobody there.

Change: such an error starts a drain, so the entry leaves readiness and its peers know; the process then ends with the error, and the platform starts another.

--- a/cmd/sycamore-entry/process.go
+++ b/cmd/sycamore-entry/process.go
@@ -25,6 +25,9 @@
 // errListen is wrapped by errors of opening the process' addresses.
 var errListen = errors.New("cannot listen")
 
+// errListenerEnded is wrapped by the error with which a process ends whose listener has ended by itself.
+var errListenerEnded = errors.New("a listener ended")
+
 // roleEntry is the role of entries in the instance list.
 const roleEntry = "entry"
 
@@ -43,6 +46,8 @@
 	views     *views
 	// recording is nil if the settings have no trace_file.
 	recording *recording.Recorder
+	// listenerEnded receives the error of the first listener that has ended by itself.
+	listenerEnded chan error
 }
 
 // newProcess creates all components; none of them listens or connects yet.
@@ -58,9 +63,11 @@
 	p := &process{
 		settings: s,
 		logger:   logger,
-		metrics:  telemetry.NewMetrics(s.Name, s.Zone),
-		loop:     coreloop.NewLoop(entry.New(cfg, time.Now()), time.Now),
-		views:    newViews(),
+
+		listenerEnded: make(chan error, 1),
+		metrics:       telemetry.NewMetrics(s.Name, s.Zone),
+		loop:          coreloop.NewLoop(entry.New(cfg, time.Now()), time.Now),
+		views:         newViews(),
 	}
 	p.decisions = decisionlog.New(logger, time.Now, decisionlog.PerSecond, p.views.tierName)
 	p.log = logclient.NewLog(s.Platform.Log, p.loop.Deliver, time.Now, p.logger.WithField("duty", "platform"))
@@ -74,6 +81,7 @@
 		Seeds:       s.Peers,
 		Deliver:     p.loop.Deliver,
 		Log:         p.logger.WithField("duty", "peers"),
+		ServeFailed: func(err error) { p.noteListenerEnded("peers", err) },
 	})
 	if s.TraceFile != "" {
 		if p.recording, err = recording.Open(s.TraceFile, s.Name, []byte(s.SharedKey), time.Now()); err != nil {
@@ -129,7 +137,17 @@
 
 func (p *process) serve(name string, serve func() error) {
 	if err := serve(); err != nil {
-		p.logger.WithError(err).WithField("listener", name).Error("listener ended")
+		p.noteListenerEnded(name, err)
+	}
+}
+
+// noteListenerEnded records that a listener has ended by itself. The process then drains, so that it is no
+// longer ready and another one takes its place.
+func (p *process) noteListenerEnded(name string, err error) {
+	p.logger.WithError(err).WithField("listener", name).Error("listener ended")
+	select {
+	case p.listenerEnded <- fmt.Errorf("%w: %s: %w", errListenerEnded, name, err):
+	default:
 	}
 }
 
--- a/cmd/sycamore-entry/signals.go
+++ b/cmd/sycamore-entry/signals.go
@@ -20,7 +20,8 @@
 
 // wait starts a drain on SIGTERM or SIGINT and returns when it is complete. A second
 // SIGTERM has no effect, since a planned stop aborts no requests; SIGINT during a drain
-// is an operator's confirmation that the remaining requests may be aborted.
+// is an operator's confirmation that the remaining requests may be aborted. A listener that has ended starts a
+// drain too, after which wait returns its error.
 func (p *process) wait() error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -28,11 +29,17 @@
 	ticker := time.NewTicker(drainLogInterval)
 	defer ticker.Stop()
 	draining := false
+	var failed error
 	for {
 		select {
 		case <-p.loop.Drained():
 			p.logger.Info("drained")
-			return nil
+			return failed
+		case failed = <-p.listenerEnded:
+			if !draining {
+				draining = true
+				p.Drain()
+			}
 		case <-ticker.C:
 			if p.views.Latest().State == message.Draining {
 				p.logDrainProgress()
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -35,6 +35,8 @@
 	// capacity, which applies back pressure to the peer's connection.
 	Deliver func(entry.Input)
 	Log     logrus.FieldLogger
+	// ServeFailed is called if the listener has ended by itself; nil: it is only logged.
+	ServeFailed func(error)
 	// IdleTimeout and QueueSize have the package's defaults if zero.
 	IdleTimeout time.Duration
 	QueueSize   int
@@ -91,6 +93,9 @@
 	l.group.Go(func() {
 		if err := l.server.Serve(listener); err != nil {
 			l.options.Log.WithError(err).Error("peer listener failed")
+			if l.options.ServeFailed != nil {
+				l.options.ServeFailed(err)
+			}
 		}
 	})
 	for _, seed := range l.options.Seeds {
