--- a/internal/standin/base/listener.go
+++ b/internal/standin/base/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"sycamoretrail/internal/ingress"
 )
 
 // trackedListener tracks its connections, so that a crash can close them.
@@ -23,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedListener{Listener: inner, conns: make(map[*trackedConn]struct{})}, nil
+	return &trackedListener{Listener: &ingress.RetryingListener{Listener: inner}, conns: make(map[*trackedConn]struct{})}, nil
 }
 
 // Accept implements net.Listener. It closes a connection that arrives during a
