sycamore-entry refuses prompts that begin like those that crash engines

Cause: evidence of crashes was kept for organisation, model and body, so that such requests never met.

Change: a second set of suspects for beginnings of prompts, two lengths in each doubling: three crashes without a whole answer between quarantine one for ten minutes. Offers carry the hashes to the target's scheduler, which names the crash.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -83,8 +83,10 @@
 	router         *routing.Router
 	claims         *claims.Coordinator
 	suspects       *quarantine.Suspects
-	orders         *orders.Orders
-	drain          *drain.Drain
+	// prefixes holds beginnings of prompts under which engines crashed.
+	prefixes *quarantine.Suspects
+	orders   *orders.Orders
+	drain    *drain.Drain
 
 	flights map[ident.RequestID]*flight
 	// losersByWinner lists, by the id that holds a key, the requests that
@@ -139,6 +141,7 @@
 		accepted:        acceptance.New(),
 		router:          routing.New(cfg.Seed, cfg.Self.Zone),
 		suspects:        quarantine.New(quarantine.Config{}),
+		prefixes:        quarantine.New(quarantine.ForPrefixes()),
 		plan:            placement.NewPlan(),
 		orders:          orders.New(orders.DefaultConfig(cfg.Self.Incarnation)),
 		flights:         make(map[ident.RequestID]*flight),
--- a/internal/core/entry/fakes_test.go
+++ b/internal/core/entry/fakes_test.go
@@ -162,7 +162,7 @@
 	id       ident.RequestID
 	length   time.Duration
 	crashing bool
-	// prefixOnly: the request shares only the beginning of its prompt with others that crash targets.
+	// prefixOnly: the request shares only the beginning of its prompt with others.
 	prefixOnly bool
 	entryIndex int
 	at         *node
@@ -177,15 +177,15 @@
 
 func (c *call) tokens() int { return int(c.length / stepTime) }
 
-// sharedPrefix, as the last number of a crashingCall, gives the request a body of its own whose prompt begins
-// as those of the others do.
+// sharedPrefix, as the last number of a crashingCall or an engineCall, gives the request a body of its own whose
+// prompt begins as those of the others do.
 const sharedPrefix = 1000
 
 // newCall forms the id with the prefix of an entry, as callers do. If that
 // entry has no view, it uses the next entry's prefix.
 func (w *world) newCall(s step) *call {
 	c := &call{world: w, length: time.Duration(20+s.c*60) * time.Millisecond, crashing: s.kind == crashingCall, entryIndex: s.b}
-	c.prefixOnly = c.crashing && s.d == sharedPrefix
+	c.prefixOnly = s.d == sharedPrefix
 	if c.crashing {
 		c.length = 200 * time.Millisecond // the target crashes first
 	}
--- a/internal/core/entry/peers.go
+++ b/internal/core/entry/peers.go
@@ -89,7 +89,7 @@
 	case message.ClaimRelease:
 		e.performClaims(e.claims.Release(e.now, m.Key, m.ID))
 	case message.Suspicion:
-		e.performSuspects(e.suspects.Merge(e.now, m))
+		e.mergeSuspicion(m)
 	case message.DocumentRequest:
 		e.documentRequested(from)
 	case message.DocumentReply:
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -138,6 +138,9 @@
 	if e.suspects.Check(e.now, req.Fingerprint) == quarantine.Quarantined {
 		return outcome.Refused(outcome.ReasonQuarantined, 0, "targets died each time that they ran this request"), false
 	}
+	if left := e.quarantinedPrefix(req); left > 0 {
+		return outcome.Refused(outcome.ReasonQuarantined, left, "engines crashed on prompts that begin like this one"), false
+	}
 	if limit := e.organisationLimit(req.Organisation); limit > 0 && e.perOrganisation[req.Organisation] >= limit {
 		return outcome.Refused(outcome.ReasonOrganisationLimit, retrySoon, "the organisation has as many requests in flight as it may"), false
 	}
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -89,6 +89,7 @@
 	switch {
 	case end.Result == message.ResultComplete:
 		e.performSuspects(e.suspects.Completed(e.now, f.req.Fingerprint))
+		e.clearPrefixes(&f.req)
 		e.close(f, outcome.Complete())
 	case !end.Wrote && (end.Result == message.ResultNotAdmitted || end.Result == message.ResultLeaving):
 		e.notAdmitted(f, end.Result)
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -101,17 +101,18 @@
 type Offer struct {
 	// Seq is the sequence number of the owner's offer. A grant repeats it, and
 	// its validity counts from when the owner sent that offer.
-	Seq          uint64              `cbor:"1,keyasint"`
-	ID           ident.RequestID     `cbor:"2,keyasint"`
-	Target       string              `cbor:"3,keyasint"`
-	Organisation string              `cbor:"4,keyasint"`
-	Tier         request.Tier        `cbor:"5,keyasint"`
-	Kind         request.Kind        `cbor:"6,keyasint"`
-	PromptTokens int                 `cbor:"7,keyasint"`
-	MaxTokens    int                 `cbor:"8,keyasint"`
-	Prefixes     []uint64            `cbor:"9,keyasint,omitempty"`
-	Idempotent   bool                `cbor:"10,keyasint"`
-	Fingerprint  request.Fingerprint `cbor:"11,keyasint"`
+	Seq          uint64          `cbor:"1,keyasint"`
+	ID           ident.RequestID `cbor:"2,keyasint"`
+	Target       string          `cbor:"3,keyasint"`
+	Organisation string          `cbor:"4,keyasint"`
+	Tier         request.Tier    `cbor:"5,keyasint"`
+	Kind         request.Kind    `cbor:"6,keyasint"`
+	PromptTokens int             `cbor:"7,keyasint"`
+	MaxTokens    int             `cbor:"8,keyasint"`
+	// Prefixes are the fingerprints of the prompt's beginnings; see quarantine.FingerprintsOf.
+	Prefixes    []request.Fingerprint `cbor:"9,keyasint,omitempty"`
+	Idempotent  bool                  `cbor:"10,keyasint"`
+	Fingerprint request.Fingerprint   `cbor:"11,keyasint"`
 	// Remaining is the time to the deadline, FirstToken the time to the
 	// deadline of the first token.
 	Remaining  time.Duration `cbor:"12,keyasint"`
@@ -370,6 +371,8 @@
 	Crashes     []string `cbor:"2,keyasint"`
 	Quarantined bool     `cbor:"3,keyasint"`
 	Cleared     bool     `cbor:"4,keyasint,omitempty"`
+	// Prefix: the fingerprint is that of a prompt's beginning.
+	Prefix bool `cbor:"5,keyasint,omitempty"`
 }
 
 // DocumentRequest requests the document in force at a peer.
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -6,6 +6,8 @@
 // where no other suspect runs, so a second crash in which it takes part puts it into
 // quarantine. A complete answer clears a suspect.
 //
+// The same is kept for the beginnings of prompts, by a Suspects of its own; see ForPrefixes.
+//
 // Invariants: a crash counts once for a fingerprint, whoever reports it and however
 // often; a quarantine is not ended before its time, not even for lack of memory; memory
 // is bounded.
@@ -28,6 +30,8 @@
 	// quarantine lasts.
 	Suspicion  time.Duration
 	Quarantine time.Duration
+	// Threshold is the number of crashes that lead to quarantine, at most maxCrashIDs.
+	Threshold int
 	// Max bounds the number of fingerprints that are remembered.
 	Max int
 	// Burst and Window: if that many different targets have crashed within the window,
@@ -50,10 +54,10 @@
 	// DefaultWindow is the maximum interval between reports of crashes that have a
 	// common cause.
 	DefaultWindow = time.Second
-	// quarantineThreshold is the number of crashes that lead to quarantine, maxCrashIDs
-	// the number kept for a fingerprint.
-	quarantineThreshold = 2
-	maxCrashIDs         = 4
+	// DefaultThreshold is sufficient for requests: a suspect runs apart from others.
+	DefaultThreshold = 2
+	// maxCrashIDs is the number of crashes kept for a fingerprint.
+	maxCrashIDs = 4
 )
 
 // Result is the result of checking a request.
@@ -121,6 +125,9 @@
 	if cfg.Quarantine <= 0 {
 		cfg.Quarantine = DefaultQuarantine
 	}
+	if cfg.Threshold <= 0 || cfg.Threshold > maxCrashIDs {
+		cfg.Threshold = DefaultThreshold
+	}
 	if cfg.Max <= 0 {
 		cfg.Max = DefaultMax
 	}
@@ -258,7 +265,7 @@
 		return nil
 	}
 	s.extend(now, e)
-	if len(e.crashes) < quarantineThreshold {
+	if len(e.crashes) < s.cfg.Threshold {
 		return []Effect{{Share: &message.Suspicion{
 			Fingerprint: fingerprint,
 			Crashes:     slices.Clone(e.crashes),
--- a/internal/core/record/record.go
+++ b/internal/core/record/record.go
@@ -63,6 +63,8 @@
 type Quarantine struct {
 	Fingerprint request.Fingerprint `cbor:"1,keyasint"`
 	Crashes     []string            `cbor:"2,keyasint,omitempty"`
+	// Prefix: the fingerprint is that of a prompt's beginning.
+	Prefix bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Order is the model, version and adapters that a target must hold. It is
