Read-through: contradictory answers are judged where answers are read; reasons and names

A success that declares that the request was not run was judged in try only: a stream that goes on at another target took it for a rejection and gave its cost back to the quota. It is judged in send now, for both.

The reason why an answer to a hand-off without a record counts as a run stands in the code.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -218,7 +218,7 @@
 		c.giveUp(targetAborted)
 		return true
 	default:
-		if answer.Header.Get(HeaderHandoffRuns) != "0" {
+		if mayHaveRunElsewhere(answer.Header) {
 			c.runs++
 		}
 		c.sendAnswer(&bufferedAnswer{from: fromPeer, status: answer.Status, header: answer.Header, body: body})
@@ -226,6 +226,11 @@
 	}
 }
 
+// mayHaveRunElsewhere reports whether a target may have run a request according to the answer of the entry to
+// which it was handed off. Entries of earlier releases don't say, and pass on failures of targets whatever
+// these promise.
+func mayHaveRunElsewhere(header http.Header) bool { return header.Get(HeaderHandoffRuns) != "0" }
+
 func (c *call) forwardHandedOffStream(answer *upstream.Answer) bool {
 	s := &eventStream{call: c, began: time.Now(), answer: answer}
 	first, err := s.next()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -98,11 +98,6 @@
 		}
 		return c.handleFailure(grant, began, err)
 	}
-	if head.NotRun && answer.Status < http.StatusBadRequest {
-		c.runs++
-		c.closeAnswer(answer)
-		return c.handleFailure(grant, began, errContradictory)
-	}
 	if head.NotRun && answer.Status != http.StatusBadRequest {
 		return c.handleRejection(grant, began, answer, head)
 	}
@@ -113,8 +108,8 @@
 	return c.forwardBuffered(grant, began, answer)
 }
 
-// errContradictory: an answer is a success and declares that the request was not run.
-var errContradictory = fmt.Errorf("%w: a success that declares that the request was not run", upstream.ErrInvalidAnswer)
+// errContradictory is returned for an answer that is no failure and declares that the request was not run.
+var errContradictory = fmt.Errorf("%w: no failure, but declares that the request was not run", upstream.ErrInvalidAnswer)
 
 // send gets a connection, sends the request and reads the head of the answer.
 func (c *call) send(grant *dispatch.Grant) (*upstream.Answer, AnswerHead, error) {
@@ -167,6 +162,10 @@
 	head := c.gateway.platform.ReadAnswerHead(answer.Status, answer.Header)
 	c.declaredNotRun = head.NotRun
 	c.applyAnswerHead(grant, head)
+	if head.NotRun && answer.Status < http.StatusBadRequest {
+		c.closeAnswer(answer)
+		return nil, head, errContradictory
+	}
 	return answer, head, nil
 }
 
