Beginnings of prompts that crash engines: quiet while nothing dies, and an hour later

Read-through of the quarantine of prompts' beginnings in sycamore-entry. What it cost and missed: - Each offer carried up to 12 hashes (108 bytes) while nothing was wrong, of 21 KB a second that an entry may use; each broken run told all peers a message for each hash, and each entry that answered a popular beginning would have told all others at once. - Evidence was forgotten after ten minutes, so that a beginning that comes each quarter of an hour was never refused, and each quarantine of ten minutes cost three more engines. - An answer didn't end a quarantine: a mistake cost all callers its whole time. - Requests that waited when a quarantine began were dispatched; whole requests too. - Nothing named the beginning to operators, and no gauge counted what is refused.

Change: beginnings have a type of their own (quarantine.Prefixes). Hashes travel with the end of a broken run only, one message for each run and peer; answers are told within a second, and not if a peer was faster. Evidence lasts six hours, quarantines ten minutes, an hour, six hours; an answer ends them. Quarantines are asked for before each dispatch, for requests as well. Decisions convicted and released name beginnings and deaths; gauge refused_prompt_beginnings.

TestPromptPrefixThatCrashesEnginesIsRefused and TestSoundPromptsWithTheSamePrefixAreServed pass as before; TestWaitingPromptsAreRefusedWhenTheirPrefixIsQuarantined fails without the check before a dispatch. The test of a quarantine told by a peer now tells the three crashes, as peers no longer send the verdict; it asserts what it did, and the gauge. Not linked into sycamore-gateway but for the gauge's declaration.

--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -100,6 +100,7 @@
 	m.Set(telemetry.InFlight, float64(status.InFlight))
 	m.Set(telemetry.IDsRemembered, float64(status.RememberedIDs))
 	m.Set(telemetry.KeysClaimed, float64(status.ClaimedKeys))
+	m.Set(telemetry.RefusedPrefixes, float64(status.RefusedPrefixes))
 	unlinked := 0
 	for i := range status.Peers {
 		if !status.Peers[i].Linked {
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -84,7 +84,7 @@
 	claims         *claims.Coordinator
 	suspects       *quarantine.Suspects
 	// prefixes holds beginnings of prompts under which engines crashed.
-	prefixes *quarantine.Suspects
+	prefixes *quarantine.Prefixes
 	orders   *orders.Orders
 	drain    *drain.Drain
 
@@ -141,7 +141,7 @@
 		accepted:        acceptance.New(),
 		router:          routing.New(cfg.Seed, cfg.Self.Zone),
 		suspects:        quarantine.New(quarantine.Config{}),
-		prefixes:        quarantine.New(quarantine.ForPrefixes()),
+		prefixes:        quarantine.NewPrefixes(),
 		plan:            placement.NewPlan(),
 		orders:          orders.New(orders.DefaultConfig(cfg.Self.Incarnation)),
 		flights:         make(map[ident.RequestID]*flight),
@@ -247,6 +247,7 @@
 	e.performOrders(e.orders.Tick(e.now))
 	e.updateWatchedOrders()
 	e.expireCrashes()
+	e.tellAnsweredPrefixes()
 	e.ids.Expire(e.now)
 	e.renew()
 	e.requestDocument()
--- a/internal/core/entry/inspect.go
+++ b/internal/core/entry/inspect.go
@@ -22,6 +22,8 @@
 	// tables.
 	RememberedIDs int
 	ClaimedKeys   int
+	// RefusedPrefixes is the number of beginnings of prompts that are refused.
+	RefusedPrefixes int
 }
 
 // Status returns the current state of the entry.
@@ -29,7 +31,7 @@
 	s := Status{
 		Self: e.cfg.Self, State: e.state, Version: e.version, InFlight: len(e.flights),
 		LogUp: e.logUp, Peers: e.members.Members(e.now),
-		RememberedIDs: e.ids.Len(), ClaimedKeys: e.claims.Size(),
+		RememberedIDs: e.ids.Len(), ClaimedKeys: e.claims.Size(), RefusedPrefixes: e.prefixes.Quarantined(e.now),
 	}
 	if e.doc != nil {
 		s.Document = e.doc.ID
--- a/internal/core/entry/placing.go
+++ b/internal/core/entry/placing.go
@@ -154,7 +154,7 @@
 		Seq: e.requestSeq, ID: f.req.ID, Target: f.target,
 		Organisation: f.req.Organisation, Tier: f.req.Tier, Kind: f.req.Kind,
 		PromptTokens: f.req.PromptTokens, MaxTokens: f.req.MaxTokens,
-		Idempotent: f.req.Idempotent || !e.enabled(guardRepeat), Fingerprint: f.req.Fingerprint, Prefixes: quarantine.FingerprintsOf(f.req.Prefixes),
+		Idempotent: f.req.Idempotent || !e.enabled(guardRepeat), Fingerprint: f.req.Fingerprint,
 		Remaining: f.req.Deadline.Sub(e.now),
 		Isolated:  e.suspects.Check(e.now, f.req.Fingerprint) == quarantine.Suspect,
 		Final:     f.final && !f.onShare,
--- a/internal/core/entry/platform.go
+++ b/internal/core/entry/platform.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"time"
-
 	"sycamoretrail/internal/core/membership"
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/orders"
 	"sycamoretrail/internal/core/quarantine"
 	"sycamoretrail/internal/core/record"
-	"sycamoretrail/internal/core/request"
 )
 
 // appendSource identifies the component that an append belongs to.
@@ -166,56 +163,6 @@
 	}
 }
 
-// performPrefixes carries out what the quarantine of prompt prefixes asks for.
-func (e *Entry) performPrefixes(effects []quarantine.Effect) {
-	for _, effect := range effects {
-		if effect.Share != nil {
-			effect.Share.Prefix = true
-			e.broadcast(*effect.Share)
-		}
-		if effect.Append != nil {
-			effect.Append.Prefix = true
-			e.recordDecision(Decision{Event: EventQuarantined, Detail: "prompts that begin alike crashed engines, and none was answered between"})
-			e.append(record.StreamQuarantines, record.Record{Quarantines: []record.Quarantine{*effect.Append}}, appendVerdict, 0)
-		}
-	}
-}
-
-// mergeSuspicion applies a peer's evidence on a request or on a prompt's beginning.
-func (e *Entry) mergeSuspicion(m message.Suspicion) {
-	if m.Prefix {
-		e.performPrefixes(e.prefixes.Merge(e.now, m))
-		return
-	}
-	e.performSuspects(e.suspects.Merge(e.now, m))
-}
-
-func (e *Entry) quarantineFromLog(age time.Duration, v record.Quarantine) {
-	if v.Prefix {
-		e.prefixes.FromLog(e.now, age, v)
-		return
-	}
-	e.suspects.FromLog(e.now, age, v)
-}
-
-// quarantinedPrefix returns how long a request stays refused for the beginning of its prompt; 0: it is not.
-func (e *Entry) quarantinedPrefix(req *request.Request) time.Duration {
-	left := time.Duration(0)
-	for _, fingerprint := range quarantine.FingerprintsOf(req.Prefixes) {
-		if e.prefixes.Check(e.now, fingerprint) == quarantine.Quarantined {
-			left = max(left, e.prefixes.QuarantineLeft(e.now, fingerprint))
-		}
-	}
-	return left
-}
-
-// clearPrefixes records that a prompt was answered completely, so that none of its beginnings crashes engines.
-func (e *Entry) clearPrefixes(req *request.Request) {
-	for _, fingerprint := range quarantine.FingerprintsOf(req.Prefixes) {
-		e.performPrefixes(e.prefixes.Completed(e.now, fingerprint))
-	}
-}
-
 // broadcast sends a message to every live peer.
 func (e *Entry) broadcast(m message.Message) {
 	for _, member := range e.members.Live() {
--- a/internal/core/entry/prefix_test.go
+++ b/internal/core/entry/prefix_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,31 +46,72 @@
 	Expect(answered).To(Equal(calls))
 }
 
-// Guards against the quarantine of a prompt's beginning, told by a peer or read from the log, being taken for one of
-// a whole request, and against it having no end.
+// prefixHash is a beginning of prompts, promptOf gives a request a prompt that begins so.
+const prefixHash = 7
+
+func promptOf(r *request.Request) {
+	r.Prefixes = []uint64{3, prefixHash, 5}
+	r.Deadline = r.Arrived.Add(time.Minute)
+}
+
+// learnCrashes delivers a peer's word that three engines crashed under prompts with the beginning.
+func (l *singleEntry) learnCrashes() (names []string) {
+	for i := range 3 {
+		target := fmt.Sprint("t", i)
+		names = append(names, target+"/inc-2/1")
+		l.step(FromPeer{From: "inc-2", Message: message.Suspicion{Prefixes: []request.Fingerprint{prefixHash}, Target: target, Crashes: names[i:]}})
+		l.pass(2 * time.Second)
+	}
+	return names
+}
+
+// Guards against the quarantine of a prompt's beginning, learned from a peer or read from the log, being taken for
+// one of a whole request, and against it having no end.
 func TestQuarantineOfPrefixComesFromPeersAndTheLog(t *testing.T) {
-	const hash, logOffset = 7, 1
 	for name, learn := range map[string]func(l *singleEntry){
-		"peer": func(l *singleEntry) {
-			l.step(FromPeer{From: "inc-2", Message: message.Suspicion{Fingerprint: hash, Crashes: []string{"t/1"}, Quarantined: true, Prefix: true}})
-		},
+		"peer": func(l *singleEntry) { l.learnCrashes() },
 		"log": func(l *singleEntry) {
-			data, err := record.Encode(record.Record{Quarantines: []record.Quarantine{{Fingerprint: hash, Prefix: true}}})
+			data, err := record.Encode(record.Record{Quarantines: []record.Quarantine{{Fingerprint: prefixHash, Prefix: true}}})
 			if err != nil {
 				t.Fatal(err)
 			}
-			l.step(LogRecord{Stream: record.StreamQuarantines, Offset: logOffset, Data: data})
+			l.step(LogRecord{Stream: record.StreamQuarantines, Offset: 1, Data: data})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			RegisterTestingT(t)
 			l := newSingleEntry(testDocument("first", 0))
 			learn(l)
-			begins := func(r *request.Request) { r.Prefixes = []uint64{3, hash, 5} }
-			Expect(settledReasons(l.submit(1, begins))).To(Equal([]string{string(outcome.ReasonQuarantined)}))
-			Expect(settledReasons(l.submit(1, func(r *request.Request) { r.ID += "x"; r.Fingerprint = hash }))).To(BeEmpty())
+			Expect(settledReasons(l.submit(1, promptOf))).To(Equal([]string{string(outcome.ReasonQuarantined)}))
+			Expect(l.Status().RefusedPrefixes).To(Equal(1))
+			Expect(settledReasons(l.submit(1, func(r *request.Request) { r.ID += "x"; r.Fingerprint = prefixHash }))).To(BeEmpty())
 			l.pass(10 * time.Minute)
-			Expect(settledReasons(l.submit(1, begins))).To(BeEmpty())
+			Expect(settledReasons(l.submit(1, promptOf))).To(BeEmpty())
 		})
 	}
 }
+
+// Guards against prompts being refused though a peer has answered one that begins alike.
+func TestAnswerAtPeerEndsQuarantineOfPrefix(t *testing.T) {
+	RegisterTestingT(t)
+	l := newSingleEntry(testDocument("first", 0))
+	names := l.learnCrashes()
+	l.step(FromPeer{From: "inc-2", Message: message.Suspicion{Prefixes: []request.Fingerprint{prefixHash}, Crashes: names, Cleared: true}})
+	Expect(settledReasons(l.submit(1, promptOf))).To(BeEmpty())
+}
+
+// Guards against requests that wait for a slot when their prompts' beginning is quarantined being dispatched all the same.
+func TestWaitingPromptsAreRefusedWhenTheirPrefixIsQuarantined(t *testing.T) {
+	RegisterTestingT(t)
+	l := newSingleEntry(testDocument("first", 0))
+	runs := dispatched(l.submit(26, promptOf))
+	Expect(len(runs)).To(BeNumerically("<", 26))
+	l.learnCrashes()
+	l.outs = nil
+	for _, run := range runs {
+		l.step(RunEnded{ID: run.ID, Result: message.ResultCancelled, Wrote: true})
+	}
+	l.pass(time.Second)
+	Expect(dispatched(l.outs)).To(BeEmpty())
+	Expect(settledReasons(l.outs)).To(ContainElement(string(outcome.ReasonQuarantined)))
+}
--- a/internal/core/entry/requests.go
+++ b/internal/core/entry/requests.go
@@ -135,11 +135,8 @@
 	if !e.now.Before(req.Deadline) {
 		return outcome.Refused(outcome.ReasonDeadlinePassed, 0, "the deadline has passed"), false
 	}
-	if e.suspects.Check(e.now, req.Fingerprint) == quarantine.Quarantined {
-		return outcome.Refused(outcome.ReasonQuarantined, 0, "targets died each time that they ran this request"), false
-	}
-	if left := e.quarantinedPrefix(req); left > 0 {
-		return outcome.Refused(outcome.ReasonQuarantined, left, "engines crashed on prompts that begin like this one"), false
+	if status, quarantined := e.quarantined(req); quarantined {
+		return status, false
 	}
 	if limit := e.organisationLimit(req.Organisation); limit > 0 && e.perOrganisation[req.Organisation] >= limit {
 		return outcome.Refused(outcome.ReasonOrganisationLimit, retrySoon, "the organisation has as many requests in flight as it may"), false
@@ -150,6 +147,17 @@
 	return outcome.Status{}, true
 }
 
+// quarantined returns the status of a request that crashes targets, or whose prompt begins like others that do.
+func (e *Entry) quarantined(req *request.Request) (outcome.Status, bool) {
+	if e.suspects.Check(e.now, req.Fingerprint) == quarantine.Quarantined {
+		return outcome.Refused(outcome.ReasonQuarantined, 0, "targets died each time that they ran this request"), true
+	}
+	if left := e.refusedForPrefix(req); left > 0 {
+		return outcome.Refused(outcome.ReasonQuarantined, left, "engines crashed on prompts that begin like this one"), true
+	}
+	return outcome.Status{}, false
+}
+
 // evictFor evicts a request of a lower tier when the entry is full, so that a
 // full entry does not refuse a higher tier while it works for a lower one. It
 // reports whether one was evicted.
--- a/internal/core/entry/running.go
+++ b/internal/core/entry/running.go
@@ -6,6 +6,7 @@
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/owner"
+	"sycamoretrail/internal/core/quarantine"
 )
 
 // dispatch is the only function that starts a run. The table of ids permits
@@ -13,6 +14,11 @@
 // take it, so neither a second grant nor a process resuming from a pause can
 // start a second run.
 func (e *Entry) dispatch(f *flight, notAfter time.Time) {
+	if status, quarantined := e.quarantined(&f.req); quarantined {
+		// The quarantine began while the request waited.
+		e.abandon(f, status)
+		return
+	}
 	target, known := e.index.Target(f.target)
 	if !known || !e.ids.RecordDispatch(e.now, f.req.ID, f.target) {
 		status := e.undispatchable(f)
@@ -89,7 +95,7 @@
 	switch {
 	case end.Result == message.ResultComplete:
 		e.performSuspects(e.suspects.Completed(e.now, f.req.Fingerprint))
-		e.clearPrefixes(&f.req)
+		e.prefixesAnswered(&f.req)
 		e.close(f, outcome.Complete())
 	case !end.Wrote && (end.Result == message.ResultNotAdmitted || end.Result == message.ResultLeaving):
 		e.notAdmitted(f, end.Result)
@@ -132,6 +138,9 @@
 // sendDone frees the slot at the scheduler and reports the observed speed.
 func (e *Entry) sendDone(f *flight, end RunEnded) {
 	done := message.Done{ID: f.req.ID, Target: f.target, Sample: end.Sample, Result: end.Result}
+	if end.Result == message.ResultAborted {
+		done.Prefixes = quarantine.FingerprintsOf(f.req.Prefixes)
+	}
 	if f.onShare {
 		e.perform(e.shareScheduler.Done(e.now, e.cfg.Self.Incarnation, done), fromShare)
 	}
--- a/internal/core/entry/targets.go
+++ b/internal/core/entry/targets.go
@@ -106,7 +106,7 @@
 // be resent at once; if the crash were evaluated only after all its runs were
 // collected, the request would run on target after target in the meantime.
 func (e *Entry) recordCrash(d message.Done) {
-	fingerprint, prefixes, known := e.scheduler.Fingerprints(d.Target, d.ID)
+	fingerprint, known := e.scheduler.Fingerprint(d.Target, d.ID)
 	if !known {
 		return
 	}
@@ -118,7 +118,7 @@
 		e.crashOrder = append(e.crashOrder, d.Target)
 	}
 	e.performSuspects(e.suspects.Crash(e.now, d.Target, crash.name, []request.Fingerprint{fingerprint}))
-	e.performPrefixes(e.prefixes.Crash(e.now, d.Target, crash.name, prefixes))
+	e.recordPrefixCrash(d, crash.name)
 }
 
 // expireCrashes ends the crash windows that have passed. Runs that break off
--- a/internal/core/entry/view.go
+++ b/internal/core/entry/view.go
@@ -74,6 +74,7 @@
 	EventPreempted   Event = "preempted"
 	EventFloor       Event = "floor"
 	EventQuarantined Event = "convicted"
+	EventReleased    Event = "released"
 	EventDocument    Event = "document"
 	EventMember      Event = "member"
 	EventOrder       Event = "order"
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -101,18 +101,17 @@
 type Offer struct {
 	// Seq is the sequence number of the owner's offer. A grant repeats it, and
 	// its validity counts from when the owner sent that offer.
-	Seq          uint64          `cbor:"1,keyasint"`
-	ID           ident.RequestID `cbor:"2,keyasint"`
-	Target       string          `cbor:"3,keyasint"`
-	Organisation string          `cbor:"4,keyasint"`
-	Tier         request.Tier    `cbor:"5,keyasint"`
-	Kind         request.Kind    `cbor:"6,keyasint"`
-	PromptTokens int             `cbor:"7,keyasint"`
-	MaxTokens    int             `cbor:"8,keyasint"`
-	// Prefixes are the fingerprints of the prompt's beginnings; see quarantine.FingerprintsOf.
-	Prefixes    []request.Fingerprint `cbor:"9,keyasint,omitempty"`
-	Idempotent  bool                  `cbor:"10,keyasint"`
-	Fingerprint request.Fingerprint   `cbor:"11,keyasint"`
+	Seq          uint64              `cbor:"1,keyasint"`
+	ID           ident.RequestID     `cbor:"2,keyasint"`
+	Target       string              `cbor:"3,keyasint"`
+	Organisation string              `cbor:"4,keyasint"`
+	Tier         request.Tier        `cbor:"5,keyasint"`
+	Kind         request.Kind        `cbor:"6,keyasint"`
+	PromptTokens int                 `cbor:"7,keyasint"`
+	MaxTokens    int                 `cbor:"8,keyasint"`
+	Prefixes     []uint64            `cbor:"9,keyasint,omitempty"`
+	Idempotent   bool                `cbor:"10,keyasint"`
+	Fingerprint  request.Fingerprint `cbor:"11,keyasint"`
 	// Remaining is the time to the deadline, FirstToken the time to the
 	// deadline of the first token.
 	Remaining  time.Duration `cbor:"12,keyasint"`
@@ -176,6 +175,8 @@
 	Sample Sample          `cbor:"3,keyasint"`
 	// Result is how the run ended. It contributes to the target's health.
 	Result Result `cbor:"4,keyasint"`
+	// Prefixes are the beginnings of the prompt, if the run was aborted; see quarantine.FingerprintsOf.
+	Prefixes []request.Fingerprint `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is how a run at a target ended.
@@ -371,8 +372,10 @@
 	Crashes     []string `cbor:"2,keyasint"`
 	Quarantined bool     `cbor:"3,keyasint"`
 	Cleared     bool     `cbor:"4,keyasint,omitempty"`
-	// Prefix: the fingerprint is that of a prompt's beginning.
-	Prefix bool `cbor:"5,keyasint,omitempty"`
+	// Prefixes, if there are any, are beginnings of prompts to which this applies in place of
+	// Fingerprint, which is 0: one more crash, of Target, or an answer (Cleared).
+	Prefixes []request.Fingerprint `cbor:"5,keyasint,omitempty"`
+	Target   string                `cbor:"6,keyasint,omitempty"`
 }
 
 // DocumentRequest requests the document in force at a peer.
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -106,20 +106,30 @@
 	}
 }
 
-// recordCrash records the crash of a target and reports whether it is part of a burst.
-func (s *Suspects) recordCrash(now time.Time, target string) bool {
-	s.inBurst(now)
-	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(d crash) bool { return d.target == target })
-	s.recentCrashes = append(s.recentCrashes, crash{target: target, at: now})
-	s.recentCrashes = s.recentCrashes[max(0, len(s.recentCrashes)-s.cfg.Burst):]
-	return len(s.recentCrashes) >= s.cfg.Burst
+// burst recognises crashes of several targets at once, as of a rack or zone that fails.
+type burst struct {
+	// size is the number of different targets that make a burst within the window.
+	size   int
+	window time.Duration
+	recent []crash
 }
 
-// inBurst removes crashes older than the window and reports whether the rest amount to
-// a burst.
-func (s *Suspects) inBurst(now time.Time) bool {
-	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(d crash) bool {
-		return now.Sub(d.at) > s.cfg.Window
-	})
-	return len(s.recentCrashes) >= s.cfg.Burst
+type crash struct {
+	target string
+	at     time.Time
+}
+
+// record records the crash of a target and reports whether it is part of a burst.
+func (b *burst) record(now time.Time, target string) bool {
+	b.ongoing(now)
+	b.recent = slices.DeleteFunc(b.recent, func(d crash) bool { return d.target == target })
+	b.recent = append(b.recent, crash{target: target, at: now})
+	b.recent = b.recent[max(0, len(b.recent)-b.size):]
+	return len(b.recent) >= b.size
+}
+
+// ongoing removes crashes older than the window and reports whether the rest amount to a burst.
+func (b *burst) ongoing(now time.Time) bool {
+	b.recent = slices.DeleteFunc(b.recent, func(d crash) bool { return now.Sub(d.at) > b.window })
+	return len(b.recent) >= b.size
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -1,4 +1,4 @@
-// Package quarantine detects requests that crash the targets that run them, based on what
+// Package quarantine detects requests, and beginnings of prompts (Prefixes), that crash the targets that run them, based on what
 // was in flight when targets crashed, and recognises them when they are sent again
 // under other ids.
 //
@@ -6,8 +6,6 @@
 // where no other suspect runs, so a second crash in which it takes part puts it into
 // quarantine. A complete answer clears a suspect.
 //
-// The same is kept for the beginnings of prompts, by a Suspects of its own; see ForPrefixes.
-//
 // Invariants: a crash counts once for a fingerprint, whoever reports it and however
 // often; a quarantine is not ended before its time, not even for lack of memory; memory
 // is bounded.
@@ -30,8 +28,6 @@
 	// quarantine lasts.
 	Suspicion  time.Duration
 	Quarantine time.Duration
-	// Threshold is the number of crashes that lead to quarantine, at most maxCrashIDs.
-	Threshold int
 	// Max bounds the number of fingerprints that are remembered.
 	Max int
 	// Burst and Window: if that many different targets have crashed within the window,
@@ -54,10 +50,10 @@
 	// DefaultWindow is the maximum interval between reports of crashes that have a
 	// common cause.
 	DefaultWindow = time.Second
-	// DefaultThreshold is sufficient for requests: a suspect runs apart from others.
-	DefaultThreshold = 2
-	// maxCrashIDs is the number of crashes kept for a fingerprint.
-	maxCrashIDs = 4
+	// quarantineThreshold is the number of crashes that lead to quarantine, maxCrashIDs
+	// the number kept for a fingerprint.
+	quarantineThreshold = 2
+	maxCrashIDs         = 4
 )
 
 // Result is the result of checking a request.
@@ -85,10 +81,10 @@
 	entries map[request.Fingerprint]*list.Element
 	// suspected contains the entries not in quarantine, the least recently seen first;
 	// quarantined contains the others, the first to expire first.
-	suspected     *list.List
-	quarantined   *list.List
-	recentCrashes []crash
-	dropped       int
+	suspected   *list.List
+	quarantined *list.List
+	crashesNow  burst
+	dropped     int
 }
 
 type entry struct {
@@ -101,11 +97,6 @@
 	quarantined bool
 }
 
-type crash struct {
-	target string
-	at     time.Time
-}
-
 // New returns an empty Suspects. Zero fields of cfg take their defaults.
 func New(cfg Config) *Suspects {
 	s := &Suspects{
@@ -125,9 +116,6 @@
 	if cfg.Quarantine <= 0 {
 		cfg.Quarantine = DefaultQuarantine
 	}
-	if cfg.Threshold <= 0 || cfg.Threshold > maxCrashIDs {
-		cfg.Threshold = DefaultThreshold
-	}
 	if cfg.Max <= 0 {
 		cfg.Max = DefaultMax
 	}
@@ -138,6 +126,7 @@
 		cfg.Window = DefaultWindow
 	}
 	s.cfg = cfg
+	s.crashesNow.size, s.crashesNow.window = cfg.Burst, cfg.Window
 }
 
 // Crash records that a target crashed while it ran these requests. The crashID must be
@@ -145,7 +134,7 @@
 // of its next crash.
 func (s *Suspects) Crash(now time.Time, target, crashID string, running []request.Fingerprint) []Effect {
 	s.expire(now)
-	burst := s.recordCrash(now, target)
+	inBurst := s.crashesNow.record(now, target)
 	name := target + "/" + crashID
 	unique := slices.Clone(running)
 	slices.Sort(unique)
@@ -154,7 +143,7 @@
 		if fingerprint == 0 {
 			continue
 		}
-		effects = append(effects, s.addCrashes(now, fingerprint, []string{name}, burst)...)
+		effects = append(effects, s.addCrashes(now, fingerprint, []string{name}, inBurst)...)
 	}
 	return effects
 }
@@ -214,7 +203,7 @@
 		}
 		return nil
 	}
-	effects := s.addCrashes(now, m.Fingerprint, m.Crashes, s.inBurst(now))
+	effects := s.addCrashes(now, m.Fingerprint, m.Crashes, s.crashesNow.ongoing(now))
 	return slices.DeleteFunc(effects, func(e Effect) bool { return e.Append == nil })
 }
 
@@ -265,7 +254,7 @@
 		return nil
 	}
 	s.extend(now, e)
-	if len(e.crashes) < s.cfg.Threshold {
+	if len(e.crashes) < quarantineThreshold {
 		return []Effect{{Share: &message.Suspicion{
 			Fingerprint: fingerprint,
 			Crashes:     slices.Clone(e.crashes),
--- a/internal/core/scheduler/lookup.go
+++ b/internal/core/scheduler/lookup.go
@@ -18,16 +18,16 @@
 	return target, organisation, found
 }
 
-// Fingerprints returns the fingerprints of the request that runs at a target under an id, and of the
-// beginnings of its prompt.
-func (s *Scheduler) Fingerprints(target string, id ident.RequestID) (whole request.Fingerprint, prefixes []request.Fingerprint, found bool) {
+// Fingerprint returns the fingerprint of the request that runs at a target
+// under an id.
+func (s *Scheduler) Fingerprint(target string, id ident.RequestID) (request.Fingerprint, bool) {
 	t := s.targets[target]
 	if t == nil {
-		return 0, nil, false
+		return 0, false
 	}
 	r := t.runs[id]
 	if r == nil {
-		return 0, nil, false
+		return 0, false
 	}
-	return r.offer.Fingerprint, r.offer.Prefixes, true
+	return r.offer.Fingerprint, true
 }
--- a/internal/reasons/reasons.go
+++ b/internal/reasons/reasons.go
@@ -70,7 +70,7 @@
 		"another request of the organisation has this idempotency key",
 		"follow Location to its answer, or use another key for another request"},
 	outcome.ReasonQuarantined: {
-		"targets died each time that they ran this request, so it is run no more; or three engines died under prompts that begin like this one and none was answered between, which ends after ten minutes (Retry-After)",
+		"targets died each time that they ran this request, so it is run no more; or three engines died under prompts that begin like this one and none was answered between, which ends with an answer or after Retry-After",
 		"do not send it again, or after the time that is given; keep its body for the engine's makers"},
 	outcome.ReasonProcessPaused: {
 		"the entry's process stood still for longer than its rights last, so it gave up what waited",
