Reconnect lines tell what the only known version of a service rests on

To tell the hypotheses of docs/incidents/rejoined.md apart: the versions that the entry knows, for how long it has observed the targets, how many entries were asked and replied, and whether one of them knows several versions. No decision changes.

--- a/internal/core/streams/versions.go
+++ b/internal/core/streams/versions.go
@@ -60,7 +60,7 @@
 // Only returns the version of a service if all of its targets have had the same one for as long as
 // callers reconnect to streams.
 func (v *Versions) Only(now time.Time, service string) (version string, ok bool) {
-	recent := v.recent(now, service)
+	recent := v.Known(now, service)
 	if len(recent) != 1 {
 		return "", false
 	}
@@ -71,7 +71,7 @@
 func (v *Versions) Several(now time.Time) []string {
 	var services []string
 	for service := range v.lastSeen {
-		if len(v.recent(now, service)) > 1 {
+		if len(v.Known(now, service)) > 1 {
 			services = append(services, service)
 		}
 	}
@@ -79,12 +79,14 @@
 	return services
 }
 
-func (v *Versions) recent(now time.Time, service string) []string {
+// Known returns the versions that a service has had in that time, sorted.
+func (v *Versions) Known(now time.Time, service string) []string {
 	var versions []string
 	for each, seen := range v.lastSeen[service] {
 		if v.listed[service][each] || now.Sub(seen) <= versionMemory {
 			versions = append(versions, each)
 		}
 	}
+	slices.Sort(versions)
 	return versions
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -44,7 +44,9 @@
 	known   *streams.Registry
 	// versions are those of all targets.
 	versions *streams.Versions
-	queries  map[streams.Key]*originQuery
+	// observedSince is when this entry first read the list of targets.
+	observedSince time.Time
+	queries       map[streams.Key]*originQuery
 }
 
 // originQuery is a query to other entries. Several callers may wait for the same one.
@@ -52,9 +54,9 @@
 	waiting int
 	// answered is closed when an origin has been found.
 	answered chan struct{}
-	// unknownAt are the entries that don't know the stream, several the services of which they know
-	// several versions: this entry may have started since.
-	unknownAt, several map[string]bool
+	// asked are the entries that were asked, unknownAt those that don't know the stream, several the
+	// services of which they know several versions: this entry may have started since.
+	asked, unknownAt, several map[string]bool
 	// replied receives a signal with each of them.
 	replied chan struct{}
 }
@@ -104,17 +106,28 @@
 	}
 }
 
-// find returns the origin of a stream, which it queries from other entries if need be. Of a stream
-// that nobody knows it returns the services of which other entries know several versions.
-func (o *origins) find(key streams.Key, limit time.Duration) (origin streams.Origin, found bool, several map[string]bool) {
+// finding is what is known of a stream's origin. If nobody knows it, several are the services of which
+// other entries know several versions. asked and replied count the entries.
+type finding struct {
+	origin         streams.Origin
+	found          bool
+	several        map[string]bool
+	asked, replied int
+}
+
+// find returns the origin of a stream, which it queries from other entries if need be.
+func (o *origins) find(key streams.Key, limit time.Duration) finding {
 	o.mutex.Lock()
-	if origin, found = o.known.Lookup(time.Now(), key); found {
+	if origin, found := o.known.Lookup(time.Now(), key); found {
 		o.mutex.Unlock()
-		return origin, true, nil
+		return finding{origin: origin, found: true}
 	}
 	query, found := o.queries[key]
 	if !found {
-		query = &originQuery{answered: make(chan struct{}), unknownAt: make(map[string]bool), several: make(map[string]bool), replied: make(chan struct{}, 1)}
+		query = &originQuery{
+			answered: make(chan struct{}), asked: make(map[string]bool), unknownAt: make(map[string]bool),
+			several: make(map[string]bool), replied: make(chan struct{}, 1),
+		}
 		o.queries[key] = query
 	}
 	query.waiting++
@@ -125,8 +138,8 @@
 	if query.waiting--; query.waiting == 0 {
 		delete(o.queries, key)
 	}
-	origin, found = o.known.Lookup(time.Now(), key)
-	return origin, found, maps.Clone(query.several)
+	origin, found := o.known.Lookup(time.Now(), key)
+	return finding{origin: origin, found: found, several: maps.Clone(query.several), asked: len(query.asked), replied: len(query.unknownAt)}
 }
 
 // await queries the entries that may know a stream until one does, none does, or time is up.
@@ -172,6 +185,9 @@
 func (o *origins) withoutReply(query *originQuery, asked []peerset.Entry) []peerset.Entry {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	for _, e := range asked {
+		query.asked[e.Name] = true
+	}
 	return slices.DeleteFunc(slices.Clone(asked), func(e peerset.Entry) bool { return query.unknownAt[e.Name] })
 }
 
@@ -252,7 +268,20 @@
 func (o *origins) observeTargets(targets []catalog.Target) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.versions.Observe(time.Now(), targets)
+	now := time.Now()
+	if o.observedSince.IsZero() {
+		o.observedSince = now
+	}
+	o.versions.Observe(now, targets)
+}
+
+// observed returns the versions that this entry knows of a service, and for how long it has observed the
+// targets.
+func (o *origins) observed(service string) (versions []string, since time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := time.Now()
+	return o.versions.Known(now, service), now.Sub(o.observedSince)
 }
 
 // onlyVersion returns the version of a service that had no other lately. Cut off from the store and
--- a/internal/gateway/reconnect.go
+++ b/internal/gateway/reconnect.go
@@ -32,17 +32,17 @@
 		return nil
 	}
 	began := time.Now()
-	origin, found, several := c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
+	f := c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
 	source := originKnown
 	switch {
-	case found && c.route.UsesService(origin.Service):
-		c.service, c.origin = origin.Service, &origin
-	case found:
+	case f.found && c.route.UsesService(f.origin.Service):
+		c.service, c.origin = f.origin.Service, &f.origin
+	case f.found:
 		source = originMoved
 	default:
 		source = originOnlyVersion
 		version, only := c.gateway.origins.onlyVersion(c.service)
-		if !only || several[c.service] {
+		if !only || f.several[c.service] {
 			source = originUnknown
 			break
 		}
@@ -52,9 +52,11 @@
 	if source == originUnknown {
 		importance = eventlog.Failure
 	}
+	versions, since := c.gateway.origins.observed(c.service)
 	c.gateway.log.Write(importance, eventReconnect, eventlog.Fields{
 		"id": c.envelope.ID, "resumes": c.envelope.Resumes, "source": source, "service": c.service,
-		"origin_service": origin.Service, "origin_version": origin.Version, "took_ms": time.Since(began).Milliseconds(),
+		"origin_service": f.origin.Service, "origin_version": f.origin.Version, "took_ms": time.Since(began).Milliseconds(),
+		"versions": versions, "observed_ms": since.Milliseconds(), "asked": f.asked, "replied": f.replied, "others_know_several": f.several[c.service],
 	})
 	c.gateway.counters.reconnects.add(source)
 	if source == originUnknown {
