Streams keep their version through the loss of all entries: origins and versions are recorded in the store

Cause: an entry that has just started takes what it sees for all there was. "The service has had one version only" rested on the first list of targets, half a second old, and on others that were as young; and the origin of a stream was in the memory of entries only, so that refusing was all that was left.

Change: - What an entry concludes from a list of targets now needs the time in which the stream may have begun to be covered: by its own observation without a gap, or by a record of the versions of each service in the store, which is merged, never replaced, by those that start later (core/streams Versions, History; gateway versionlog.go). A record of another generation of the store, or none, covers nothing. - One entry of each cell, the recorder, appends the origins of streams to the store in batches, in keyed records, which outlast a compaction (core/streams Archive, Pending; gateway originlog.go). While a service has, or had within 20 s, several versions, the first event of a stream waits for its record, 90 ms at most, and not at all for 2 s after one waited in vain. An entry that is asked for a stream that nobody knows reads the record. - A stream of a split route is not bound to one of its services for want of another. - unknown_stream (ask again) and lost_stream (will not become known) are told apart.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -66,6 +66,17 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
+// IsSplit reports whether the route sends requests to several services.
+func (r *Route) IsSplit() bool {
+	n := 0
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Service returns the service for a random number in [0, 1).
 func (r *Route) Service(draw float64) string {
 	total := 0.0
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,10 +29,14 @@
 	ThirdCopies
 	// Rollouts holds the progress of each roll-out.
 	Rollouts
+	// Origins holds which software version began each stream, in batches; Versions holds which versions the
+	// services have had. Entries that start after the loss of all others have neither.
+	Origins
+	Versions
 )
 
 func (t Topic) String() string {
-	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies", "rollouts"}[t]
+	return [...]string{"operators", "targets", "entries", "usage", "copies", "second_copies", "third_copies", "rollouts", "origins", "versions"}[t]
 }
 
 // Position is an offset in a topic, within a generation of the log. A log that was restored
--- a/internal/gateway/entriesfeed.go
+++ b/internal/gateway/entriesfeed.go
@@ -34,6 +34,7 @@
 func (f *feeds) followEntries(ctx context.Context) {
 	if f.isFirstStart() {
 		f.gateway.state.setFirstStart()
+		f.gateway.origins.versionLog.firstStart.Store(true)
 	}
 	pause := time.Duration(0)
 	for registered := false; ctx.Err() == nil; {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -58,6 +58,11 @@
 	eventCleared       = "cleared"
 	eventRollout       = "rollout"
 	eventLease         = "lease"
+
+	// Origins of streams and versions of services were recorded in the store, or read from it.
+	eventOriginsRecorded  = "origins_recorded"
+	eventOriginsRead      = "origins_read"
+	eventVersionsRecorded = "versions_recorded"
 )
 
 // causeEvents are the events of a cause of crashes.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -222,6 +222,9 @@
 			changed = append(changed, record)
 		}
 	}
+	if u.Reset && f.targetsRead.Load() {
+		f.gateway.origins.missTargets()
+	}
 	if u.Reset || len(changed) > 0 {
 		f.publish(f.operators.AsOf())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions tally }
+	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions, originRecords tally }
 
 	state *state
 	pool  *upstream.Pool
@@ -188,6 +188,8 @@
 	go g.links.run(work)
 	go g.feeds.run(work)
 	go g.state.rollouts.run(work)
+	go g.origins.log.run(work)
+	go g.origins.versionLog.run(work)
 	go g.housekeep(work)
 	go g.watchSuspension(work)
 	go g.isolation.run(work)
--- /dev/null
+++ b/internal/gateway/originlog.go
@@ -0,0 +1,521 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sycamoretrail/internal/core/peerset"
+	"sycamoretrail/internal/core/streams"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+	"sycamoretrail/internal/gossip"
+)
+
+// The origins of streams outlast all entries in the store. In each cell one entry, the recorder, appends
+// them in batches. Batches are keyed records: the store keeps the newest record of each key whatever else
+// it forgets.
+
+const (
+	// recordTick is the interval at which batches are recorded that no stream waits for, recordGather the time
+	// for which those gather that streams do wait for. recordPerCell, for each cell, keeps the appends of all
+	// recorders below half of what a partition of the store takes.
+	recordTick    = 500 * time.Millisecond
+	recordGather  = 40 * time.Millisecond
+	recordPerCell = 8 * time.Millisecond
+	// confirmWait bounds the wait of a stream for its record, confirmPause is how long streams don't wait after
+	// one did in vain.
+	confirmWait  = 90 * time.Millisecond
+	confirmPause = 2 * time.Second
+	// confirmedKeys is the number of keys that fit a datagram.
+	confirmedKeys = 64
+	// severalFor is how long after the last target of a version streams of its service are told apart.
+	severalFor = 20 * time.Second
+	// batchStreams bounds the streams of a batch, whose size the store limits.
+	batchStreams = 8192
+	// batchSlots bounds the batches of one process that the store holds.
+	batchSlots = 1024
+	// staleBatches bounds the expired batches that are dropped with one append; staleAfter is how long a
+	// batch is kept after it has expired.
+	staleBatches = 64
+	staleAfter   = 2 * time.Minute
+	// readWait bounds the wait for a read of what is recorded. readFresh is the age up to which a read
+	// answers for streams that are not in it, readRetry the pause after a read that failed.
+	readWait  = 400 * time.Millisecond
+	readFresh = time.Second
+	readRetry = 150 * time.Millisecond
+	// archiveKeep is how long the batches that were read are kept.
+	archiveKeep = 30 * time.Second
+)
+
+// storedBatch is a batch of origins as recorded.
+type storedBatch struct {
+	ExpiresMS int64         `cbor:"1,keyasint"`
+	Groups    []storedGroup `cbor:"2,keyasint"`
+}
+
+// storedGroup holds the keys of streams of one origin, one after the other.
+type storedGroup struct {
+	_                struct{} `cbor:",toarray"`
+	Service, Version string
+	Keys             []byte
+}
+
+// originLog records origins in the store and reads those that were recorded.
+type originLog struct {
+	gateway *Gateway
+	origins *origins
+
+	mutex sync.Mutex
+	// recorder is the entry that records for this one's cell; self: this one does.
+	recorder peerset.Entry
+	self     bool
+	pending  streams.Pending
+	// urgent receives a signal when a stream waits for its record. waiting are the streams of this entry that
+	// do, confirmTo are the entries whose streams do. unconfirmedAt is when one waited in vain.
+	urgent        chan struct{}
+	waiting       map[streams.Key]chan struct{}
+	confirmTo     map[streams.Key]string
+	unconfirmedAt time.Time
+	// slots are the times at which the batches of this process expire, by slot; stale are keys of batches
+	// that nobody needs any more.
+	slots []time.Time
+	stale []string
+	// archive holds the batches that were read, at readAt. reading is closed when a read ends; failedAt is
+	// when one failed last.
+	archive          *streams.Archive
+	readAt, failedAt time.Time
+	reading          chan struct{}
+}
+
+func newOriginLog(g *Gateway, o *origins) *originLog {
+	return &originLog{
+		gateway: g, origins: o, self: true, archive: streams.NewArchive(), urgent: make(chan struct{}, 1),
+		waiting: make(map[streams.Key]chan struct{}), confirmTo: make(map[streams.Key]string),
+	}
+}
+
+// run records origins until the context ends.
+func (l *originLog) run(ctx context.Context) {
+	if !l.gateway.settings.Load.BindStreams {
+		return
+	}
+	ticker := time.NewTicker(recordTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.chooseRecorder()
+			l.discardArchive()
+		case <-l.urgent:
+			time.Sleep(l.gather())
+		}
+		l.flush()
+	}
+}
+
+// gather returns the time for which a batch gathers.
+func (l *originLog) gather() time.Duration {
+	return max(recordGather, time.Duration(l.gateway.links.cells.Load().Count)*recordPerCell)
+}
+
+// confirmsSoon reports whether streams may wait for their record.
+func (l *originLog) confirmsSoon() bool {
+	if l.gather() > confirmWait/2 {
+		return false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return time.Since(l.unconfirmedAt) > confirmPause
+}
+
+// await waits until a stream is recorded, its caller has left or time is up.
+func (l *originLog) await(key streams.Key, recorded, left <-chan struct{}) {
+	timer := time.NewTimer(confirmWait)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+		return
+	case <-left:
+		l.mutex.Lock()
+	case <-timer.C:
+		l.gateway.counters.originRecords.add("unconfirmed")
+		l.mutex.Lock()
+		l.unconfirmedAt = time.Now()
+	}
+	delete(l.waiting, key)
+	l.mutex.Unlock()
+}
+
+// chooseRecorder chooses the entry that records for this one's cell: the first in rank of those that serve
+// and reach the store. A new one receives the running streams of this entry, since the one before may have
+// ended before it recorded them.
+func (l *originLog) chooseRecorder() {
+	chosen, self := l.rankedRecorder()
+	l.mutex.Lock()
+	changed := l.self != self || !self && l.recorder.Name != chosen.Name
+	l.recorder, l.self = chosen, self
+	l.mutex.Unlock()
+	if !changed {
+		return
+	}
+	running := l.origins.running()
+	if self {
+		l.add(running...)
+		return
+	}
+	for part := range slices.Chunk(running, originsPerMessage) {
+		l.submit(part...)
+	}
+}
+
+func (l *originLog) rankedRecorder() (recorder peerset.Entry, self bool) {
+	g := l.gateway
+	var able []peerset.Entry
+	cells := g.links.cells.Load()
+	for _, m := range g.readers() {
+		inCell := cells.Count == 1 || slices.ContainsFunc(cells.Peers, func(e peerset.Entry) bool { return e.Name == m.Name })
+		if m.State == peerset.Ready && !m.StoreDisconnected && inCell {
+			able = append(able, m.Entry)
+		}
+	}
+	if len(able) == 0 {
+		return peerset.Entry{}, true
+	}
+	first := able[0].Name
+	if g.ready() && !g.feeds.isStoreDisconnected() {
+		first = g.self.Name
+	}
+	first = firstOf(first, able)
+	at := slices.IndexFunc(able, func(e peerset.Entry) bool { return e.Name == first })
+	if at < 0 {
+		return peerset.Entry{}, true
+	}
+	return able[at], false
+}
+
+// current returns the recorder, unless this entry is the one.
+func (l *originLog) current() (recorder peerset.Entry, self bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.recorder, l.self
+}
+
+// submit passes streams to the recorder.
+func (l *originLog) submit(records ...streams.Record) {
+	recorder, self := l.current()
+	if self {
+		l.add(records...)
+		return
+	}
+	l.gateway.links.send(l.recordMessage(records), []peerset.Entry{recorder})
+}
+
+// submitAndAwait passes a stream to the recorder. The channel is closed when it has been recorded.
+func (l *originLog) submitAndAwait(record streams.Record) <-chan struct{} {
+	recorded := make(chan struct{})
+	l.mutex.Lock()
+	l.waiting[record.Key] = recorded
+	recorder, self := l.recorder, l.self
+	l.mutex.Unlock()
+	if self {
+		l.add(record)
+		signal(l.urgent)
+		return recorded
+	}
+	m := l.recordMessage([]streams.Record{record})
+	m.AwaitRecord = true
+	l.gateway.links.send(m, []peerset.Entry{recorder})
+	return recorded
+}
+
+func (l *originLog) recordMessage(records []streams.Record) *gossip.Message {
+	m := l.gateway.links.message()
+	m.RecordOrigins = true
+	for _, r := range records {
+		m.Origins = append(m.Origins, originMessage(r))
+	}
+	return m
+}
+
+func (l *originLog) add(records ...streams.Record) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	for _, r := range records {
+		l.pending.Add(now, r)
+	}
+}
+
+// addFor adds a stream of another entry, which waits for it if confirmTo names it.
+func (l *originLog) addFor(confirmTo string, record streams.Record) {
+	l.add(record)
+	if confirmTo == "" {
+		return
+	}
+	l.mutex.Lock()
+	l.confirmTo[record.Key] = confirmTo
+	l.mutex.Unlock()
+	signal(l.urgent)
+}
+
+// confirm tells those that wait for the streams of a batch that it has been recorded.
+func (l *originLog) confirm(batch streams.Batch) {
+	keys := make(map[string][]byte)
+	l.mutex.Lock()
+	for _, group := range batch.Groups {
+		for _, key := range group.Keys {
+			if to, found := l.confirmTo[key]; found {
+				keys[to] = append(keys[to], key[:]...)
+				delete(l.confirmTo, key)
+			}
+			l.release(key)
+		}
+	}
+	l.mutex.Unlock()
+	for name, recorded := range keys {
+		l.gateway.state.mutex.Lock()
+		entry, known := l.gateway.state.peers.Entry(name)
+		l.gateway.state.mutex.Unlock()
+		if !known {
+			continue
+		}
+		for part := range slices.Chunk(recorded, confirmedKeys*len(streams.Key{})) {
+			m := l.gateway.links.message()
+			m.OriginsRecorded = part
+			l.gateway.links.send(m, []peerset.Entry{entry})
+		}
+	}
+}
+
+// release ends the wait for a stream. The caller holds the mutex.
+func (l *originLog) release(key streams.Key) {
+	if waiting, found := l.waiting[key]; found {
+		close(waiting)
+		delete(l.waiting, key)
+	}
+}
+
+// handleRecorded ends the waits for streams that the recorder has recorded.
+func (l *originLog) handleRecorded(keys []byte) {
+	if len(keys) == 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for ; len(keys) >= len(streams.Key{}); keys = keys[len(streams.Key{}):] {
+		l.release(streams.Key(keys[:len(streams.Key{})]))
+	}
+}
+
+// flush records what is pending.
+func (l *originLog) flush() {
+	for l.recordBatch() {
+	}
+}
+
+// recordBatch records a batch of what is pending. It reports whether more than one was.
+func (l *originLog) recordBatch() (more bool) {
+	began := time.Now()
+	batch, records, size, err := l.nextBatch(began)
+	if len(records) == 0 || err != nil {
+		return false
+	}
+	err = l.gateway.platform.Put(feed.Origins, records...)
+	fields := eventlog.Fields{"streams": size, "bytes": len(records[0].Value), "dropped": len(records) - 1, "took_ms": time.Since(began).Milliseconds()}
+	if err != nil {
+		l.mutex.Lock()
+		l.pending.Return(time.Now(), batch)
+		l.mutex.Unlock()
+		fields["error"] = err.Error()
+		l.gateway.counters.originRecords.add("failed")
+		l.gateway.log.Write(eventlog.StateChange, eventOriginsRecorded, fields)
+		return false
+	}
+	l.confirm(batch)
+	l.gateway.counters.originRecords.add("recorded")
+	l.gateway.log.Write(eventlog.Routine, eventOriginsRecorded, fields)
+	return size == batchStreams
+}
+
+// nextBatch removes a batch from what is pending and returns its record, followed by those that drop
+// expired batches. It returns no records if nothing is pending.
+func (l *originLog) nextBatch(now time.Time) (batch streams.Batch, records []feed.Record, size int, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for len(batch.Groups) == 0 {
+		if l.pending.Size() == 0 {
+			return batch, nil, 0, nil
+		}
+		batch = l.pending.Take(now, batchStreams)
+	}
+	value, size, err := encodeBatch(batch)
+	if err != nil {
+		l.gateway.log.Write(eventlog.StateChange, eventUndecodable, eventlog.Fields{"error": err.Error()})
+		return batch, nil, 0, err
+	}
+	// The key names the process: the next one of this entry must not replace what this one recorded.
+	key := fmt.Sprintf("%s/%x/%d", l.gateway.self.Name, l.gateway.self.Incarnation, l.slot(now, batch.Expires))
+	records = []feed.Record{{Key: key, Value: value}}
+	dropped := min(len(l.stale), staleBatches)
+	for _, key := range l.stale[:dropped] {
+		records = append(records, feed.Record{Key: key})
+	}
+	l.stale = l.stale[dropped:]
+	return batch, records, size, nil
+}
+
+// slot returns a slot whose batch has expired, a new one, or the one that expires first.
+func (l *originLog) slot(now, expires time.Time) int {
+	at := slices.IndexFunc(l.slots, func(t time.Time) bool { return t.Before(now) })
+	switch {
+	case at >= 0:
+	case len(l.slots) < batchSlots:
+		at = len(l.slots)
+		l.slots = append(l.slots, expires)
+	default:
+		for i, t := range l.slots {
+			if at < 0 || t.Before(l.slots[at]) {
+				at = i
+			}
+		}
+	}
+	l.slots[at] = expires
+	return at
+}
+
+func encodeBatch(batch streams.Batch) (value []byte, size int, err error) {
+	stored := storedBatch{ExpiresMS: batch.Expires.UnixMilli()}
+	for _, group := range batch.Groups {
+		keys := make([]byte, 0, len(group.Keys)*len(streams.Key{}))
+		for _, key := range group.Keys {
+			keys = append(keys, key[:]...)
+		}
+		stored.Groups = append(stored.Groups, storedGroup{Service: group.Origin.Service, Version: group.Origin.Version, Keys: keys})
+		size += len(group.Keys)
+	}
+	value, err = cbor.Marshal(stored)
+	if err != nil {
+		return nil, 0, fmt.Errorf("batch of origins: %w", err)
+	}
+	return value, size, nil
+}
+
+func decodeBatch(value []byte) (streams.Batch, error) {
+	var stored storedBatch
+	if err := cbor.Unmarshal(value, &stored); err != nil {
+		return streams.Batch{}, fmt.Errorf("batch of origins: %w", err)
+	}
+	batch := streams.Batch{Expires: time.UnixMilli(stored.ExpiresMS)}
+	for _, group := range stored.Groups {
+		const size = len(streams.Key{})
+		if len(group.Keys)%size != 0 {
+			return streams.Batch{}, fmt.Errorf("batch of origins: keys of %d bytes", len(group.Keys))
+		}
+		decoded := streams.Group{Origin: streams.Origin{Service: group.Service, Version: group.Version}}
+		for keys := group.Keys; len(keys) > 0; keys = keys[size:] {
+			decoded.Keys = append(decoded.Keys, streams.Key(keys[:size]))
+		}
+		batch.Groups = append(batch.Groups, decoded)
+	}
+	return batch, nil
+}
+
+// lookup returns the origin of a stream if it is in a batch that was read.
+func (l *originLog) lookup(key streams.Key) (streams.Origin, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.archive.Lookup(key)
+}
+
+// read reads what is recorded, unless that has just been done. It reports whether it succeeded in time.
+func (l *originLog) read(limit time.Duration) bool {
+	l.mutex.Lock()
+	switch {
+	case time.Since(l.readAt) < readFresh:
+		l.mutex.Unlock()
+		return true
+	case l.reading == nil && time.Since(l.failedAt) < readRetry:
+		l.mutex.Unlock()
+		return false
+	case l.reading == nil:
+		l.reading = make(chan struct{})
+		go l.readBatches()
+	}
+	done := l.reading
+	l.mutex.Unlock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return time.Since(l.readAt) < readFresh+limit
+}
+
+// readBatches reads the batches of all recorders.
+func (l *originLog) readBatches() {
+	began := time.Now()
+	records, _, err := l.gateway.platform.Snapshot(feed.Origins)
+	if err != nil {
+		l.gateway.feeds.logStoreError(feed.Origins, err)
+		l.endRead(time.Time{}, nil, nil)
+		return
+	}
+	archive := streams.NewArchive()
+	var stale []string
+	for _, record := range records {
+		batch, err := decodeBatch(record.Value)
+		if err != nil {
+			l.gateway.feeds.logUndecodable(feed.Origins, record, err)
+			continue
+		}
+		if began.Sub(batch.Expires) > staleAfter {
+			stale = append(stale, record.Key)
+			continue
+		}
+		archive.Add(batch)
+		l.origins.note(minTime(began, batch.Expires), batch)
+	}
+	l.gateway.log.Write(eventlog.StateChange, eventOriginsRead, eventlog.Fields{
+		"batches": len(records), "streams": archive.Size(), "stale": len(stale), "took_ms": time.Since(began).Milliseconds(),
+	})
+	l.endRead(time.Now(), archive, stale)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// endRead ends a read; the time is zero if it failed.
+func (l *originLog) endRead(at time.Time, archive *streams.Archive, stale []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.reading)
+	l.reading = nil
+	if at.IsZero() {
+		l.failedAt = time.Now()
+		return
+	}
+	l.archive, l.readAt, l.stale = archive, at, stale
+}
+
+// discardArchive drops the batches that were read after a while: callers reconnect within seconds.
+func (l *originLog) discardArchive() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.archive.Size() > 0 && time.Since(l.readAt) > archiveKeep {
+		l.archive = streams.NewArchive()
+	}
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -44,9 +44,10 @@
 	known   *streams.Registry
 	// versions are those of all targets.
 	versions *streams.Versions
-	// observedSince is when this entry first read the list of targets.
-	observedSince time.Time
-	queries       map[streams.Key]*originQuery
+	queries  map[streams.Key]*originQuery
+	// log and versionLog are what the store holds of both.
+	log        *originLog
+	versionLog *versionLog
 }
 
 // originQuery is a query to other entries. Several callers may wait for the same one.
@@ -59,21 +60,42 @@
 	asked, unknownAt, several map[string]bool
 	// replied receives a signal with each of them.
 	replied chan struct{}
+	// recorded is closed when the recorder has replied that the stream is not in the store.
+	recorded chan struct{}
 }
 
 func newOrigins(g *Gateway) *origins {
-	return &origins{gateway: g, known: streams.NewRegistry(), versions: streams.NewVersions(), queries: make(map[streams.Key]*originQuery)}
+	o := &origins{gateway: g, known: streams.NewRegistry(), versions: streams.NewVersions(), queries: make(map[streams.Key]*originQuery)}
+	o.log, o.versionLog = newOriginLog(g, o), newVersionLog(g, o)
+	return o
 }
 
-// recordBegin remembers the origin of a stream at this entry and at others.
-func (o *origins) recordBegin(key streams.Key, origin streams.Origin, keep time.Duration) {
+// recordBegin remembers the origin of a stream at this entry and at others, and has it recorded. If await is
+// set, the channel that it returns is closed once it has been.
+func (o *origins) recordBegin(key streams.Key, origin streams.Origin, keep time.Duration, await bool) <-chan struct{} {
+	now := time.Now()
 	o.mutex.Lock()
-	o.known.Record(time.Now(), key, origin, keep, true)
+	o.known.Record(now, key, origin, keep, true)
+	o.versions.Note(now, origin)
 	o.mutex.Unlock()
 	l := o.gateway.links
 	m := l.message()
-	m.Origins = []gossip.Origin{originMessage(streams.Record{Key: key, Origin: origin, Keep: keep})}
-	l.send(m, o.holders(key, originCopies, false))
+	record := streams.Record{Key: key, Origin: origin, Keep: keep}
+	m.Origins = []gossip.Origin{originMessage(record)}
+	recorder, self := o.log.current()
+	l.send(m, slices.DeleteFunc(o.holders(key, originCopies, false), func(e peerset.Entry) bool { return !self && e.Name == recorder.Name }))
+	if await {
+		return o.log.submitAndAwait(record)
+	}
+	o.log.submit(record)
+	return nil
+}
+
+// running returns the streams that were begun at this entry.
+func (o *origins) running() []streams.Record {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.known.Own(time.Now())
 }
 
 func (o *origins) holders(key streams.Key, n int, draining bool) []peerset.Entry {
@@ -90,11 +112,8 @@
 // greet tells an entry that has joined of the streams that it is to know: the process before it
 // may have known them.
 func (o *origins) greet(entry peerset.Entry) {
-	o.mutex.Lock()
-	own := o.known.Own(time.Now())
-	o.mutex.Unlock()
 	var messages []gossip.Origin
-	for _, r := range own {
+	for _, r := range o.running() {
 		if slices.ContainsFunc(o.holders(r.Key, originCopies, false), func(e peerset.Entry) bool { return e.Name == entry.Name }) {
 			messages = append(messages, originMessage(r))
 		}
@@ -108,59 +127,116 @@
 
 // finding is what is known of a stream's origin. If nobody knows it, several are the services of which
 // other entries know several versions. asked and replied count the entries.
+// recordsRead: the stream is not in the store either.
 type finding struct {
 	origin         streams.Origin
 	found          bool
 	several        map[string]bool
 	asked, replied int
+	recordsRead    bool
 }
 
-// find returns the origin of a stream, which it queries from other entries if need be.
-func (o *origins) find(key streams.Key, limit time.Duration) finding {
-	o.mutex.Lock()
-	if origin, found := o.known.Lookup(time.Now(), key); found {
-		o.mutex.Unlock()
+// candidate is where a stream may have begun, and how long ago at most.
+type candidate struct {
+	key     streams.Key
+	service string
+	within  time.Duration
+}
+
+// find returns the origin of a stream. If need be it queries other entries, and reads what is recorded in the
+// store.
+func (o *origins) find(stream candidate, limit time.Duration) finding {
+	key := stream.key
+	if origin, found := o.lookup(key); found {
 		return finding{origin: origin, found: true}
 	}
+	o.mutex.Lock()
 	query, found := o.queries[key]
 	if !found {
 		query = &originQuery{
 			answered: make(chan struct{}), asked: make(map[string]bool), unknownAt: make(map[string]bool),
-			several: make(map[string]bool), replied: make(chan struct{}, 1),
+			several: make(map[string]bool), replied: make(chan struct{}, 1), recorded: make(chan struct{}),
 		}
 		o.queries[key] = query
 	}
 	query.waiting++
 	o.mutex.Unlock()
-	o.await(key, query, limit)
+	o.await(stream, query, limit)
+	origin, found := o.lookup(key)
+	recordsRead := false
+	if !found {
+		recordsRead = o.readRecords(stream, query, min(limit, readWait))
+		origin, found = o.lookup(key)
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if query.waiting--; query.waiting == 0 {
 		delete(o.queries, key)
 	}
+	return finding{
+		origin: origin, found: found, several: maps.Clone(query.several),
+		asked: len(query.asked), replied: len(query.unknownAt), recordsRead: recordsRead,
+	}
+}
+
+func (o *origins) lookup(key streams.Key) (streams.Origin, bool) {
+	o.mutex.Lock()
 	origin, found := o.known.Lookup(time.Now(), key)
-	return finding{origin: origin, found: found, several: maps.Clone(query.several), asked: len(query.asked), replied: len(query.unknownAt)}
+	o.mutex.Unlock()
+	if found {
+		return origin, true
+	}
+	return o.log.lookup(key)
+}
+
+// readRecords reads what the store holds of a stream and of the versions of services. In a fleet of several
+// cells the recorder of the cell reads the streams, which are too many for each entry to read. It reports
+// whether the stream was looked for.
+func (o *origins) readRecords(stream candidate, query *originQuery, limit time.Duration) bool {
+	if !o.versionLog.read() {
+		return false
+	}
+	recorder, self := o.log.current()
+	if !self && o.gateway.links.cells.Load().Count > 1 {
+		m := o.queryMessage(stream)
+		m.QueryRecords = true
+		o.gateway.links.send(m, []peerset.Entry{recorder})
+		timer := time.NewTimer(limit / 2)
+		defer timer.Stop()
+		select {
+		case <-query.answered:
+			return true
+		case <-query.recorded:
+			return true
+		case <-timer.C:
+		}
+	}
+	return o.log.read(limit)
 }
 
 // await queries the entries that may know a stream until one does, none does, or time is up.
-func (o *origins) await(key streams.Key, query *originQuery, limit time.Duration) {
+func (o *origins) await(stream candidate, query *originQuery, limit time.Duration) {
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
-		asked := o.holders(key, originQueries, true)
+		asked := o.holders(stream.key, originQueries, true)
 		pending := o.withoutReply(query, asked)
 		if len(asked) > 0 && len(pending) == 0 {
 			return
 		}
-		m := o.gateway.links.message()
-		m.OriginQuery = key[:]
-		o.gateway.links.send(m, pending)
+		o.gateway.links.send(o.queryMessage(stream), pending)
 		if o.awaitReplies(query, asked, end.C) {
 			return
 		}
 	}
 }
 
+func (o *origins) queryMessage(stream candidate) *gossip.Message {
+	m := o.gateway.links.message()
+	m.OriginQuery, m.QueryService, m.QueryWithinMS = stream.key[:], stream.service, stream.within.Milliseconds()
+	return m
+}
+
 // awaitReplies waits for a while until all entries that were asked have replied. It returns true if
 // the query is to end.
 func (o *origins) awaitReplies(query *originQuery, asked []peerset.Entry, end <-chan time.Time) bool {
@@ -191,24 +267,38 @@
 	return slices.DeleteFunc(slices.Clone(asked), func(e peerset.Entry) bool { return query.unknownAt[e.Name] })
 }
 
-// handleOrigins remembers streams that another entry has begun.
-func (o *origins) handleOrigins(from string, messages []gossip.Origin) {
-	for i := range messages {
-		o.learn(from, &messages[i])
+// handleOrigins remembers streams that another entry has begun, and records them if it asks for that.
+func (o *origins) handleOrigins(m *gossip.Message) {
+	for i := range m.Origins {
+		each := &m.Origins[i]
+		if !o.learn(m.From, each) || !m.RecordOrigins {
+			continue
+		}
+		confirmTo := ""
+		if m.AwaitRecord {
+			confirmTo = m.From
+		}
+		o.log.addFor(confirmTo, streams.Record{Key: streams.Key(each.Key), Origin: originOf(each), Keep: milliseconds(each.KeepMS)})
 	}
 }
 
-func (o *origins) learn(from string, m *gossip.Origin) {
+func originOf(m *gossip.Origin) streams.Origin {
+	return streams.Origin{Service: m.Service, Version: m.Version}
+}
+
+// learn remembers a stream. It returns false if the message is invalid.
+func (o *origins) learn(from string, m *gossip.Origin) bool {
 	if len(m.Key) != len(streams.Key{}) || len(m.Service) > maxOriginName || len(m.Version) > maxOriginName {
 		o.gateway.log.Write(eventlog.StateChange, eventUndecodable, eventlog.Fields{
 			"peer": from, "key_bytes": len(m.Key), "service_bytes": len(m.Service), "version_bytes": len(m.Version),
 		})
-		return
+		return false
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	key := streams.Key(m.Key)
-	o.known.Record(time.Now(), key, streams.Origin{Service: m.Service, Version: m.Version}, milliseconds(m.KeepMS), false)
+	now, key := time.Now(), streams.Key(m.Key)
+	o.known.Record(now, key, originOf(m), milliseconds(m.KeepMS), false)
+	o.versions.Note(now, originOf(m))
 	if query, found := o.queries[key]; found {
 		select {
 		case <-query.answered:
@@ -216,23 +306,44 @@
 			close(query.answered)
 		}
 	}
+	return true
 }
 
-// handleQuery replies to an entry that asks for a stream's origin.
-func (o *origins) handleQuery(from string, key []byte) {
-	if len(key) != len(streams.Key{}) {
+// handleQuery replies to an entry that asks for a stream's origin. It may have to read what is recorded.
+func (o *origins) handleQuery(m *gossip.Message) {
+	if len(m.OriginQuery) != len(streams.Key{}) {
 		return
 	}
+	within := streams.VersionMemory
+	if m.QueryWithinMS > 0 {
+		within = min(within, milliseconds(m.QueryWithinMS))
+	}
+	stream := candidate{streams.Key(m.OriginQuery), m.QueryService, within}
+	if m.QueryRecords {
+		go o.reply(m.From, stream, true)
+		return
+	}
+	o.reply(m.From, stream, false)
+}
+
+func (o *origins) reply(from string, stream candidate, readRecords bool) {
+	key := stream.key
+	recordsRead := readRecords && o.log.read(readWait)
+	now := time.Now()
 	o.mutex.Lock()
-	record, found := o.known.Get(time.Now(), streams.Key(key))
-	several := o.versions.Several(time.Now())
+	record, found := o.known.Get(now, key)
+	several := o.versions.Several(now, stream.within)
 	o.mutex.Unlock()
-	reply := &gossip.OriginReply{Key: key}
+	reply := &gossip.OriginReply{Key: key[:], RecordsRead: recordsRead}
+	if !found && recordsRead {
+		record.Origin, found = o.log.lookup(key)
+		record.Key, record.Keep = key, archiveKeep
+	}
 	if found {
 		origin := originMessage(record)
 		reply.Origin = &origin
 	} else {
-		reply.Several = several[:min(len(several), maxSeveral)]
+		reply.Several = firstServices(several, stream.service)
 	}
 	s := o.gateway.state
 	s.mutex.Lock()
@@ -245,6 +356,14 @@
 	}
 }
 
+// firstServices returns as many of the services as fit a reply, the one that was asked for first.
+func firstServices(services []string, asked string) []string {
+	if at := slices.Index(services, asked); at > 0 {
+		services[0], services[at] = services[at], services[0]
+	}
+	return services[:min(len(services), maxSeveral)]
+}
+
 func (o *origins) handleReply(from string, reply *gossip.OriginReply) {
 	if reply.Origin != nil {
 		o.learn(from, reply.Origin)
@@ -256,43 +375,97 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if query, found := o.queries[streams.Key(reply.Key)]; found {
-		query.unknownAt[from] = true
 		for _, service := range reply.Several {
 			query.several[service] = true
 		}
+		if reply.RecordsRead {
+			select {
+			case <-query.recorded:
+			default:
+				close(query.recorded)
+			}
+			return
+		}
+		query.unknownAt[from] = true
 		signal(query.replied)
 	}
 }
 
+// missTargets records that versions may have come and gone since the latest list of targets.
+func (o *origins) missTargets() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.versions.Missed(time.Now())
+}
+
 // observeTargets records the versions of all targets.
 func (o *origins) observeTargets(targets []catalog.Target) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.versions.Observe(time.Now(), targets) {
+		signal(o.versionLog.due)
+	}
+}
+
+// note records that the versions of a batch served streams.
+func (o *origins) note(at time.Time, batch streams.Batch) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, group := range batch.Groups {
+		o.versions.Note(at, group.Origin)
+	}
+}
+
+// restore adds what is recorded of the services' versions. othersNew: services that are not recorded had no
+// target before.
+func (o *origins) restore(histories map[string]streams.History, incomplete, othersNew bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
-	if o.observedSince.IsZero() {
-		o.observedSince = now
+	for service, history := range histories {
+		o.versions.Restore(now, service, history, usageClockSlack, incomplete)
+	}
+	if othersNew {
+		o.versions.RestoreOthers()
 	}
-	o.versions.Observe(now, targets)
 }
 
-// observed returns the versions that this entry knows of a service, and for how long it has observed the
-// targets.
-func (o *origins) observed(service string) (versions []string, since time.Duration) {
+func (o *origins) histories(recorded map[string]streams.History, nothingBefore bool) map[string]streams.History {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.versions.Histories(time.Now(), recorded, nothingBefore)
+}
+
+// isAmbiguous reports whether a stream that begins at a service now could not be told from one that began at
+// another version.
+func (o *origins) isAmbiguous(service string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	_, only := o.versions.Only(time.Now(), service, severalFor)
+	return !only
+}
+
+// observed returns the versions at which a stream may have begun, and how far back all are known.
+func (o *origins) observed(stream candidate) (versions []string, knownFor time.Duration) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
-	return o.versions.Known(now, service), now.Sub(o.observedSince)
+	return o.versions.Known(now, stream.service, stream.within), o.versions.KnownFor(now, stream.service)
 }
 
-// onlyVersion returns the version of a service that had no other lately. Cut off from the store and
-// all other entries, this entry cannot know.
-func (o *origins) onlyVersion(service string) (string, bool) {
+// onlyVersion returns the version at which a stream has begun if its service had no other in that time. Cut off
+// from the store and all other entries, this entry cannot know.
+func (o *origins) onlyVersion(stream candidate) (string, bool) {
 	if time.Since(o.gateway.targetsAsOf()) > maxTargetsAge && o.isAlone() {
 		return "", false
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.versions.Only(time.Now(), service)
+	now := time.Now()
+	if o.versions.KnownFor(now, stream.service) < stream.within {
+		return "", false
+	}
+	return o.versions.Only(now, stream.service, stream.within)
 }
 
 // isAlone reports whether there are other entries and none of them is live.
--- a/internal/gateway/reasons_test.go
+++ b/internal/gateway/reasons_test.go
@@ -20,7 +20,7 @@
 // allReasons returns the reasons with which a request can end.
 func allReasons() []string {
 	reasons := []string{"answered", "cut", "retry_budget", "rejected"}
-	for _, r := range []*reply{notReady, noRoute, unknownKey, tooLarge, crashesTargets, crashingPart, unknownStream, targetAborted, timedOut, callerDisconnected, unconfirmedRefusal(503), badRequest(""), overQuota(0)} {
+	for _, r := range []*reply{notReady, noRoute, unknownKey, tooLarge, crashesTargets, crashingPart, unknownStream, lostStream, targetAborted, timedOut, callerDisconnected, unconfirmedRefusal(503), badRequest(""), overQuota(0)} {
 		reasons = append(reasons, r.reason)
 	}
 	for _, r := range []dispatch.Reason{dispatch.ReasonNoTarget, dispatch.ReasonNoVersion, dispatch.ReasonOverload, dispatch.ReasonExpired} {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -61,10 +61,11 @@
 	if m.History != nil {
 		l.handleHistory(m)
 	}
-	l.gateway.origins.handleOrigins(m.From, m.Origins)
+	l.gateway.origins.handleOrigins(m)
 	if m.OriginQuery != nil {
-		l.gateway.origins.handleQuery(m.From, m.OriginQuery)
+		l.gateway.origins.handleQuery(m)
 	}
+	l.gateway.origins.log.handleRecorded(m.OriginsRecorded)
 	if m.OriginReply != nil {
 		l.gateway.origins.handleReply(m.From, m.OriginReply)
 	}
--- a/internal/gateway/reconnect.go
+++ b/internal/gateway/reconnect.go
@@ -18,8 +18,13 @@
 	originOnlyVersion = "only_version"
 	originMoved       = "moved" // the route leads to other services now
 	originUnknown     = "unknown"
+	originLost        = "lost" // nobody knows it, and it is not recorded
 )
 
+// lostRetryAfter is the pause for callers of streams whose version will not become known: to begin again is of
+// more use to them.
+const lostRetryAfter = 5 * time.Second
+
 // isReconnect reports whether the caller continues a stream of an earlier attempt.
 func (c *call) isReconnect() bool {
 	return c.gateway.settings.Load.BindStreams && c.route.Kind == catalog.Stream && c.route.Resumable && c.envelope.LastEvent != ""
@@ -32,7 +37,8 @@
 		return nil
 	}
 	began := time.Now()
-	f := c.gateway.origins.find(c.streamKey(), min(originWait, time.Until(c.expires)/2))
+	stream := candidate{c.streamKey(), c.service, c.longestStream()}
+	f := c.gateway.origins.find(stream, min(originWait, time.Until(c.expires)/2))
 	source := originKnown
 	switch {
 	case f.found && c.route.UsesService(f.origin.Service):
@@ -40,30 +46,54 @@
 	case f.found:
 		source = originMoved
 	default:
-		source = originOnlyVersion
-		version, only := c.gateway.origins.onlyVersion(c.service)
-		if !only || f.several[c.service] {
-			source = originUnknown
-			break
-		}
-		c.origin = &streams.Origin{Service: c.service, Version: version}
+		source = c.bindToOnlyVersion(stream, f)
 	}
 	importance := eventlog.StateChange
-	if source == originUnknown {
+	if source == originUnknown || source == originLost {
 		importance = eventlog.Failure
 	}
-	versions, since := c.gateway.origins.observed(c.service)
+	versions, knownFor := c.gateway.origins.observed(stream)
 	c.gateway.log.Write(importance, eventReconnect, eventlog.Fields{
 		"id": c.envelope.ID, "resumes": c.envelope.Resumes, "source": source, "service": c.service,
 		"origin_service": f.origin.Service, "origin_version": f.origin.Version, "took_ms": time.Since(began).Milliseconds(),
-		"versions": versions, "observed_ms": since.Milliseconds(), "asked": f.asked, "replied": f.replied, "others_know_several": f.several[c.service],
+		"versions": versions, "known_for_ms": knownFor.Milliseconds(), "asked": f.asked, "replied": f.replied, "others_know_several": f.several[c.service],
+		"records_read": f.recordsRead,
 	})
 	c.gateway.counters.reconnects.add(source)
-	if source == originUnknown {
+	switch source {
+	case originUnknown:
 		// Callers that lost an entry ask at the same moment.
 		return unknownStream.after(jitter(time.Second))
+	case originLost:
+		return lostStream.after(lostRetryAfter)
+	default:
+		return nil
 	}
-	return nil
+}
+
+// bindToOnlyVersion binds a stream that nobody knows to the version of its service if that has had no other at
+// which the stream may have begun. It returns how the origin was determined.
+func (c *call) bindToOnlyVersion(stream candidate, f finding) string {
+	version, only := c.gateway.origins.onlyVersion(stream)
+	switch {
+	case only && !f.several[c.service] && !c.route.IsSplit():
+		c.origin = &streams.Origin{Service: c.service, Version: version}
+		return originOnlyVersion
+	case f.recordsRead && f.asked == f.replied:
+		return originLost
+	default:
+		return originUnknown
+	}
+}
+
+// longestStream returns how long ago the latest run of a stream may have begun to which this call reconnects: it
+// may have taken the route's time, and callers pause for less than they have left.
+func (c *call) longestStream() time.Duration {
+	timeout := c.route.Timeout
+	if timeout == 0 {
+		timeout = defaultWaitLimit
+	}
+	return min(timeout+c.waitLimit()+originMargin, streams.VersionMemory)
 }
 
 // streamKey identifies the stream: by the request that brought its first event.
@@ -75,15 +105,23 @@
 	return streams.KeyOf(c.organisation, id)
 }
 
-// recordOrigin binds the call to the service and version that brought the stream's first event,
-// and makes them known before the event is passed on.
+// recordOrigin binds the call to the service and version that brought the stream's first event, and makes them
+// known before the event is passed on. Where they could not be deduced it waits, briefly, until they are recorded.
 func (c *call) recordOrigin(origin streams.Origin) {
 	if !c.gateway.settings.Load.BindStreams {
 		return
 	}
+	again := c.origin != nil
 	c.origin = &origin
-	if c.route.Resumable {
-		c.gateway.origins.recordBegin(c.streamKey(), origin, time.Until(c.arrived.Add(c.waitLimit()))+originMargin)
+	if !c.route.Resumable {
+		return
+	}
+	log := c.gateway.origins.log
+	await := !again && (c.route.IsSplit() || c.gateway.origins.isAmbiguous(origin.Service)) && log.confirmsSoon()
+	key := c.streamKey()
+	recorded := c.gateway.origins.recordBegin(key, origin, time.Until(c.arrived.Add(c.waitLimit()))+originMargin, await)
+	if await {
+		log.await(key, recorded, c.disconnected)
 	}
 }
 
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -34,6 +34,7 @@
 	tooLarge       = &reply{fasthttp.StatusRequestEntityTooLarge, "too_large", "the body exceeds the limit", 0}
 	crashesTargets = &reply{fasthttp.StatusServiceUnavailable, "crashes_targets", "each target that ran this request broke off; it was not run again", 0}
 	crashingPart   = &reply{fasthttp.StatusServiceUnavailable, "crashing_part", "targets crash when they answer on a part of this prompt; the request was not run", 0}
+	lostStream     = &reply{fasthttp.StatusServiceUnavailable, "lost_stream", "the server version that began the stream is not recorded; the request was not run. Begin the stream again", 0}
 	unknownStream  = &reply{fasthttp.StatusServiceUnavailable, "unknown_stream", "the server version that began the stream is not known; the request was not run. Begin the stream again", 0}
 )
 
--- a/internal/gateway/storerestored.go
+++ b/internal/gateway/storerestored.go
@@ -34,6 +34,7 @@
 func (f *feeds) rewriteLost() {
 	f.usageLost.Store(true)
 	f.gateway.state.rollouts.markLost()
+	signal(f.gateway.origins.versionLog.due)
 	signal(f.entriesDue)
 	if record := f.inForce.Load(); record != nil {
 		f.writeCopies(*record)
--- /dev/null
+++ b/internal/gateway/versionlog.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sycamoretrail/internal/core/streams"
+	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/feed"
+)
+
+// Which versions the services have had outlasts all entries in the store, in one record. An entry that has
+// just started would otherwise take those of its first list of targets for all that there were.
+
+const (
+	versionsKey = "versions"
+	// versionsRetry is the pause after the record could not be written, and the interval at which an entry
+	// that is not a reader checks whether it has become one.
+	versionsRetry = 250 * time.Millisecond
+)
+
+// storedVersions is the record of the versions of all services.
+type storedVersions struct {
+	// Generation is the generation of the store in which it was written.
+	Generation int64                    `json:"generation"`
+	Services   map[string]storedHistory `json:"services"`
+}
+
+// storedHistory is a streams.History; times are Unix milliseconds.
+type storedHistory struct {
+	SinceMS  int64            `json:"since_ms"`
+	Versions map[string]int64 `json:"versions"`
+}
+
+// versionLog records the versions of the services in the store.
+type versionLog struct {
+	gateway *Gateway
+	origins *origins
+	// due receives a signal when the listed versions have changed.
+	due chan struct{}
+	// firstStart: no earlier process of this entry has registered itself.
+	firstStart atomic.Bool
+
+	mutex            sync.Mutex
+	readAt, failedAt time.Time
+}
+
+func newVersionLog(g *Gateway, o *origins) *versionLog {
+	return &versionLog{gateway: g, origins: o, due: make(chan struct{}, 1)}
+}
+
+// run writes the record when the listed versions change, until the context ends. Each reader of the store
+// does, and entries that become one check it: the reader before may have ended first.
+func (l *versionLog) run(ctx context.Context) {
+	if !l.gateway.settings.Load.BindStreams {
+		return
+	}
+	pending := false
+	for {
+		retry := (<-chan time.Time)(nil)
+		if pending {
+			retry = time.After(versionsRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.due:
+			pending = true
+		case <-retry:
+		}
+		if !l.gateway.recordsUsage() {
+			continue
+		}
+		switch err := l.record(); {
+		case err == nil:
+			pending = false
+		case !errors.Is(err, feed.ErrConflict):
+			l.gateway.feeds.logStoreError(feed.Versions, err)
+		}
+	}
+}
+
+// record adds what this entry has observed to the record.
+func (l *versionLog) record() error {
+	stored, end, err := l.readRecord()
+	if err != nil {
+		return err
+	}
+	recorded := historiesOf(stored)
+	incomplete := stored.Generation != end.Generation
+	if incomplete {
+		for service, history := range recorded {
+			history.Since = time.Now()
+			recorded[service] = history
+		}
+	}
+	histories := l.origins.histories(recorded, l.coversOthers(stored, end))
+	if !incomplete && reflect.DeepEqual(storedOf(histories, end.Generation), stored) {
+		return nil
+	}
+	value, err := json.Marshal(storedOf(histories, end.Generation))
+	if err != nil {
+		return err
+	}
+	if err := l.gateway.platform.PutAt(feed.Versions, end, feed.Record{Key: versionsKey, Value: value}); err != nil {
+		return err
+	}
+	l.gateway.log.Write(eventlog.StateChange, eventVersionsRecorded, eventlog.Fields{"services": len(histories), "bytes": len(value)})
+	return nil
+}
+
+// readRecord reads the record and applies it to what this entry knows.
+func (l *versionLog) readRecord() (storedVersions, feed.Position, error) {
+	var stored storedVersions
+	records, end, err := l.gateway.platform.Snapshot(feed.Versions)
+	if err != nil {
+		return stored, end, err
+	}
+	for _, record := range records {
+		if record.Key != versionsKey {
+			continue
+		}
+		if err := json.Unmarshal(record.Value, &stored); err != nil {
+			l.gateway.feeds.logUndecodable(feed.Versions, record, err)
+			stored = storedVersions{Generation: -1}
+		}
+	}
+	l.origins.restore(historiesOf(stored), stored.Generation != end.Generation, l.coversOthers(stored, end))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.readAt = time.Now()
+	return stored, end, nil
+}
+
+// coversOthers reports whether services that are not in the record had no target before: a new service, or all
+// of them where no entry ran before. A store that was restored from an older copy may have lost them.
+func (l *versionLog) coversOthers(stored storedVersions, end feed.Position) bool {
+	switch {
+	case stored.Generation != end.Generation:
+		return false
+	case stored.Services != nil:
+		return true
+	default:
+		return end.Generation == 0 && l.firstStart.Load()
+	}
+}
+
+// read reads the record, unless that has just been done.
+func (l *versionLog) read() bool {
+	l.mutex.Lock()
+	fresh, failed := time.Since(l.readAt) < readFresh, time.Since(l.failedAt) < readRetry
+	l.mutex.Unlock()
+	if fresh || failed {
+		return fresh
+	}
+	_, _, err := l.readRecord()
+	if err != nil {
+		l.gateway.feeds.logStoreError(feed.Versions, err)
+		l.mutex.Lock()
+		l.failedAt = time.Now()
+		l.mutex.Unlock()
+	}
+	return err == nil
+}
+
+func historiesOf(stored storedVersions) map[string]streams.History {
+	histories := make(map[string]streams.History, len(stored.Services))
+	for service, each := range stored.Services {
+		history := streams.History{Since: timeOf(each.SinceMS), Versions: make(map[string]time.Time, len(each.Versions))}
+		for version, until := range each.Versions {
+			history.Versions[version] = timeOf(until)
+		}
+		histories[service] = history
+	}
+	return histories
+}
+
+func storedOf(histories map[string]streams.History, generation int64) storedVersions {
+	stored := storedVersions{Generation: generation, Services: make(map[string]storedHistory, len(histories))}
+	for service, each := range histories {
+		history := storedHistory{SinceMS: unixMilli(each.Since), Versions: make(map[string]int64, len(each.Versions))}
+		for version, until := range each.Versions {
+			history.Versions[version] = unixMilli(until)
+		}
+		stored.Services[service] = history
+	}
+	return stored
+}
+
+// timeOf and unixMilli convert Unix milliseconds, of which 0 stands for the zero time.
+func timeOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func unixMilli(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
--- a/internal/gossip/origin.go
+++ b/internal/gossip/origin.go
@@ -17,4 +17,6 @@
 	Origin *Origin `cbor:"2,keyasint,omitempty"`
 	// Several are services that have had targets of several versions lately, if Origin is nil.
 	Several []string `cbor:"3,keyasint,omitempty"`
+	// RecordsRead: the sender has read what is recorded in the store.
+	RecordsRead bool `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -27,6 +27,8 @@
 		"Requests handed off to another entry, by outcome.", "outcome")
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
 		"Streams to which callers reconnected, by how their version was determined.", "source")
+	GatewayOriginRecords = declare(KindCounter, "gateway_stream_origin_records_total",
+		"Appends of the origins of streams to the store, by outcome.", "outcome")
 	GatewayContradictions = declare(KindCounter, "gateway_contradicted_promises_total",
 		"Answers that promise that a request has not run, which a target may have run, by where they came from.", "source")
 	GatewayOrigins           = declare(KindGauge, "gateway_stream_origins", "Streams whose version this entry remembers.")
