One recorder of origins for 128 entries rather than for each cell

Six cells with two appends a second each, and seventeen while several versions serve, would double their calls. Recorders are now the first in rank of all entries, one for 128: one below that size, eight at 985, where each reads the batches of all for those that ask it. Batches gather 50 ms, or 8 ms for each recorder, so that all together stay at half of what a partition of the store takes (an append of 4 ms at a time).

--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/streams"
 	"sycamoretrail/internal/eventlog"
@@ -16,17 +18,19 @@
 	"sycamoretrail/internal/gossip"
 )
 
-// The origins of streams outlast all entries in the store. In each cell one entry, the recorder, appends
-// them in batches. Batches are keyed records: the store keeps the newest record of each key whatever else
+// The origins of streams outlast all entries in the store. A few entries, the recorders, append those of all in
+// batches. Batches are keyed records: the store keeps the newest record of each key whatever else
 // it forgets.
 
 const (
 	// recordTick is the interval at which batches are recorded that no stream waits for, recordGather the time
-	// for which those gather that streams do wait for. recordPerCell, for each cell, keeps the appends of all
-	// recorders below half of what a partition of the store takes.
-	recordTick    = 500 * time.Millisecond
-	recordGather  = 40 * time.Millisecond
-	recordPerCell = 8 * time.Millisecond
+	// for which those gather that streams do wait for. recordPerRecorder, for each recorder, keeps the appends
+	// of all together below half of what a partition of the store takes.
+	recordTick        = 500 * time.Millisecond
+	recordGather      = 50 * time.Millisecond
+	recordPerRecorder = 8 * time.Millisecond
+	// entriesPerRecorder is the number of entries for which one records.
+	entriesPerRecorder = 128
 	// confirmWait bounds the wait of a stream for its record, confirmPause is how long streams don't wait after
 	// one did in vain.
 	confirmWait  = 90 * time.Millisecond
@@ -71,10 +75,11 @@
 	origins *origins
 
 	mutex sync.Mutex
-	// recorder is the entry that records for this one's cell; self: this one does.
-	recorder peerset.Entry
-	self     bool
-	pending  streams.Pending
+	// recorder is the entry that records for this one; self: this one does. recorders is the number of all.
+	recorder  peerset.Entry
+	self      bool
+	recorders int
+	pending   streams.Pending
 	// urgent receives a signal when a stream waits for its record. waiting are the streams of this entry that
 	// do, confirmTo are the entries whose streams do. unconfirmedAt is when one waited in vain.
 	urgent        chan struct{}
@@ -94,7 +99,7 @@
 
 func newOriginLog(g *Gateway, o *origins) *originLog {
 	return &originLog{
-		gateway: g, origins: o, self: true, archive: streams.NewArchive(), urgent: make(chan struct{}, 1),
+		gateway: g, origins: o, self: true, recorders: 1, archive: streams.NewArchive(), urgent: make(chan struct{}, 1),
 		waiting: make(map[streams.Key]chan struct{}), confirmTo: make(map[streams.Key]string),
 	}
 }
@@ -122,7 +127,9 @@
 
 // gather returns the time for which a batch gathers.
 func (l *originLog) gather() time.Duration {
-	return max(recordGather, time.Duration(l.gateway.links.cells.Load().Count)*recordPerCell)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(recordGather, time.Duration(l.recorders)*recordPerRecorder)
 }
 
 // confirmsSoon reports whether streams may wait for their record.
@@ -153,14 +160,13 @@
 	l.mutex.Unlock()
 }
 
-// chooseRecorder chooses the entry that records for this one's cell: the first in rank of those that serve
-// and reach the store. A new one receives the running streams of this entry, since the one before may have
-// ended before it recorded them.
+// chooseRecorder chooses the entry that records for this one. A new one receives the running streams of this
+// entry, since the one before may have ended before it recorded them.
 func (l *originLog) chooseRecorder() {
-	chosen, self := l.rankedRecorder()
+	chosen, self, recorders := l.rankedRecorder()
 	l.mutex.Lock()
 	changed := l.self != self || !self && l.recorder.Name != chosen.Name
-	l.recorder, l.self = chosen, self
+	l.recorder, l.self, l.recorders = chosen, self, recorders
 	l.mutex.Unlock()
 	if !changed {
 		return
@@ -175,29 +181,26 @@
 	}
 }
 
-func (l *originLog) rankedRecorder() (recorder peerset.Entry, self bool) {
+// rankedRecorder returns one of the first in rank of the entries that serve and reach the store, self if it is
+// this one, and how many record. With another view of the others an entry chooses another recorder, which
+// records as well.
+func (l *originLog) rankedRecorder() (recorder peerset.Entry, self bool, recorders int) {
 	g := l.gateway
 	var able []peerset.Entry
-	cells := g.links.cells.Load()
 	for _, m := range g.readers() {
-		inCell := cells.Count == 1 || slices.ContainsFunc(cells.Peers, func(e peerset.Entry) bool { return e.Name == m.Name })
-		if m.State == peerset.Ready && !m.StoreDisconnected && inCell {
+		if m.State == peerset.Ready && !m.StoreDisconnected {
 			able = append(able, m.Entry)
 		}
 	}
-	if len(able) == 0 {
-		return peerset.Entry{}, true
-	}
-	first := able[0].Name
-	if g.ready() && !g.feeds.isStoreDisconnected() {
-		first = g.self.Name
-	}
-	first = firstOf(first, able)
-	at := slices.IndexFunc(able, func(e peerset.Entry) bool { return e.Name == first })
-	if at < 0 {
-		return peerset.Entry{}, true
+	if len(able) == 0 || g.ready() && !g.feeds.isStoreDisconnected() {
+		able = append(able, g.self)
 	}
-	return able[at], false
+	slices.SortFunc(able, func(a, b peerset.Entry) int { return dispatch.CompareNames(a.Name, b.Name) })
+	recorders = (len(able) + entriesPerRecorder - 1) / entriesPerRecorder
+	name := fnv.New32a()
+	_, _ = name.Write([]byte(g.self.Name))
+	recorder = able[int(name.Sum32()%uint32(recorders))]
+	return recorder, recorder.Name == g.self.Name, recorders
 }
 
 // current returns the recorder, unless this entry is the one.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -190,8 +190,8 @@
 }
 
 // readRecords reads what the store holds of a stream and of the versions of services. In a fleet of several
-// cells the recorder of the cell reads the streams, which are too many for each entry to read. It reports
-// whether the stream was looked for.
+// cells the recorder reads the streams, which are too many for each entry to read. It reports whether the stream
+// was looked for.
 func (o *origins) readRecords(stream candidate, query *originQuery, limit time.Duration) bool {
 	if !o.versionLog.read() {
 		return false
