Lines of refused parts tell how many runs were answered

Change: the memory of answers counts, and the lines have answered_runs. The decisions are as before: they ask whether the count is above zero. A request as a whole has none, as answers to requests are not remembered.

--- a/internal/core/crashes/causes.go
+++ b/internal/core/crashes/causes.go
@@ -57,8 +57,9 @@
 	Quarantined bool
 	Crashes     int
 	Targets     []string
-	Answered    bool
-	Stage       int
+	// Answered is how many answers to requests with the cause are remembered.
+	Answered uint32
+	Stage    int
 	// ProbeIn is the time to the next probe.
 	ProbeIn time.Duration
 }
--- a/internal/core/crashes/causes_test.go
+++ b/internal/core/crashes/causes_test.go
@@ -177,6 +177,27 @@
 	g.Expect(s.Check(at, partsOf("p")).Refused).To(BeTrue(), "refused although it had been answered")
 }
 
+// Guards against an operator not seeing what spoke for a part that is refused, or is so no longer.
+func TestChangesTellAnsweredRuns(t *testing.T) {
+	for name, answered := range map[string]int{"never answered": 0, "answered": 3} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newCauses()
+			for range answered {
+				s.RecordAnswer(now, partsOf("p"))
+			}
+			at := crashInTurn(s, now, 6, "p")
+			s.RecordAnswer(at, partsOf("p"))
+			changes := s.Changes()
+			g.Expect(changes).To(HaveLen(2))
+			g.Expect(changes[0].Quarantined).To(BeTrue())
+			g.Expect(changes[0].Answered).To(BeEquivalentTo(answered))
+			g.Expect(changes[1].Quarantined).To(BeFalse())
+			g.Expect(changes[1].Answered).To(BeEquivalentTo(answered + 1))
+		})
+	}
+}
+
 // Guards against an entry that has missed an answer making others refuse the part again.
 func TestQuarantineOfAnsweredPartIsNotTakenOver(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/core/crashes/quarantine.go
+++ b/internal/core/crashes/quarantine.go
@@ -15,7 +15,7 @@
 func (s *Causes) quarantine(now time.Time, crossed []*suspect) {
 	changes := make([]Change, 0, len(crossed))
 	for _, known := range crossed {
-		change := Change{Cause: known.cause, Quarantined: true, Crashes: s.count(now, known), Answered: s.answered.has(known.cause.key())}
+		change := Change{Cause: known.cause, Quarantined: true, Crashes: s.count(now, known), Answered: s.answered.count(known.cause.key())}
 		for _, c := range known.crashes {
 			change.Targets = append(change.Targets, c.target)
 		}
@@ -27,7 +27,7 @@
 		changes = append(changes, change)
 	}
 	for i, known := range crossed {
-		known.despiteAnswers = changes[i].Answered
+		known.despiteAnswers = changes[i].Answered > 0
 		s.startQuarantine(now, known)
 		changes[i].ProbeIn = known.probeAt.Sub(now)
 	}
--- a/internal/core/crashes/suspect.go
+++ b/internal/core/crashes/suspect.go
@@ -90,5 +90,5 @@
 		}
 	}
 	known.coSuspects = make(map[Cause]struct{})
-	s.changes = append(s.changes, Change{Cause: known.cause, Answered: s.answered.has(known.cause.key()), Stage: known.stage})
+	s.changes = append(s.changes, Change{Cause: known.cause, Answered: s.answered.count(known.cause.key()), Stage: known.stage})
 }
--- a/internal/gateway/crashstate.go
+++ b/internal/gateway/crashstate.go
@@ -83,7 +83,7 @@
 }
 
 func (s *state) logCause(change crashes.Change) {
-	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered, "probes": change.Stage}
+	fields := eventlog.Fields{change.Cause.Kind.String(): change.Cause.ID, "service": change.Cause.Service, "answered": change.Answered > 0, "answered_runs": change.Answered, "probes": change.Stage}
 	if !change.Quarantined {
 		s.log.Write(eventlog.StateChange, eventsOfCauses[change.Cause.Kind].allowed, fields)
 		return
