The end of an answer without a length counts only if it is its target's

Cause: whether the target still runs was taken from whether anything accepts a connection at its address when the end is read. That holds only if the end is read as it arrives, not after a pause of the entry or where a slow caller keeps a stream unread.

Change: upstream notes when a connection last had nothing to read, and internal/pause that the process did not run. Where the end is seen late, the target's health path is asked, and has to name the target; otherwise the answer is broken off.

--- a/cmd/sycamore-gateway/start_test.go
+++ b/cmd/sycamore-gateway/start_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -14,28 +15,72 @@
 	"sycamoretrail/platform/platformtest"
 )
 
-// Guards against a process being ended by SIGHUP, which only asks it to read its settings, because it
-// has just been started.
-func TestHangupRightAfterStart(t *testing.T) {
+// buildDir holds the program; "": it has not been built.
+var buildDir string
+
+// build builds the program once for all tests.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "sycamore-gateway")
+	if err != nil {
+		return "", err
+	}
+	buildDir = dir
+	path := filepath.Join(dir, "sycamore-gateway")
+	if output, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, output)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+	os.Exit(code)
+}
+
+// process is a gateway that runs as a program.
+type process struct {
+	*exec.Cmd
+	callers, ready string
+	ended          chan error
+}
+
+// startProcess starts the program with a store's address; it is killed after the test.
+func startProcess(t *testing.T, store string) *process {
 	g := NewWithT(t)
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "sycamore-gateway")
-	output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(output))
-	var addresses [5]any
-	for i := range addresses {
-		addresses[i], err = platformtest.FreeAddress()
+	program, err := build()
+	g.Expect(err).NotTo(HaveOccurred())
+	p := &process{ended: make(chan error, 1)}
+	var directory, links string
+	for _, address := range []*string{&p.callers, &directory, &p.ready, &links} {
+		*address, err = platformtest.FreeAddress()
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	file := filepath.Join(dir, "settings.json")
-	content := fmt.Sprintf(`{"name": "entry-1", "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, addresses[:]...)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	content := fmt.Sprintf(`{"name": "entry-1", "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, p.callers, directory, p.ready, links, store)
 	g.Expect(os.WriteFile(file, []byte(content), 0o600)).To(Succeed())
-	process := exec.Command(binary, "run", "--settings", file)
-	g.Expect(process.Start()).To(Succeed())
-	ended := make(chan error, 1)
-	go func() { ended <- process.Wait() }()
+	p.Cmd = exec.Command(program, "run", "--settings", file)
+	g.Expect(p.Start()).To(Succeed())
+	go func() {
+		p.ended <- p.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		<-p.ended
+	})
+	return p
+}
+
+// Guards against a process being ended by SIGHUP, which only asks it to read its settings, because it
+// has just been started.
+func TestHangupRightAfterStart(t *testing.T) {
+	g := NewWithT(t)
+	store, err := platformtest.FreeAddress()
+	g.Expect(err).NotTo(HaveOccurred())
+	process := startProcess(t, store)
 	g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
-	g.Consistently(ended, 500*time.Millisecond).ShouldNot(Receive())
-	g.Expect(process.Process.Kill()).To(Succeed())
-	<-ended
+	g.Consistently(process.ended, 500*time.Millisecond).ShouldNot(Receive())
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -106,7 +106,9 @@
 	Version       int64
 	Routes        []Route
 	Organisations []Organisation
-	Limits        Limits
+	// HealthPaths are the paths at which the targets of services say who they are, by service.
+	HealthPaths map[string]string
+	Limits      Limits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
@@ -146,6 +148,9 @@
 	return organisation, found
 }
 
+// HealthPath returns the path at which a service's targets say who they are, or "".
+func (c *Configuration) HealthPath(service string) string { return c.HealthPaths[service] }
+
 // HasOrganisations reports whether callers have to send keys at all.
 func (c *Configuration) HasOrganisations() bool { return len(c.Organisations) > 0 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"sycamoretrail/internal/gossip"
 	"sycamoretrail/internal/ingress"
 	"sycamoretrail/internal/netconn"
+	"sycamoretrail/internal/pause"
 	"sycamoretrail/internal/settings"
 	"sycamoretrail/internal/telemetry"
 	"sycamoretrail/internal/upstream"
@@ -85,10 +86,12 @@
 	metrics  *telemetry.Metrics
 	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions tally }
 
-	state *state
-	pool  *upstream.Pool
-	links *links
-	feeds *feeds
+	// pauses detects that this process did not run.
+	pauses *pause.Detector
+	state  *state
+	pool   *upstream.Pool
+	links  *links
+	feeds  *feeds
 	// isolation tracks whether targets can be reached.
 	isolation *isolation
 	handoffs  *handoffs
@@ -139,15 +142,16 @@
 func NewWithDial(s settings.Gateway, platform Platform, logger *logrus.Logger, dialTarget func(address string) (net.Conn, error)) *Gateway {
 	now := time.Now()
 	gates := newGates(ingress.Descriptors(s.MaxDescriptors))
+	pauses := &pause.Detector{}
 	g := &Gateway{
-		gates:    gates,
+		gates: gates, pauses: pauses,
 		settings: s, platform: platform, started: now, logger: logger, syncDone: make(chan struct{}),
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
 			Name: s.Name, Incarnation: rand.Uint64(), Zone: s.Zone, Callers: s.CallersAddress, Links: advertisedLinks(s),
 		},
-		pool: upstream.NewPool(upstream.Options{Dial: gates.callers.Dialer(dialTarget), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
+		pool: upstream.NewPool(upstream.Options{Dial: gates.callers.Dialer(dialTarget), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle, Paused: pauses.Since}),
 	}
 	g.state = &state{
 		log:         g.log,
@@ -189,7 +193,7 @@
 	go g.feeds.run(work)
 	go g.state.rollouts.run(work)
 	go g.housekeep(work)
-	go g.watchSuspension(work)
+	go g.pauses.Run(work, g.handlePause)
 	go g.isolation.run(work)
 	for _, s := range servers {
 		go g.serveOn(s)
--- a/internal/gateway/handoffpeers.go
+++ b/internal/gateway/handoffpeers.go
@@ -25,7 +25,7 @@
 func newHandoffs(g *Gateway) *handoffs {
 	return &handoffs{
 		gateway: g, avoided: make(map[string]time.Time),
-		pool: upstream.NewPool(upstream.Options{Dial: g.gates.callers.Dialer(targetConn.Dial), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle}),
+		pool: upstream.NewPool(upstream.Options{Dial: g.gates.callers.Dialer(targetConn.Dial), KeepIdle: targetKeepIdle, IdleMargin: targetIdleMargin, MaxIdle: targetMaxIdle, Paused: g.pauses.Since}),
 	}
 }
 
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -105,6 +105,8 @@
 type AnswerHead struct {
 	// ID is the id of the request that the answer belongs to.
 	ID string
+	// Target is the id of the server that answers; empty: not declared.
+	Target string
 	// NotRun: the target declares that it did not run the request.
 	NotRun bool
 	// Replaced: the server at this address is not the one that the request was meant for.
@@ -128,6 +130,8 @@
 	AppendHead(dst []byte, header *fasthttp.RequestHeader, send ForwardInfo) []byte
 	// AppendHandoffHead appends the request line and headers for another entry.
 	AppendHandoffHead(dst []byte, header *fasthttp.RequestHeader, handoff HandoffInfo) []byte
+	// AppendHealthHead appends a request for a target at a health path, which it answers with its id.
+	AppendHealthHead(dst []byte, path string, target *catalog.Target) []byte
 	// ReadAnswerHead reads the head of a target's answer.
 	ReadAnswerHead(status int, header http.Header) AnswerHead
 	// DecodeConfiguration returns nil for operators' records that hold no configuration.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -144,6 +144,7 @@
 		Matches: func(h http.Header) bool {
 			return c.gateway.platform.ReadAnswerHead(0, h).ID == c.envelope.ID && h.Get("Content-Encoding") == ""
 		},
+		Identity: c.identityOf(&grant.Target),
 	}
 	sent := time.Now()
 	answer, err := c.gateway.pool.Send(conn, exchange)
@@ -169,6 +170,19 @@
 	return answer, head, nil
 }
 
+// identityOf returns how a target is told from another process at its address; nil: it has no health path.
+func (c *call) identityOf(target *catalog.Target) *upstream.Identity {
+	path := c.config.HealthPath(target.Service)
+	if path == "" {
+		return nil
+	}
+	translate := c.gateway.platform
+	return &upstream.Identity{
+		Head:     func() []byte { return translate.AppendHealthHead(nil, path, target) },
+		Confirms: func(h http.Header) bool { return translate.ReadAnswerHead(0, h).Target == target.ID },
+	}
+}
+
 // connect returns a connection to a target or another entry. After one has broken, idle ones may be
 // broken too without having shown it; a request lost on one would use up an attempt.
 func (c *call) connect(pool *upstream.Pool, address string, maxAge time.Duration) (*upstream.Conn, error) {
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Options bounds the time until a lost peer is detected.
@@ -77,6 +79,29 @@
 	return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
+// Readable reports whether a read would return at once: with data, the end or an error. Unlike Stale it
+// leaves an error to the next call on the connection, as the kernel reports a reset once. It returns false
+// if the connection does not give access to its socket.
+func Readable(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var ready int
+	var pollErr error
+	err = raw.Control(func(fd uintptr) {
+		pollErr = unix.EINTR
+		for pollErr == unix.EINTR {
+			ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		}
+	})
+	return err != nil || pollErr != nil || ready > 0
+}
+
 // peek checks for unread data, without consuming it and without blocking. It returns
 // EAGAIN if there is none, or if the connection does not give access to its socket.
 func peek(conn net.Conn) (n int, err error) {
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -31,6 +31,10 @@
 	left int
 	// ended: a read has failed, as it does when the connection is lost.
 	ended bool
+	// requested: a request has been written, and nothing read since. observed: it matters when the end of
+	// the answer arrives.
+	requested, observed bool
+	wait                wait
 }
 
 func (s *source) Read(p []byte) (int, error) {
@@ -40,7 +44,8 @@
 	if s.left != unbounded {
 		p = p[:min(len(p), s.left)]
 	}
-	n, err := s.conn.Read(p)
+	n, err := s.wait.read(s.conn, p, s.isEmpty())
+	s.requested = false
 	if s.left != unbounded {
 		s.left -= n
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,6 +32,7 @@
 
 	conn     *Conn
 	pool     *Pool
+	exchange *Exchange
 	body     io.ReadCloser
 	keep     time.Duration
 	finished bool
@@ -74,6 +75,9 @@
 	Deadline time.Time
 	// Matches reports whether an answer's head belongs to the request.
 	Matches func(http.Header) bool
+	// Identity is how the target says who it is, which is asked where the end of an answer shows nothing;
+	// nil: it can't.
+	Identity *Identity
 
 	// Use is set by Send.
 	Use Use
@@ -103,6 +107,7 @@
 		return nil, err
 	}
 	_ = conn.SetReadDeadline(x.Deadline)
+	conn.source.requested = true
 	for range maxMismatches + 1 {
 		response, err := conn.readHead(x.Method)
 		if err != nil {
@@ -110,9 +115,11 @@
 			return nil, conn.readError(err)
 		}
 		if x.Matches(response.Header) {
+			framing := framingOf(response)
+			conn.source.observed = framing == FramedByClose
 			return &Answer{
-				Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framingOf(response),
-				conn: conn, pool: p, body: response.Body, keep: p.keepAlive(response),
+				Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing,
+				conn: conn, pool: p, exchange: x, body: response.Body, keep: p.keepAlive(response),
 			}, nil
 		}
 		// This may be a late second answer to an earlier request, followed by the answer
@@ -246,9 +253,11 @@
 	case a.conn.writeReset():
 		return fmt.Errorf("%w: reset while the request was written", ErrBroken)
 	case !a.pool.alive(a.conn.address):
-		return fmt.Errorf("%w: the target ended with its answer", ErrBroken)
-	default:
+		return errEnded
+	case a.conn.source.isRecent(a.pool.options.Paused):
 		return nil
+	default:
+		return a.pool.identify(a.conn.address, a.exchange)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,6 +40,8 @@
 	IdleMargin time.Duration
 	// MaxIdle bounds the number of idle connections to one address.
 	MaxIdle int
+	// Paused reports whether this process has been paused since a time; nil: it never is.
+	Paused func(since time.Time) bool
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -137,9 +139,9 @@
 	return nil
 }
 
-// alive reports whether the process that listens at an address still runs: it accepts a
-// connection, which is kept for the next request. Idle connections show nothing: the kernel closes
-// those of a process that has ended one after the other.
+// alive reports whether a process listens at an address: it accepts a connection, which is kept for
+// the next request. Idle connections show nothing: the kernel closes those of a process that has ended
+// one after the other.
 func (p *Pool) alive(address string) bool {
 	conn, err := p.open(address)
 	if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -134,9 +134,11 @@
 	g.Expect(errors.Is(err, upstream.ErrBroken)).To(BeTrue(), "%v", err)
 }
 
-func newPool() *upstream.Pool {
+func newPool() *upstream.Pool { return upstream.NewPool(poolOptions()) }
+
+func poolOptions() upstream.Options {
 	options := netconn.Options{Connect: time.Second, Unacknowledged: time.Second, ProbeAfter: time.Second, ProbeEvery: time.Second}
-	return upstream.NewPool(upstream.Options{Dial: options.Dial, KeepIdle: time.Minute, MaxIdle: 1})
+	return upstream.Options{Dial: options.Dial, KeepIdle: time.Minute, MaxIdle: 1}
 }
 
 // send sends a request whose body fills the socket's buffers.
