--- a/cmd/sycamore-gateway/start_test.go
+++ b/cmd/sycamore-gateway/start_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -84,3 +85,30 @@
 	g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
 	g.Consistently(process.ended, 500*time.Millisecond).ShouldNot(Receive())
 }
+
+// Guards against the same from the moment on at which the program runs, before any of its packages does.
+func TestHangupBeforeMain(t *testing.T) {
+	for range 10 {
+		g := NewWithT(t)
+		store, err := platformtest.FreeAddress()
+		g.Expect(err).NotTo(HaveOccurred())
+		process := startProcess(t, store)
+		g.Eventually(process.handlesSignals, time.Second, 50*time.Microsecond).Should(BeTrue())
+		g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		g.Consistently(process.ended, 200*time.Millisecond).ShouldNot(Receive())
+	}
+}
+
+// handlesSignals reports whether the process handles any signal, as the Go runtime does once it runs.
+func (p *process) handlesSignals() bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(status)) {
+		if caught, found := strings.CutPrefix(line, "SigCgt:"); found {
+			return strings.Trim(caught, "\t\n0") != ""
+		}
+	}
+	return false
+}
