--- a/internal/core/dispatch/brittle.go
+++ b/internal/core/dispatch/brittle.go
@@ -7,6 +7,8 @@
 type Brittleness struct {
 	Declared   bool
 	Rejections int
+	// Malformed: the declaration can't be read, so that the one before goes on to hold.
+	Malformed bool
 }
 
 // maxBrittlePause bounds the time for which a brittle target gets nothing from an entry after a
@@ -17,7 +19,13 @@
 // reports whether that differs from what was known.
 func (s *Scheduler) ObserveBrittleness(ticket *Ticket, brittleness Brittleness) (changed bool) {
 	at := ticket.target
-	if at == nil || at.brittleness == brittleness {
+	if at == nil {
+		return false
+	}
+	if brittleness.Malformed {
+		brittleness.Declared, brittleness.Rejections = at.brittleness.Declared, at.brittleness.Rejections
+	}
+	if at.brittleness == brittleness {
 		return false
 	}
 	at.brittleness = brittleness
--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -63,3 +63,37 @@
 	}
 	return rejected
 }
+
+// Guards against a declaration that can't be read ending or replacing the one before, and against a report of
+// a change for each answer.
+func TestMalformedBrittlenessIsIgnored(t *testing.T) {
+	malformed := dispatch.Brittleness{Malformed: true}
+	declared := dispatch.Brittleness{Declared: true, Rejections: 2}
+	for name, test := range map[string]struct {
+		answers []dispatch.Brittleness
+		changes []bool
+		brittle int
+	}{
+		"at first":            {[]dispatch.Brittleness{malformed, malformed}, []bool{true, false}, 0},
+		"after a declaration": {[]dispatch.Brittleness{declared, malformed, malformed}, []bool{true, true, false}, 1},
+		"before its end":      {[]dispatch.Brittleness{declared, malformed, {}, {}}, []bool{true, true, true, false}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := dispatch.New(dispatch.Config{Zone: "a", Name: "entry-1"})
+			s.SetTargets(start, targets(1, 4))
+			_, effects := s.Submit(start, ask("1"))
+			ticket := effects.Grants[0].Ticket
+			var changes []bool
+			for _, answer := range test.answers {
+				changes = append(changes, s.ObserveBrittleness(ticket, answer))
+			}
+			g.Expect(changes).To(Equal(test.changes))
+			brittle := 0
+			for _, sum := range s.Services(start) {
+				brittle += sum.Brittle
+			}
+			g.Expect(brittle).To(Equal(test.brittle))
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 	logger   *logrus.Logger
 	log      *eventlog.Log
 	metrics  *telemetry.Metrics
-	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions tally }
+	counters struct{ settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions, malformed tally }
 
 	// pauses detects that this process did not run.
 	pauses *pause.Detector
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,6 +73,7 @@
 	g.counters.tries.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayTries, n, key) })
 	g.counters.handoffs.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayHandoffs, n, key) })
 	g.counters.reconnects.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayReconnects, n, key) })
+	g.counters.malformed.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayMalformed, n, key) })
 	g.counters.contradictions.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayContradictions, n, key) })
 	m.Set(telemetry.GatewayRefusedCauses, float64(refused))
 	m.Set(telemetry.GatewaySuspectedCauses, float64(suspected))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -217,11 +217,7 @@
 		return
 	}
 	c.gateway.state.observeLimit(grant.Ticket, head.Limit)
-	if c.gateway.state.observeBrittleness(grant.Ticket, head.Brittleness) {
-		c.gateway.log.Write(eventlog.StateChange, eventBrittle, eventlog.Fields{
-			"target": grant.Target.ID, "brittle": head.Brittleness.Declared, "rejections": head.Brittleness.Rejections,
-		})
-	}
+	c.applyBrittleness(grant, head.Brittleness)
 	if head.Pause > 0 {
 		c.gateway.log.Write(eventlog.StateChange, eventPause, eventlog.Fields{
 			"id": c.envelope.ID, "target": grant.Target.ID, "pause_ms": head.Pause.Milliseconds(),
@@ -233,6 +229,18 @@
 	}
 }
 
+func (c *call) applyBrittleness(grant *dispatch.Grant, brittleness dispatch.Brittleness) {
+	if brittleness.Malformed {
+		c.gateway.counters.malformed.add(c.service)
+	}
+	if !c.gateway.state.observeBrittleness(grant.Ticket, brittleness) {
+		return
+	}
+	c.gateway.log.Write(eventlog.StateChange, eventBrittle, eventlog.Fields{
+		"target": grant.Target.ID, "brittle": brittleness.Declared, "rejections": brittleness.Rejections, "malformed": brittleness.Malformed,
+	})
+}
+
 // closeAnswer returns the connection to the pool. It clears c.sending first, since a
 // disconnect of the caller must not close a connection that may already carry another request.
 func (c *call) closeAnswer(answer *upstream.Answer) {
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -50,6 +50,8 @@
 		"Of these, those that declare a limit on their requests a second.", "service")
 	GatewayBrittle = declare(KindGauge, "gateway_service_targets_brittle",
 		"Of these, those that declare how many rejections a second they bear.", "service")
+	GatewayMalformed = declare(KindCounter, "gateway_malformed_declarations_total",
+		"Answers whose declaration of the rejections that their target bears can't be read, and is ignored.", "service")
 	GatewayLateGrants = declare(KindCounter, "gateway_late_grants_total",
 		"Requests that got a slot although they were expected to miss their objective.", "service")
 	GatewayExcess = declare(KindCounter, "gateway_excess_requests_total",
