Entries that start without the operators' orders resume recorded roll-outs

Cause: with a copy of the configuration an entry accepts requests before it has read the orders, and takes all versions of its first list of targets for versions in use.

Change: before it takes a copy it reads the records of roll-outs, as the orders come into force before the configuration elsewhere. If these cannot be read either, it tries for 2 s after its start and then serves without them. An order without a record (its first step is written at once) is still missed.

A start while the operators' topic is away costs one more call.

--- a/internal/gateway/configcopies.go
+++ b/internal/gateway/configcopies.go
@@ -12,6 +12,9 @@
 	// reads a copy; an available store answers within some milliseconds.
 	copyAfter = 250 * time.Millisecond
 	copyRetry = 300 * time.Millisecond
+	// resumeWithin is the time after the start for which an entry does without a configuration rather
+	// than without the records of roll-outs: it would send a new version its full share of the requests.
+	resumeWithin = 2 * time.Second
 )
 
 // copyTopics are the topics that hold copies.
@@ -36,7 +39,7 @@
 
 // loadCopy puts a copy of the configuration in force if the operators' record cannot be read.
 // A copy that is older than the operators' newest version holds only until that can be read,
-// since versions only increase.
+// since versions only increase. As with the operators' records, roll-outs come into force first.
 func (f *feeds) loadCopy(ctx context.Context) {
 	pause := copyAfter
 	for try := 0; ; try++ {
@@ -52,6 +55,12 @@
 		if !f.storeDisconnected[feed.Operators].Load() {
 			continue // the store answers; there is no configuration yet
 		}
+		if err := f.gateway.state.rollouts.resume(); err != nil {
+			f.logStoreError(feed.Rollouts, err)
+			if time.Since(f.gateway.started) < resumeWithin {
+				continue
+			}
+		}
 		topic := copyTopics[try%len(copyTopics)]
 		records, _, err := f.gateway.platform.Snapshot(topic)
 		if err != nil {
--- a/internal/gateway/rolloutstore.go
+++ b/internal/gateway/rolloutstore.go
@@ -66,31 +66,49 @@
 	BeganMS    int64    `json:"began_ms"`
 }
 
-func recordOf(order rollout.Order, r rolloutRecord) rollout.Record {
+func recordOf(service string, r rolloutRecord) rollout.Record {
 	return rollout.Record{
-		Order: rollout.Order{ID: r.Order, Service: order.Service, To: r.To, Duration: milliseconds(r.DurationMS)},
+		Order: rollout.Order{ID: r.Order, Service: service, To: r.To, Duration: milliseconds(r.DurationMS)},
 		Phase: rollout.Phase(r.Phase), From: r.From, Began: time.UnixMilli(r.BeganMS),
 	}
 }
 
-// latestRecord returns the store's record of an order's service, and the end of the topic.
-func (r *rollouts) latestRecord(order rollout.Order) (record rollout.Record, end feed.Position, err error) {
+// storedRecords returns the store's records of roll-outs by service, and the end of the topic.
+func (r *rollouts) storedRecords() (stored map[string]rollout.Record, end feed.Position, err error) {
 	records, end, err := r.gateway.platform.Snapshot(feed.Rollouts)
 	if err != nil {
-		return rollout.Record{}, feed.Position{}, err
+		return nil, feed.Position{}, err
 	}
+	stored = make(map[string]rollout.Record, len(records))
 	for _, each := range records {
-		if each.Key != order.Service {
-			continue
-		}
 		var kept rolloutRecord
 		if err := json.Unmarshal(each.Value, &kept); err != nil {
 			r.gateway.feeds.logUndecodable(feed.Rollouts, each, err)
 			continue
 		}
-		record = recordOf(order, kept)
+		stored[each.Key] = recordOf(each.Key, kept)
+	}
+	return stored, end, nil
+}
+
+// latestRecord returns the store's record of an order's service, and the end of the topic.
+func (r *rollouts) latestRecord(order rollout.Order) (record rollout.Record, end feed.Position, err error) {
+	stored, end, err := r.storedRecords()
+	return stored[order.Service], end, err
+}
+
+// resume continues the recorded roll-outs at an entry that cannot read their orders.
+func (r *rollouts) resume() error {
+	stored, end, err := r.storedRecords()
+	if err != nil {
+		return err
+	}
+	for _, record := range stored {
+		if r.addOrder(record.Order, end.Generation, false) {
+			r.restore(record)
+		}
 	}
-	return record, end, nil
+	return nil
 }
 
 // readRecord reads and applies the store's record of an order's roll-out.
