Entries that have just started do not take missing targets of the previous version for gone

Cause: a tracker without targets of the previous version sends all requests to the new one, since the roll-out may have ended before the start. Registrations that expired during an outage look the same.

What became of the order is read before the entry accepts requests, so that a start after a completed roll-out refuses nothing: it waits for one more answer of the store.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -84,6 +84,9 @@
 	// StopWithin is the time within which a version that has been found to be bad must no
 	// longer receive requests.
 	StopWithin time.Duration
+	// RenewalTime is the time for which the registration of a target that serves may be missing. Zero if
+	// the entry has followed the targets since before the order.
+	RenewalTime time.Duration
 }
 
 // RouteKey returns the key of a route in observations.
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -60,6 +60,9 @@
 	// versions, once the targets have been placed.
 	placed                    bool
 	canaryTargets, oldTargets int
+	// firstPlaced is when they were placed first. oldSeen: there have been targets of old versions.
+	firstPlaced time.Time
+	oldSeen     bool
 	// rotation is the rotation for which they have been placed.
 	rotation int
 	// routeCounts are exponentially decaying counts of requests by route.
@@ -172,10 +175,9 @@
 		return false
 	case t.phase == Shifting:
 		return true
-	case t.placed && t.oldTargets == 0:
-		// There are no old targets: this entry has started after the end of the roll-out, or
-		// the old servers are lost. Sending nothing to the new ones would refuse all
-		// requests.
+	case t.oldTargetsLost(now):
+		// This entry has started after the end of the roll-out, or the old servers are lost.
+		// Sending nothing to the new ones would refuse all requests.
 		return t.canaryTargets > 0
 	case !t.canaryOpen(now) || t.canaryTargets == 0:
 		return false
@@ -184,6 +186,12 @@
 	}
 }
 
+// oldTargetsLost reports whether there are no old targets. If this entry has never seen one, their
+// registrations may be missing after an outage of the store.
+func (t *Tracker) oldTargetsLost(now time.Time) bool {
+	return t.placed && t.oldTargets == 0 && (t.oldSeen || now.Sub(t.firstPlaced) >= t.bounds.RenewalTime)
+}
+
 const (
 	// routeDecay is the share by which the counts of all routes decay with each request of
 	// the service.
@@ -265,6 +273,9 @@
 // must not get requests. current is the pool of the old versions.
 func (t *Tracker) Place(now time.Time, targets []catalog.Target, current string) []catalog.Target {
 	var placed, newTargets []catalog.Target
+	if !t.placed {
+		t.firstPlaced = now
+	}
 	t.placed, t.oldTargets, t.rotation = true, 0, t.rotationAt(now)
 	if t.phase < Completed {
 		t.others = OtherVersions(targets, t.order.To)
@@ -286,6 +297,7 @@
 		}
 		placed = append(placed, target)
 	}
+	t.oldSeen = t.oldSeen || t.oldTargets > 0
 	if t.phase == RolledBack {
 		return placed
 	}
--- a/internal/core/rollout/tracker_test.go
+++ b/internal/core/rollout/tracker_test.go
@@ -92,6 +92,34 @@
 	w.Expect(tracker.UsesNew(startTime, 1, 0.99)).To(BeTrue())
 }
 
+// Guards against an entry that takes the previous version for gone because its registrations are missing:
+// it would send all requests to a version under roll-out.
+func TestMissingTargetsAreNotLostAtOnce(t *testing.T) {
+	const renewal = 2 * time.Second
+	for _, c := range []struct {
+		name    string
+		renewal time.Duration
+		// before are the targets of the previous version at the start.
+		before  int
+		elapsed time.Duration
+		usesNew bool
+	}{
+		{"none seen since the start", renewal, 0, renewal - 1, false},
+		{"none seen for long", renewal, 0, renewal, true},
+		{"seen before", renewal, 3, 0, true},
+		{"followed since before the order", 0, 0, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := NewWithT(t)
+			tracker := rollout.NewTracker(startTime, rollout.Order{ID: 5, Service: "engines", To: "v2", Duration: 12 * time.Second}, rollout.Bounds{ExposureShare: 0.1, StopWithin: 5 * time.Second, RenewalTime: c.renewal})
+			tracker.Place(startTime, append(targetsOf("v1", c.before), targetsOf("v2", 3)...), "engines")
+			at := startTime.Add(c.elapsed)
+			tracker.Place(at, targetsOf("v2", 3), "engines")
+			w.Expect(tracker.UsesNew(at, 1, 0.99)).To(Equal(c.usesNew))
+		})
+	}
+}
+
 // Servers of a new version register before the entry has read the order to move to them.
 // They get no requests until the orders have been read up to a later moment; without an
 // order they are used from then on. If nothing else serves, they are used at once.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -10,6 +10,7 @@
 
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/registry"
+	"sycamoretrail/internal/core/rollout"
 	"sycamoretrail/internal/eventlog"
 	"sycamoretrail/internal/feed"
 	"sycamoretrail/internal/settings"
@@ -41,6 +42,8 @@
 
 	// targetsRead is set once the registry of targets has been read.
 	targetsRead atomic.Bool
+	// progressPending counts the reads of roll-outs' records that an entry waits for when it starts.
+	progressPending atomic.Int32
 	// storeDisconnected is set, by topic, while the store cannot be read.
 	storeDisconnected [feed.Entries]atomic.Bool
 	mutex             sync.Mutex
@@ -175,7 +178,30 @@
 		f.logUndecodable(u.Topic, record, err)
 		return false
 	}
-	return order != nil && f.gateway.state.rollouts.addOrder(*order, u.To.Generation, u.Reset)
+	rollouts := f.gateway.state.rollouts
+	if order == nil || !rollouts.addOrder(*order, u.To.Generation, u.Reset) {
+		return false
+	}
+	if u.Reset {
+		f.readProgress(*order)
+	}
+	return true
+}
+
+// readProgress reads what has become of an order. An entry that starts accepts no requests before: it
+// would take a version that has the traffic for one whose roll-out begins.
+func (f *feeds) readProgress(order rollout.Order) {
+	starting := f.gateway.configuration.Load() == nil
+	if starting {
+		f.progressPending.Add(1)
+	}
+	go func() {
+		f.gateway.state.rollouts.readRecord(order)
+		if starting {
+			f.progressPending.Add(-1)
+			f.gateway.noteSynced()
+		}
+	}()
 }
 
 // apply puts a configuration in force. It returns false if the configuration is not newer than
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -323,9 +323,10 @@
 	g.failed.Store(true)
 }
 
-// synced reports whether this entry has a configuration and the registry of targets.
+// synced reports whether this entry has a configuration, the registry of targets and, if there are
+// orders, what has become of them.
 func (g *Gateway) synced() bool {
-	return g.configuration.Load() != nil && g.feeds.hasTargets()
+	return g.configuration.Load() != nil && g.feeds.hasTargets() && g.feeds.progressPending.Load() == 0
 }
 
 // ready reports whether this entry accepts callers' requests.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -84,8 +84,8 @@
 }
 
 // addOrder starts the roll-out of an order that was read in a generation of the store;
-// earlier: the order may have been given before this entry began to follow orders. It reports
-// whether the order is new to this entry.
+// earlier: the order may have been given before this entry began to follow orders and targets. It
+// reports whether the order is new to this entry.
 func (r *rollouts) addOrder(order rollout.Order, generation int64, earlier bool) bool {
 	g := r.gateway
 	now := time.Now()
@@ -105,11 +105,12 @@
 			current = known.tracker.NewVersionPool()
 		}
 	}
-	started := &serviceRollout{tracker: rollout.NewTracker(now, order, r.bounds()), current: current, generation: generation}
+	started := &serviceRollout{current: current, generation: generation}
+	bounds := r.bounds()
 	if earlier {
-		started.recordReadAt = now
-		go r.readRecord(order)
+		bounds.RenewalTime, started.recordReadAt = outageGrace, now
 	}
+	started.tracker = rollout.NewTracker(now, order, bounds)
 	r.services[order.Service] = started
 	g.log.Write(eventlog.StateChange, eventRollout, eventlog.Fields{
 		"service": order.Service, "order": order.ID, "to": order.To, "duration_ms": order.Duration.Milliseconds(), "phase": "ordered",
--- a/internal/gateway/rolloutstore.go
+++ b/internal/gateway/rolloutstore.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	for _, record := range stored {
-		if r.addOrder(record.Order, end.Generation, false) {
+		if r.addOrder(record.Order, end.Generation, true) {
 			r.restore(record)
 		}
 	}
