Entries that start from a copy of the configuration read all copies

Cause: the first copy that could be read ended the search, though its topic may have been unavailable when the configuration changed last.

Change: an entry reads each copy once, one every 0.3 s, until the operators' topic can be read; only a newer version replaces an older one. An outdated copy can be in force for 0.6 s, or until the other topics are back.

A start while the operators' topic is away costs two more calls.

--- a/internal/gateway/configcopies.go
+++ b/internal/gateway/configcopies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sycamoretrail/internal/feed"
@@ -37,45 +38,67 @@
 	}
 }
 
-// loadCopy puts a copy of the configuration in force if the operators' record cannot be read.
-// A copy that is older than the operators' newest version holds only until that can be read,
-// since versions only increase. As with the operators' records, roll-outs come into force first.
-func (f *feeds) loadCopy(ctx context.Context) {
+// loadCopies puts the newest copy of the configuration in force if the operators' record cannot be
+// read. It reads all copies, since some may have been written last before a change. One that is older
+// than the operators' newest version holds only until that can be read, since versions only increase.
+// As with the operators' records, roll-outs come into force first.
+func (f *feeds) loadCopies(ctx context.Context) {
+	unread := slices.Clone(copyTopics[:])
 	pause := copyAfter
-	for try := 0; ; try++ {
+	for len(unread) > 0 {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
-		if f.gateway.configuration.Load() != nil {
-			return
-		}
 		pause = copyRetry
 		if !f.storeDisconnected[feed.Operators].Load() {
+			if f.gateway.configuration.Load() != nil {
+				return
+			}
 			continue // the store answers; there is no configuration yet
 		}
-		if err := f.gateway.state.rollouts.resume(); err != nil {
-			f.logStoreError(feed.Rollouts, err)
-			if time.Since(f.gateway.started) < resumeWithin {
-				continue
-			}
+		if !f.resumeRollouts() {
+			continue
 		}
-		topic := copyTopics[try%len(copyTopics)]
-		records, _, err := f.gateway.platform.Snapshot(topic)
+		topic := unread[0]
+		unread = unread[1:]
+		if !f.loadCopy(topic) {
+			unread = append(unread, topic)
+		}
+	}
+}
+
+// resumeRollouts continues the recorded roll-outs before the first copy comes into force; it returns
+// false if a further attempt is due.
+func (f *feeds) resumeRollouts() bool {
+	if f.gateway.configuration.Load() != nil {
+		return true
+	}
+	if err := f.gateway.state.rollouts.resume(); err != nil {
+		f.logStoreError(feed.Rollouts, err)
+		return time.Since(f.gateway.started) >= resumeWithin
+	}
+	return true
+}
+
+// loadCopy puts the copy in a topic in force if it is newer than what is; it returns false if the
+// topic cannot be read.
+func (f *feeds) loadCopy(topic feed.Topic) bool {
+	records, _, err := f.gateway.platform.Snapshot(topic)
+	if err != nil {
+		f.logStoreError(topic, err)
+		return false
+	}
+	for _, record := range records {
+		configuration, err := f.gateway.platform.DecodeConfiguration(record)
 		if err != nil {
-			f.logStoreError(topic, err)
+			f.logUndecodable(topic, record, err)
 			continue
 		}
-		for _, record := range records {
-			configuration, err := f.gateway.platform.DecodeConfiguration(record)
-			if err != nil {
-				f.logUndecodable(topic, record, err)
-				continue
-			}
-			if configuration != nil {
-				f.gateway.apply(configuration, record.Offset, "copy")
-			}
+		if configuration != nil {
+			f.gateway.apply(configuration, record.Offset, "copy")
 		}
 	}
+	return true
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -111,7 +111,7 @@
 	go f.operators.Run(ctx)
 	go f.targets.Run(ctx)
 	go f.recordUsage(ctx)
-	go f.loadCopy(ctx)
+	go f.loadCopies(ctx)
 	f.followEntries(ctx)
 }
 
