Failing test: a second final status for a request resent while entries are down

Found by a drawn schedule of the entry program while the loss of all entries was tried, and shrunk; it needs two of four entries killed, not all.

--- a/internal/core/entry/scripts_test.go
+++ b/internal/core/entry/scripts_test.go
@@ -42,6 +42,11 @@
 		{0, pauseEntry, 0, 0, 0, 1}, {0, engineCall, 0, 1, 0, 0}, {0, engineCall, 0, 0, 3, 0}, {0, drainEntry, 1, 0, 0, 0},
 		{298, threeAtOnce, 5, 0, 3, 6}, {51, engineCall, 4, 2, 4, 7}, {1, serviceCall, 0, 1, 1, 5},
 	}},
+	// Two of four entries are killed. A request is resent to the others and to
+	// its owner. One submission got two final statuses.
+	"resent while entries are down": {7, []step{
+		{41, killEntry, 4, 3, 1, 9}, {0, killEntry, 5, 1, 2, 3}, {0, engineCall, 2, 1, 0, 8}, {154, threeAtOnce, 5, 5, 3, 0}, {0, resend, 4, 4, 4, 1},
+	}},
 }
 
 func TestScripts(t *testing.T) {
