Reads of what is recorded are shared, and recorders drop what processes before them have left

Each request that reconnected to an unknown stream read the record of versions by itself: after a loss of all entries some dozens at once. Reads of both records are shared and answer for a second. Batches of processes that had ended were dropped only if a recorder happened to read them; each new recorder does now.

--- a/internal/core/streams/history_test.go
+++ b/internal/core/streams/history_test.go
@@ -1,6 +1,7 @@
 package streams_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,20 @@
 	batch := pending.Take(now, 1)
 	g.Expect(batch.Groups[0].Keys).To(Equal([]streams.Key{key(100_000 - 1<<15)}), "the oldest are dropped first")
 }
+
+// The streams of a caller's time at 6, 79 and 985 entries.
+func BenchmarkArchive(b *testing.B) {
+	for _, n := range []int{300, 6_000, 240_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			batch := streams.Batch{Groups: []streams.Group{{Origin: origin}, {Origin: streams.Origin{Service: "desk", Version: "v2"}}}}
+			for i := range n {
+				group := &batch.Groups[i%2]
+				group.Keys = append(group.Keys, key(i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				streams.NewArchive().Add(batch)
+			}
+		})
+	}
+}
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -23,6 +23,8 @@
 // it forgets.
 
 const (
+	// chooseEvery is the interval at which the recorder is chosen.
+	chooseEvery = time.Second
 	// recordTick is the interval at which batches are recorded that no stream waits for, recordGather the time
 	// for which those gather that streams do wait for. recordPerRecorder, for each recorder, keeps the appends
 	// of all together below half of what a partition of the store takes.
@@ -47,11 +49,8 @@
 	// batch is kept after it has expired.
 	staleBatches = 64
 	staleAfter   = 2 * time.Minute
-	// readWait bounds the wait for a read of what is recorded. readFresh is the age up to which a read
-	// answers for streams that are not in it, readRetry the pause after a read that failed.
-	readWait  = 400 * time.Millisecond
-	readFresh = time.Second
-	readRetry = 150 * time.Millisecond
+	// readWait bounds the wait for a read of what is recorded.
+	readWait = 400 * time.Millisecond
 	// archiveKeep is how long the batches that were read are kept.
 	archiveKeep = 30 * time.Second
 )
@@ -75,7 +74,8 @@
 	origins *origins
 
 	mutex sync.Mutex
-	// recorder is the entry that records for this one; self: this one does. recorders is the number of all.
+	// recorder is the entry that records for this one; self: this one does. recorders is the number of
+	// all; 0: none has been chosen yet.
 	recorder  peerset.Entry
 	self      bool
 	recorders int
@@ -90,16 +90,16 @@
 	// that nobody needs any more.
 	slots []time.Time
 	stale []string
-	// archive holds the batches that were read, at readAt. reading is closed when a read ends; failedAt is
-	// when one failed last.
-	archive          *streams.Archive
-	readAt, failedAt time.Time
-	reading          chan struct{}
+	// archive holds the batches that were read, at archivedAt.
+	archive    *streams.Archive
+	archivedAt time.Time
+
+	reads sharedRead
 }
 
 func newOriginLog(g *Gateway, o *origins) *originLog {
 	return &originLog{
-		gateway: g, origins: o, self: true, recorders: 1, archive: streams.NewArchive(), urgent: make(chan struct{}, 1),
+		gateway: g, origins: o, self: true, archive: streams.NewArchive(), urgent: make(chan struct{}, 1),
 		waiting: make(map[streams.Key]chan struct{}), confirmTo: make(map[streams.Key]string),
 	}
 }
@@ -111,12 +111,16 @@
 	}
 	ticker := time.NewTicker(recordTick)
 	defer ticker.Stop()
+	var chosen time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			l.chooseRecorder()
+			if time.Since(chosen) >= chooseEvery-recordTick/2 {
+				chosen = time.Now()
+				l.chooseRecorder()
+			}
 			l.discardArchive()
 		case <-l.urgent:
 			time.Sleep(l.gather())
@@ -165,7 +169,7 @@
 func (l *originLog) chooseRecorder() {
 	chosen, self, recorders := l.rankedRecorder()
 	l.mutex.Lock()
-	changed := l.self != self || !self && l.recorder.Name != chosen.Name
+	changed := l.recorders == 0 || l.self != self || !self && l.recorder.Name != chosen.Name
 	l.recorder, l.self, l.recorders = chosen, self, recorders
 	l.mutex.Unlock()
 	if !changed {
@@ -174,6 +178,8 @@
 	running := l.origins.running()
 	if self {
 		l.add(running...)
+		// Finds the batches that processes before this one have left.
+		go l.read(readWait)
 		return
 	}
 	for part := range slices.Chunk(running, originsPerMessage) {
@@ -195,14 +201,28 @@
 	if len(able) == 0 || g.ready() && !g.feeds.isStoreDisconnected() {
 		able = append(able, g.self)
 	}
-	slices.SortFunc(able, func(a, b peerset.Entry) int { return dispatch.CompareNames(a.Name, b.Name) })
 	recorders = (len(able) + entriesPerRecorder - 1) / entriesPerRecorder
 	name := fnv.New32a()
 	_, _ = name.Write([]byte(g.self.Name))
-	recorder = able[int(name.Sum32()%uint32(recorders))]
+	recorder = firstInRank(able, recorders)[int(name.Sum32()%uint32(recorders))]
 	return recorder, recorder.Name == g.self.Name, recorders
 }
 
+// firstInRank returns the first n in rank of some entries.
+func firstInRank(entries []peerset.Entry, n int) []peerset.Entry {
+	compare := func(a, b peerset.Entry) int { return dispatch.CompareNames(a.Name, b.Name) }
+	var first []peerset.Entry
+	for _, e := range entries {
+		if len(first) == n && compare(e, first[n-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, e, compare)
+		first = slices.Insert(first, at, e)
+		first = first[:min(n, len(first))]
+	}
+	return first
+}
+
 // current returns the recorder, unless this entry is the one.
 func (l *originLog) current() (recorder peerset.Entry, self bool) {
 	l.mutex.Lock()
@@ -438,40 +458,15 @@
 }
 
 // read reads what is recorded, unless that has just been done. It reports whether it succeeded in time.
-func (l *originLog) read(limit time.Duration) bool {
-	l.mutex.Lock()
-	switch {
-	case time.Since(l.readAt) < readFresh:
-		l.mutex.Unlock()
-		return true
-	case l.reading == nil && time.Since(l.failedAt) < readRetry:
-		l.mutex.Unlock()
-		return false
-	case l.reading == nil:
-		l.reading = make(chan struct{})
-		go l.readBatches()
-	}
-	done := l.reading
-	l.mutex.Unlock()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return time.Since(l.readAt) < readFresh+limit
-}
+func (l *originLog) read(limit time.Duration) bool { return l.reads.do(limit, l.readBatches) }
 
 // readBatches reads the batches of all recorders.
-func (l *originLog) readBatches() {
+func (l *originLog) readBatches() error {
 	began := time.Now()
 	records, _, err := l.gateway.platform.Snapshot(feed.Origins)
 	if err != nil {
 		l.gateway.feeds.logStoreError(feed.Origins, err)
-		l.endRead(time.Time{}, nil, nil)
-		return
+		return err
 	}
 	archive := streams.NewArchive()
 	var stale []string
@@ -491,7 +486,10 @@
 	l.gateway.log.Write(eventlog.StateChange, eventOriginsRead, eventlog.Fields{
 		"batches": len(records), "streams": archive.Size(), "stale": len(stale), "took_ms": time.Since(began).Milliseconds(),
 	})
-	l.endRead(time.Now(), archive, stale)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.archive, l.archivedAt, l.stale = archive, time.Now(), stale
+	return nil
 }
 
 func minTime(a, b time.Time) time.Time {
@@ -501,24 +499,11 @@
 	return b
 }
 
-// endRead ends a read; the time is zero if it failed.
-func (l *originLog) endRead(at time.Time, archive *streams.Archive, stale []string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	close(l.reading)
-	l.reading = nil
-	if at.IsZero() {
-		l.failedAt = time.Now()
-		return
-	}
-	l.archive, l.readAt, l.stale = archive, at, stale
-}
-
 // discardArchive drops the batches that were read after a while: callers reconnect within seconds.
 func (l *originLog) discardArchive() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.archive.Size() > 0 && time.Since(l.readAt) > archiveKeep {
+	if l.archive.Size() > 0 && time.Since(l.archivedAt) > archiveKeep {
 		l.archive = streams.NewArchive()
 	}
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -193,7 +193,7 @@
 // cells the recorder reads the streams, which are too many for each entry to read. It reports whether the stream
 // was looked for.
 func (o *origins) readRecords(stream candidate, query *originQuery, limit time.Duration) bool {
-	if !o.versionLog.read() {
+	if !o.versionLog.read(limit) {
 		return false
 	}
 	recorder, self := o.log.current()
--- a/internal/gateway/versionlog.go
+++ b/internal/gateway/versionlog.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"reflect"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +18,10 @@
 
 const (
 	versionsKey = "versions"
-	// versionsRetry is the pause after the record could not be written, and the interval at which an entry
-	// that is not a reader checks whether it has become one.
-	versionsRetry = 250 * time.Millisecond
+	// versionsRetry is the pause before the first further attempt to write the record; it doubles up to
+	// versionsRetryMax. An entry that is no reader then checks whether it has become one.
+	versionsRetry    = 250 * time.Millisecond
+	versionsRetryMax = 4 * time.Second
 )
 
 // storedVersions is the record of the versions of all services.
@@ -46,8 +46,7 @@
 	// firstStart: no earlier process of this entry has registered itself.
 	firstStart atomic.Bool
 
-	mutex            sync.Mutex
-	readAt, failedAt time.Time
+	reads sharedRead
 }
 
 func newVersionLog(g *Gateway, o *origins) *versionLog {
@@ -60,31 +59,35 @@
 	if !l.gateway.settings.Load.BindStreams {
 		return
 	}
-	pending := false
+	pause := time.Duration(0)
 	for {
 		retry := (<-chan time.Time)(nil)
-		if pending {
-			retry = time.After(versionsRetry)
+		if pause > 0 {
+			retry = time.After(pause)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.due:
-			pending = true
+			pause = versionsRetry
 		case <-retry:
+			pause = min(2*pause, versionsRetryMax)
 		}
-		if !l.gateway.recordsUsage() {
-			continue
-		}
-		switch err := l.record(); {
-		case err == nil:
-			pending = false
-		case !errors.Is(err, feed.ErrConflict):
-			l.gateway.feeds.logStoreError(feed.Versions, err)
+		if l.gateway.recordsUsage() && l.recorded() {
+			pause = 0
 		}
 	}
 }
 
+// recorded writes the record if it has to change. It reports whether it succeeded.
+func (l *versionLog) recorded() bool {
+	err := l.record()
+	if err != nil && !errors.Is(err, feed.ErrConflict) {
+		l.gateway.feeds.logStoreError(feed.Versions, err)
+	}
+	return err == nil
+}
+
 // record adds what this entry has observed to the record.
 func (l *versionLog) record() error {
 	stored, end, err := l.readRecord()
@@ -131,9 +134,6 @@
 		}
 	}
 	l.origins.restore(historiesOf(stored), stored.Generation != end.Generation, l.coversOthers(stored, end))
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.readAt = time.Now()
 	return stored, end, nil
 }
 
@@ -151,21 +151,14 @@
 }
 
 // read reads the record, unless that has just been done.
-func (l *versionLog) read() bool {
-	l.mutex.Lock()
-	fresh, failed := time.Since(l.readAt) < readFresh, time.Since(l.failedAt) < readRetry
-	l.mutex.Unlock()
-	if fresh || failed {
-		return fresh
-	}
-	_, _, err := l.readRecord()
-	if err != nil {
-		l.gateway.feeds.logStoreError(feed.Versions, err)
-		l.mutex.Lock()
-		l.failedAt = time.Now()
-		l.mutex.Unlock()
-	}
-	return err == nil
+func (l *versionLog) read(limit time.Duration) bool {
+	return l.reads.do(limit, func() error {
+		_, _, err := l.readRecord()
+		if err != nil {
+			l.gateway.feeds.logStoreError(feed.Versions, err)
+		}
+		return err
+	})
 }
 
 func historiesOf(stored storedVersions) map[string]streams.History {
