Entries that have just started are told of departures that registrations do not show

Cause: departures that targets announced in answers, and those that a restored store has lost, are known in memory alone; an entry that starts reads an older registration.

Change: who greets an entry tells it the departures that no registration revokes, 30 at most, and tells its cell when it sees a restore, since entries may have started from the copy before. Ends are not told: nothing runs there, or another process, which is asked for the id.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -98,6 +98,11 @@
 	return true
 }
 
+// Departed returns the targets of which it is known that they leave whatever their registrations say.
+func (r *Registry) Departed() []catalog.Target {
+	return slices.DeleteFunc(r.Targets(), func(target catalog.Target) bool { return !r.departed.Get(target.Incarnation()) })
+}
+
 // SetRestored records that the store was restored from an older copy, which ends at an offset.
 // The known state of targets that are leaving or have ended overrides the registrations of
 // the copy, since it may have been written in the seconds that are lost.
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -125,6 +125,8 @@
 		return known.Leaving && r.Targets()[0].Leaving
 	}
 	g.Expect(leaves()).To(BeTrue())
+	r.Put(catalog.Target{ID: "t-2", Leaving: true})
+	g.Expect(r.Departed()).To(Equal(r.Targets()[:1]), "a registration may be revoked")
 	target.Slots = 5
 	r.Put(target)
 	g.Expect(leaves()).To(BeTrue(), "written again")
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -252,6 +252,10 @@
 		f.publish(f.operators.AsOf())
 	}
 	f.targetsRead.Store(true)
+	if u.Restored {
+		// Entries that have started since read only the copy.
+		go f.gateway.links.sendDepartures(f.register.Departed(), f.gateway.links.cells.Load().Audience)
+	}
 	f.gateway.noteSynced()
 	f.replicate(u, changed)
 }
@@ -269,6 +273,13 @@
 	return true
 }
 
+// departed returns the targets whose announced departure their registrations may not show.
+func (f *feeds) departed() []catalog.Target {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.register.Departed()
+}
+
 // missing returns drops of the known targets that a snapshot does not contain.
 func (f *feeds) missing(records []feed.Record) []feed.Record {
 	listed := make(map[string]bool, len(records))
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -30,6 +30,8 @@
 	// departureCopies is the number of times that a target's departure is announced; an entry
 	// that misses the announcement receives it with the target's next answer.
 	departureCopies = 2
+	// maxDepartures bounds the departures that an entry tells together, each in a datagram of its own.
+	maxDepartures = 30
 	// zoneReaders is the number of other entries from which on each zone has its own reader.
 	zoneReaders = 24
 )
@@ -280,9 +282,16 @@
 
 // announceDeparture announces to the cell that a target is leaving.
 func (l *links) announceDeparture(target catalog.Target) {
-	m := l.message()
-	m.Departure = &gossip.Departure{Target: target.ID, StartedMS: target.StartedMS}
 	for range departureCopies {
-		l.send(m, l.cells.Load().Audience)
+		l.sendDepartures([]catalog.Target{target}, l.cells.Load().Audience)
+	}
+}
+
+// sendDepartures tells entries of departures that registrations may not show, maxDepartures at most.
+func (l *links) sendDepartures(departed []catalog.Target, to []peerset.Entry) {
+	for _, target := range departed[:min(len(departed), maxDepartures)] {
+		m := l.message()
+		m.Departure = &gossip.Departure{Target: target.ID, StartedMS: target.StartedMS}
+		l.send(m, to)
 	}
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -139,6 +139,7 @@
 	for _, quarantine := range quarantines {
 		l.sendQuarantine(quarantine, []peerset.Entry{entry})
 	}
+	l.sendDepartures(l.gateway.feeds.departed(), []peerset.Entry{entry})
 }
 
 func (l *links) handleHistory(m *gossip.Message) {
