--- a/cmd/sycamore-gateway/start_test.go
+++ b/cmd/sycamore-gateway/start_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -14,28 +16,99 @@
 	"sycamoretrail/platform/platformtest"
 )
 
+// buildDir holds the program; "": it has not been built.
+var buildDir string
+
+// build builds the program once for all tests.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "sycamore-gateway")
+	if err != nil {
+		return "", err
+	}
+	buildDir = dir
+	path := filepath.Join(dir, "sycamore-gateway")
+	if output, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, output)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+	os.Exit(code)
+}
+
+// process is a gateway that runs as a program.
+type process struct {
+	*exec.Cmd
+	callers, ready string
+	ended          chan error
+}
+
+// startProcess starts the program with a store's address; it is killed after the test.
+func startProcess(t *testing.T, store string) *process {
+	g := NewWithT(t)
+	program, err := build()
+	g.Expect(err).NotTo(HaveOccurred())
+	p := &process{ended: make(chan error, 1)}
+	var directory, links string
+	for _, address := range []*string{&p.callers, &directory, &p.ready, &links} {
+		*address, err = platformtest.FreeAddress()
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	file := filepath.Join(t.TempDir(), "settings.json")
+	content := fmt.Sprintf(`{"name": "entry-1", "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, p.callers, directory, p.ready, links, store)
+	g.Expect(os.WriteFile(file, []byte(content), 0o600)).To(Succeed())
+	p.Cmd = exec.Command(program, "run", "--settings", file)
+	g.Expect(p.Start()).To(Succeed())
+	go func() {
+		p.ended <- p.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		<-p.ended
+	})
+	return p
+}
+
 // Guards against a process being ended by SIGHUP, which only asks it to read its settings, because it
 // has just been started.
 func TestHangupRightAfterStart(t *testing.T) {
 	g := NewWithT(t)
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "sycamore-gateway")
-	output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(output))
-	var addresses [5]any
-	for i := range addresses {
-		addresses[i], err = platformtest.FreeAddress()
+	store, err := platformtest.FreeAddress()
+	g.Expect(err).NotTo(HaveOccurred())
+	process := startProcess(t, store)
+	g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	g.Consistently(process.ended, 500*time.Millisecond).ShouldNot(Receive())
+}
+
+// Guards against the same from the moment on at which the program runs, before any of its packages does.
+func TestHangupBeforeMain(t *testing.T) {
+	for range 10 {
+		g := NewWithT(t)
+		store, err := platformtest.FreeAddress()
 		g.Expect(err).NotTo(HaveOccurred())
+		process := startProcess(t, store)
+		g.Eventually(process.handlesSignals, time.Second, 50*time.Microsecond).Should(BeTrue())
+		g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		g.Consistently(process.ended, 200*time.Millisecond).ShouldNot(Receive())
 	}
-	file := filepath.Join(dir, "settings.json")
-	content := fmt.Sprintf(`{"name": "entry-1", "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, addresses[:]...)
-	g.Expect(os.WriteFile(file, []byte(content), 0o600)).To(Succeed())
-	process := exec.Command(binary, "run", "--settings", file)
-	g.Expect(process.Start()).To(Succeed())
-	ended := make(chan error, 1)
-	go func() { ended <- process.Wait() }()
-	g.Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
-	g.Consistently(ended, 500*time.Millisecond).ShouldNot(Receive())
-	g.Expect(process.Process.Kill()).To(Succeed())
-	<-ended
+}
+
+// handlesSignals reports whether the process handles any signal, as the Go runtime does once it runs.
+func (p *process) handlesSignals() bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(status)) {
+		if caught, found := strings.CutPrefix(line, "SigCgt:"); found {
+			return strings.Trim(caught, "\t\n0") != ""
+		}
+	}
+	return false
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -66,6 +66,17 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
+// IsSplit reports whether the route sends requests to several services.
+func (r *Route) IsSplit() bool {
+	n := 0
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Service returns the service for a random number in [0, 1).
 func (r *Route) Service(draw float64) string {
 	total := 0.0
@@ -106,7 +117,9 @@
 	Version       int64
 	Routes        []Route
 	Organisations []Organisation
-	Limits        Limits
+	// HealthPaths are the paths at which the targets of services say who they are, by service.
+	HealthPaths map[string]string
+	Limits      Limits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
@@ -146,6 +159,9 @@
 	return organisation, found
 }
 
+// HealthPath returns the path at which a service's targets say who they are, or "".
+func (c *Configuration) HealthPath(service string) string { return c.HealthPaths[service] }
+
 // HasOrganisations reports whether callers have to send keys at all.
 func (c *Configuration) HasOrganisations() bool { return len(c.Organisations) > 0 }
 
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -27,6 +27,8 @@
 		"Requests handed off to another entry, by outcome.", "outcome")
 	GatewayReconnects = declare(KindCounter, "gateway_stream_reconnects_total",
 		"Streams to which callers reconnected, by how their version was determined.", "source")
+	GatewayOriginRecords = declare(KindCounter, "gateway_stream_origin_records_total",
+		"Appends of the origins of streams to the store, by outcome.", "outcome")
 	GatewayContradictions = declare(KindCounter, "gateway_contradicted_promises_total",
 		"Answers that promise that a request has not run, which a target may have run, by where they came from.", "source")
 	GatewayOrigins           = declare(KindGauge, "gateway_stream_origins", "Streams whose version this entry remembers.")
@@ -50,6 +52,8 @@
 		"Of these, those that declare a limit on their requests a second.", "service")
 	GatewayBrittle = declare(KindGauge, "gateway_service_targets_brittle",
 		"Of these, those that declare how many rejections a second they bear.", "service")
+	GatewayMalformed = declare(KindCounter, "gateway_malformed_declarations_total",
+		"Answers whose declaration of the rejections that their target bears can't be read, and is ignored.", "service")
 	GatewayLateGrants = declare(KindCounter, "gateway_late_grants_total",
 		"Requests that got a slot although they were expected to miss their objective.", "service")
 	GatewayExcess = declare(KindCounter, "gateway_excess_requests_total",
