Streams wait for their record again while several versions serve

Since batches gather 50 ms, the bound below which streams wait (half of the 90 ms of a wait) was never met, so none waited and the last half second was lost with all entries. No test saw it, since the tests of the loss wait a second. Streams wait now if a batch gathers for less than the wait.

--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -138,7 +138,7 @@
 
 // confirmsSoon reports whether streams may wait for their record.
 func (l *originLog) confirmsSoon() bool {
-	if l.gather() > confirmWait/2 {
+	if l.gather() >= confirmWait {
 		return false
 	}
 	l.mutex.Lock()
