--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/streams"
 	"sycamoretrail/internal/eventlog"
@@ -16,17 +18,21 @@
 	"sycamoretrail/internal/gossip"
 )
 
-// The origins of streams outlast all entries in the store. In each cell one entry, the recorder, appends
-// them in batches. Batches are keyed records: the store keeps the newest record of each key whatever else
+// The origins of streams outlast all entries in the store. A few entries, the recorders, append those of all in
+// batches. Batches are keyed records: the store keeps the newest record of each key whatever else
 // it forgets.
 
 const (
+	// chooseEvery is the interval at which the recorder is chosen.
+	chooseEvery = time.Second
 	// recordTick is the interval at which batches are recorded that no stream waits for, recordGather the time
-	// for which those gather that streams do wait for. recordPerCell, for each cell, keeps the appends of all
-	// recorders below half of what a partition of the store takes.
-	recordTick    = 500 * time.Millisecond
-	recordGather  = 40 * time.Millisecond
-	recordPerCell = 8 * time.Millisecond
+	// for which those gather that streams do wait for. recordPerRecorder, for each recorder, keeps the appends
+	// of all together below half of what a partition of the store takes.
+	recordTick        = 500 * time.Millisecond
+	recordGather      = 50 * time.Millisecond
+	recordPerRecorder = 8 * time.Millisecond
+	// entriesPerRecorder is the number of entries for which one records.
+	entriesPerRecorder = 128
 	// confirmWait bounds the wait of a stream for its record, confirmPause is how long streams don't wait after
 	// one did in vain.
 	confirmWait  = 90 * time.Millisecond
@@ -43,11 +49,8 @@
 	// batch is kept after it has expired.
 	staleBatches = 64
 	staleAfter   = 2 * time.Minute
-	// readWait bounds the wait for a read of what is recorded. readFresh is the age up to which a read
-	// answers for streams that are not in it, readRetry the pause after a read that failed.
-	readWait  = 400 * time.Millisecond
-	readFresh = time.Second
-	readRetry = 150 * time.Millisecond
+	// readWait bounds the wait for a read of what is recorded.
+	readWait = 400 * time.Millisecond
 	// archiveKeep is how long the batches that were read are kept.
 	archiveKeep = 30 * time.Second
 )
@@ -71,10 +74,12 @@
 	origins *origins
 
 	mutex sync.Mutex
-	// recorder is the entry that records for this one's cell; self: this one does.
-	recorder peerset.Entry
-	self     bool
-	pending  streams.Pending
+	// recorder is the entry that records for this one; self: this one does. recorders is the number of
+	// all; 0: none has been chosen yet.
+	recorder  peerset.Entry
+	self      bool
+	recorders int
+	pending   streams.Pending
 	// urgent receives a signal when a stream waits for its record. waiting are the streams of this entry that
 	// do, confirmTo are the entries whose streams do. unconfirmedAt is when one waited in vain.
 	urgent        chan struct{}
@@ -85,11 +90,11 @@
 	// that nobody needs any more.
 	slots []time.Time
 	stale []string
-	// archive holds the batches that were read, at readAt. reading is closed when a read ends; failedAt is
-	// when one failed last.
-	archive          *streams.Archive
-	readAt, failedAt time.Time
-	reading          chan struct{}
+	// archive holds the batches that were read, at archivedAt.
+	archive    *streams.Archive
+	archivedAt time.Time
+
+	reads sharedRead
 }
 
 func newOriginLog(g *Gateway, o *origins) *originLog {
@@ -106,12 +111,16 @@
 	}
 	ticker := time.NewTicker(recordTick)
 	defer ticker.Stop()
+	var chosen time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			l.chooseRecorder()
+			if time.Since(chosen) >= chooseEvery-recordTick/2 {
+				chosen = time.Now()
+				l.chooseRecorder()
+			}
 			l.discardArchive()
 		case <-l.urgent:
 			time.Sleep(l.gather())
@@ -122,7 +131,9 @@
 
 // gather returns the time for which a batch gathers.
 func (l *originLog) gather() time.Duration {
-	return max(recordGather, time.Duration(l.gateway.links.cells.Load().Count)*recordPerCell)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(recordGather, time.Duration(l.recorders)*recordPerRecorder)
 }
 
 // confirmsSoon reports whether streams may wait for their record.
@@ -153,14 +164,13 @@
 	l.mutex.Unlock()
 }
 
-// chooseRecorder chooses the entry that records for this one's cell: the first in rank of those that serve
-// and reach the store. A new one receives the running streams of this entry, since the one before may have
-// ended before it recorded them.
+// chooseRecorder chooses the entry that records for this one. A new one receives the running streams of this
+// entry, since the one before may have ended before it recorded them.
 func (l *originLog) chooseRecorder() {
-	chosen, self := l.rankedRecorder()
+	chosen, self, recorders := l.rankedRecorder()
 	l.mutex.Lock()
-	changed := l.self != self || !self && l.recorder.Name != chosen.Name
-	l.recorder, l.self = chosen, self
+	changed := l.recorders == 0 || l.self != self || !self && l.recorder.Name != chosen.Name
+	l.recorder, l.self, l.recorders = chosen, self, recorders
 	l.mutex.Unlock()
 	if !changed {
 		return
@@ -168,6 +178,8 @@
 	running := l.origins.running()
 	if self {
 		l.add(running...)
+		// Finds the batches that processes before this one have left.
+		go l.read(readWait)
 		return
 	}
 	for part := range slices.Chunk(running, originsPerMessage) {
@@ -175,29 +187,40 @@
 	}
 }
 
-func (l *originLog) rankedRecorder() (recorder peerset.Entry, self bool) {
+// rankedRecorder returns one of the first in rank of the entries that serve and reach the store, self if it is
+// this one, and how many record. With another view of the others an entry chooses another recorder, which
+// records as well.
+func (l *originLog) rankedRecorder() (recorder peerset.Entry, self bool, recorders int) {
 	g := l.gateway
 	var able []peerset.Entry
-	cells := g.links.cells.Load()
 	for _, m := range g.readers() {
-		inCell := cells.Count == 1 || slices.ContainsFunc(cells.Peers, func(e peerset.Entry) bool { return e.Name == m.Name })
-		if m.State == peerset.Ready && !m.StoreDisconnected && inCell {
+		if m.State == peerset.Ready && !m.StoreDisconnected {
 			able = append(able, m.Entry)
 		}
 	}
-	if len(able) == 0 {
-		return peerset.Entry{}, true
+	if len(able) == 0 || g.ready() && !g.feeds.isStoreDisconnected() {
+		able = append(able, g.self)
 	}
-	first := able[0].Name
-	if g.ready() && !g.feeds.isStoreDisconnected() {
-		first = g.self.Name
-	}
-	first = firstOf(first, able)
-	at := slices.IndexFunc(able, func(e peerset.Entry) bool { return e.Name == first })
-	if at < 0 {
-		return peerset.Entry{}, true
+	recorders = (len(able) + entriesPerRecorder - 1) / entriesPerRecorder
+	name := fnv.New32a()
+	_, _ = name.Write([]byte(g.self.Name))
+	recorder = firstInRank(able, recorders)[int(name.Sum32()%uint32(recorders))]
+	return recorder, recorder.Name == g.self.Name, recorders
+}
+
+// firstInRank returns the first n in rank of some entries.
+func firstInRank(entries []peerset.Entry, n int) []peerset.Entry {
+	compare := func(a, b peerset.Entry) int { return dispatch.CompareNames(a.Name, b.Name) }
+	var first []peerset.Entry
+	for _, e := range entries {
+		if len(first) == n && compare(e, first[n-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, e, compare)
+		first = slices.Insert(first, at, e)
+		first = first[:min(n, len(first))]
 	}
-	return able[at], false
+	return first
 }
 
 // current returns the recorder, unless this entry is the one.
@@ -435,40 +458,15 @@
 }
 
 // read reads what is recorded, unless that has just been done. It reports whether it succeeded in time.
-func (l *originLog) read(limit time.Duration) bool {
-	l.mutex.Lock()
-	switch {
-	case time.Since(l.readAt) < readFresh:
-		l.mutex.Unlock()
-		return true
-	case l.reading == nil && time.Since(l.failedAt) < readRetry:
-		l.mutex.Unlock()
-		return false
-	case l.reading == nil:
-		l.reading = make(chan struct{})
-		go l.readBatches()
-	}
-	done := l.reading
-	l.mutex.Unlock()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return time.Since(l.readAt) < readFresh+limit
-}
+func (l *originLog) read(limit time.Duration) bool { return l.reads.do(limit, l.readBatches) }
 
 // readBatches reads the batches of all recorders.
-func (l *originLog) readBatches() {
+func (l *originLog) readBatches() error {
 	began := time.Now()
 	records, _, err := l.gateway.platform.Snapshot(feed.Origins)
 	if err != nil {
 		l.gateway.feeds.logStoreError(feed.Origins, err)
-		l.endRead(time.Time{}, nil, nil)
-		return
+		return err
 	}
 	archive := streams.NewArchive()
 	var stale []string
@@ -488,7 +486,10 @@
 	l.gateway.log.Write(eventlog.StateChange, eventOriginsRead, eventlog.Fields{
 		"batches": len(records), "streams": archive.Size(), "stale": len(stale), "took_ms": time.Since(began).Milliseconds(),
 	})
-	l.endRead(time.Now(), archive, stale)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.archive, l.archivedAt, l.stale = archive, time.Now(), stale
+	return nil
 }
 
 func minTime(a, b time.Time) time.Time {
@@ -498,24 +499,11 @@
 	return b
 }
 
-// endRead ends a read; the time is zero if it failed.
-func (l *originLog) endRead(at time.Time, archive *streams.Archive, stale []string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	close(l.reading)
-	l.reading = nil
-	if at.IsZero() {
-		l.failedAt = time.Now()
-		return
-	}
-	l.archive, l.readAt, l.stale = archive, at, stale
-}
-
 // discardArchive drops the batches that were read after a while: callers reconnect within seconds.
 func (l *originLog) discardArchive() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.archive.Size() > 0 && time.Since(l.readAt) > archiveKeep {
+	if l.archive.Size() > 0 && time.Since(l.archivedAt) > archiveKeep {
 		l.archive = streams.NewArchive()
 	}
 }
