Entries that start together admit no more than their share until they know of each other

Cause: after the loss of all entries each admitted what had waited for it before it knew what the others admitted, and the rule that tells an organisation with a used-up quota by its demand saw only what had been admitted. Without the list of the entries the rule was off.

Change: while all entries have just started, each admits its even share of a part of the slack and holds the rest, for 0.3 s, or 0.7 s at most while others do not serve yet. Held requests count as waiting, so that the totals tell the others of them. Then the demand over all entries decides; for entries that are not known as much is assumed as in the mean. The tests' simulated callers wait while they are held. No test is relaxed.

--- a/internal/core/quota/bench_test.go
+++ b/internal/core/quota/bench_test.go
@@ -10,7 +10,7 @@
 )
 
 // entryCounts are a small installation, the largest ones in use, and the design size.
-var entryCounts = []int{9, 48, 195, 410}
+var entryCounts = []int{9, 48, 195, 410, 985}
 
 // newBenchLimiter returns the limiter of one of the given number of entries: totals of
 // a dozen of the others arrived with the last report, those of the rest some time ago.
@@ -59,6 +59,32 @@
 	}
 }
 
+// BenchmarkAdmitAfterStart measures the cost of a request while all entries have started
+// within the window.
+func BenchmarkAdmitAfterStart(b *testing.B) {
+	for _, entries := range entryCounts {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			limiter := newLimiter(now)
+			limiter.SetPeersKnown(true)
+			peers := make([]quota.Peer, entries-1)
+			for i := range peers {
+				peers[i] = quota.Peer{Name: fmt.Sprint("entry-", i), Started: now}
+			}
+			limiter.SetPeers(now, peers)
+			for _, p := range peers {
+				limiter.PeerTotals(now.Add(time.Second), p.Name, now, map[string]quota.Total{organisation: {Admitted: 10, Sent: 10}}, false)
+			}
+			limiter.Admit(now.Add(time.Second), organisation, 1, 0)
+			now = now.Add(2 * time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				limiter.Admit(now, organisation, 0, 0)
+			}
+		})
+	}
+}
+
 // BenchmarkNearLimit measures the additional cost of each heartbeat.
 func BenchmarkNearLimit(b *testing.B) {
 	for _, entries := range entryCounts {
--- a/internal/core/quota/peers.go
+++ b/internal/core/quota/peers.go
@@ -11,6 +11,9 @@
 	// reported: it has reported its totals, so that an organisation that is new in them
 	// began at zero.
 	reported, unresponsive bool
+	// starting: it does not serve yet; servingSince is when it began to.
+	starting     bool
+	servingSince time.Time
 	// countedFromZero: its present incarnation had started within the window when its
 	// first totals arrived.
 	countedFromZero bool
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -17,6 +17,8 @@
 //   - another entry is assumed to continue after its last totals at its rate just before;
 //   - a process that ended without a report is assumed to have admitted as much as the
 //     others in the mean;
+//   - entries that start together admit no more than their even share of a part of the
+//     slack, and hold what exceeds it, until they know what is requested at the others;
 //   - when two entries regain contact, what the other reports of the window is a lower
 //     bound of the usage.
 //
@@ -82,6 +84,7 @@
 	recentBuf recentAdmissions
 	// peersUnknown: the list of the other entries has not been received yet.
 	peersUnknown bool
+	startup      startup
 }
 
 type limit struct{ rate, burst float64 }
@@ -89,6 +92,9 @@
 // Result is the result of checking a request against the quota.
 type Result struct {
 	Admitted bool
+	// Held: the request counts as waiting, and has to be passed to Readmit a little later, or
+	// to Withdraw.
+	Held bool
 	// Used is the estimated usage in the window before this request, Limit its bound.
 	Used, Limit float64
 	// Assumed is the part of Used that has not been reported: the possible usage of
@@ -126,9 +132,10 @@
 }
 
 // Admit counts a request of an organisation unless it exceeds the quota. For an
-// admitted request the caller must call Sent or Withdraw afterwards. rank is the
-// importance of the request's route, 0 being the highest: an organisation that exceeds
-// its quota gets its important requests served instead of those that come first.
+// admitted request the caller must call Sent or Withdraw afterwards, for a held one
+// Readmit or Withdraw. rank is the importance of the request's route, 0 being the
+// highest: an organisation that exceeds its quota gets its important requests served
+// instead of those that come first.
 func (l *Limiter) Admit(now time.Time, organisation string, cost float64, rank int) Result {
 	limited, found := l.limits[organisation]
 	if !found {
@@ -140,15 +147,27 @@
 	if cost > bound*smallCostShare {
 		bound -= base * reservedShare[min(rank, len(reservedShare)-1)]
 	}
-	l.detectSurge(now, organisation, base, cost)
+	startedTogether := l.allStartedRecently(now)
+	settling := startedTogether && l.settling(now)
+	if settling && !l.recordsCurrent && l.exceedsStartupShare(organisation, cost, l.startupSlack(base)) {
+		return l.hold(now, organisation, cost, bound)
+	}
+	if startedTogether && !settling {
+		l.detectSurge(now, organisation, base, cost)
+	}
 	reported, assumed := l.used(now, organisation, base, bound)
 	result := Result{Used: reported + assumed, Limit: bound, Assumed: assumed}
-	if result.Used+cost > bound {
-		missing := result.Used + cost - bound
+	if settling && l.exceedsStartupShare(organisation, cost, bound-result.Used) {
+		return l.hold(now, organisation, cost, bound)
+	}
+	if missing := result.Used + cost - bound; missing > 0 {
 		result.RetryAfter = min(l.config.Window/2, time.Duration(missing/limited.rate*float64(time.Second)))
 		return result
 	}
 	l.Reserve(now, organisation, cost)
+	if settling {
+		l.startup.granted[organisation] += cost
+	}
 	result.Admitted = true
 	return result
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -63,6 +63,37 @@
 	partitioned bool
 	down        bool
 	waiting     float64
+	// held contains the costs of the requests that the limiter holds.
+	held []float64
+}
+
+// admit decides on a request, which waits if the limiter holds it. It returns what is
+// admitted and what is refused.
+func (m *fleetEntry) admit(now time.Time, cost float64) (admitted, refused float64) {
+	return m.handle(m.limiter.Admit(now, organisation, cost, 0), cost)
+}
+
+// readmit decides again on the requests that are held.
+func (m *fleetEntry) readmit(now time.Time) (admitted, refused float64) {
+	held := m.held
+	m.held = nil
+	for _, cost := range held {
+		a, r := m.handle(m.limiter.Readmit(now, organisation, cost, 0), cost)
+		admitted, refused = admitted+a, refused+r
+	}
+	return admitted, refused
+}
+
+func (m *fleetEntry) handle(result quota.Result, cost float64) (admitted, refused float64) {
+	switch {
+	case result.Held:
+		m.held = append(m.held, cost)
+		return 0, 0
+	case result.Admitted:
+		return cost, 0
+	default:
+		return 0, cost
+	}
 }
 
 func newFleet(n int, reportInterval time.Duration, cell int, seed uint64) *fleet {
@@ -80,6 +111,7 @@
 	m.down = false
 	m.started = f.now
 	m.limiter = newLimiter(f.now)
+	m.held = nil
 	for name, history := range f.records {
 		m.limiter.Restore(name, history)
 	}
@@ -91,6 +123,11 @@
 		f.now = f.now.Add(tick)
 		f.exchangeTotals()
 		sum := 0.0
+		for _, m := range f.entries {
+			if !m.down {
+				sum += f.use(m, m.readmit)
+			}
+		}
 		for want := demand * tick.Seconds(); want > 0; {
 			cost := 1500 + f.random.ExpFloat64()*2500
 			if f.random.Float64() > want/cost && want < cost {
@@ -101,20 +138,26 @@
 			if m.down {
 				continue
 			}
-			switch {
-			case !m.limiter.Admit(f.now, organisation, cost, 0).Admitted:
-				f.refused += cost
-			case f.queueing:
-				m.waiting += cost
-			default:
-				m.limiter.Sent(f.now, organisation, cost)
-				sum += cost
-			}
+			sum += f.use(m, func(now time.Time) (admitted, refused float64) { return m.admit(now, cost) })
 		}
 		f.admitted = append(f.admitted, sum)
 	}
 }
 
+// use counts what an entry decides, and returns what runs at once.
+func (f *fleet) use(m *fleetEntry, decide func(time.Time) (admitted, refused float64)) float64 {
+	admitted, refused := decide(f.now)
+	f.refused += refused
+	if f.queueing {
+		m.waiting += admitted
+		return 0
+	}
+	if admitted > 0 {
+		m.limiter.Sent(f.now, organisation, admitted)
+	}
+	return admitted
+}
+
 // release runs everything that waited.
 func (f *fleet) release() {
 	f.queueing = false
--- a/internal/core/quota/randomfaults_test.go
+++ b/internal/core/quota/randomfaults_test.go
@@ -34,6 +34,8 @@
 	lastSent     time.Time
 	down         bool
 	queue        []queued
+	// held contains the costs of the requests that the limiter holds.
+	held []float64
 }
 
 type queued struct {
@@ -113,17 +115,30 @@
 		if r.down {
 			continue
 		}
-		if r.limiter.Admit(s.now, organisation, cost, 0).Admitted {
-			wait := time.Duration(s.random.Float64() * s.random.Float64() * float64(maxQueueTime))
-			r.queue = append(r.queue, queued{cost: cost, due: s.now.Add(wait), refused: s.random.IntN(4) == 0})
-		}
+		s.handle(r, cost, r.limiter.Admit(s.now, organisation, cost, 0))
 	}
 	s.ran = append(s.ran, ran)
 }
 
+// handle queues an admitted request, and keeps a held one.
+func (s *schedule) handle(r *scheduleEntry, cost float64, result quota.Result) {
+	switch {
+	case result.Held:
+		r.held = append(r.held, cost)
+	case result.Admitted:
+		wait := time.Duration(s.random.Float64() * s.random.Float64() * float64(maxQueueTime))
+		r.queue = append(r.queue, queued{cost: cost, due: s.now.Add(wait), refused: s.random.IntN(4) == 0})
+	}
+}
+
 // process sends or withdraws what is due at an entry and reports to the others.
 func (s *schedule) process(i int) (ran float64) {
 	r := s.entries[i]
+	held := r.held
+	r.held = nil
+	for _, cost := range held {
+		s.handle(r, cost, r.limiter.Readmit(s.now, organisation, cost, 0))
+	}
 	var rest []queued
 	for _, q := range r.queue {
 		switch {
--- a/internal/core/quota/series.go
+++ b/internal/core/quota/series.go
@@ -63,11 +63,23 @@
 const spreadResolution = 250 * time.Millisecond
 
 // account is an organisation's usage at one entry. A nil account is empty.
-type account struct{ admitted, sent series }
+type account struct {
+	admitted, sent series
+	// peak is the highest total of admitted.
+	peak float64
+}
 
 // reserve adds an admitted cost; a negative cost subtracts it.
 func (a *account) reserve(now time.Time, cost float64, window time.Duration) {
 	a.admitted.set(now, a.admitted.last()+cost, window)
+	a.peak = max(a.peak, a.admitted.last())
+}
+
+func (a *account) peakAdmitted() float64 {
+	if a == nil {
+		return 0
+	}
+	return a.peak
 }
 
 // send adds a sent cost; a negative cost makes it wait again.
@@ -91,6 +103,7 @@
 func (a *account) set(now time.Time, total Total, window time.Duration) {
 	a.admitted.set(now, total.Admitted, window)
 	a.sent.set(now, total.Sent, window)
+	a.peak = max(a.peak, total.Admitted)
 }
 
 // spread adds points as if the usage since the last points, up to total, had been
--- a/internal/core/quota/startup_test.go
+++ b/internal/core/quota/startup_test.go
@@ -85,14 +85,10 @@
 	if r.now.Before(r.servesAt[i]) {
 		return 0
 	}
-	limiter := r.entries[i].limiter
+	m := r.entries[i]
+	ran = r.use(m, m.readmit)
 	for _, cost := range r.waiting[i] {
-		if !limiter.Admit(r.now, organisation, cost, 0).Admitted {
-			r.refused += cost
-			continue
-		}
-		limiter.Sent(r.now, organisation, cost)
-		ran += cost
+		ran += r.use(m, func(now time.Time) (admitted, refused float64) { return m.admit(now, cost) })
 	}
 	r.waiting[i] = nil
 	return ran
@@ -117,6 +113,7 @@
 			if i != arrived.from && r.connected {
 				from := r.entries[arrived.from]
 				m.limiter.PeerTotals(r.now, from.name, from.started, arrived.totals, false)
+				m.limiter.SetPeerStarting(r.now, from.name, arrived.at.Before(r.servesAt[arrived.from]))
 			}
 		}
 	}
@@ -149,6 +146,7 @@
 	}{
 		{"all serve at once", 8, 0, true, 0},
 		{"one after the other", 8, 200 * time.Millisecond, true, 0},
+		{"one long after the other", 8, 700 * time.Millisecond, true, 0},
 		{"five times the typical load", 5, 100 * time.Millisecond, true, 0},
 		{"without links between entries", 8, 100 * time.Millisecond, false, 0},
 		{"records of an older copy", 8, 100 * time.Millisecond, true, 0.75},
@@ -173,7 +171,7 @@
 // Guards against an organisation at its typical load being refused after a loss of all
 // entries because its requests have waited for them.
 func TestTypicalRequestsWaitingForTheStartAreServed(t *testing.T) {
-	for _, skew := range []time.Duration{0, 200 * time.Millisecond} {
+	for _, skew := range []time.Duration{0, 200 * time.Millisecond, 700 * time.Millisecond} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%v, seed %d", skew, seed), func(t *testing.T) {
 				g := NewWithT(t)
@@ -184,3 +182,37 @@
 		}
 	}
 }
+
+// Guards against requests that are held until their callers have left: others may be known to start
+// and never serve.
+func TestRequestsAreHeldForABoundedTime(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := newLimiter(now)
+	l.SetPeersKnown(true)
+	l.SetPeers(now, []quota.Peer{{Name: "another", Started: now}})
+	l.PeerTotals(now, "another", now, nil, false)
+	l.SetPeerStarting(now, "another", true)
+	const cost = 0.1 * rate
+	result := l.Admit(now, organisation, cost, 0)
+	g.Expect(result.Admitted).To(BeTrue(), "within the share")
+	for result.Admitted {
+		result = l.Admit(now, organisation, cost, 0)
+	}
+	g.Expect(result.Held).To(BeTrue(), "beyond it")
+	g.Expect(l.Readmit(now.Add(time.Second), organisation, cost, 0).Held).To(BeFalse())
+}
+
+// Guards against requests being held though other entries have counted all along.
+func TestNothingIsHeldBesideRunningEntries(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	l := newLimiter(now)
+	l.SetPeersKnown(true)
+	started := now.Add(-time.Minute)
+	l.SetPeers(now, []quota.Peer{{Name: "another", Started: started}})
+	l.PeerTotals(now, "another", started, nil, false)
+	for range 50 {
+		g.Expect(l.Admit(now, organisation, 1000, 0).Held).To(BeFalse())
+	}
+}
--- a/internal/core/quota/surge.go
+++ b/internal/core/quota/surge.go
@@ -29,15 +29,20 @@
 // quota.
 func (l *Limiter) SetRecordsCurrent() { l.recordsCurrent = true }
 
-// detectSurge marks an organisation that requests more than its typical use since all
-// entries started.
+// detectSurge marks an organisation of which more than its typical use is requested since
+// all entries started. Where the demand at other entries is not known, as much is assumed
+// as at those where it is.
 func (l *Limiter) detectSurge(now time.Time, organisation string, base, cost float64) {
-	if l.recordsCurrent || l.peersUnknown || !l.allStartedRecently(now) {
+	if l.recordsCurrent || l.surging[organisation] {
 		return
 	}
 	age := float64(now.Sub(l.started)) / float64(l.config.Window)
 	expected := base * (surgeBurstShare + surgeRateFactor*typicalUse*age)
-	if l.reportedSince(l.started, organisation)+cost > expected {
+	demand, heard := l.demandSinceStart(now, organisation)
+	if !l.peersUnknown || 2*heard < l.entries() {
+		demand *= float64(l.entries()) / float64(heard)
+	}
+	if demand+cost > expected {
 		l.surging[organisation] = true
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -262,13 +262,28 @@
 	c.expires = c.arrived.Add(limit)
 }
 
+// heldRecheck is the interval at which a request that the quota holds is decided again.
+const heldRecheck = 50 * time.Millisecond
+
+// checkQuota checks the request against its organisation's quota. It waits while that can't be
+// decided, right after the entries have started.
 func (c *call) checkQuota() *reply {
 	if c.organisation == "" {
 		return nil
 	}
-	result, profile := c.gateway.state.admit(c.organisation, c.cost, c.route.Priority, c.gateway.shares.Load() != nil)
-	if result.Admitted {
+	state, police := c.gateway.state, c.gateway.shares.Load() != nil
+	result, profile := state.admit(c.organisation, c.cost, c.route.Priority, police)
+	for result.Held {
 		c.metered, c.reserved = true, true
+		left := time.Until(c.expires)
+		if left <= 0 {
+			return notRun(string(dispatch.ReasonExpired), dispatch.MinRetryAfter)
+		}
+		time.Sleep(min(heldRecheck, left))
+		result, profile = state.readmit(c.organisation, c.cost, c.route.Priority, police)
+	}
+	c.metered, c.reserved = result.Admitted, result.Admitted
+	if result.Admitted {
 		c.classify(result, profile)
 		return nil
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -112,6 +112,7 @@
 		})
 	}
 	g.state.quota.PeerTotals(at, status.Name, at.Add(-status.Age), totals, partial)
+	g.state.quota.SetPeerStarting(now, status.Name, status.State == peerset.Starting)
 	return change
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -208,10 +208,25 @@
 // admit checks a request against its organisation's quota and, if police is set, an admitted
 // one of an organisation with a quota against its pace.
 func (s *state) admit(organisation string, cost float64, rank int, police bool) (quota.Result, fairshare.Profile) {
+	return s.decideQuota((*quota.Limiter).Admit, organisation, cost, rank, police)
+}
+
+// readmit is admit for a request that the quota has held.
+func (s *state) readmit(organisation string, cost float64, rank int, police bool) (quota.Result, fairshare.Profile) {
+	return s.decideQuota((*quota.Limiter).Readmit, organisation, cost, rank, police)
+}
+
+func (s *state) decideQuota(
+	decide func(*quota.Limiter, time.Time, string, float64, int) quota.Result, organisation string, cost float64, rank int, police bool,
+) (quota.Result, fairshare.Profile) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := time.Now()
-	result := s.quota.Admit(now, organisation, cost, rank)
+	result := decide(s.quota, now, organisation, cost, rank)
+	if result.Held {
+		// The others decide on theirs by what is held here.
+		s.reportNow()
+	}
 	if !police || !result.Admitted || result.Limit == 0 {
 		return result, fairshare.Profile{}
 	}
