Departures that a restore has lost reach entries that are not in the cell yet

Cause: an entry that sees the restore in an update of one that has just started told its cell at once, before that one belonged to it, and had greeted it earlier.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -256,8 +256,8 @@
 	}
 	f.targetsRead.Store(true)
 	if u.Restored {
-		// Entries that have started since read only the copy.
-		go f.gateway.links.sendDepartures(f.register.Departed(), f.gateway.links.cells.Load().Audience)
+		// Entries that have started since read only the copy. They belong to the cell soon after contact.
+		time.AfterFunc(2*cellsPause, func() { f.gateway.links.sendDepartures(f.departed(), f.gateway.links.cells.Load().Audience) })
 	}
 	f.gateway.noteSynced()
 	f.replicate(u, changed)
