--- a/internal/core/streams/archive.go
+++ b/internal/core/streams/archive.go
@@ -107,7 +107,7 @@
 	return batch
 }
 
-// Return adds a batch that could not be recorded again.
+// Return adds a batch that could not be recorded again, as the latest streams.
 func (p *Pending) Return(now time.Time, b Batch) {
 	for _, group := range b.Groups {
 		for _, key := range group.Keys {
--- a/internal/core/streams/history.go
+++ b/internal/core/streams/history.go
@@ -5,7 +5,7 @@
 // History is what is recorded, outside the entries, of the versions of a service: after the loss of all
 // entries nobody remembers those that are gone. Its times are those of wall clocks of other instances.
 type History struct {
-	// Since is when the record began: it holds each version of the time from then on.
+	// Since is when the record began: it holds each version of the time from then on. Zero: it holds all.
 	Since time.Time
 	// Versions is when a target of each version was last listed. Zero: one is, as far as the writer knows.
 	Versions map[string]time.Time
@@ -40,8 +40,8 @@
 
 // Histories returns what is to be recorded of all services that are known. recorded are the histories so far,
 // whose versions are kept: this entry may have started after they were gone. A service that has none is
-// recorded from the time on that this entry has observed it, or as a whole if nothing served before.
-func (v *Versions) Histories(now time.Time, recorded map[string]History, nothingBefore bool) map[string]History {
+// recorded from the time on that this entry has observed it or, with othersNew, as a whole: see RestoreOthers.
+func (v *Versions) Histories(now time.Time, recorded map[string]History, othersNew bool) map[string]History {
 	histories := make(map[string]History)
 	for service := range v.lastSeen {
 		before, found := recorded[service]
@@ -49,7 +49,7 @@
 		switch {
 		case found && before.Since.Before(since):
 			since = before.Since
-		case !found && nothingBefore:
+		case !found && othersNew:
 			since = time.Time{}
 		}
 		histories[service] = History{Since: since, Versions: make(map[string]time.Time)}
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/core/peerset"
 	"sycamoretrail/internal/core/streams"
@@ -57,19 +55,6 @@
 	archiveKeep = 30 * time.Second
 )
 
-// storedBatch is a batch of origins as recorded.
-type storedBatch struct {
-	ExpiresMS int64         `cbor:"1,keyasint"`
-	Groups    []storedGroup `cbor:"2,keyasint"`
-}
-
-// storedGroup holds the keys of streams of one origin, one after the other.
-type storedGroup struct {
-	_                struct{} `cbor:",toarray"`
-	Service, Version string
-	Keys             []byte
-}
-
 // originLog records origins in the store and reads those that were recorded.
 type originLog struct {
 	gateway *Gateway
@@ -139,34 +124,6 @@
 	return max(recordGather, time.Duration(l.recorders)*recordPerRecorder)
 }
 
-// confirmsSoon reports whether streams may wait for their record.
-func (l *originLog) confirmsSoon() bool {
-	if l.gather() >= confirmWait {
-		return false
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return time.Since(l.unconfirmedAt) > confirmPause
-}
-
-// await waits until a stream is recorded, its caller has left or time is up.
-func (l *originLog) await(key streams.Key, recorded, left <-chan struct{}) {
-	timer := time.NewTimer(confirmWait)
-	defer timer.Stop()
-	select {
-	case <-recorded:
-		return
-	case <-left:
-		l.mutex.Lock()
-	case <-timer.C:
-		l.gateway.counters.originRecords.add("unconfirmed")
-		l.mutex.Lock()
-		l.unconfirmedAt = time.Now()
-	}
-	delete(l.waiting, key)
-	l.mutex.Unlock()
-}
-
 // chooseRecorder chooses the entry that records for this one. A new one receives the running streams of this
 // entry, since the one before may have ended before it recorded them.
 func (l *originLog) chooseRecorder() {
@@ -243,24 +200,6 @@
 	l.gateway.links.send(l.recordMessage(records), []peerset.Entry{recorder})
 }
 
-// submitAndAwait passes a stream to the recorder. The channel is closed when it has been recorded.
-func (l *originLog) submitAndAwait(record streams.Record) <-chan struct{} {
-	recorded := make(chan struct{})
-	l.mutex.Lock()
-	l.waiting[record.Key] = recorded
-	recorder, self := l.recorder, l.self
-	l.mutex.Unlock()
-	if self {
-		l.add(record)
-		signal(l.urgent)
-		return recorded
-	}
-	m := l.recordMessage([]streams.Record{record})
-	m.AwaitRecord = true
-	l.gateway.links.send(m, []peerset.Entry{recorder})
-	return recorded
-}
-
 func (l *originLog) recordMessage(records []streams.Record) *gossip.Message {
 	m := l.gateway.links.message()
 	m.RecordOrigins = true
@@ -279,66 +218,6 @@
 	}
 }
 
-// addFor adds a stream of another entry, which waits for it if confirmTo names it.
-func (l *originLog) addFor(confirmTo string, record streams.Record) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.pending.Add(time.Now(), record)
-	if confirmTo != "" {
-		l.confirmTo[record.Key] = confirmTo
-		signal(l.urgent)
-	}
-}
-
-// confirm tells those that wait for the streams of a batch that it has been recorded.
-func (l *originLog) confirm(batch streams.Batch) {
-	keys := make(map[string][]byte)
-	l.mutex.Lock()
-	for _, group := range batch.Groups {
-		for _, key := range group.Keys {
-			if to, found := l.confirmTo[key]; found {
-				keys[to] = append(keys[to], key[:]...)
-				delete(l.confirmTo, key)
-			}
-			l.release(key)
-		}
-	}
-	l.mutex.Unlock()
-	for name, recorded := range keys {
-		l.gateway.state.mutex.Lock()
-		entry, known := l.gateway.state.peers.Entry(name)
-		l.gateway.state.mutex.Unlock()
-		if !known {
-			continue
-		}
-		for part := range slices.Chunk(recorded, confirmedKeys*len(streams.Key{})) {
-			m := l.gateway.links.message()
-			m.OriginsRecorded = part
-			l.gateway.links.send(m, []peerset.Entry{entry})
-		}
-	}
-}
-
-// release ends the wait for a stream. The caller holds the mutex.
-func (l *originLog) release(key streams.Key) {
-	if waiting, found := l.waiting[key]; found {
-		close(waiting)
-		delete(l.waiting, key)
-	}
-}
-
-// handleRecorded ends the waits for streams that the recorder has recorded.
-func (l *originLog) handleRecorded(keys []byte) {
-	if len(keys) == 0 {
-		return
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for ; len(keys) >= len(streams.Key{}); keys = keys[len(streams.Key{}):] {
-		l.release(streams.Key(keys[:len(streams.Key{})]))
-	}
-}
-
 // flush records what is pending.
 func (l *originLog) flush() {
 	for l.recordBatch() {
@@ -436,100 +315,3 @@
 	l.slots[at] = expires
 	return at
 }
-
-func encodeBatch(batch streams.Batch) (value []byte, size int, err error) {
-	stored := storedBatch{ExpiresMS: batch.Expires.UnixMilli()}
-	for _, group := range batch.Groups {
-		keys := make([]byte, 0, len(group.Keys)*len(streams.Key{}))
-		for _, key := range group.Keys {
-			keys = append(keys, key[:]...)
-		}
-		stored.Groups = append(stored.Groups, storedGroup{Service: group.Origin.Service, Version: group.Origin.Version, Keys: keys})
-		size += len(group.Keys)
-	}
-	value, err = cbor.Marshal(stored)
-	if err != nil {
-		return nil, 0, fmt.Errorf("batch of origins: %w", err)
-	}
-	return value, size, nil
-}
-
-func decodeBatch(value []byte) (streams.Batch, error) {
-	var stored storedBatch
-	if err := cbor.Unmarshal(value, &stored); err != nil {
-		return streams.Batch{}, fmt.Errorf("batch of origins: %w", err)
-	}
-	batch := streams.Batch{Expires: time.UnixMilli(stored.ExpiresMS)}
-	for _, group := range stored.Groups {
-		const size = len(streams.Key{})
-		if len(group.Keys)%size != 0 {
-			return streams.Batch{}, fmt.Errorf("batch of origins: keys of %d bytes", len(group.Keys))
-		}
-		decoded := streams.Group{Origin: streams.Origin{Service: group.Service, Version: group.Version}}
-		for keys := group.Keys; len(keys) > 0; keys = keys[size:] {
-			decoded.Keys = append(decoded.Keys, streams.Key(keys[:size]))
-		}
-		batch.Groups = append(batch.Groups, decoded)
-	}
-	return batch, nil
-}
-
-// lookup returns the origin of a stream if it is in a batch that was read.
-func (l *originLog) lookup(key streams.Key) (streams.Origin, bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.archive.Lookup(key)
-}
-
-// read reads what is recorded, unless that has just been done. It reports whether it succeeded in time.
-func (l *originLog) read(limit time.Duration) bool { return l.reads.do(limit, l.readBatches) }
-
-// readBatches reads the batches of all recorders.
-func (l *originLog) readBatches() error {
-	began := time.Now()
-	records, _, err := l.gateway.platform.Snapshot(feed.Origins)
-	if err != nil {
-		l.gateway.feeds.logStoreError(feed.Origins, err)
-		return err
-	}
-	archive, running := streams.NewArchive(), l.runningPrefixes()
-	var stale []string
-	for _, record := range records {
-		batch, err := decodeBatch(record.Value)
-		if err != nil {
-			l.gateway.feeds.logUndecodable(feed.Origins, record, err)
-			continue
-		}
-		if began.Sub(batch.Expires) > staleAfter {
-			if !l.isOfRunning(record.Key, running) {
-				stale = append(stale, record.Key)
-			}
-			continue
-		}
-		archive.Add(batch)
-		l.origins.note(minTime(began, batch.Expires), batch)
-	}
-	l.gateway.log.Write(eventlog.StateChange, eventOriginsRead, eventlog.Fields{
-		"batches": len(records), "streams": archive.Size(), "stale": len(stale), "took_ms": time.Since(began).Milliseconds(),
-	})
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.archive, l.archivedAt, l.stale = archive, time.Now(), stale
-	return nil
-}
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// discardArchive drops the batches that were read after a while: callers reconnect within seconds.
-func (l *originLog) discardArchive() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.archive.Size() > 0 && time.Since(l.archivedAt) > archiveKeep {
-		l.archive = streams.NewArchive()
-	}
-}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -425,11 +425,15 @@
 }
 
 // note records that the versions of a batch served streams.
-func (o *origins) note(at time.Time, batch streams.Batch) {
+func (o *origins) note(now time.Time, batch streams.Batch) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	served := now
+	if batch.Expires.Before(now) {
+		served = batch.Expires
+	}
 	for _, group := range batch.Groups {
-		o.versions.Note(at, group.Origin)
+		o.versions.Note(served, group.Origin)
 	}
 }
 
@@ -447,10 +451,10 @@
 	}
 }
 
-func (o *origins) histories(recorded map[string]streams.History, nothingBefore bool) map[string]streams.History {
+func (o *origins) histories(recorded map[string]streams.History, othersNew bool) map[string]streams.History {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return o.versions.Histories(time.Now(), recorded, nothingBefore)
+	return o.versions.Histories(time.Now(), recorded, othersNew)
 }
 
 // isAmbiguous reports whether a stream that begins at a service now could not be told from one that began at
--- a/internal/gateway/versionlog.go
+++ b/internal/gateway/versionlog.go
@@ -119,7 +119,7 @@
 			recorded[service] = history
 		}
 	}
-	histories := l.origins.histories(recorded, l.coversOthers(stored, end))
+	histories := l.origins.histories(recorded, l.othersNew(stored, end))
 	if !incomplete && reflect.DeepEqual(storedOf(histories, end.Generation), stored) {
 		return nil
 	}
@@ -150,13 +150,13 @@
 			stored = storedVersions{Generation: -1}
 		}
 	}
-	l.origins.restore(historiesOf(stored), stored.Generation != end.Generation, l.coversOthers(stored, end))
+	l.origins.restore(historiesOf(stored), stored.Generation != end.Generation, l.othersNew(stored, end))
 	return stored, end, nil
 }
 
-// coversOthers reports whether services that are not in the record had no target before: a new service, or all
+// othersNew reports whether services that are not in the record had no target before: a new service, or all
 // of them where no entry ran before. A store that was restored from an older copy may have lost them.
-func (l *versionLog) coversOthers(stored storedVersions, end feed.Position) bool {
+func (l *versionLog) othersNew(stored storedVersions, end feed.Position) bool {
 	switch {
 	case stored.Generation != end.Generation:
 		return false
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,16 +58,17 @@
 	Cleared uint64 `cbor:"19,keyasint,omitempty"`
 	// CauseReport is what the sender knows of causes of crashes.
 	CauseReport *CauseReport `cbor:"20,keyasint,omitempty"`
-	// RecordOrigins asks the receiver to record Origins in the store, AwaitRecord to confirm it: OriginsRecorded
-	// are the keys of streams that were, one after the other.
-	RecordOrigins   bool   `cbor:"21,keyasint,omitempty"`
-	AwaitRecord     bool   `cbor:"25,keyasint,omitempty"`
-	OriginsRecorded []byte `cbor:"26,keyasint,omitempty"`
+	// RecordOrigins asks the receiver to record Origins in the store.
+	RecordOrigins bool `cbor:"21,keyasint,omitempty"`
 	// QueryService is the service at which the stream of OriginQuery may have begun, QueryWithinMS how long ago
 	// at most. QueryRecords asks the receiver to read what is recorded in the store before it replies.
 	QueryService  string `cbor:"22,keyasint,omitempty"`
 	QueryRecords  bool   `cbor:"23,keyasint,omitempty"`
 	QueryWithinMS int64  `cbor:"24,keyasint,omitempty"`
+	// AwaitRecord asks the receiver of RecordOrigins to confirm it: OriginsRecorded are the keys of streams that
+	// were recorded, one after the other.
+	AwaitRecord     bool   `cbor:"25,keyasint,omitempty"`
+	OriginsRecorded []byte `cbor:"26,keyasint,omitempty"`
 }
 
 // Heartbeat is the status of the sender. It is sent often to the entries of its cell, and
