Comments on recording origins: why streams wait, what recordBatch and finding report

Read-through: the reason for the wait (streams of the last batch are lost with all entries, and many last for half a second) stood in no comment any more, and two comments said something else than the code.

--- a/internal/gateway/originconfirm.go
+++ b/internal/gateway/originconfirm.go
@@ -9,7 +9,8 @@
 )
 
 // Streams whose origin could not be told from others wait, before their first event is passed on, until the
-// recorder confirms that it is recorded.
+// recorder confirms that it is recorded: those of the last batch would be lost with all entries, and many streams
+// last for half a second only.
 
 // confirmsSoon reports whether streams may wait for their record.
 func (l *originLog) confirmsSoon() bool {
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -18,8 +18,7 @@
 )
 
 // The origins of streams outlast all entries in the store. A few entries, the recorders, append those of all in
-// batches. Batches are keyed records: the store keeps the newest record of each key whatever else
-// it forgets.
+// batches. Batches are keyed records: the store keeps the newest record of each key whatever else it forgets.
 
 const (
 	// chooseEvery is the interval at which the recorder is chosen, firstChoice the time after the start.
@@ -224,7 +223,7 @@
 	}
 }
 
-// recordBatch records a batch of what is pending. It reports whether more than one was.
+// recordBatch records a batch of what is pending. It reports whether more may be.
 func (l *originLog) recordBatch() (more bool) {
 	began := time.Now()
 	batch, records, size, err := l.nextBatch(began)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -128,8 +128,8 @@
 }
 
 // finding is what is known of a stream's origin. If nobody knows it, several are the services of which
-// other entries know several versions. asked and replied count the entries.
-// recordsRead: the stream is not in the store either; versionsRead: what is recorded of versions has been read.
+// other entries know several versions. asked counts the entries that were asked, replied those that don't know it.
+// recordsRead: the recorded streams were looked through; versionsRead: the record of versions was read.
 type finding struct {
 	origin         streams.Origin
 	found          bool
