Answers with a blank in the name of a field are refused

What callers saw: a target's answer whose head had a blank in the name of a field ("X Broken: 1", "X-Broken : 1") came as a sealed 200 with that line in it. With "Content-Length : 3" or "Transfer-Encoding : chunked" it came beside a framing of the gateway's own, and the sizes of the chunks were part of the body. A line that begins with a blank and has a colon (" X-Broken: 1", " :") was appended to the field before it, so that even a seal could change. None of these was repeated or counted against its target.

Cause: heads were judged by the HTTP library alone. It accepts a blank in a name, before the colon too, and in the names of trailers; it joins lines that begin with a blank whatever they hold; it ignores the reason; and it ignores a transfer coding in an answer of HTTP/1.0, whose chunk sizes then pass for body (RFC 9112, section 6.1: the framing is faulty).

Change: internal/answerhead checks the bytes of a head before the library parses them, in the one place where the gateway reads answers: of targets, to the question who a target is, and of other entries. The connection is closed at the first invalid line and nothing after it is read, so no later byte can pass for another answer. An invalid answer is handled as the other ones that violate the protocol: the request may have run, so it gets 502 invalid_answer or, if it may be repeated, another target; the target is ejected; it is no evidence of a crash. The line of the try quotes the beginning of the wrong line, gateway_invalid_answers_total counts, and a handed_off line tells "invalid" from "broken". Folded values without a colon are joined as before: RFC 9112, section 5.2 allows either.

Handled already, and tested now: control bytes, bytes over 127, brackets in names, empty names, lines without a colon, control bytes in values.

--- /dev/null
+++ b/internal/answerhead/answerheadtest/heads.go
@@ -0,0 +1,109 @@
+// Package answerheadtest has answers whose head violates RFC 9112, and unusual ones that are valid, for the
+// tests of all programs that read answers.
+package answerheadtest
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+const (
+	// Body is the body of all answers here.
+	Body = "whole"
+	// chunked is Body in chunks.
+	chunked = "5\r\n" + Body + "\r\n0\r\n\r\n"
+	// another is an answer that follows an invalid one, or is its body.
+	another = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n%s\r\nother"
+)
+
+// Answer is an answer without the fields that name its request. In its fields, %d stands for the length of
+// the body, in its body, %s for the fields that name the request.
+type Answer struct{ status, fields, body string }
+
+// Text returns the answer as bytes. named are the fields that name its request, each with its line end.
+func (a Answer) Text(named string) string {
+	body := a.body
+	if strings.Contains(body, "%s") {
+		body = fmt.Sprintf(body, named)
+	}
+	fields := a.fields
+	if strings.Contains(fields, "%d") {
+		fields = fmt.Sprintf(fields, len(body))
+	}
+	return a.status + "\r\n" + named + fields + "\r\n" + body
+}
+
+// withField returns an answer with a further line in its head.
+func withField(line string) Answer {
+	return Answer{"HTTP/1.1 200 OK", line + "\r\nContent-Length: %d\r\n", Body}
+}
+
+func withStatus(line string) Answer { return Answer{line, "Content-Length: %d\r\n", Body} }
+
+// Invalid returns answers that must not reach a caller, by name.
+func Invalid() map[string]Answer {
+	answers := map[string]Answer{
+		"length, blank before the colon":          {"HTTP/1.1 200 OK", "Content-Length : 3\r\n", Body},
+		"transfer coding, blank before the colon": {"HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n", chunked},
+		"transfer coding, blank in its name":      {"HTTP/1.1 200 OK", "Transfer Encoding: chunked\r\n", chunked},
+		"transfer coding in HTTP/1.0":             {"HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
+		"informational, blank in a name":          {"HTTP/1.1 103 Early Hints", "X Broken: 1\r\n", another},
+		"control byte in the reason":              withStatus("HTTP/1.1 200 O\x00K"),
+	}
+	for _, name := range invalidNames() {
+		answers[fmt.Sprintf("name %q", name)] = withField(name + ": 1")
+	}
+	for _, line := range []string{"X-Broken", " :", "\t:"} {
+		answers[fmt.Sprintf("line %q", line)] = withField(line)
+	}
+	for _, value := range []string{"a\x00b", "a\x01b", "a\rb", "a\x1bb", "a\x7fb", "a\r\n b\x01"} {
+		answers[fmt.Sprintf("value %q", value)] = withField("X-Broken: " + value)
+	}
+	return answers
+}
+
+// invalidNames returns names of fields that are no tokens.
+func invalidNames() []string {
+	names := []string{
+		"", "X Broken", "X-Broken ", " X-Broken", "  ", "X\tBroken", "X-Broken\t", "\tX-Broken", "X(Broken)", "X[Broken]", "X-Brok\xe9n",
+	}
+	for _, control := range []byte{0x00, 0x01, 0x07, 0x0b, '\r', 0x1b, 0x1f, 0x7f} {
+		names = append(names, "X"+string([]byte{control})+"Broken")
+	}
+	return names
+}
+
+// Unusual returns valid answers, by name.
+func Unusual() map[string]Answer {
+	const token = "!#$%%&'*+-.^_`|~0123456789abcXYZ"
+	return map[string]Answer{
+		"all bytes of a token":        withField(token + ": 1"),
+		"lower case":                  {"HTTP/1.1 200 OK", "content-length: %d\r\nx-value: 1\r\n", Body},
+		"bytes over 127 in a value":   withField("X-Value: caf\xc3\xa9 \xff"),
+		"tabs in a value":             withField("X-Value:\ta\tb\t"),
+		"empty value":                 withField("X-Value:"),
+		"colons in a value":           withField("X-Value: a:b : c"),
+		"blanks after a value":        withField("X-Value: a  "),
+		"folded value":                withField("X-Value: a\r\n b"),
+		"folded line without text":    withField("X-Value: a\r\n "),
+		"no blank after the colon":    withField("X-Value:a"),
+		"line ends without CR":        {"HTTP/1.1 200 OK", "X-Value: a\nContent-Length: %d\n", Body},
+		"empty reason":                withStatus("HTTP/1.1 200 "),
+		"no reason":                   withStatus("HTTP/1.1 200"),
+		"two blanks before the code":  withStatus("HTTP/1.1  200 OK"),
+		"tab, bytes over 127, reason": withStatus("HTTP/1.1 200 \xc3\x89\tOK"),
+		"HTTP/1.0":                    withStatus("HTTP/1.0 200 OK"),
+		"HTTP/1.2":                    withStatus("HTTP/1.2 200 OK"),
+		"one length twice":            {"HTTP/1.1 200 OK", "Content-Length: %d\r\nContent-Length: 5\r\n", Body},
+		"chunks":                      {"HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
+		"chunks and a length":         {"HTTP/1.1 200 OK", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunked},
+		"informational answers first": {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\nHTTP/1.1 200 OK", "Content-Length: %d\r\n", Body},
+		"long field":                  withField("X-Value: " + strings.Repeat("a", 20<<10)),
+		"many fields":                 withField(strings.Repeat("X-Value: a\r\n", 1000) + "X-Value: a"),
+	}
+}
+
+// Names returns the names of answers in order.
+func Names(answers map[string]Answer) []string { return slices.Sorted(maps.Keys(answers)) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"sycamoretrail/internal/core/catalog"
 	"sycamoretrail/internal/core/dispatch"
 	"sycamoretrail/internal/eventlog"
+	"sycamoretrail/internal/upstream"
 )
 
 // report releases the slot with the outcome, and writes the log line of the try.
@@ -42,6 +44,9 @@
 	}
 	c.gateway.log.Write(importance, eventTried, fields)
 	c.gateway.counters.tries.add(report.Outcome.String())
+	if errors.Is(err, upstream.ErrInvalidAnswer) {
+		c.gateway.counters.invalidAnswers.add(c.service)
+	}
 	c.recordVerdict(report.Outcome, status)
 	c.gateway.state.recordObservation(c.service, c.route, grant, report, took)
 	c.gateway.state.release(grant.Ticket, report)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,7 +91,7 @@
 	metrics  *telemetry.Metrics
 	counters struct {
 		settled, tries, updates, excess, late, droppedAnnouncements, handoffs, reconnects, acceptErrors, contradictions tally
-		malformed, originRecords                                                                                        tally
+		malformed, invalidAnswers, originRecords                                                                        tally
 	}
 
 	// pauses detects that this process did not run.
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -81,7 +81,7 @@
 		}
 		if err != nil {
 			c.runs++
-			if c.retryOrEnd(targetAborted) {
+			if c.retryOrEnd(replyFor(err)) {
 				return true
 			}
 			continue
@@ -123,6 +123,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		outcome, err = "unreachable", errDeclined
+	case errors.Is(err, upstream.ErrInvalidAnswer):
+		outcome = "invalid"
 	case err != nil:
 		outcome = "broken"
 		c.connectionBroke = true
@@ -142,6 +144,7 @@
 	importance := eventlog.Routine
 	if err != nil {
 		importance = eventlog.Failure
+		fields["error"] = err.Error()
 	}
 	c.gateway.log.Write(importance, eventHandedOff, fields)
 	c.gateway.counters.handoffs.add(outcome)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -79,6 +79,7 @@
 	g.counters.reconnects.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayReconnects, n, key) })
 	g.counters.originRecords.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayOriginRecords, n, key) })
 	g.counters.malformed.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayMalformed, n, key) })
+	g.counters.invalidAnswers.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayInvalidAnswers, n, key) })
 	g.counters.contradictions.each(func(key string, n int64) { m.SetTotal(telemetry.GatewayContradictions, n, key) })
 	m.Set(telemetry.GatewayRefusedCauses, float64(refused))
 	m.Set(telemetry.GatewaySuspectedCauses, float64(suspected))
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -56,6 +56,8 @@
 		"Of these, those that declare how many rejections a second they bear.", "service")
 	GatewayMalformed = declare(KindCounter, "gateway_malformed_declarations_total",
 		"Answers whose declaration of the rejections that their target bears can't be read, and is ignored.", "service")
+	GatewayInvalidAnswers = declare(KindCounter, "gateway_invalid_answers_total",
+		"Answers of targets that violate the protocol.", "service")
 	GatewayLateGrants = declare(KindCounter, "gateway_late_grants_total",
 		"Requests that got a slot although they were expected to miss their objective.", "service")
 	GatewayExcess = declare(KindCounter, "gateway_excess_requests_total",
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,7 +33,7 @@
 	conn     *Conn
 	pool     *Pool
 	exchange *Exchange
-	body     io.ReadCloser
+	response *http.Response
 	keep     time.Duration
 	finished bool
 }
@@ -119,7 +119,7 @@
 			conn.source.observed = framing == FramedByClose
 			return &Answer{
 				Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing,
-				conn: conn, pool: p, exchange: x, body: response.Body, keep: p.keepAlive(response),
+				conn: conn, pool: p, exchange: x, response: response, keep: p.keepAlive(response),
 			}, nil
 		}
 		// This may be a late second answer to an earlier request, followed by the answer
@@ -137,24 +137,6 @@
 	return nil, ErrMismatch
 }
 
-// readHead reads the head of the final answer and skips informational ones (status 1xx).
-func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.source.left = maxHead
-	defer func() { c.source.left = unbounded }()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if errors.Is(err, ErrTooLong) {
-			return nil, ErrHeadTooLong
-		}
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 func (c *Conn) write(x *Exchange) error {
 	c.writing, c.writeErr = nil, nil
 	if len(x.Body) > maxInlineBody {
@@ -218,12 +200,12 @@
 // Read reads the body. io.EOF means that the body is complete according to its framing. It must not be
 // called after Close.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.response.Body.Read(p)
 	switch {
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
-		if err := a.checkClose(); err != nil {
+		if err := a.checkEnd(); err != nil {
 			return n, err
 		}
 		a.finished = true
@@ -244,12 +226,12 @@
 	_, _ = io.CopyN(io.Discard, a, limit)
 }
 
-// checkClose returns an error if the body ends with the connection and the target may have been
-// interrupted: its connection was reset, or its process has ended.
-func (a *Answer) checkClose() error {
+// checkEnd returns an error if the trailers are invalid, or if the body ends with the connection and the
+// target may have been interrupted: its connection was reset, or its process has ended.
+func (a *Answer) checkEnd() error {
 	switch {
 	case a.Framing != FramedByClose || a.finished:
-		return nil
+		return checkTrailers(a.response.Trailer)
 	case a.conn.writeReset():
 		return fmt.Errorf("%w: reset while the request was written", ErrBroken)
 	case !a.pool.alive(a.conn.address):
@@ -273,6 +255,7 @@
 	a.conn = nil
 	if a.finished && a.keep > 0 && conn.reader.Buffered() == 0 && conn.written() && !conn.carried.full(time.Now()) {
 		conn.keep = a.keep
+		conn.shrinkBuffer()
 		return a.pool.put(conn)
 	}
 	_ = conn.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/netconn"
 )
 
@@ -60,8 +61,9 @@
 	net.Conn
 	address string
 	// reader buffers what source reads.
-	reader *bufio.Reader
-	source *source
+	reader  *bufio.Reader
+	source  *source
+	checker answerhead.Checker
 	// number counts the connections of the pool in the order of their opening; opened is when
 	// this one was opened, requests how many it has carried.
 	number   int64
