Answers with a status that doesn't exist are refused

What callers saw: a target's answer of status 000, 099, +99 or 101 without a body was skipped, and the bytes after it, a second answer or the body of the first, came as a sealed 200. 600 and 999 were passed on, and so were answers of HTTP/2.0, 9.9 and 0.9. A status below 100 with an ordinary body was refused, but counted as a crash of the target under the request.

Cause: the HTTP library takes each three characters that are a number for a status, and the gateway took each below 200 for informational, 101 too, after which HTTP ends. The body was then read as the next head: invalid, or, when the target closed the connection, cut short as by a crash. The version is only checked for its form.

Change: the check of heads accepts 100 to 599 in three digits, and HTTP/1 (1.2 and later minor versions count as 1.1, RFC 9110, section 2.5). 101 is refused, as no request of ours asks for another protocol. Informational are 100 and 102 to 199. RFC 9110, section 15 calls codes beyond 599 invalid; they were handled as failures of the target before, and the caller gets 502 in place of them now.

Handled already, and tested now: other lengths and letters in the status, other protocols' names. 102 and 103 before the answer, no reason and two blanks before the code are accepted as before.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,5 +1,5 @@
-// Package answerhead checks the heads of HTTP/1 answers against RFC 9112. The HTTP libraries accept more, as
-// blanks in the names of fields.
+// Package answerhead checks the heads of HTTP/1 answers against RFC 9112. The HTTP libraries accept more: blanks
+// in the names of fields, statuses that don't exist, other versions of the protocol.
 package answerhead
 
 import (
@@ -16,10 +16,14 @@
 	// maxQuoted is the number of bytes of a line that are kept, for errors and to recognize fields.
 	maxQuoted = 64
 
-	oldVersion     = "HTTP/1.0"
+	versionPrefix  = "HTTP/1."
 	transferCoding = "Transfer-Encoding"
 
-	minFinalStatus = 200
+	statusDigits       = 3
+	minStatus          = 100
+	switchingProtocols = 101
+	minFinalStatus     = 200
+	maxStatus          = 599
 )
 
 // state is what the next byte belongs to.
@@ -172,21 +176,37 @@
 		c.state = ended
 		return nil
 	case c.status == 0:
-		c.readStatus()
+		if err := c.readStatus(); err != nil {
+			return err
+		}
 	}
 	c.state = atLineStart
 	c.length = 0
 	return nil
 }
 
-// readStatus reads the version and the code in the status line, which the HTTP library checks.
-func (c *Checker) readStatus() {
+// readStatus reads the version and the code in the status line.
+func (c *Checker) readStatus() error {
 	line := bytes.TrimRight(c.quoted[:c.length], "\r\n")
-	version, rest, _ := bytes.Cut(line, []byte{' '})
-	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	c.status, _ = strconv.Atoi(string(code))
-	c.status = max(1, c.status)
-	c.oldVersion = string(version) == oldVersion
+	minor, hasVersion := bytes.CutPrefix(line, []byte(versionPrefix))
+	if !hasVersion || len(minor) < 2 || !isDigit(minor[0]) || minor[1] != ' ' {
+		return c.invalid("the version is not HTTP/1")
+	}
+	code, _, _ := bytes.Cut(bytes.TrimLeft(minor[1:], " "), []byte{' '})
+	for _, b := range code {
+		if !isDigit(b) {
+			return c.invalid("the status is not a number")
+		}
+	}
+	status, err := strconv.Atoi(string(code))
+	if err != nil || len(code) != statusDigits || status < minStatus || status > maxStatus {
+		return c.invalid("the status does not exist")
+	}
+	if status == switchingProtocols {
+		return c.invalid("a switch of protocols that was not requested")
+	}
+	c.status, c.oldVersion = status, minor[0] == '0'
+	return nil
 }
 
 func (c *Checker) invalid(reason string) error {
--- a/internal/answerhead/answerheadtest/heads.go
+++ b/internal/answerhead/answerheadtest/heads.go
@@ -42,6 +42,9 @@
 
 func withStatus(line string) Answer { return Answer{line, "Content-Length: %d\r\n", Body} }
 
+// followed returns an answer without a body, which another one follows.
+func followed(status string) Answer { return Answer{status, "", another} }
+
 // Invalid returns answers that must not reach a caller, by name.
 func Invalid() map[string]Answer {
 	answers := map[string]Answer{
@@ -50,6 +53,11 @@
 		"transfer coding, blank in its name":      {"HTTP/1.1 200 OK", "Transfer Encoding: chunked\r\n", chunked},
 		"transfer coding in HTTP/1.0":             {"HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
 		"informational, blank in a name":          {"HTTP/1.1 103 Early Hints", "X Broken: 1\r\n", another},
+		"status 000, its body is an answer":       {"HTTP/1.1 000 No", "Content-Length: %d\r\n", another},
+		"status 000, then an answer":              followed("HTTP/1.1 000 No"),
+		"status 099, then an answer":              followed("HTTP/1.1 099 No"),
+		"status +99, then an answer":              followed("HTTP/1.1 +99 No"),
+		"status 101, then an answer":              followed("HTTP/1.1 101 Switching Protocols"),
 		"control byte in the reason":              withStatus("HTTP/1.1 200 O\x00K"),
 	}
 	for _, name := range invalidNames() {
@@ -61,6 +69,12 @@
 	for _, value := range []string{"a\x00b", "a\x01b", "a\rb", "a\x1bb", "a\x7fb", "a\r\n b\x01"} {
 		answers[fmt.Sprintf("value %q", value)] = withField("X-Broken: " + value)
 	}
+	for _, status := range []string{"", "000", "001", "099", "+20", "-00", "20", "2000", "0x0", "200OK", "101", "600", "999"} {
+		answers["status "+status] = withStatus("HTTP/1.1 " + status + " OK")
+	}
+	for _, version := range []string{"HTTP/9.9", "HTTP/2.0", "HTTP/0.9", "HTTP/1.10", "HTTP/1", "http/1.1", "HTTPS/1.1", "ICY"} {
+		answers["version "+version] = withStatus(version + " 200 OK")
+	}
 	return answers
 }
 
