sycamore-entry: invalid heads of targets' answers are refused

What callers saw: a service's answer with a blank in the name of a field, or with status 000, 001, 099, 101, 600 or 999, came as an answer; 000 as 200. "Content-Length : 3" counted as the length, so that the body was cut to it and the answer was "complete". Informational answers were taken for the final one. A probe, an order or a cancellation that was answered so counted as done: an engine in trouble was reachable.

Cause: fasthttp, which reads these answers, trims blanks before the colon, accepts others in names, gives 200 for status 0, and takes each status but 100 for final.

Change: answerhead.Conn stands between connection and library. The library gets a head when the whole of it has been checked and it is final, and otherwise an error that says what is wrong; nothing after it is read. So a service's run ends as "ran in part or unknown", an engine's stream is read again, and a control call has failed. invalid_answers_total counts, and a line in a second at most quotes the line. Informational answers are left out, within 64 KB. What the library makes of the 22 other unusual valid heads is compared with and without the check (TestClientsGetUnusualAnswers).

--- a/cmd/sycamore-entry/gauges.go
+++ b/cmd/sycamore-entry/gauges.go
@@ -47,6 +47,7 @@
 		m.SetTotal(telemetry.TraceLines, p.recording.Written())
 		m.SetTotal(telemetry.TraceDropped, p.recording.Dropped())
 	}
+	m.SetTotal(telemetry.InvalidAnswers, p.data.InvalidAnswers())
 	p.reportUsage()
 	p.reportLinks()
 }
--- /dev/null
+++ b/internal/answerhead/answerheadtest/serve.go
@@ -0,0 +1,41 @@
+package answerheadtest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// Serve starts a server that answers each request with a text and closes its connection. It returns the
+// server's address.
+func Serve(tb testing.TB, answer func(*http.Request) string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(conn, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerOnce(conn net.Conn, answer func(*http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, answer(request))
+}
--- a/internal/targets/conn.go
+++ b/internal/targets/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/netconn"
 
 	"github.com/valyala/fasthttp"
@@ -112,13 +113,13 @@
 		DisablePathNormalizing:    true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(addr string) (net.Conn, error) {
+		Dial: answerhead.Checked(func(addr string) (net.Conn, error) {
 			conn, err := net.DialTimeout("tcp", addr, cfg.DialTimeout)
 			if err != nil {
 				return nil, fmt.Errorf("%w: %w", errNothingSent, err)
 			}
 			return &guardedConn{Conn: conn, idle: idle}, nil
-		},
+		}),
 	}
 }
 
--- a/internal/targets/control.go
+++ b/internal/targets/control.go
@@ -66,6 +66,7 @@
 	req.SetTimeout(t.cfg.ControlTimeout)
 	resp.StreamBody = true
 	if err := t.client(address, request.Engine).Do(req, resp); err != nil {
+		t.noteInvalid(address, err)
 		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
--- a/internal/targets/run.go
+++ b/internal/targets/run.go
@@ -145,6 +145,7 @@
 			req.SetTimeout(remaining)
 		}
 		err := client.Do(req, resp)
+		r.t.noteInvalid(r.address, err)
 		if err == nil || !nothingSent(err) || attempt >= maxStaleRetries || !errors.Is(err, errStale) {
 			return err
 		}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -100,6 +100,8 @@
 	running map[ident.RequestID]*run
 	clients map[clientKey]*fasthttp.HostClient
 	probing map[string]bool
+
+	invalid invalidAnswers
 }
 
 type clientKey struct {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -59,6 +59,7 @@
 	KeysClaimed     = declare(KindGauge, "claims_held", "Claims of idempotency keys known here.")
 	EntriesKnown    = declare(KindGauge, "entries_known", "Entries that callers are told of.")
 	PeersNotLinked  = declare(KindGauge, "peers_not_linked", "Known peers without a link.")
+	InvalidAnswers  = declare(KindCounter, "invalid_answers_total", "Answers of targets that violate the protocol.")
 	RefusedPrefixes = declare(KindGauge, "refused_prompt_beginnings", "Beginnings of prompts that are refused because engines crashed under them.")
 	TraceLines      = declare(KindCounter, "trace_lines", "Requests written to trace_file.")
 	TraceDropped    = declare(KindCounter, "trace_dropped", "Requests left out of trace_file: its ring or the file was full.")
