Invalid heads of answers to the clients of log, list and operators are errors

What could happen: the same cause in the other readers. For sycamore-entry an append to the platform's log counted as confirmed, or an empty list of instances as read; for console and sycamorectl an answer of status 000 was an entry's, and a publication counted as accepted; `sycamorectl submit` printed an answer of status 999 and ended with 0; the console's check of the log took each of these for a log that answers; the replay tool counted them as answers.

Change: answerhead.Configure, the ConfigureClient of each fasthttp.Client, puts the check between connection and library, above TLS where the log is reached by https. What follows is what follows a lost answer: an append is unknown, a publication is sent to the next entry and is unknown if none answers, `submit` ends with 3.

The links between entries of sycamore-entry begin with an answer of an entry to a WebSocket handshake, which is not passed on; they are unchanged.

--- a/internal/answerhead/answerheadtest/heads.go
+++ b/internal/answerhead/answerheadtest/heads.go
@@ -6,41 +6,41 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 )
 
+// Body is the body of all answers here, unless a test chooses another.
+const Body = "whole"
+
 const (
-	// Body is the body of all answers here.
-	Body = "whole"
-	// chunked is Body in chunks.
-	chunked = "5\r\n" + Body + "\r\n0\r\n\r\n"
+	// chunked is a body in one chunk.
+	chunked = "{hex length}\r\n{body}\r\n0\r\n\r\n"
 	// another is an answer that follows an invalid one, or is its body.
-	another = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n%s\r\nother"
+	another = "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{names}\r\n{body}"
 )
 
-// Answer is an answer without the fields that name its request. In its fields, %d stands for the length of
-// the body, in its body, %s for the fields that name the request.
+// Answer is a template of an answer: {names} stands for the fields that name its request, {body} for its body. In
+// fields, {length} is the length of all that follows the head.
 type Answer struct{ status, fields, body string }
 
-// Text returns the answer as bytes. named are the fields that name its request, each with its line end.
-func (a Answer) Text(named string) string {
-	body := a.body
-	if strings.Contains(body, "%s") {
-		body = fmt.Sprintf(body, named)
-	}
-	fields := a.fields
-	if strings.Contains(fields, "%d") {
-		fields = fmt.Sprintf(fields, len(body))
-	}
-	return a.status + "\r\n" + named + fields + "\r\n" + body
+// Text returns the answer as bytes. names are the fields that name its request, each with its line end.
+func (a Answer) Text(names string) string { return a.TextWith(names, Body) }
+
+// TextWith returns the answer with a body of the test's choice.
+func (a Answer) TextWith(names, body string) string {
+	content := strings.NewReplacer(
+		"{names}", names, "{body}", body, "{length}", strconv.Itoa(len(body)), "{hex length}", strconv.FormatInt(int64(len(body)), 16),
+	).Replace(a.body)
+	return a.status + "\r\n" + names + strings.ReplaceAll(a.fields, "{length}", strconv.Itoa(len(content))) + "\r\n" + content
 }
 
 // withField returns an answer with a further line in its head.
 func withField(line string) Answer {
-	return Answer{"HTTP/1.1 200 OK", line + "\r\nContent-Length: %d\r\n", Body}
+	return Answer{"HTTP/1.1 200 OK", line + "\r\nContent-Length: {length}\r\n", "{body}"}
 }
 
-func withStatus(line string) Answer { return Answer{line, "Content-Length: %d\r\n", Body} }
+func withStatus(line string) Answer { return Answer{line, "Content-Length: {length}\r\n", "{body}"} }
 
 // followed returns an answer without a body, which another one follows.
 func followed(status string) Answer { return Answer{status, "", another} }
@@ -48,12 +48,12 @@
 // Invalid returns answers that must not reach a caller, by name.
 func Invalid() map[string]Answer {
 	answers := map[string]Answer{
-		"length, blank before the colon":          {"HTTP/1.1 200 OK", "Content-Length : 3\r\n", Body},
+		"length, blank before the colon":          {"HTTP/1.1 200 OK", "Content-Length : 3\r\n", "{body}"},
 		"transfer coding, blank before the colon": {"HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n", chunked},
 		"transfer coding, blank in its name":      {"HTTP/1.1 200 OK", "Transfer Encoding: chunked\r\n", chunked},
 		"transfer coding in HTTP/1.0":             {"HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
 		"informational, blank in a name":          {"HTTP/1.1 103 Early Hints", "X Broken: 1\r\n", another},
-		"status 000, its body is an answer":       {"HTTP/1.1 000 No", "Content-Length: %d\r\n", another},
+		"status 000, its body is an answer":       {"HTTP/1.1 000 No", "Content-Length: {length}\r\n", another},
 		"status 000, then an answer":              followed("HTTP/1.1 000 No"),
 		"status 099, then an answer":              followed("HTTP/1.1 099 No"),
 		"status +99, then an answer":              followed("HTTP/1.1 +99 No"),
@@ -91,10 +91,10 @@
 
 // Unusual returns valid answers, by name.
 func Unusual() map[string]Answer {
-	const token = "!#$%%&'*+-.^_`|~0123456789abcXYZ"
+	const token = "!#$%&'*+-.^_`|~0123456789abcXYZ"
 	return map[string]Answer{
 		"all bytes of a token":        withField(token + ": 1"),
-		"lower case":                  {"HTTP/1.1 200 OK", "content-length: %d\r\nx-value: 1\r\n", Body},
+		"lower case":                  {"HTTP/1.1 200 OK", "content-length: {length}\r\nx-value: 1\r\n", "{body}"},
 		"bytes over 127 in a value":   withField("X-Value: caf\xc3\xa9 \xff"),
 		"tabs in a value":             withField("X-Value:\ta\tb\t"),
 		"empty value":                 withField("X-Value:"),
@@ -103,17 +103,17 @@
 		"folded value":                withField("X-Value: a\r\n b"),
 		"folded line without text":    withField("X-Value: a\r\n "),
 		"no blank after the colon":    withField("X-Value:a"),
-		"line ends without CR":        {"HTTP/1.1 200 OK", "X-Value: a\nContent-Length: %d\n", Body},
+		"line ends without CR":        {"HTTP/1.1 200 OK", "X-Value: a\nContent-Length: {length}\n", "{body}"},
 		"empty reason":                withStatus("HTTP/1.1 200 "),
 		"no reason":                   withStatus("HTTP/1.1 200"),
 		"two blanks before the code":  withStatus("HTTP/1.1  200 OK"),
 		"tab, bytes over 127, reason": withStatus("HTTP/1.1 200 \xc3\x89\tOK"),
 		"HTTP/1.0":                    withStatus("HTTP/1.0 200 OK"),
 		"HTTP/1.2":                    withStatus("HTTP/1.2 200 OK"),
-		"one length twice":            {"HTTP/1.1 200 OK", "Content-Length: %d\r\nContent-Length: 5\r\n", Body},
+		"one length twice":            {"HTTP/1.1 200 OK", "Content-Length: {length}\r\nContent-Length: 5\r\n", "{body}"},
 		"chunks":                      {"HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", chunked},
 		"chunks and a length":         {"HTTP/1.1 200 OK", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunked},
-		"informational answers first": {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\nHTTP/1.1 200 OK", "Content-Length: %d\r\n", Body},
+		"informational answers first": {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\nHTTP/1.1 200 OK", "Content-Length: {length}\r\n", "{body}"},
 		"long field":                  withField("X-Value: " + strings.Repeat("a", 20<<10)),
 		"many fields":                 withField(strings.Repeat("X-Value: a\r\n", 1000) + "X-Value: a"),
 	}
--- a/internal/console/logcheck.go
+++ b/internal/console/logcheck.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/core/record"
 )
 
@@ -18,7 +19,9 @@
 // reports whether one answers. The error for a stream that does not exist yet
 // counts as an answer.
 func LogChecker(urls []string) func() bool {
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, DialDualStack: true, MaxResponseBodySize: maxLogAnswer}
+	client := &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, DialDualStack: true, MaxResponseBodySize: maxLogAnswer, ConfigureClient: answerhead.Configure,
+	}
 	path := "/logs/" + string(record.StreamDocuments) + "/records?from=0&max=1&wait_ms=0"
 	return func() bool {
 		for _, base := range urls {
--- a/internal/ctl/caller.go
+++ b/internal/ctl/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/operatorclient"
 )
 
@@ -88,5 +89,6 @@
 		MaxResponseBodySize:       maxCallersAnswer,
 		MaxIdemponentCallAttempts: 1,
 		DialDualStack:             true,
+		ConfigureClient:           answerhead.Configure,
 	}
 }
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/answerhead"
 )
 
 const (
@@ -27,6 +29,7 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       idleTimeout,
 		MaxResponseBodySize:       maxAnswerBytes,
+		ConfigureClient:           answerhead.Configure,
 		Dial:                      func(address string) (net.Conn, error) { return dial(address, traffic) },
 	}
 }
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/operators/api"
 )
 
@@ -68,6 +69,7 @@
 		ReadTimeout:         timeout,
 		WriteTimeout:        timeout,
 		MaxResponseBodySize: maxAnswer,
+		ConfigureClient:     answerhead.Configure,
 		// The Client itself decides which calls are retried, and at which entry.
 		MaxIdemponentCallAttempts: 1,
 	}
--- a/internal/replay/capacity/client.go
+++ b/internal/replay/capacity/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"sycamoretrail/internal/answerhead"
 )
 
 const (
@@ -32,6 +34,7 @@
 		MaxConnsPerHost:           clientConnections,
 		MaxIdleConnDuration:       clientIdle,
 		MaxIdemponentCallAttempts: 1,
+		ConfigureClient:           answerhead.Configure,
 	}
 }
 
--- a/internal/replay/capacity/point.go
+++ b/internal/replay/capacity/point.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/operatorclient"
 	"sycamoretrail/internal/operators/api"
@@ -189,7 +190,7 @@
 	if r.usage, err = sumUsage(m.Pids); err != nil {
 		return r, err
 	}
-	client := &fasthttp.Client{MaxConnsPerHost: 1}
+	client := &fasthttp.Client{MaxConnsPerHost: 1, ConfigureClient: answerhead.Configure}
 	defer client.CloseIdleConnections()
 	for _, address := range m.Addresses {
 		series, err := ReadMetrics(client, address)
--- a/internal/replay/faults/stage.go
+++ b/internal/replay/faults/stage.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/core/document"
 	"sycamoretrail/internal/operatorclient"
 	"sycamoretrail/internal/settings"
@@ -58,7 +59,9 @@
 func Open(dir string, doc *document.Document, tokens map[string]string) (*Stage, error) {
 	s := &Stage{
 		document: doc, tokens: tokens, admins: map[string]string{}, addresses: map[string]string{},
-		http: &fasthttp.Client{Name: "sycamore-replay", ReadTimeout: orderTimeout, WriteTimeout: orderTimeout},
+		http: &fasthttp.Client{
+			Name: "sycamore-replay", ReadTimeout: orderTimeout, WriteTimeout: orderTimeout, ConfigureClient: answerhead.Configure,
+		},
 	}
 	ctl, err := settings.LoadCtl(filepath.Join(dir, "ctl.json"))
 	if err != nil {
--- a/internal/replay/live/replay.go
+++ b/internal/replay/live/replay.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/valyala/fasthttp"
 
+	"sycamoretrail/internal/answerhead"
 	"sycamoretrail/internal/core/ident"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
@@ -86,6 +87,7 @@
 		MaxIdleConnDuration: 10 * time.Second,
 		// A retry by the library would hide the failure of an entry from the caller.
 		MaxIdemponentCallAttempts: 1,
+		ConfigureClient:           answerhead.Configure,
 	}
 }
 
