Requests with a blank in the name of a header are refused

What servers saw: a caller's header "X Broken: 1" or "Transfer Encoding: chunked" was passed on as it was, by both programs, to targets and to other entries: a line that violates the protocol, written by us. A target may refuse the whole request for it, or read the line as another field.

Cause: fasthttp, which reads requests, refuses a blank before the colon and all other bytes that are no part of a token, but accepts blanks inside a name; the names were copied.

It is not proper by RFC 9112, section 5.1, and no HTTP client library sends it.

--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -19,6 +19,7 @@
 	"sycamoretrail/internal/core/message"
 	"sycamoretrail/internal/core/outcome"
 	"sycamoretrail/internal/core/request"
+	"sycamoretrail/internal/ingress"
 )
 
 // refusalError is a refusal by the edge; nothing was submitted to the core.
@@ -88,6 +89,9 @@
 	if size := len(ctx.Request.Header.RawHeaders()); size > view.Document.Limits.HeaderBytes {
 		return nil, refused(outcome.ReasonTooLarge, "the header has %d bytes; limits.header_bytes is %d", size, view.Document.Limits.HeaderBytes)
 	}
+	if err := ingress.CheckHeaderNames(&ctx.Request.Header); err != nil {
+		return nil, refused(outcome.ReasonMalformed, "%v", err)
+	}
 	c := &call{ctx: ctx, view: view, ix: s.indexFor(view)}
 	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte("Bearer "))
 	if !found {
--- a/internal/callers/refusal_test.go
+++ b/internal/callers/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -55,6 +56,20 @@
 		Entry("malformed X-Idempotent", "/v1/completions", chatBody, map[string]string{"X-Idempotent": "maybe"}, 400, outcome.ReasonMalformed),
 	)
 
+	// A target gets no line that violates the protocol.
+	It("a header whose name has a blank", func() {
+		n := newNode("", "")
+		conn, err := net.Dial("tcp", n.address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "GET /v1/services/s1/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+key+"\r\nConnection: close\r\nX Broken: 1\r\n\r\n")
+		answer, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(HavePrefix("HTTP/1.1 400 "))
+		Expect(string(answer)).To(ContainSubstring(`"X Broken\"`))
+		Expect(all[entry.Submit](n.core)).To(BeEmpty())
+	})
+
 	// The caller receives 503 "not run" with a retry delay: the core's ring is full,
 	// so the request was not submitted.
 	It("when the core's ring is full", func() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"hash/maphash"
 	"math/rand/v2"
 	"strings"
@@ -162,7 +163,7 @@
 	header := &c.ctx.Request.Header
 	envelope, err := c.gateway.platform.ReadEnvelope(header)
 	c.envelope = envelope
-	if err != nil {
+	if err := errors.Join(err, ingress.CheckHeaderNames(header)); err != nil {
 		return badRequest(err.Error())
 	}
 	if reply := c.awaitSynced(); reply != nil {
