A planned stop answers requests that wait for a slot

Cause: after three tenths of the grace period a stopping entry takes only what expires before it ends, but it looked at that when the request came. What had been taken before could wait until the end, and be passed on at any time.

Change: after six tenths of the grace period the entry passes on only what expires before its end, and refuses what waits as not run ("leaving"), also before a hand-off. A stream that has begun goes on as before.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -18,6 +18,10 @@
 	// that is still open: a stream accepted then would be aborted at the end of the grace
 	// period, although its caller could have gone to another entry at once.
 	acceptAllShare = 0.3
+	// passOnShare is the share of the grace period during which a stopping entry passes on every request
+	// that it has accepted. Afterwards it refuses those that wait and may outlast the process: a run that begins so
+	// late would be cut, and so would a request that still waits at the end.
+	passOnShare = 0.6
 	// endShare is the share of the grace period after which the process ends whatever still
 	// runs.
 	endShare   = 0.9
@@ -31,14 +35,15 @@
 
 // shutdownTimes holds the deadlines of a shutdown.
 type shutdownTimes struct {
-	// acceptAllUntil is the time until which every request is accepted, end the time at which
-	// running requests are aborted.
-	acceptAllUntil, end time.Time
+	// acceptAllUntil is the time until which every request is accepted, passOnUntil the time until which every
+	// accepted one is passed on, end the time at which running requests are aborted.
+	acceptAllUntil, passOnUntil, end time.Time
 }
 
 func newShutdownTimes(began time.Time, grace time.Duration) *shutdownTimes {
 	return &shutdownTimes{
 		acceptAllUntil: began.Add(fraction(grace, acceptAllShare)),
+		passOnUntil:    began.Add(fraction(grace, passOnShare)),
 		end:            began.Add(fraction(grace, endShare)),
 	}
 }
@@ -48,6 +53,17 @@
 	return s == nil || now.Before(s.acceptAllUntil) || expires.Before(s.end)
 }
 
+// passesOn reports whether an accepted request that expires at a time may still be passed on.
+func (s *shutdownTimes) passesOn(now, expires time.Time) bool {
+	return s == nil || now.Before(s.passOnUntil) || expires.Before(s.end)
+}
+
+// mayPassOn reports whether a stop of the entry allows that the request is passed on now. A stream that has begun
+// goes on until the end.
+func (c *call) mayPassOn() bool {
+	return c.events > 0 || c.gateway.shutdown.Load().passesOn(time.Now(), c.expires)
+}
+
 // drain stops the entry in stages: it announces the departure to callers and the other
 // entries, still accepts requests while callers have old lists, closes the listeners, and
 // waits for running requests.
@@ -57,6 +73,7 @@
 	shutdown := newShutdownTimes(began, grace)
 	g.shutdown.Store(shutdown)
 	g.draining.Store(true)
+	time.AfterFunc(time.Until(shutdown.passOnUntil), func() { close(g.lateInStop) })
 	g.log.Write(eventlog.StateChange, eventDrain, eventlog.Fields{"running": g.running.Load(), "grace_ms": grace.Milliseconds()})
 	g.links.announce()
 	linger := began.Add(fraction(grace, lingerShare))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,8 @@
 	closedClients closedClients
 	// shutdown is set when this entry is to stop.
 	shutdown atomic.Pointer[shutdownTimes]
+	// lateInStop is closed when no request is passed on any more that may outlast the process.
+	lateInStop chan struct{}
 }
 
 // advertisedLinks returns the address to which the other entries send.
@@ -156,7 +158,7 @@
 	pauses := &pause.Detector{}
 	g := &Gateway{
 		gates: gates, pauses: pauses,
-		settings: s, platform: platform, started: now, logger: logger, syncDone: make(chan struct{}),
+		settings: s, platform: platform, started: now, logger: logger, syncDone: make(chan struct{}), lateInStop: make(chan struct{}),
 		log:     eventlog.New(logger, time.Now),
 		metrics: telemetry.NewMetrics(s.Name, s.Zone),
 		self: peerset.Entry{
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -97,6 +97,8 @@
 // it decides itself whether its first run may crash a target.
 func (c *call) mayHandOff() *reply {
 	switch {
+	case !c.mayPassOn():
+		return entryStopping
 	case !c.enter(memory.Running):
 		return noMemoryToWait()
 	case c.runs == 0 && c.sends == 0:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,6 +66,9 @@
 
 // maySend returns the reply to a request that must not be sent to a target now, or nil.
 func (c *call) maySend() *reply {
+	if !c.mayPassOn() {
+		return entryStopping
+	}
 	if reply := c.claimRun(); reply != nil {
 		return reply
 	}
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -29,15 +29,9 @@
 	began := time.Now()
 	defer func() { c.waited += time.Since(began) }()
 	ticket, wait := c.gateway.state.submit(request)
-	reason := callerDisconnected
-	select {
-	case v := <-wait:
-		return c.handleSlotResult(v)
-	case <-c.disconnected:
-	case <-c.evicted():
-		reason = noMemoryToWait()
-	case <-c.isolationBegins():
-		reason = isolatedWhileWaiting
+	result, reason := c.awaitSlot(wait)
+	if reason == nil {
+		return c.handleSlotResult(result)
 	}
 	if !c.gateway.state.cancel(ticket) {
 		if v := <-wait; v.grant != nil {
@@ -47,9 +41,31 @@
 	return nil, reason
 }
 
+// awaitSlot waits for the scheduler's result. It returns a reply if something else ends the wait.
+func (c *call) awaitSlot(wait <-chan slotResult) (slotResult, *reply) {
+	lateInStop := c.gateway.lateInStop
+	for {
+		select {
+		case v := <-wait:
+			return v, nil
+		case <-c.disconnected:
+			return slotResult{}, callerDisconnected
+		case <-c.evicted():
+			return slotResult{}, noMemoryToWait()
+		case <-c.isolationBegins():
+			return slotResult{}, isolatedWhileWaiting
+		case <-lateInStop:
+			if !c.mayPassOn() {
+				return slotResult{}, entryStopping
+			}
+			lateInStop = nil
+		}
+	}
+}
+
 // endsWait reports whether the request is not to wait for a slot in another pool either.
 func (r *reply) endsWait() bool {
-	return r == callerDisconnected || r == isolatedWhileWaiting || r.reason == reasonNoMemoryToWait
+	return r == callerDisconnected || r == isolatedWhileWaiting || r == entryStopping || r.reason == reasonNoMemoryToWait
 }
 
 // isolatedWhileWaiting ends the wait for a slot of a request that can be handed off instead.
