--- a/cmd/sycamore-gateway/pause_test.go
+++ b/cmd/sycamore-gateway/pause_test.go
@@ -123,8 +123,10 @@
 	route := func(path, kind string) map[string]any {
 		return map[string]any{"host": pausedHost, "path_prefix": path, "service": pausedService, "kind": kind, "attempts": 1, "timeout_ms": 8000}
 	}
+	resumable := route("/resume/", "streaming")
+	resumable["resumable"] = true
 	g.Expect(store.PutJSON("keyed.op", "config", map[string]any{
-		"version": 1, "routes": []any{route("/unsafe/", "unsafe"), route("/talk/", "streaming")},
+		"version": 1, "routes": []any{route("/unsafe/", "unsafe"), route("/talk/", "streaming"), resumable},
 		"services": []any{map[string]any{"name": pausedService, "health_path": platformtest.HealthPath}},
 	})).To(Succeed())
 	return store
--- a/cmd/sycamore-gateway/start_test.go
+++ b/cmd/sycamore-gateway/start_test.go
@@ -27,7 +27,9 @@
 }
 
 // startProcess starts the program with a store's address; it is killed after the test.
-func startProcess(t *testing.T, store string) *process {
+func startProcess(t *testing.T, store string) *process { return startNamed(t, "entry-1", store) }
+
+func startNamed(t *testing.T, name, store string) *process {
 	g := NewWithT(t)
 	path, err := program.Path()
 	g.Expect(err).NotTo(HaveOccurred())
@@ -38,7 +40,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	file := filepath.Join(t.TempDir(), "settings.json")
-	content := fmt.Sprintf(`{"name": "entry-1", "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, p.callers, directory, p.ready, links, store)
+	content := fmt.Sprintf(`{"name": %q, "zone": "a", "callers_address": %q, "directory_address": %q, "ready_address": %q, "links_address": %q, "store_address": %q}`, name, p.callers, directory, p.ready, links, store)
 	g.Expect(os.WriteFile(file, []byte(content), 0o600)).To(Succeed())
 	p.Cmd = exec.Command(path, "run", "--settings", file)
 	g.Expect(p.Start()).To(Succeed())
