Requests taken during a planned stop are answered before it ends

Cause: its time was that of caller and route, which the end of the process did not shorten.

Change: the time of a request that a stopping entry takes ends with the entry. A run that is still going on then is answered 504 (it may have run) while the entry still waits for its last answers, and the target is told the shorter deadline; a request that would wait longer for a slot is refused as not run at once. What was taken before the stop keeps its time: it is still cut if it runs at the end of the grace period.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -73,8 +73,8 @@
 		c.setExpiry()
 	}
 	c.endBody()
-	if !c.gateway.shutdown.Load().accepts(time.Now(), c.expires) {
-		return entryStopping
+	if reply := c.acceptInStop(time.Now()); reply != nil {
+		return reply
 	}
 	if !c.enter(memory.Waiting) {
 		return noMemoryToReceive()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -188,10 +188,7 @@
 	}
 	c.leaves = c.arrived.Add(c.waitLimit())
 	c.setExpiry()
-	if !c.gateway.shutdown.Load().accepts(c.arrived, c.expires) {
-		return entryStopping
-	}
-	return nil
+	return c.acceptInStop(c.arrived)
 }
 
 // awaitSynced waits, for a part of the caller's time, until this entry can handle requests.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -58,6 +58,19 @@
 	return s == nil || now.Before(s.passOnUntil) || expires.Before(s.end)
 }
 
+// acceptInStop returns the reply to a request that a stopping entry does not take, or nil. The time of one that it
+// takes ends with the entry, so that the caller gets an answer.
+func (c *call) acceptInStop(now time.Time) *reply {
+	shutdown := c.gateway.shutdown.Load()
+	if !shutdown.accepts(now, c.expires) {
+		return entryStopping
+	}
+	if shutdown != nil && shutdown.end.Before(c.expires) {
+		c.expires = shutdown.end
+	}
+	return nil
+}
+
 // mayPassOn reports whether a stop of the entry allows that the request is passed on now. A stream that has begun
 // goes on until the end.
 func (c *call) mayPassOn() bool {
