--- a/internal/answerhead/answerheadtest/reset.go
+++ b/internal/answerhead/answerheadtest/reset.go
@@ -36,32 +36,14 @@
 // Serve starts a server that answers each request so. It returns the server's address. named returns the fields
 // that name a request.
 func (r EarlyReset) Serve(tb testing.TB, named func(*http.Request) string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.answer(conn, named)
+	return serveConns(tb, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
-}
-
-// answer writes the head and the beginning of the body of an answer, and resets the connection.
-func (r EarlyReset) answer(conn net.Conn, named func(*http.Request) string) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, request.Body, r.Read)
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\n\r\n%s", named(request), Body)
-	time.Sleep(r.Delay)
-	_ = conn.(*net.TCPConn).SetLinger(0)
+		_, _ = io.CopyN(io.Discard, request.Body, r.Read)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\n\r\n%s", named(request), Body)
+		time.Sleep(r.Delay)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
 }
--- a/internal/answerhead/answerheadtest/serve.go
+++ b/internal/answerhead/answerheadtest/serve.go
@@ -11,6 +11,20 @@
 // Serve starts a server that answers each request with a text and closes its connection. It returns the
 // server's address.
 func Serve(tb testing.TB, answer func(*http.Request) string) string {
+	return serveConns(tb, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(request))
+	})
+}
+
+// serveConns starts a server on a loopback port that closes each connection after a function.
+func serveConns(tb testing.TB, serve func(net.Conn)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
@@ -22,20 +36,11 @@
 			if err != nil {
 				return
 			}
-			go answerOnce(conn, answer)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
-
-func answerOnce(conn net.Conn, answer func(*http.Request) string) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, answer(request))
-}
