A stop doesn't take targets for slow

A target that times out gets nothing for a while, also from the other entries once two of them say so, which two entries that stop together would.

TestStopBlamesNoTarget failed before and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,9 @@
 }
 
 func (c *call) reportAttempt(grant *dispatch.Grant, report dispatch.Report, took time.Duration, status int, err error) {
+	if report.Outcome == dispatch.TimedOut && c.endsWithStop() {
+		report.Outcome = dispatch.Abandoned // it says nothing about the target
+	}
 	importance := eventlog.Failure
 	if report.Outcome == dispatch.Answered || report.Outcome == dispatch.Abandoned {
 		importance = eventlog.Routine
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -71,6 +71,12 @@
 	return nil
 }
 
+// endsWithStop reports whether the stop of this entry has ended the request's time.
+func (c *call) endsWithStop() bool {
+	shutdown := c.gateway.shutdown.Load()
+	return shutdown != nil && !c.expires.Before(shutdown.end)
+}
+
 // mayPassOn reports whether a stop of the entry allows that the request is passed on now. A stream that has begun
 // goes on until the end.
 func (c *call) mayPassOn() bool {
