--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -90,7 +90,7 @@
 
 func BenchmarkChecker(b *testing.B) {
 	head := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: 9c41d07be2a35f68\r\n" +
-		"X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 600\r\nKeep-Alive: timeout=5\r\n\r\n")
+		"X-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 600\r\nKeep-Alive: timeout=5\r\n\r\n")
 	b.ReportAllocs()
 	for b.Loop() {
 		var checker answerhead.Checker
--- a/internal/upstream/head_bench_test.go
+++ b/internal/upstream/head_bench_test.go
@@ -18,7 +18,7 @@
 // BenchmarkReadHead measures the reading of the head of an ordinary answer.
 func BenchmarkReadHead(b *testing.B) {
 	answer := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: 9c41d07be2a35f68\r\n" +
-		"X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n")
+		"X-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n")
 	source := &source{conn: repeatingConn{answer: answer}, left: unbounded}
 	conn := &Conn{source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 	b.ReportAllocs()
