--- a/cmd/sycamore-gateway/standstill_test.go
+++ b/cmd/sycamore-gateway/pausedversions_test.go
@@ -78,9 +78,9 @@
 	return version, nil
 }
 
-// Guards against a stream going on at another version at entries that stood still while servers of a new
+// Guards against a stream going on at another version at entries that were paused while servers of a new
 // version joined and began it through others.
-func TestEntriesThatStoodStillKeepVersionsApart(t *testing.T) {
+func TestPausedEntriesKeepVersionsApart(t *testing.T) {
 	const entries, streams = 4, 12
 	for name, play := range map[string]struct {
 		stale int
@@ -130,7 +130,7 @@
 			answers := make(chan string, len(versions))
 			for id, version := range versions {
 				at := stale[len(id)%len(stale)]
-				go func() { answers <- goOn(at, id, version) }() // it waits at an entry that stands still
+				go func() { answers <- goOn(at, id, version) }() // it waits at a paused entry
 			}
 			time.Sleep(time.Until(began.Add(play.lasts)))
 			for _, p := range stale {
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,4 +1,4 @@
-// Package answerhead checks the heads of HTTP/1 answers against RFC 9112. The HTTP libraries accept more: blanks
+// Package answerhead checks the heads of HTTP/1 answers against RFC 9112. The HTTP libraries accept more: spaces
 // in the names of fields, statuses that don't exist, other versions of the protocol.
 package answerhead
 
@@ -128,7 +128,7 @@
 	case b != ' ' && b != '\t':
 		return c.endName(b)
 	case !c.hasField:
-		return c.invalid("a blank before the first field")
+		return c.invalid("whitespace before the first field")
 	default:
 		c.state = inFoldedLine
 	}
@@ -160,7 +160,7 @@
 		c.state = afterCR
 		return nil
 	case b == ':':
-		// It can't be told from a field whose name begins with a blank.
+		// It can't be told from a field whose name begins with whitespace.
 		return c.invalid("a folded line with a colon")
 	default:
 		return c.invalid("a control byte")
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// FuzzChecker checks that the result doesn't depend on how the bytes are split, and that no name with a blank is
+// FuzzChecker checks that the result doesn't depend on how the bytes are split, and that no name with whitespace is
 // accepted.
 func FuzzChecker(f *testing.F) {
 	for _, answer := range answerheadtest.Invalid() {
--- a/internal/callers/refusal_test.go
+++ b/internal/callers/refusal_test.go
@@ -57,7 +57,7 @@
 	)
 
 	// A target gets no line that violates the protocol.
-	It("a header whose name has a blank", func() {
+	It("a header whose name has a space", func() {
 		n := newNode("", "")
 		conn, err := net.Dial("tcp", n.address)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/ingress/names.go
+++ b/internal/ingress/names.go
@@ -12,7 +12,7 @@
 // ErrHeaderName is wrapped by errors of requests with a header whose name is not a token.
 var ErrHeaderName = errors.New("the name of a header is not a token")
 
-// CheckHeaderNames checks the names of a request's headers. The HTTP library accepts blanks inside them.
+// CheckHeaderNames checks the names of a request's headers. The HTTP library accepts spaces inside them.
 func CheckHeaderNames(header *fasthttp.RequestHeader) error {
 	for name := range header.All() {
 		if !answerhead.IsToken(string(name)) {
