--- a/review/trials/world.go
+++ b/review/trials/world.go
@@ -285,15 +285,6 @@
 	return nil
 }
 
-// signal sends a signal to the process.
-func (g *gateway) signal(s syscall.Signal) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.process != nil {
-		_ = g.process.Process.Signal(s)
-	}
-}
-
 // kill ends the process by a signal and waits for its end.
 func (g *gateway) kill(s syscall.Signal) {
 	g.mutex.Lock()
