--- a/review/trials/unread.go
+++ b/review/trials/unread.go
@@ -22,14 +22,37 @@
 	unreadFor = 4 * time.Second
 	waitLimit = 12 * time.Second
 	longText  = 400 << 10
+	// The largest stream of the sheets: its events, their size and their interval.
+	streamEvents  = 300
+	eventBytes    = 300
+	eventInterval = 5 * time.Millisecond
+	// smallWindow is the receive buffer of the clients of streams: links have small windows.
+	smallWindow = 16 << 10
 	// maxLost is the bound of the rule.
 	maxLost = 3
 )
 
+const (
+	shortPath  = "/approve/short"
+	longPath   = "/approve/long"
+	streamPath = "/suggest/long"
+)
+
+// answerStream answers with a stream of events.
+func answerStream(a *platformtest.Arrival) {
+	_, _ = io.WriteString(a.Conn, a.Head(http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	for n := range streamEvents {
+		event := fmt.Sprintf("id: %d\ndata: ", n+1)
+		a.Chunk(event + strings.Repeat("x", eventBytes-len(event)) + "\n\n")
+		time.Sleep(eventInterval)
+	}
+	a.Chunk("")
+}
+
 // trialUnreadAnswers sends requests on kept connections. With trouble the clients begin to read the last answer
 // after a while.
 func trialUnreadAnswers(w *world, trouble bool) (broken bool, err error) {
-	if err := w.configure(1, []string{desk}, routeFor(desk, "/approve/", "unsafe", 1, waitLimit)); err != nil {
+	if err := w.configure(1, []string{desk}, routeFor(desk, "/approve/", "unsafe", 1, waitLimit), routeFor(desk, "/suggest/", "streaming", 1, waitLimit)); err != nil {
 		return false, err
 	}
 	for i := range 3 {
@@ -37,11 +60,14 @@
 		server, err := platformtest.NewServer(id, desk, func(a *platformtest.Arrival) {
 			w.record.notef("server %s runs %s", id, a.ID())
 			time.Sleep(workTime)
-			text := "short"
-			if strings.HasSuffix(a.URL.Path, "/long") {
-				text = strings.Repeat("x", longText)
+			switch a.URL.Path {
+			case longPath:
+				a.Answer(200, "", strings.Repeat("x", longText))
+			case streamPath:
+				answerStream(a)
+			default:
+				a.Answer(200, "", "short")
 			}
-			a.Answer(200, "", text)
 			w.record.notef("server %s has answered %s", id, a.ID())
 		})
 		if err != nil {
@@ -77,11 +103,18 @@
 		return nil // nothing was sent
 	}
 	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(*net.TCPConn); ok && number%2 != 0 {
+		_ = tcp.SetReadBuffer(smallWindow)
+	}
 	reader := bufio.NewReader(conn)
 	for n := range shortRequests + 1 {
-		id, path := fmt.Sprintf("c%d-%d", number, n), "/approve/short"
-		if n == shortRequests {
-			path = "/approve/long"
+		id, path := fmt.Sprintf("c%d-%d", number, n), shortPath
+		switch {
+		case n < shortRequests:
+		case number%2 == 0:
+			path = longPath
+		default:
+			path = streamPath
 		}
 		w.record.notef("client sends %s to %s", id, g.name)
 		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 2\r\n\r\nok", path, host, id, waitLimit.Milliseconds(), key)
@@ -94,7 +127,7 @@
 		if err == nil {
 			size, err = io.Copy(io.Discard, response.Body)
 		}
-		w.record.notef("client got %d bytes of the answer to %s, error %v", size, id, err)
+		w.record.notef("client got %d bytes of the answer to %s (%s), error %v", size, id, path, err)
 		if err != nil {
 			return err
 		}
