--- a/review/trials/main.go
+++ b/review/trials/main.go
@@ -23,9 +23,9 @@
 // cases are the trials by name. Each reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"crashing-at-once":   trialCrashingAtOnce,
-	"crashing-queries":   trialCrashingQueries,
 	"former-version":     trialFormerVersion,
 	"version-in-service": trialVersionInService,
+	"removed-machines":   trialRemovedMachines,
 	"unread-answers":     trialUnreadAnswers,
 }
 
--- a/review/trials/world.go
+++ b/review/trials/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -51,6 +52,8 @@
 	// arrivals are the requests that reached servers, calls those that clients sent.
 	arrivals arrivals
 	calls    calls
+	// quota is what the configuration says of the organisation's quota.
+	quota map[string]any
 }
 
 // arrivals are the times at which requests reached the servers of each version.
@@ -209,9 +212,11 @@
 	for _, name := range services {
 		listed = append(listed, map[string]any{"name": name, "health_path": platformtest.HealthPath, "max_conns": 96})
 	}
+	tenant := map[string]any{"name": "tenant-1", "api_keys": []string{key}}
+	maps.Copy(tenant, w.quota)
 	return w.store.PutJSON("keyed.op", "config", map[string]any{
 		"version": version, "routes": routes, "services": listed,
-		"tenants": []any{map[string]any{"name": "tenant-1", "api_keys": []string{key}}},
+		"tenants": []any{tenant},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
@@ -327,15 +332,15 @@
 }
 
 // send sends a request to a gateway and records what became of it.
-func (w *world) send(client *http.Client, g *gateway, method, uri, id, body string) {
+func (w *world) send(client *http.Client, g *gateway, method, uri, id, body string, headers ...string) {
 	sent := time.Now()
 	w.record.notef("client sends %s to %s", id, g.name)
-	status, err := request(client, g.callers, method, uri, id, body)
+	status, err := request(client, g.callers, method, uri, id, body, headers)
 	w.record.notef("client got %d for %s, error %v", status, id, err)
 	w.calls.add(clientCall{path: uri, sent: sent, served: err == nil && status < http.StatusBadRequest})
 }
 
-func request(client *http.Client, address, method, uri, id, body string) (status int, err error) {
+func request(client *http.Client, address, method, uri, id, body string, headers []string) (status int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+uri, strings.NewReader(body))
@@ -346,6 +351,9 @@
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	r.Header.Set("Authorization", "Token "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, err
