--- a/review/trials/unread.go
+++ b/review/trials/unread.go
@@ -19,14 +19,14 @@
 	// shortRequests are sent before the long one on the same connection.
 	shortRequests = 2
 	// unreadFor is how long a client does not read. It has waitLimit for its request.
-	unreadFor = 4 * time.Second
+	unreadFor = 4600 * time.Millisecond
 	waitLimit = 12 * time.Second
 	longText  = 400 << 10
 	// The largest stream of the sheets: its events, their size and their interval.
 	streamEvents  = 300
 	eventBytes    = 300
 	eventInterval = 5 * time.Millisecond
-	// smallWindow is the receive buffer of the clients of streams: links have small windows.
+	// smallWindow is the receive buffer of the clients: links have small windows.
 	smallWindow = 16 << 10
 	// maxLost is the bound of the rule.
 	maxLost = 3
@@ -103,7 +103,7 @@
 		return nil // nothing was sent
 	}
 	defer func() { _ = conn.Close() }()
-	if tcp, ok := conn.(*net.TCPConn); ok && number%2 != 0 {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(smallWindow)
 	}
 	reader := bufio.NewReader(conn)
